--- /dev/null
+++ b/cmake/FilbertlandingTargets.cmake
@@ -0,0 +1,35 @@
+# Helpers that define one static library per folder of src/ and one test program per file of tests/.
+
+# Defines filbertlanding_<NAME> from all sources of the current folder.
+# Usage: filbertlanding_library(NAME LINK <libraries...>)
+function(filbertlanding_library NAME)
+    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+    # Plug-ins register themselves from static initialisers, which a linker drops from
+    # an archive that nothing refers to; object libraries keep them.
+    if(NAME STREQUAL "policy" AND SOURCES)
+        add_library(filbertlanding_${NAME} OBJECT ${SOURCES})
+    elseif(SOURCES)
+        add_library(filbertlanding_${NAME} STATIC ${SOURCES})
+    else()
+        add_library(filbertlanding_${NAME} INTERFACE)
+        target_include_directories(filbertlanding_${NAME} INTERFACE ${PROJECT_SOURCE_DIR}/src)
+        target_link_libraries(filbertlanding_${NAME} INTERFACE ${ARG_LINK})
+        return()
+    endif()
+    target_include_directories(filbertlanding_${NAME} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(filbertlanding_${NAME} PUBLIC ${ARG_LINK})
+    target_precompile_headers(filbertlanding_${NAME} PRIVATE ${PROJECT_SOURCE_DIR}/cmake/precompiled.h)
+endfunction()
+
+# Defines a doctest program <NAME> from <NAME>.cpp and registers it with CTest.
+# Usage: filbertlanding_test(NAME LINK <libraries...>)
+function(filbertlanding_test NAME)
+    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    add_executable(${NAME} ${NAME}.cpp)
+    target_link_libraries(${NAME} PRIVATE filbertlanding_testmain ${ARG_LINK} rapidcheck)
+    target_precompile_headers(${NAME} REUSE_FROM filbertlanding_testmain)
+    add_test(NAME ${NAME} COMMAND ${NAME})
+    # RapidCheck takes its seed from here, so that every run tests the same cases.
+    set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 240)
+endfunction()
