Add: checked settings of the daemon

Cause: a daemon must name every mistake in its settings before it starts anything. Ruled out: reading keys where they are used, since unknown keys would pass unseen. Change: one table of keys drives reading, the effective settings and the page; a test compares the page. Conclusion: ten kinds of mistakes in one file are all reported, each with its JSON pointer.

--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,89 @@
+/** @file settings_test.cpp Tests of the daemon's settings. */
+
+#include "settings/settings_func.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace Filbertlanding;
+
+namespace {
+
+std::vector<SettingsError> errorsOf(std::string_view text)
+{
+    Settings settings;
+    return parseSettings(text, settings);
+}
+
+bool hasError(const std::vector<SettingsError> &errors, ResultCode code, std::string_view pointer)
+{
+    for (const auto &error : errors) {
+        if (error.code == code && error.pointer == pointer) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("Settings of a daemon")
+{
+    SUBCASE("a data folder alone is enough to start on a laptop")
+    {
+        Settings settings;
+        CHECK(parseSettings(R"({"dataFolder": "data"})", settings).empty());
+        CHECK(settings.httpPort == 8100);
+        CHECK(isVoter(settings));
+
+        SUBCASE("and the settings in effect can be read back as they are")
+        {
+            Settings again;
+            CHECK(parseSettings(settingsAsJson(settings), again).empty());
+            CHECK(settingsAsJson(again) == settingsAsJson(settings));
+        }
+    }
+
+    SUBCASE("a mistake is named with its place, and all mistakes are named at once")
+    {
+        // Guards against a daemon that starts with a misspelt or misplaced setting silently ignored.
+        const auto errors = errorsOf(R"({"dataFolder": "d", "htpp": {}, "http": {"port": "8100", "requestThreads": 0, "address": "localhost"},
+                                         "log": 5, "worker": {"reportIntervalMs": 4000}, "peers": [{"daemon": "local-1", "zone": "x"}]})");
+        CHECK(hasError(errors, ResultCode::UnknownField, "/htpp"));
+        CHECK(hasError(errors, ResultCode::BadFieldType, "/http/port"));
+        CHECK(hasError(errors, ResultCode::OutOfRange, "/http/requestThreads"));
+        CHECK(hasError(errors, ResultCode::BadAddress, "/http/address"));
+        CHECK(hasError(errors, ResultCode::BadFieldType, "/log"));
+        CHECK(hasError(errors, ResultCode::ConflictingSettings, "/worker/reportIntervalMs"));
+        CHECK(hasError(errors, ResultCode::UnknownField, "/peers/0/zone"));
+        CHECK(hasError(errors, ResultCode::MissingField, "/peers/0/tcpPort"));
+        CHECK(hasError(errors, ResultCode::ConflictingSettings, "/peers/0/daemon"));
+        CHECK(hasError(errors, ResultCode::MissingField, "/peer/keyFile"));
+    }
+
+    SUBCASE("an installation without a disk cannot keep anything and is refused")
+    {
+        CHECK(hasError(errorsOf("{}"), ResultCode::ConflictingSettings, "/dataFolder"));
+    }
+
+    SUBCASE("text that is not JSON is refused")
+    {
+        CHECK(hasError(errorsOf("{\"daemon\": "), ResultCode::BadJson, ""));
+        CHECK(hasError(errorsOf("[]"), ResultCode::BadFieldType, ""));
+    }
+
+    SUBCASE("the page for users lists every key with default, range and unit")
+    {
+        std::ifstream page(FILBERTLANDING_SOURCE_DIR "/docs/settings.md");
+        std::stringstream text;
+        text << page.rdbuf();
+        for (const auto &row : settingsRows()) {
+            std::ostringstream line;
+            line << "| `" << row.pointer << "` | " << (row.fallback.empty() ? "-" : row.fallback) << " | " << row.range << " | "
+                 << (row.unit.empty() ? "-" : row.unit) << " | " << row.sentence << " |\n";
+            CHECK_MESSAGE(text.str().find(line.str()) != std::string::npos, line.str());
+        }
+    }
+}
