--- a/src/core/clock_func.cpp
+++ b/src/core/clock_func.cpp
@@ -14,6 +14,12 @@
     return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count()};
 }
 
+std::int64_t steadyMicroseconds()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
+}
+
 WallTime wallNow()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/src/core/clock_func.h
+++ b/src/core/clock_func.h
@@ -11,6 +11,9 @@
 /** Returns the steady clock of this process. */
 TimePoint steadyNow();
 
+/** Returns the steady clock in microseconds, for measuring latencies; decisions use steadyNow(). */
+std::int64_t steadyMicroseconds();
+
 /** Returns the calendar time of this host. */
 WallTime wallNow();
 
--- /dev/null
+++ b/src/daemon/ledger_path.cpp
@@ -0,0 +1,306 @@
+/** @file ledger_path.cpp The way of a non-repeatable request. */
+
+#include "daemon/ledger_path.h"
+
+#include "core/clock_func.h"
+#include "daemon/log_func.h"
+#include "daemon/peer_codec.h"
+#include "daemon/request_service.h"
+#include "request/ledger_func.h"
+
+#include <mutex>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr Duration ReplicaQueryTimeout{1000}; ///< Time that the replica has to say what it knows.
+
+    /** Sends that wait for the ledger of this home. */
+    struct OpenSends {
+        struct Send {
+            std::shared_ptr<CallerRequest> request;
+            std::function<void(RequestOutcome)> done;
+        };
+
+        std::mutex mutex;
+        SendToken last = 0;
+        std::unordered_map<SendToken, Send> sends;
+    };
+
+    OpenSends &openSends()
+    {
+        static OpenSends sends;
+        return sends;
+    }
+
+    std::vector<DaemonName> votersOf(Daemon &daemon)
+    {
+        registerReaderThread();
+        return daemon.view.read()->voters;
+    }
+
+    /** Home and replica of a key. With a single voter its synced record is the only one there can be. */
+    std::optional<LedgerPlace> placeOf(Daemon &daemon, const LedgerKey &key)
+    {
+        const std::vector<DaemonName> voters = votersOf(daemon);
+        if (voters.size() == 1) {
+            return LedgerPlace{voters.front(), voters.front()};
+        }
+        return ledgerPlace(voters, key);
+    }
+
+    ForwardedAnswer toForwarded(const RequestOutcome &outcome)
+    {
+        return {outcome.code, outcome.status, outcome.contentType, outcome.body, outcome.worker, outcome.retryAfter};
+    }
+
+    RequestOutcome fromForwarded(ForwardedAnswer answer)
+    {
+        return {answer.code, answer.status, std::move(answer.contentType), std::move(answer.body), std::move(answer.worker), answer.retryAfter};
+    }
+
+    /** Outcome of a send that the ledger has answered; the stored answer is a whole ForwardedAnswer. */
+    RequestOutcome outcomeOfLedger(ResultCode code, const std::string &answer)
+    {
+        if (code == ResultCode::Ok) {
+            const auto stored = decodePeerMessage<ForwardedAnswer>(answer);
+            if (stored) {
+                return fromForwarded(*stored);
+            }
+            code = ResultCode::OutcomeUnknown;
+        }
+        RequestOutcome outcome;
+        outcome.code = code;
+        return outcome;
+    }
+
+    void submitHere(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, std::function<void(RequestOutcome)> done)
+    {
+        OpenSends &open = openSends();
+        SendToken token = 0;
+        {
+            const std::lock_guard lock(open.mutex);
+            token = ++open.last;
+            open.sends[token] = {request, std::move(done)};
+        }
+        daemon.ledger.submit({ledgerKey(request->caller, request->id), stableHash(request->service + '\n' + request->body), token});
+    }
+
+    ForwardedRequest toForwarded(const CallerRequest &request)
+    {
+        ForwardedRequest message;
+        message.service = request.service;
+        message.team = request.team;
+        message.caller = request.caller;
+        message.request = request.id;
+        message.repeatable = false;
+        message.remaining = request.deadline - steadyNow();
+        message.contentType = request.contentType;
+        message.body = request.body;
+        return message;
+    }
+
+    /** The home did not answer: the replica's record decides what the caller is told. */
+    void askReplicaInstead(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, const LedgerPlace &place, std::function<void(RequestOutcome)> done)
+    {
+        const LedgerKey key = ledgerKey(request->caller, request->id);
+        const std::uint64_t bodyHash = stableHash(request->service + '\n' + request->body);
+        const auto answered = [done = std::move(done), bodyHash, request](const std::optional<ReplicaAnswer> &answer) {
+            const AnswerSend result = answerWithoutHome(0, bodyHash, answer);
+            logLine(
+                LogArea::Route,
+                LogLevel::Warn,
+                "ledger-home-unreachable",
+                {{"request", request->id}, {"caller", request->caller}, {"code", resultCodeRow(result.code).name}, {"replicaAnswered", answer.has_value()}});
+            done(outcomeOfLedger(result.code, result.answer));
+        };
+        if (place.replica == daemon.settings.daemon) {
+            daemon.ledger.query(key, [answered](ReplicaAnswer answer) {
+                answered(answer);
+            });
+            return;
+        }
+        const auto kind = static_cast<std::uint8_t>(PeerKind::LedgerQuery);
+        daemon.peers->sendRequest(place.replica, kind, encodePeerMessage(LedgerQuery{key}), ReplicaQueryTimeout, [answered](const PeerAnswer &answer) {
+            answered(answer.code == ResultCode::Ok ? decodePeerMessage<ReplicaAnswer>(answer.payload) : std::nullopt);
+        });
+    }
+
+    /** Runs a recorded request on a worker. Only this lets a byte of it go out. */
+    void runRecorded(Daemon &daemon, SendToken token, std::function<void(ResultCode code, std::string answer)> finished)
+    {
+        std::shared_ptr<CallerRequest> original;
+        {
+            OpenSends &open = openSends();
+            const std::lock_guard lock(open.mutex);
+            const auto found = open.sends.find(token);
+            if (found != open.sends.end()) {
+                original = found->second.request;
+            }
+        }
+        if (original == nullptr) {
+            finished(ResultCode::DeadlineExpired, {});
+            return;
+        }
+        const auto run = std::make_shared<CallerRequest>(*original);
+        run->admitted = false;
+        run->attempts = 0;
+        run->done = [finished = std::move(finished)](const RequestOutcome &outcome) {
+            const bool ran = outcome.code == ResultCode::Ok || outcome.code == ResultCode::WorkerFailed;
+            finished(ran ? ResultCode::Ok : outcome.code, ran ? encodePeerMessage(toForwarded(outcome)) : std::string());
+        };
+        routeAndSend(daemon, run);
+    }
+
+    void answerSend(SendToken token, ResultCode code, const std::string &answer)
+    {
+        OpenSends::Send send;
+        {
+            OpenSends &open = openSends();
+            const std::lock_guard lock(open.mutex);
+            const auto found = open.sends.find(token);
+            if (found == open.sends.end()) {
+                return;
+            }
+            send = std::move(found->second);
+            open.sends.erase(found);
+        }
+        send.done(outcomeOfLedger(code, answer));
+    }
+
+    void askReplica(Daemon &daemon, const ReplicaAsk &ask, std::function<void(std::optional<ReplicaAnswer>)> answered)
+    {
+        const auto place = placeOf(daemon, ask.key);
+        if (!place) {
+            answered(std::nullopt);
+            return;
+        }
+        if (place->replica == daemon.settings.daemon) {
+            ReplicaAnswer answer;
+            answer.key = ask.key;
+            answer.attempt = ask.attempt;
+            answer.verdict = ReplicaVerdict::Recorded;
+            answered(answer);
+            return;
+        }
+        const auto kind = static_cast<std::uint8_t>(PeerKind::LedgerRecord);
+        daemon.peers->sendRequest(
+            place->replica, kind, encodePeerMessage(ask), LedgerSettings().replicaTimeout, [answered = std::move(answered)](const PeerAnswer &answer) {
+                answered(answer.code == ResultCode::Ok ? decodePeerMessage<ReplicaAnswer>(answer.payload) : std::nullopt);
+            });
+    }
+
+    void tellReplica(Daemon &daemon, const ReplicaOutcome &outcome)
+    {
+        const auto place = placeOf(daemon, outcome.key);
+        if (!place || place->replica == daemon.settings.daemon) {
+            return;
+        }
+        daemon.peers->sendOneWay(place->replica, static_cast<std::uint8_t>(PeerKind::LedgerOutcome), encodePeerMessage(outcome));
+    }
+
+} // namespace
+
+void sendThroughLedger(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, std::function<void(RequestOutcome)> done)
+{
+    const auto place = placeOf(daemon, ledgerKey(request->caller, request->id));
+    if (!place) {
+        RequestOutcome outcome;
+        outcome.code = ResultCode::HomeUnreachable;
+        done(std::move(outcome));
+        return;
+    }
+    if (place->home == daemon.settings.daemon) {
+        submitHere(daemon, request, std::move(done));
+        return;
+    }
+    const ForwardedRequest message = toForwarded(*request);
+    const auto kind = static_cast<std::uint8_t>(PeerKind::LedgerSubmit);
+    daemon.peers->sendRequest(
+        place->home, kind, encodePeerMessage(message), message.remaining, [&daemon, request, place = *place, done = std::move(done)](const PeerAnswer &answer) {
+            const auto decoded = answer.code == ResultCode::Ok ? decodePeerMessage<ForwardedAnswer>(answer.payload) : std::nullopt;
+            if (decoded) {
+                done(fromForwarded(*decoded));
+                return;
+            }
+            askReplicaInstead(daemon, request, place, done);
+        });
+}
+
+void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply)
+{
+    const auto request = std::make_shared<CallerRequest>();
+    request->service = std::move(forwarded.service);
+    request->team = std::move(forwarded.team);
+    request->caller = std::move(forwarded.caller);
+    request->id = std::move(forwarded.request);
+    request->repeatable = false;
+    request->deadline = steadyNow() + forwarded.remaining;
+    request->contentType = std::move(forwarded.contentType);
+    request->body = std::move(forwarded.body);
+    registerReaderThread();
+    {
+        const auto view = daemon.view.read();
+        const auto runtime = view->services.find(request->service);
+        request->runtime = runtime == view->services.end() ? nullptr : runtime->second;
+    }
+    if (request->runtime == nullptr) {
+        ForwardedAnswer answer;
+        answer.code = ResultCode::ServiceUnknown;
+        reply(std::move(answer));
+        return;
+    }
+    submitHere(daemon, request, [reply = std::move(reply)](const RequestOutcome &outcome) {
+        reply(toForwarded(outcome));
+    });
+}
+
+LedgerHooks ledgerHooks(Daemon &daemon)
+{
+    LedgerHooks hooks;
+    hooks.run = [&daemon](const LedgerKey &, SendToken send, std::function<void(ResultCode, std::string)> finished) {
+        runRecorded(daemon, send, std::move(finished));
+    };
+    hooks.ask = [&daemon](const ReplicaAsk &ask, std::function<void(std::optional<ReplicaAnswer>)> answered) {
+        askReplica(daemon, ask, std::move(answered));
+    };
+    hooks.tell = [&daemon](const ReplicaOutcome &outcome) {
+        tellReplica(daemon, outcome);
+    };
+    hooks.answer = [](SendToken send, ResultCode code, const std::string &answer) {
+        answerSend(send, code, answer);
+    };
+    hooks.failed = [&daemon](ResultCode code) {
+        daemon.stopped(code);
+    };
+    return hooks;
+}
+
+bool handleLedgerMessage(Daemon &daemon, PeerKind kind, const std::string &payload, const PeerReply &reply)
+{
+    const auto answer = [reply](const ReplicaAnswer &value) {
+        reply(encodePeerMessage(value));
+    };
+    switch (kind) {
+    case PeerKind::LedgerRecord:
+        if (auto ask = decodePeerMessage<ReplicaAsk>(payload)) {
+            daemon.ledger.record(std::move(*ask), answer);
+        }
+        return true;
+    case PeerKind::LedgerQuery:
+        if (auto query = decodePeerMessage<LedgerQuery>(payload)) {
+            daemon.ledger.query(std::move(query->key), answer);
+        }
+        return true;
+    case PeerKind::LedgerOutcome:
+        if (auto outcome = decodePeerMessage<ReplicaOutcome>(payload)) {
+            daemon.ledger.outcome(std::move(*outcome));
+        }
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/daemon/ledger_path.h
@@ -0,0 +1,21 @@
+/** @file ledger_path.h The way of a non-repeatable request: to its home, through the ledger, and to a worker. Runs on any thread. */
+
+#pragma once
+
+#include "daemon/daemon_base.h"
+
+namespace Filbertlanding {
+
+/** Sends a request to its home; `done` takes the outcome and is called exactly once. */
+void sendThroughLedger(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, std::function<void(RequestOutcome)> done);
+
+/** As home: takes a request that a peer sent. */
+void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply);
+
+/** Makes the hooks by which the ledger sends and answers. */
+LedgerHooks ledgerHooks(Daemon &daemon);
+
+/** Answers a peer's ledger messages. Returns false for another kind. */
+bool handleLedgerMessage(Daemon &daemon, PeerKind kind, const std::string &payload, const PeerReply &reply);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/daemon/log_func.cpp
@@ -0,0 +1,146 @@
+/** @file log_func.cpp Structured log of the daemon. */
+
+#include "daemon/log_func.h"
+
+#include "core/name_table.h"
+
+#include <boost/json.hpp>
+#include <log4cxx/asyncappender.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include <array>
+#include <charconv>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr auto AreaNames = makeNameTable<LogArea>({{LogArea::Daemon, "daemon"},
+                                                       {LogArea::Route, "route"},
+                                                       {LogArea::Place, "place"},
+                                                       {LogArea::Replication, "replication"},
+                                                       {LogArea::Intent, "intent"},
+                                                       {LogArea::Worker, "worker"},
+                                                       {LogArea::Job, "job"},
+                                                       {LogArea::Peer, "peer"},
+                                                       {LogArea::Report, "report"}});
+
+    constexpr auto LevelNames = makeNameTable<LogLevel>(
+        {{LogLevel::Trace, "trace"}, {LogLevel::Debug, "debug"}, {LogLevel::Info, "info"}, {LogLevel::Warn, "warn"}, {LogLevel::Error, "error"}});
+
+    log4cxx::LevelPtr toLibraryLevel(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Trace:
+            return log4cxx::Level::getTrace();
+        case LogLevel::Debug:
+            return log4cxx::Level::getDebug();
+        case LogLevel::Info:
+            return log4cxx::Level::getInfo();
+        case LogLevel::Warn:
+            return log4cxx::Level::getWarn();
+        case LogLevel::Error:
+            break;
+        }
+        return log4cxx::Level::getError();
+    }
+
+    /** Loggers are looked up once, since the lookup by name takes a lock. */
+    const log4cxx::LoggerPtr &loggerOf(LogArea area)
+    {
+        static const auto loggers = [] {
+            std::array<log4cxx::LoggerPtr, AreaNames.rows.size()> result;
+            for (const auto &row : AreaNames.rows) {
+                result[static_cast<std::size_t>(row.value)] = log4cxx::Logger::getLogger(std::string(row.name));
+            }
+            return result;
+        }();
+        return loggers[static_cast<std::size_t>(area)];
+    }
+
+    log4cxx::AppenderPtr makeWriter(const Settings &settings)
+    {
+        const auto layout = std::make_shared<log4cxx::PatternLayout>(R"({"time":"%d{yyyy-MM-ddTHH:mm:ss.SSSZ}","level":"%p","area":"%c",%m}%n)");
+        if (settings.logFile.empty()) {
+            return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        }
+        return std::make_shared<log4cxx::FileAppender>(layout, settings.logFile, true);
+    }
+
+    void appendNumber(std::string &line, double number)
+    {
+        char text[32];
+        const auto end = std::to_chars(text, text + sizeof text, number, std::chars_format::general, 6);
+        line.append(text, end.ptr);
+    }
+
+    void appendField(std::string &line, const LogField &field)
+    {
+        line += ",\"";
+        line += field.name;
+        line += "\":";
+        if (const auto *text = std::get_if<std::string_view>(&field.value)) {
+            line += boost::json::serialize(boost::json::string_view(text->data(), text->size()));
+        } else if (const auto *number = std::get_if<std::int64_t>(&field.value)) {
+            line += std::to_string(*number);
+        } else if (const auto *real = std::get_if<double>(&field.value)) {
+            appendNumber(line, *real);
+        } else {
+            line += std::get<bool>(field.value) ? "true" : "false";
+        }
+    }
+
+} // namespace
+
+void startLogging(const Settings &settings)
+{
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(static_cast<int>(settings.logQueueLines));
+    queue->setBlocking(false);
+    queue->addAppender(makeWriter(settings));
+    const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(queue);
+    setLogLevel(settings.logLevel);
+}
+
+void stopLogging()
+{
+    log4cxx::LogManager::shutdown();
+}
+
+bool setLogLevel(std::string_view name)
+{
+    const auto level = LevelNames.valueOf(name);
+    if (!level) {
+        return false;
+    }
+    log4cxx::Logger::getRootLogger()->setLevel(toLibraryLevel(*level));
+    return true;
+}
+
+bool isLogged(LogArea area, LogLevel level)
+{
+    return loggerOf(area)->isEnabledFor(toLibraryLevel(level));
+}
+
+void logLine(LogArea area, LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!isLogged(area, level)) {
+        return;
+    }
+    std::string line = "\"event\":\"";
+    line += event;
+    line += '"';
+    for (const LogField &field : fields) {
+        appendField(line, field);
+    }
+    loggerOf(area)->forcedLog(toLibraryLevel(level), line, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/daemon/log_func.h
@@ -0,0 +1,80 @@
+/** @file log_func.h Structured log of the daemon: one JSON object a line, written by a thread of its own. */
+
+#pragma once
+
+#include "settings/settings_type.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Filbertlanding {
+
+/** Part of the daemon that a line comes from. */
+enum class LogArea { Daemon, Route, Place, Replication, Intent, Worker, Job, Peer, Report };
+
+/** Severity of a line. */
+enum class LogLevel { Trace, Debug, Info, Warn, Error };
+
+/** One named value of a line. Text is only read during the call. */
+struct LogField {
+    std::string_view name; ///< Key in the JSON object.
+    std::variant<std::string_view, std::int64_t, double, bool> value; ///< Value.
+
+    LogField(std::string_view key, std::string_view text)
+        : name(key)
+        , value(text)
+    {
+    }
+    LogField(std::string_view key, const std::string &text)
+        : name(key)
+        , value(std::string_view(text))
+    {
+    }
+    LogField(std::string_view key, const char *text)
+        : name(key)
+        , value(std::string_view(text))
+    {
+    }
+    LogField(std::string_view key, double number)
+        : name(key)
+        , value(number)
+    {
+    }
+    LogField(std::string_view key, bool flag)
+        : name(key)
+        , value(flag)
+    {
+    }
+    template<class Integer>
+    requires std::is_integral_v<Integer> LogField(std::string_view key, Integer number)
+        : name(key)
+        , value(static_cast<std::int64_t>(number))
+    {
+    }
+};
+
+/**
+ * Starts the log. Lines wait in a bounded queue for a writer thread; when the queue is full, lines are dropped
+ * and the writer notes how many.
+ */
+void startLogging(const Settings &settings);
+
+/** Writes what waits and closes the file. */
+void stopLogging();
+
+/**
+ * Changes the lowest level that is written.
+ * @return False when the name is not one of trace, debug, info, warn, error.
+ */
+bool setLogLevel(std::string_view name);
+
+/** Returns whether lines of this area and level are written; cheap, for use before fields are built. */
+bool isLogged(LogArea area, LogLevel level);
+
+/** Writes one line with an event name and named values. */
+void logLine(LogArea area, LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/daemon/replication_driver.h
@@ -0,0 +1,91 @@
+/** @file replication_driver.h Runs the replicated log on a thread of its own, so that a sync of the disk delays no request. */
+
+#pragma once
+
+#include "replication/raft_type.h"
+#include "settings/settings_type.h"
+#include "storage/journal.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** State of the replicated log, for decisions and the status page. */
+struct ReplicationStatus {
+    RaftRole role = RaftRole::Follower; ///< Role of this replica.
+    std::uint64_t term = 0; ///< Current term.
+    DaemonName leader; ///< Leader of the term; empty when not known.
+    std::uint64_t commitIndex = 0; ///< Last index known to be accepted.
+    std::uint64_t lastIndex = 0; ///< Last index of the log.
+    TimePoint leaderSince; ///< Start of this replica's leadership; meaningful for the leader only.
+    Membership membership; ///< Who replicates the log.
+    VoterId self; ///< Identity of this replica.
+};
+
+/** Where a proposal stands in the log. */
+struct ProposedEntry {
+    ResultCode code = ResultCode::Ok; ///< Ok, or NotLeader.
+    std::uint64_t index = 0; ///< Index of the entry.
+    std::uint64_t term = 0; ///< Term of the entry; another term at this index means that the proposal was lost.
+    DaemonName leaderHint; ///< Leader as far as known.
+};
+
+/** Outputs of the driver; all are called on the replication thread in the order in which things happened. */
+struct ReplicationHooks {
+    std::function<void(const DaemonName &to, const RaftMessage &message)> send; ///< Sends a message to another replica.
+    std::function<void(Snapshot snapshot)> install; ///< Replaces the state machine's state.
+    std::function<void(std::vector<LogEntry> entries)> apply; ///< Applies accepted entries.
+    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index or membership has changed.
+    std::function<void(std::uint64_t index)> snapshotWanted; ///< The state machine should hand over a snapshot of at least this index.
+    std::function<void(ResultCode code)> failed; ///< The disk has failed; the process has to stop.
+};
+
+/** What the data folder held. */
+struct ReplicationStart {
+    ResultCode code = ResultCode::Ok; ///< Ok, DiskFailed or DataFolderInUse.
+    std::uint64_t incarnation = 0; ///< Incarnation of the data folder; 0 without a disk.
+    bool isNew = false; ///< The data folder was missing, empty or damaged.
+    std::string setAside; ///< Folder to which damaged data was moved; empty if there was none.
+    std::vector<std::string> ledgerRecords; ///< Records of the ledger's journal.
+    std::unique_ptr<Journal> ledger; ///< The ledger's journal; empty without a disk.
+};
+
+/** The driver. Functions may be called from any thread; their work is done on the replication thread. */
+class ReplicationDriver
+{
+public:
+    ReplicationDriver();
+    ~ReplicationDriver();
+    ReplicationDriver(const ReplicationDriver &) = delete;
+    ReplicationDriver &operator=(const ReplicationDriver &) = delete;
+
+    /**
+     * Opens the data folder and starts the thread. The hooks are called from then on.
+     * @param firstStart The installation starts for the first time, so that an empty data folder has lost nothing and may vote at once.
+     */
+    ReplicationStart start(const Settings &settings, bool firstStart, ReplicationHooks hooks);
+
+    /** Ends the thread. */
+    void stop();
+
+    /** Proposes an entry; the callback runs on the replication thread before the entry is applied. */
+    void propose(std::string payload, std::function<void(ProposedEntry)> done);
+
+    /** Asks for a commit index that a quorum has confirmed after this call; the callback runs on the replication thread. */
+    void read(std::function<void(ReadReady)> done);
+
+    /** Hands over a message from another replica. */
+    void receive(RaftMessage message);
+
+    /** Hands over a snapshot of the state machine. */
+    void snapshotTaken(std::uint64_t index, std::string state);
+
+private:
+    struct Core;
+    std::unique_ptr<Core> core;
+};
+
+} // namespace Filbertlanding
