--- /dev/null
+++ b/src/replication/raft_base.h
@@ -0,0 +1,71 @@
+/** @file raft_base.h State of one replica. Everything but the hard state, the log and the snapshot is lost on a restart. */
+
+#pragma once
+
+#include "core/random.h"
+#include "replication/raft_type.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace Filbertlanding {
+
+/** What the leader knows of one other replica. */
+struct RaftProgress {
+    std::uint64_t match = 0; ///< Last entry known to be stored there.
+    std::uint64_t next = 1; ///< Next entry to send.
+    std::uint64_t ackedRound = 0; ///< Last quorum round that it answered.
+    TimePoint lastAnswer; ///< Arrival of the last answer in this term.
+    std::uint64_t snapshotIndex = 0; ///< Snapshot in transfer; 0 for none.
+    std::uint64_t snapshotOffset = 0; ///< Bytes of it that were acknowledged.
+};
+
+/** A read that waits for its quorum round. */
+struct RaftPendingRead {
+    std::uint64_t token = 0;
+    std::uint64_t round = 0; ///< Round that started after the call.
+    std::uint64_t index = 0; ///< Commit index at the call, at least the first entry of the leader's term.
+};
+
+/** A membership and the entry that introduced it. */
+struct RaftMembershipAt {
+    std::uint64_t index = 0;
+    Membership membership;
+};
+
+/** State of one replica; changed only by the functions of raft_func.h. */
+struct RaftState {
+    RaftSettings settings;
+    Random random;
+    RaftRole role = RaftRole::Follower;
+    std::uint64_t term = 0;
+    std::optional<VoterId> votedFor;
+    std::optional<VoterId> leader; ///< Leader of the current term, if known.
+
+    std::uint64_t baseIndex = 0; ///< Last entry that was dropped from memory.
+    std::uint64_t baseTerm = 0;
+    std::deque<LogEntry> log; ///< Entries from baseIndex + 1.
+    Snapshot snapshot; ///< Last snapshot taken or installed.
+    std::vector<RaftMembershipAt> memberships; ///< In order of the index; the last one is in force, accepted or not.
+    std::uint64_t commitIndex = 0;
+    std::uint64_t appliedIndex = 0; ///< Last entry handed out for applying.
+    bool installPending = false; ///< The snapshot must still be handed to the state machine.
+    HardState persisted; ///< Hard state that was last handed out for persisting.
+
+    TimePoint electionDue; ///< Follower or candidate: next election.
+    std::optional<TimePoint> leaderContact; ///< Last message from the leader of the current term.
+    std::set<VoterId> votes; ///< Promises or votes for this replica.
+    TimePoint requestDue; ///< Next JoinRequest or FetchRequest.
+    Snapshot incoming; ///< Snapshot in transfer to this replica.
+
+    std::map<VoterId, RaftProgress> progress; ///< Leader: all other replicas.
+    std::map<DaemonName, std::uint64_t> joinWaiting; ///< Leader: new incarnations that wait for their membership change.
+    std::uint64_t termStart = 0; ///< Leader: index of the empty entry of its term.
+    std::uint64_t round = 0; ///< Leader: last quorum round started.
+    TimePoint heartbeatDue;
+    std::vector<RaftPendingRead> reads;
+    TimePoint leaderSince; ///< Leader: start of its term; running leases count from here.
+};
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/replication/raft_func.h
@@ -0,0 +1,49 @@
+/**
+ * @file raft_func.h Raft as a deterministic state machine (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014;
+ * pre-vote, check-quorum and single-server membership changes after Ongaro's dissertation, 2014).
+ * Every function returns actions that the caller carries out completely, in order, before it calls the next function.
+ */
+
+#pragma once
+
+#include "replication/raft_base.h"
+
+namespace Filbertlanding {
+
+/** Starts a replica from what its disk holds; the first raftTick hands the accepted state to the state machine. */
+RaftState raftStart(RaftSettings settings, PersistedState persisted, TimePoint now);
+
+/** Lets time pass: elections, heartbeats, resends, automatic membership changes. Call it at least every 50 ms. */
+RaftActions raftTick(RaftState &state, TimePoint now);
+
+/** Handles a message. Messages to another incarnation or from an unknown identity are dropped. */
+RaftActions raftReceive(RaftState &state, const RaftMessage &message, TimePoint now);
+
+/** Appends a command. The command is accepted once the entry with the returned index and term is applied. */
+ProposeResult raftPropose(RaftState &state, std::string payload, TimePoint now);
+
+/** Changes the membership by at most one voter; learners may change freely. MembershipBusy while another change is not yet accepted. */
+ProposeResult raftChangeMembership(RaftState &state, const Membership &membership, TimePoint now);
+
+/** Asks for the commit index, answered in RaftActions::reads after a quorum round that starts after this call. */
+RaftActions raftRead(RaftState &state, std::uint64_t token, TimePoint now);
+
+/** Takes the state of the state machine after an applied entry as the new snapshot and drops older entries. */
+RaftActions raftSnapshotTaken(RaftState &state, std::uint64_t index, std::string snapshot, TimePoint now);
+
+/** Returns whether snapshotEvery entries were applied since the last snapshot. */
+bool wantsSnapshot(const RaftState &state);
+
+/** Returns the membership in force on this replica. */
+const Membership &currentMembership(const RaftState &state);
+
+/** Returns the daemon that leads the current term, or an empty name. */
+DaemonName leaderName(const RaftState &state);
+
+/** Returns the index of the last entry of the log. */
+std::uint64_t lastLogIndex(const RaftState &state);
+
+/** Returns the name of a role, for logs and the status page. */
+std::string_view roleName(RaftRole role);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/storage/data_folder.h
@@ -0,0 +1,43 @@
+/**
+ * @file data_folder.h The data folder of a voter: lock, incarnation, log, snapshots and the ledger's journal.
+ * Layout: `lock`, `current/incarnation`, `current/raft.log`, `current/snapshot-<index>`, `current/ledger.journal`, `damaged-<n>/` (set aside).
+ * The files stand in a subfolder so that damaged data can be set aside by renaming also when the data folder is a mount point.
+ */
+
+#pragma once
+
+#include "replication/raft_type.h"
+#include "storage/journal.h"
+#include "storage/log_store.h"
+#include "storage/snapshot_store.h"
+
+#include <memory>
+
+namespace Filbertlanding {
+
+/** An open data folder. */
+struct DataFolder {
+    ResultCode code = ResultCode::Ok; ///< Ok, DiskFailed, or DataFolderInUse; nothing else is valid unless Ok.
+    std::uint64_t incarnation = 0; ///< Number of this folder's content.
+    bool isNew = false; ///< The folder was missing, empty or damaged, so the incarnation is new.
+    std::string setAside; ///< Folder to which damaged data was renamed; empty if there was none.
+    PersistedState persisted; ///< For raftStart.
+    std::vector<std::string> ledgerRecords; ///< Records of the ledger's journal.
+    std::unique_ptr<LogStore> log;
+    std::unique_ptr<SnapshotStore> snapshots;
+    std::unique_ptr<Journal> ledger;
+    std::shared_ptr<void> lock; ///< Held until the folder is closed.
+};
+
+/**
+ * Opens a data folder, or creates it with a new incarnation when it is missing, empty or damaged. Nothing is deleted.
+ * @param path The data folder.
+ * @param newIncarnation Number for a new folder: 1 at the first start of an installation, otherwise the calendar time in ms.
+ *        Raised above every incarnation that is found in folders that were set aside.
+ */
+DataFolder openDataFolder(const FileFunctions &files, const std::string &path, std::uint64_t newIncarnation);
+
+/** Persists and syncs what the actions ask for, before anything is sent. Returns Ok or DiskFailed; after DiskFailed the process must stop. */
+ResultCode persistActions(DataFolder &folder, const RaftActions &actions);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/storage/file_functions.h
@@ -0,0 +1,34 @@
+/** @file file_functions.h The file operations that the stores need, as functions that tests replace to inject faults. */
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** File operations. Each returns false or nothing on failure. */
+struct FileFunctions {
+    std::function<std::optional<int>(const std::string &path)> openAppend; ///< Opens for appending and creates the file if missing.
+    std::function<std::optional<std::size_t>(int file, std::string_view data)> write; ///< Returns the bytes written, possibly fewer than given.
+    std::function<bool(int file)> sync; ///< Makes the content of a file durable.
+    std::function<bool(int file, std::uint64_t size)> truncate; ///< Cuts a file to a size in bytes.
+    std::function<void(int file)> close;
+    std::function<std::optional<std::string>(const std::string &path)> read; ///< Whole content of a file.
+    std::function<bool(const std::string &from, const std::string &to)> rename; ///< Renames a file or folder, replacing a file.
+    std::function<bool(const std::string &path)> remove; ///< Removes a file.
+    std::function<bool(const std::string &path)> makeFolder; ///< Creates a folder; true if it exists already.
+    std::function<bool(const std::string &path)> syncFolder; ///< Makes the names in a folder durable.
+    std::function<std::optional<std::vector<std::string>>(const std::string &path)> list; ///< Names in a folder in ascending order.
+    std::function<std::optional<int>(const std::string &path)> lock; ///< Locks a file against other processes until close or exit.
+};
+
+/** Returns the operations of the operating system. */
+FileFunctions systemFiles();
+
+} // namespace Filbertlanding
