--- a/src/core/table/result_codes.h
+++ b/src/core/table/result_codes.h
@@ -58,6 +58,8 @@
 RESULT_CODE(StaleOwner,           4006, 409, "the owner epoch is no longer valid")
 RESULT_CODE(NotOwner,             4007, 421, "another daemon owns this worker")
 RESULT_CODE(CheckpointUsed,       4008, 409, "the checkpoint was already used by a later epoch")
+RESULT_CODE(ZoneDrained,          4009, 409, "the availability zone is drained")
+RESULT_CODE(TableFull,            4010, 503, "a table of the replicated state is full")
 
 RESULT_CODE(FrameTooLarge,        5000, 400, "a peer frame is larger than allowed")
 RESULT_CODE(FrameCorrupt,         5001, 400, "a peer frame is malformed")
