--- a/src/catalog/assign_func.h
+++ b/src/catalog/assign_func.h
@@ -8,7 +8,7 @@
 namespace Filbertlanding {
 
 /**
- * Proposes assignments. Urgent jobs go first, then teams by fair share within their quotas.
+ * Proposes assignments. The leader applies one round before it asks for the next one. Urgent jobs go first, then teams by fair share within their quotas.
  * @return Commands to propose in this order: evictions of jobs whose daemon lost its running lease, failures of jobs
  *         that fit no worker, and assignments.
  */
--- a/src/catalog/assign_type.h
+++ b/src/catalog/assign_type.h
@@ -17,7 +17,8 @@
     bool alive = false; ///< Whether it answers; only such a daemon gets tasks.
     bool mayReassign = false; ///< Whether its last running lease has ended with drift and margin, so that its tasks have stopped.
     Resources batchCapacity; ///< Capacity for batch tasks of its workers.
-    Resources freeBatch; ///< Free part of it; may be negative.
+    Resources freeBatch; ///< Free part of it, without what is assigned but not placed yet; may be negative.
+    std::uint64_t appliedIndex = 0; ///< Log index up to which freeBatch accounts for assignments; later ones are subtracted.
     Resources largestFreeWorker; ///< Most that is free on one worker.
     std::vector<Resources> workerShapes; ///< Distinct announced capacities of its workers; kept after the daemon has died.
     double rampUp = 1.0; ///< Usable share of the capacity from 0 to 1 while load ramps up after the zone's return.
--- a/src/catalog/catalog_base.h
+++ b/src/catalog/catalog_base.h
@@ -12,6 +12,9 @@
 
 namespace Filbertlanding {
 
+constexpr std::size_t MaxDaemons = 1000; ///< Daemon names.
+constexpr std::size_t MaxIncarnationsPerService = 4000; ///< Incarnations that one service remembers.
+constexpr std::size_t MaxCounterBytes = 512 * 1024; ///< Encoded final counters of one incarnation and service.
 constexpr std::size_t MaxHistory = 4000; ///< Accepted changes that are kept; three days at 1,300 a day.
 
 /** An accepted configuration change, for the history and the report. */
@@ -90,10 +93,18 @@
     bool operator==(const ServiceRecord &) const = default;
 };
 
+/** Latest start of a daemon. */
+struct DaemonRecord {
+    std::uint64_t incarnation = 0; ///< Number of the latest start.
+    bool running = false; ///< Whether it has not stopped in an orderly way; a daemon that died counts as running.
+
+    bool operator==(const DaemonRecord &) const = default;
+};
+
 /** Services and the incarnations that serve them. */
 struct ServiceTable {
     std::map<ServiceName, ServiceRecord> services; ///< Every service that was ever open.
-    std::map<DaemonName, std::uint64_t> running; ///< Incarnations that have started and not stopped.
+    std::map<DaemonName, DaemonRecord> daemons; ///< Every daemon that ever started.
 
     bool operator==(const ServiceTable &) const = default;
 };
--- a/src/catalog/catalog_func.h
+++ b/src/catalog/catalog_func.h
@@ -16,7 +16,7 @@
  * @param catalog State.
  * @param command Command.
  * @param index Log index of the command; an index that was already applied is refused with Internal and changes nothing.
- * @return Outcome; the catalog is unchanged unless the code is Ok.
+ * @return Outcome. Unless the code is Ok nothing changes but the applied index and the recorded answer to the operation id.
  */
 CommandResult applyCommand(Catalog &catalog, const LogCommand &command, std::uint64_t index);
 
--- a/src/catalog/command_type.h
+++ b/src/catalog/command_type.h
@@ -119,6 +119,7 @@
     ResultCode code = ResultCode::Ok; ///< Outcome.
     std::string message; ///< One sentence for people; empty on success.
     std::uint64_t version = 0; ///< Configuration version after the command.
+    JobId job; ///< For SubmitJob: the job; a resend with another proposed id gets the id of the first one.
     std::vector<IntentError> errors; ///< For IntentInvalid: the first MaxErrorsInResult faults.
     std::uint64_t errorCount = 0; ///< For IntentInvalid: number of all faults.
     OperationId winner; ///< For VersionConflict: the operation that was accepted against the base version.
--- a/src/catalog/job_type.h
+++ b/src/catalog/job_type.h
@@ -14,6 +14,8 @@
 namespace Filbertlanding {
 
 constexpr std::uint32_t MaxTasksPerJob = 1'000'000; ///< Tasks in one job.
+constexpr std::size_t MaxAssignmentsPerJob = 1000; ///< Current assignments of one job.
+constexpr std::int64_t MaxTaskAmount = 1'000'000'000; ///< Upper bound of each resource of one task.
 constexpr std::size_t MaxCheckpointBytes = 4096; ///< Bytes of a checkpoint, which is a reference to data that the worker keeps elsewhere.
 constexpr std::size_t MaxResultBytes = 4096; ///< Bytes of a job's result or reason.
 constexpr std::size_t MaxActiveJobs = 50'000; ///< Jobs that wait or run; four days of submissions at 11,000 a day.
@@ -52,6 +54,7 @@
     std::uint64_t epoch = 0; ///< Fencing token; unique and increasing within the job.
     DaemonName daemon; ///< Daemon that runs the tasks.
     ZoneName zone; ///< Its availability zone.
+    std::uint64_t assignedAt = 0; ///< Log index of the assignment.
     TaskRange tasks; ///< The tasks, some of which may have finished.
     std::uint64_t resumedFrom = 0; ///< Epoch that wrote the checkpoint from which this one resumes; 0 for a fresh start.
     std::string resumeCheckpoint; ///< That checkpoint.
@@ -81,6 +84,7 @@
     std::vector<JobCheckpoint> checkpoints; ///< Checkpoints that wait for the next assignment.
     std::uint64_t evictions = 0; ///< Epochs ended by an eviction.
     std::uint64_t resumes = 0; ///< Assignments that resumed from a checkpoint.
+    std::uint64_t endedBy = 0; ///< Epoch whose command finished or failed the job; tells a resend from a stale epoch.
     std::string result; ///< Result of the last finished tasks.
     ResultCode reasonCode = ResultCode::Ok; ///< Why it failed.
     std::string reason; ///< The same in words.
--- a/src/report/outcome_type.h
+++ b/src/report/outcome_type.h
@@ -7,12 +7,13 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 namespace Filbertlanding {
 
-constexpr std::size_t LatencyBuckets = 128; ///< Buckets of a latency histogram.
+constexpr std::size_t LatencyBuckets = 208; ///< Buckets of a latency histogram.
 constexpr std::size_t MaxExamples = 5; ///< Example request ids kept for each service and refusal reason.
 
 /** A latency histogram with fixed buckets, 8 for each power of two of microseconds; the relative error is at most 1/8. */
@@ -22,7 +23,7 @@
     bool operator==(const LatencyHistogram &) const = default;
 };
 
-/** Returns the bucket of a latency in microseconds; the last bucket takes everything above its lower bound. */
+/** Returns the bucket of a latency in microseconds; the last bucket takes everything from 240 s on. */
 std::size_t latencyBucket(std::uint64_t us);
 
 /** Returns the largest latency of a bucket in microseconds. */
@@ -61,6 +62,9 @@
 /** Merges two states of the same incarnation by maximum. Commutative, associative and idempotent. */
 void mergeCounts(OutcomeCounts &into, const OutcomeCounts &from);
 
+/** Returns the entries of a later state that differ from an earlier one; merged into the earlier state they give the later one. */
+OutcomeCounts changedSince(const OutcomeCounts &before, const OutcomeCounts &now);
+
 /** Adds the counts of another incarnation. */
 void addCounts(OutcomeCounts &into, const OutcomeCounts &from);
 
