--- /dev/null
+++ b/src/request/connection_health.h
@@ -0,0 +1,64 @@
+/** @file connection_health.h Finds long-lived connections that have gone silent. */
+
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/name_table.h"
+
+#include <cstdint>
+
+namespace Filbertlanding {
+
+/** State of a connection. */
+enum class ConnectionState : std::uint8_t {
+    Open, ///< Answers come in time.
+    Suspect, ///< An answer is overdue; a new connection is being probed.
+    Closed, ///< To be closed and never used again.
+};
+
+constexpr auto ConnectionStateNames =
+    makeNameTable<ConnectionState>({{ConnectionState::Open, "open"}, {ConnectionState::Suspect, "suspect"}, {ConnectionState::Closed, "closed"}});
+
+/** Bounds of a connection. */
+struct ConnectionSettings {
+    Duration heartbeatInterval{1000}; ///< An idle connection is checked this often.
+    Duration suspectAfter{2000}; ///< Time without a byte, while something is awaited, until a new connection is probed.
+    Duration probeTimeout{1000}; ///< Time that the probe has.
+};
+
+/** State of one connection. */
+struct ConnectionHealth {
+    ConnectionState state = ConnectionState::Open; ///< State.
+    TimePoint lastByteAt; ///< When the last byte came, or the wait began.
+    TimePoint lastHeartbeatAt; ///< When the last heartbeat was sent.
+    TimePoint probeStartedAt; ///< When the probe began.
+    std::uint32_t awaited = 0; ///< Answers and heartbeats that are awaited.
+};
+
+/** What to do with a connection and its worker. */
+struct ConnectionAction {
+    bool sendHeartbeat = false; ///< Send a heartbeat on the idle connection.
+    bool openProbe = false; ///< Open a new connection to the same target and send a probe.
+    bool close = false; ///< Close this connection; its requests have no answer.
+    bool reportTarget = false; ///< The probe failed too, so the target itself is reported as failing.
+};
+
+/** A request or heartbeat was sent. */
+void connectionSent(ConnectionHealth &health, TimePoint now);
+
+/** A byte came. @param complete The byte ended one answer. @return close when an answer came that nobody awaits. */
+ConnectionAction connectionReceived(ConnectionHealth &health, bool complete, TimePoint now);
+
+/** Time has passed. */
+ConnectionAction connectionTick(ConnectionHealth &health, const ConnectionSettings &settings, TimePoint now);
+
+/** The probe on the new connection has ended. */
+ConnectionAction connectionProbed(ConnectionHealth &health, bool answered, TimePoint now);
+
+/** A request on the connection was given up. Its answer may still come, so the connection is closed. */
+ConnectionAction connectionAbandoned(ConnectionHealth &health);
+
+/** Returns whether a new request may use the connection: open, nothing awaited. */
+bool isReusable(const ConnectionHealth &health);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/request/ledger_base.h
@@ -0,0 +1,211 @@
+/** @file ledger_base.h The ledger of non-repeatable requests on a voter, as home and as replica. */
+
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/name_table.h"
+#include "core/names_type.h"
+#include "core/result_code.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace Filbertlanding {
+
+using LedgerKey = std::string; ///< Caller and request id; made by ledgerKey().
+using SendToken = std::uint64_t; ///< One send of a request, chosen by the adapter; its answer goes back by this number.
+
+/** State of a record. */
+enum class LedgerState : std::uint8_t {
+    Recorded, ///< Recorded before the first byte; no answer yet. After a restart of the home it means that the outcome is unknown.
+    Withdrawn, ///< At the home: recorded, but the attempt was given up before a byte was sent, so it may run again.
+    Fenced, ///< At the replica: no record existed when a daemon asked; an attempt that does not know of the fence is refused.
+    Answered, ///< The request ran and its answer is stored.
+    Unknown, ///< The request may have run; it is never sent again.
+};
+
+constexpr auto LedgerStateNames = makeNameTable<LedgerState>({{LedgerState::Recorded, "recorded"},
+                                                              {LedgerState::Withdrawn, "withdrawn"},
+                                                              {LedgerState::Fenced, "fenced"},
+                                                              {LedgerState::Answered, "answered"},
+                                                              {LedgerState::Unknown, "unknown"}});
+
+/** Number of one attempt to run a request; unique over restarts of the home. */
+struct LedgerAttempt {
+    std::uint64_t instance = 0; ///< Start number of the home's process.
+    std::uint64_t number = 0; ///< Counter of the process.
+
+    auto operator<=>(const LedgerAttempt &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->instance, this->number);
+    }
+};
+
+/** One record as kept in memory and in the journal. */
+struct LedgerRecord {
+    std::uint64_t bodyHash = 0; ///< Hash of the body; the same id with another body is refused.
+    LedgerAttempt attempt; ///< Latest attempt.
+    std::uint64_t fence = 0; ///< Number of fences set by the replica, as far as known.
+    std::string answer; ///< Stored answer in state Answered, empty otherwise.
+    TimePoint recordedAt; ///< When this process recorded or loaded it; the retention counts from here.
+    LedgerState state = LedgerState::Recorded; ///< State.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->bodyHash, this->attempt, this->fence, this->answer, this->state);
+    }
+};
+
+/** Settings of a ledger. */
+struct LedgerSettings {
+    std::uint64_t instance = 0; ///< Start number of this process: higher at each start, also after the disk was lost.
+    bool complete = true; ///< False for the retention time after the disk was lost: earlier records may be missing.
+    std::uint32_t maxRecords = 50'000; ///< Records on this voter.
+    std::uint64_t maxAnswerBytes = 16'777'216; ///< Stored answers on this voter, in bytes; new ids are refused above it.
+    std::uint32_t maxAnswerSize = 65'536; ///< A longer answer is given to the caller once and not stored; a resend gets OutcomeUnknown.
+    Duration retention{86'400'000}; ///< Records are kept for this time.
+    Duration replicaTimeout{1000}; ///< Time that the replica has to answer.
+};
+
+/** One send that the home is asked to run. */
+struct LedgerSubmit {
+    LedgerKey key; ///< Caller and request id.
+    std::uint64_t bodyHash = 0; ///< Hash of the body.
+    SendToken send = 0; ///< The send.
+};
+
+/** The home asks the replica to record an attempt. */
+struct ReplicaAsk {
+    LedgerKey key; ///< Caller and request id.
+    std::uint64_t bodyHash = 0; ///< Hash of the body.
+    LedgerAttempt attempt; ///< The attempt.
+    LedgerAttempt withdrawn; ///< Attempts up to this one are known by the home not to have run.
+    std::uint64_t fenceSeen = 0; ///< Fences that the home knows of.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->key, this->bodyHash, this->attempt, this->withdrawn, this->fenceSeen);
+    }
+};
+
+/** What the replica says to a ReplicaAsk or a ReplicaQuery. */
+enum class ReplicaVerdict : std::uint8_t {
+    Recorded, ///< The attempt is on the replica's disk.
+    Known, ///< The replica has an earlier record; its state and answer are given.
+    Fenced, ///< A daemon was told that the request was not recorded; this attempt must not run.
+    Full, ///< The replica's ledger is full.
+    NotRecorded, ///< To a query: there was no record, and the fence is on the replica's disk now.
+};
+
+/** Answer of the replica. */
+struct ReplicaAnswer {
+    LedgerKey key; ///< Caller and request id.
+    LedgerAttempt attempt; ///< The attempt that was asked about; empty for a query.
+    ReplicaVerdict verdict = ReplicaVerdict::Recorded; ///< The verdict.
+    LedgerState state = LedgerState::Recorded; ///< For Known.
+    std::uint64_t bodyHash = 0; ///< For Known.
+    std::uint64_t fence = 0; ///< For Fenced: number to give in the next ask.
+    std::string answer; ///< For Known in state Answered.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->key, this->attempt, this->verdict, this->state, this->bodyHash, this->fence, this->answer);
+    }
+};
+
+/** The home tells the replica how an attempt ended. Needs no answer; a loss is harmless. */
+struct ReplicaOutcome {
+    LedgerKey key; ///< Caller and request id.
+    LedgerAttempt attempt; ///< The attempt.
+    LedgerState state = LedgerState::Answered; ///< Answered, Unknown or Withdrawn.
+    std::string answer; ///< The answer in state Answered.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->key, this->attempt, this->state, this->answer);
+    }
+};
+
+/** Write and sync a record in the journal, then call ledgerPersisted with the number. A failed sync stops the process (design 4.1). */
+struct PersistLedgerRecord {
+    std::uint64_t number = 0; ///< Number of the write.
+    LedgerKey key; ///< Caller and request id.
+    LedgerRecord record; ///< The record; it replaces an earlier one of the key.
+};
+
+/** Send the question to the replica; on failure or timeout call ledgerReplicaFailed. */
+struct AskLedgerReplica {
+    ReplicaAsk ask; ///< The question.
+};
+
+/** Send the outcome to the replica. */
+struct TellLedgerReplica {
+    ReplicaOutcome outcome; ///< The outcome.
+};
+
+/** Run the request now, then call ledgerFinished. This is the only action that lets a byte go out. */
+struct RunLedgerRequest {
+    LedgerKey key; ///< Caller and request id.
+    LedgerAttempt attempt; ///< The attempt.
+    SendToken send = 0; ///< The send whose body is used.
+};
+
+/** Answer a send. */
+struct AnswerSend {
+    SendToken send = 0; ///< The send.
+    ResultCode code = ResultCode::Ok; ///< Ok with an answer, or a refusal.
+    std::string answer; ///< The answer for Ok.
+};
+
+/** As replica: send an answer to the daemon that asked. */
+struct AnswerReplicaAsk {
+    SendToken asker = 0; ///< Given with the question.
+    ReplicaAnswer answer; ///< The answer.
+};
+
+using LedgerAction = std::variant<PersistLedgerRecord, AskLedgerReplica, TellLedgerReplica, RunLedgerRequest, AnswerSend, AnswerReplicaAsk>; ///< One action.
+using LedgerActions = std::vector<LedgerAction>; ///< Actions in the order in which to start them.
+
+/** What the home is doing with a request. */
+struct ActiveRequest {
+    bool homeDone = false; ///< The home's record is synced.
+    bool replicaDone = false; ///< The replica's record is synced.
+    bool running = false; ///< The request was handed to the adapter.
+    std::uint64_t persistNumber = 0; ///< Write that is awaited.
+    TimePoint askedAt; ///< When the replica was asked.
+    std::string answer; ///< Answer that is being stored.
+    std::vector<SendToken> sends; ///< Sends that wait for the answer; the first one's body is used.
+};
+
+/** A message of the replica that waits for a write. */
+struct HeldAnswer {
+    SendToken asker = 0; ///< Who asked.
+    ReplicaAnswer answer; ///< The answer.
+};
+
+/** The ledger of one voter. Functions are in ledger_func.h. */
+struct Ledger {
+    LedgerSettings settings; ///< Settings.
+    std::unordered_map<LedgerKey, LedgerRecord> records; ///< Records as home and as replica.
+    std::unordered_map<LedgerKey, ActiveRequest> active; ///< Requests in progress at this home.
+    std::unordered_map<std::uint64_t, LedgerKey> homeWrites; ///< Writes that the home waits for.
+    std::unordered_map<std::uint64_t, HeldAnswer> replicaWrites; ///< Writes that answers of the replica wait for.
+    std::deque<std::pair<TimePoint, LedgerKey>> ages; ///< Records by age, oldest first.
+    std::uint64_t lastWrite = 0; ///< Number of the latest write.
+    std::uint64_t lastAttempt = 0; ///< Number of the latest attempt.
+    std::uint64_t answerBytes = 0; ///< Size of the stored answers.
+};
+
+} // namespace Filbertlanding
