--- a/src/membership/owner_lease_holder.h
+++ b/src/membership/owner_lease_holder.h
@@ -30,7 +30,9 @@
     std::uint64_t ownerEpoch = 0; ///< Current owner epoch. Work with another epoch is refused.
     std::uint64_t acknowledged = 0; ///< Highest answer number under this epoch.
     std::uint64_t ownerIncarnation = 0; ///< Daemon process that sent it.
+    std::uint64_t sequence = 0; ///< Number of the latest report.
     Duration reportInterval; ///< Time between two reports.
+    Duration ownerLease; ///< Longest lease seen.
     TimePoint nextReportAt; ///< When the next report is due.
     TimePoint grantedUntil; ///< The owner may hold a lease until this time, drift included.
 };
@@ -53,10 +55,10 @@
  */
 bool leaseHolderAnswer(OwnerLeaseHolder &holder, const ReportAnswer &answer, TimePoint now);
 
-/** Copies the holder's epoch and acknowledged number into a report. */
-void fillReport(const OwnerLeaseHolder &holder, WorkerReport &report);
+/** Fills in the report's incarnation, sequence number, epoch and acknowledged answer. */
+void fillReport(OwnerLeaseHolder &holder, WorkerReport &report);
 
-/** Returns whether work that carries this owner epoch is accepted: the current one, and the owner may hold a lease. */
-bool acceptsOwnerEpoch(const OwnerLeaseHolder &holder, std::uint64_t ownerEpoch);
+/** Returns whether work that carries this owner epoch is accepted: the current one, while its owner may hold a lease. */
+bool acceptsOwnerEpoch(const OwnerLeaseHolder &holder, std::uint64_t ownerEpoch, TimePoint now);
 
 } // namespace Filbertlanding
--- a/src/membership/worker_registry_base.h
+++ b/src/membership/worker_registry_base.h
@@ -50,7 +50,9 @@
     TimePoint handedOverAt; ///< When it was last handed to another daemon.
     Duration handOverDelay; ///< Current delay before a hand-over.
     std::uint64_t releasedEpoch = 0; ///< Owner epochs up to this one are given up and never owned again.
-    std::array<SentAnswer, RememberedAnswers> sent; ///< The latest answers, by number modulo the size.
+    std::array<SentAnswer, RememberedAnswers> sent; ///< The latest answers under the current owner epoch.
+    std::size_t nextSent = 0; ///< Place in sent that is used next.
+    std::uint32_t batchTasks = 0; ///< Batch tasks that this daemon has on the worker.
     bool owned = false; ///< A lease has been acknowledged under the current owner epoch.
     bool leavingByIntent = false; ///< Operators have set the worker to leaving.
 };
--- a/src/membership/worker_registry_func.h
+++ b/src/membership/worker_registry_func.h
@@ -16,6 +16,7 @@
 /**
  * Handles a report and makes the answer, without commands; the job shard fills those in.
  * The time must be read before the answer is sent, since the lease is counted from it (design 4.3).
+ * The routing entries must be updated before the answer is sent, since an answer that names another owner gives the worker up.
  * @return Ok with a number, NotOwner with the daemon to report to, or StaleOwner for an old owner epoch.
  */
 ReportAnswer handleReport(WorkerRegistry &registry, const WorkerReport &report, TimePoint now);
@@ -41,6 +42,9 @@
 /** Replaces the set of workers that operators have set to leaving. Takes effect at once. */
 void setLeavingWorkers(WorkerRegistry &registry, std::set<WorkerName> workers);
 
+/** Sets the number of batch tasks that this daemon has on a worker. While it has some, the worker is handed over only for a planned stop. */
+void setBatchTasks(WorkerRegistry &registry, const WorkerName &worker, std::uint32_t count);
+
 /** Starts the hand-over of all workers, for a planned stop. Each worker is handed over in the answer to its next report. */
 void startHandOver(WorkerRegistry &registry);
 
--- a/src/membership/worker_type.h
+++ b/src/membership/worker_type.h
@@ -129,6 +129,7 @@
     std::vector<ServiceSlots> services; ///< Services that it offers.
     Resources capacity; ///< Resources for batch tasks.
     bool leaving = false; ///< The worker takes no new work.
+    std::uint64_t sequence = 0; ///< Increases with each report of this incarnation; the contents of an overtaken report are ignored.
     std::uint64_t ownerEpoch = 0; ///< Owner epoch under which it reports.
     std::uint64_t acknowledged = 0; ///< Highest answer number received under this owner epoch, 0 for none.
     std::uint64_t ownerIncarnation = 0; ///< Incarnation of the daemon process that sent the acknowledged answer.
--- a/src/request/ejection_base.h
+++ b/src/request/ejection_base.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <unordered_map>
+#include <vector>
 
 namespace Filbertlanding {
 
