Add: routing, slots, admission, retry budget, ejection and ledger

Ledger: a replica that is asked about a request it does not know sets a fence, since the home may still ask it to record that very attempt after the caller was told that the request was not run. A home names the first attempt it knows of, since after a lost disk it must not declare attempts of its earlier disk as not run.

--- /dev/null
+++ b/src/policy/route_least_wait.cpp
@@ -0,0 +1,69 @@
+/** @file route_least_wait.cpp Routing policy least-wait: of two random workers, the one with the lower expected wait. */
+
+#include "request/route_func.h"
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr int MaxDraws = 8; ///< Random draws until all workers are looked at in turn.
+
+    /** Counts the worker if it is left out. @return Whether it can take the request. */
+    bool isUsable(const RouteCandidates &candidates, std::size_t index, std::array<std::uint32_t, RouteExclusionCount> &excluded)
+    {
+        const auto reason = workerExclusion(*candidates.workers[index], candidates.request, candidates.now);
+        if (reason) {
+            ++excluded[static_cast<std::size_t>(*reason)];
+        }
+        return !reason;
+    }
+
+    /** Adds a worker to the choice, keeping the better one first. */
+    void consider(std::optional<RoutePick> &pick, std::size_t index, double score)
+    {
+        if (!pick) {
+            pick = {.index = index, .firstScore = score, .secondScore = 0};
+            return;
+        }
+        if (score < pick->firstScore) {
+            pick = {.index = index, .firstScore = score, .secondScore = pick->firstScore};
+            return;
+        }
+        pick->secondScore = score;
+    }
+
+    std::optional<RoutePick> pickLeastWait(const RouteCandidates &candidates, Random &random, std::array<std::uint32_t, RouteExclusionCount> &excluded)
+    {
+        const std::size_t count = candidates.workers.size();
+        std::optional<RoutePick> pick;
+        std::size_t found = 0;
+        for (int i = 0; i < MaxDraws && found < 2 && count > 0; ++i) {
+            const std::size_t index = random.below(count);
+            const bool repeated = pick && pick->index == index;
+            if (repeated || !isUsable(candidates, index, excluded)) {
+                continue;
+            }
+            consider(pick, index, expectedWaitMs(*candidates.workers[index]));
+            ++found;
+        }
+        if (pick) {
+            return pick;
+        }
+        // Few workers can take the request, so every one is looked at; the first two that can are compared.
+        excluded.fill(0);
+        const std::size_t start = random.below(count);
+        for (std::size_t i = 0; i < count && found < 2; ++i) {
+            const std::size_t index = (start + i) % count;
+            if (isUsable(candidates, index, excluded)) {
+                consider(pick, index, expectedWaitMs(*candidates.workers[index]));
+                ++found;
+            }
+        }
+        return pick;
+    }
+
+    const Registration<RoutePolicy, RoutePolicyTag> LeastWait("least-wait", pickLeastWait);
+
+} // namespace
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/request/admission.cpp
@@ -0,0 +1,363 @@
+/** @file admission.cpp Admission control of one service. */
+
+#include "request/admission_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Filbertlanding {
+
+namespace {
+
+    using TeamPlace = std::map<TeamName, TeamQueue, std::less<>>::iterator;
+
+    TeamShare shareOf(const AdmissionSettings &settings, const TeamName &team)
+    {
+        const auto found = settings.teams.find(team);
+        return found == settings.teams.end() ? TeamShare{} : found->second;
+    }
+
+    bool hasFreeRun(const AdmissionState &state)
+    {
+        return static_cast<double>(state.running.size()) + 1 <= std::max<double>(state.concurrency.limit, 1);
+    }
+
+    Duration retryAfter(const AdmissionState &state)
+    {
+        constexpr double LeastMs = 50; // A caller that resends sooner finds the same queue.
+        return {static_cast<std::int64_t>(std::ceil(std::max(expectedQueueMs(state), LeastMs)))};
+    }
+
+    void refuse(const AdmissionState &state, AdmissionResult &result, TicketId ticket, ResultCode code)
+    {
+        result.refused.push_back({ticket, code, retryAfter(state)});
+    }
+
+    /** Takes a request out of the queue. It can no longer run. */
+    void removeWaiting(AdmissionState &state, TicketId ticket)
+    {
+        const auto found = state.waiting.find(ticket);
+        const auto &[team, deadline] = found->second;
+        state.teams.find(team)->second.waiting.erase({deadline, ticket});
+        state.waiting.erase(found);
+    }
+
+    void startRunning(AdmissionState &state, AdmissionResult &result, const TeamName &team, TicketId ticket, TimePoint now)
+    {
+        TeamQueue &queue = state.teams.find(team)->second;
+        state.virtualTime = std::max(state.virtualTime, queue.virtualTime);
+        queue.virtualTime += 1 / shareOf(state.settings, team).weight;
+        ++queue.running;
+        state.running.emplace(ticket, std::make_pair(team, now));
+        result.run.push_back(ticket);
+    }
+
+    /** Finds the team whose turn it is: the least virtual time among those that wait and are below their quota. */
+    TeamPlace nextTeam(AdmissionState &state)
+    {
+        TeamPlace best = state.teams.end();
+        for (TeamPlace place = state.teams.begin(); place != state.teams.end(); ++place) {
+            const TeamQueue &queue = place->second;
+            if (queue.waiting.empty() || queue.running >= shareOf(state.settings, place->first).quota) {
+                continue;
+            }
+            if (best == state.teams.end() || queue.virtualTime < best->second.virtualTime) {
+                best = place;
+            }
+        }
+        return best;
+    }
+
+    /** Starts waiting requests while there is room. */
+    void startWaiting(AdmissionState &state, AdmissionResult &result, TimePoint now)
+    {
+        while (hasFreeRun(state)) {
+            const TeamPlace place = nextTeam(state);
+            if (place == state.teams.end()) {
+                return;
+            }
+            const auto [deadline, ticket] = *place->second.waiting.begin();
+            removeWaiting(state, ticket);
+            if (deadline <= now) {
+                refuse(state, result, ticket, ResultCode::DeadlineExpired);
+                continue;
+            }
+            startRunning(state, result, place->first, ticket, now);
+        }
+    }
+
+    /** Returns the queue length of a team relative to its weight. */
+    double pressure(const AdmissionState &state, const TeamName &team, double waiting)
+    {
+        return waiting / shareOf(state.settings, team).weight;
+    }
+
+    /** Makes room in a full queue at the cost of the team that uses it most, if that is not the asking team. @return Whether there is room. */
+    bool makeRoom(AdmissionState &state, AdmissionResult &result, const TeamName &asking)
+    {
+        const auto asker = state.teams.find(asking);
+        const double mine = pressure(state, asking, 1.0 + (asker == state.teams.end() ? 0.0 : static_cast<double>(asker->second.waiting.size())));
+        TeamPlace most = state.teams.end();
+        double greatest = mine;
+        for (TeamPlace place = state.teams.begin(); place != state.teams.end(); ++place) {
+            const double other = pressure(state, place->first, static_cast<double>(place->second.waiting.size()));
+            if (other > greatest && place->first != asking) {
+                most = place;
+                greatest = other;
+            }
+        }
+        if (most == state.teams.end()) {
+            return false;
+        }
+        const TicketId last = most->second.waiting.rbegin()->second;
+        removeWaiting(state, last);
+        refuse(state, result, last, ResultCode::QueueFull);
+        return true;
+    }
+
+    /** Returns the time until a request of this team with this deadline would start, in milliseconds; 0 while no latency is known. */
+    double expectedStartMs(const AdmissionState &state, const AdmissionRequest &request)
+    {
+        if (state.concurrency.usualMs == 0) {
+            return 0;
+        }
+        const auto team = state.teams.find(request.team);
+        double ahead = 0;
+        double weights = shareOf(state.settings, request.team).weight;
+        for (const auto &[name, queue] : state.teams) {
+            weights += name != request.team && !queue.waiting.empty() ? shareOf(state.settings, name).weight : 0;
+        }
+        if (team != state.teams.end()) {
+            const auto &waiting = team->second.waiting;
+            ahead = static_cast<double>(std::distance(waiting.begin(), waiting.upper_bound({request.deadline, request.ticket})));
+        }
+        const double share = shareOf(state.settings, request.team).weight / weights;
+        const double parallel = std::min<double>(std::max(state.concurrency.limit * share, 1.0), shareOf(state.settings, request.team).quota);
+        return (ahead + 1) * state.concurrency.usualMs / std::max(parallel, 1.0);
+    }
+
+    bool teamAllowed(const AdmissionState &state, const TeamName &team)
+    {
+        return state.settings.teams.empty() || state.settings.teams.contains(team);
+    }
+
+    /**
+     * Drops a team without requests. One that is up to one request ahead of its share is dropped too,
+     * since teams that send a single request would otherwise stay forever.
+     */
+    void dropIdleTeam(AdmissionState &state, const TeamName &team)
+    {
+        const auto found = state.teams.find(team);
+        if (found == state.teams.end()) {
+            return;
+        }
+        const TeamQueue &queue = found->second;
+        if (queue.waiting.empty() && queue.running == 0 && queue.virtualTime <= state.virtualTime + 1 / shareOf(state.settings, team).weight) {
+            state.teams.erase(found);
+        }
+    }
+
+} // namespace
+
+void addLatency(ConcurrencyLimit &limit, const AdmissionSettings &settings, double latencyMs, bool saturated)
+{
+    constexpr std::uint32_t SamplesPerStep = 16;
+    constexpr double RecentWeight = 0.2;
+    constexpr double FasterWeight = 0.1; // The usual latency follows improvements quickly ...
+    constexpr double SlowerWeight = 0.002; // ... and overload slowly, since it would otherwise become usual.
+    constexpr double ShrinkFactor = 0.9;
+    const double sample = std::max(latencyMs, 0.001);
+    if (limit.usualMs == 0) {
+        limit.usualMs = sample;
+        limit.recentMs = sample;
+    }
+    limit.recentMs += RecentWeight * (sample - limit.recentMs);
+    limit.usualMs += (sample < limit.usualMs ? FasterWeight : SlowerWeight) * (sample - limit.usualMs);
+    ++limit.samples;
+    if (limit.samples < SamplesPerStep) {
+        return;
+    }
+    limit.samples = 0;
+    if (limit.recentMs > settings.tolerance * limit.usualMs) {
+        limit.limit *= ShrinkFactor;
+    } else if (saturated) {
+        limit.limit += std::max(1.0, std::sqrt(limit.limit) / 4);
+    }
+    limit.limit = std::clamp<double>(limit.limit, settings.minLimit, settings.maxLimit);
+}
+
+AdmissionState makeAdmission(const AdmissionSettings &settings)
+{
+    AdmissionState state;
+    state.settings = settings;
+    state.concurrency.limit = std::clamp(settings.firstLimit, settings.minLimit, settings.maxLimit);
+    return state;
+}
+
+AdmissionResult admit(AdmissionState &state, const AdmissionRequest &request, TimePoint now)
+{
+    AdmissionResult result;
+    if (!teamAllowed(state, request.team)) {
+        refuse(state, result, request.ticket, ResultCode::TeamUnknown);
+        return result;
+    }
+    if (request.deadline <= now) {
+        refuse(state, result, request.ticket, ResultCode::DeadlineExpired);
+        return result;
+    }
+    const TeamShare share = shareOf(state.settings, request.team);
+    const auto known = state.teams.find(request.team);
+    const std::size_t waitingOfTeam = known == state.teams.end() ? 0 : known->second.waiting.size();
+    const bool quotaUsed = (known == state.teams.end() ? 0 : known->second.running) >= share.quota;
+    if (quotaUsed && waitingOfTeam >= share.quota) {
+        refuse(state, result, request.ticket, ResultCode::QuotaExceeded);
+        return result;
+    }
+    const bool startsNow = hasFreeRun(state) && !quotaUsed && waitingOfTeam == 0;
+    const double startMs = startsNow ? 0 : expectedStartMs(state, request);
+    const double neededMs = startMs + state.concurrency.usualMs;
+    if (static_cast<double>((request.deadline - now).ms) < neededMs) {
+        refuse(state, result, request.ticket, ResultCode::DeadlineUnreachable);
+        return result;
+    }
+    const bool full = !startsNow && state.waiting.size() >= state.settings.maxQueue;
+    if (full && !makeRoom(state, result, request.team)) {
+        refuse(state, result, request.ticket, ResultCode::QueueFull);
+        return result;
+    }
+    TeamQueue &queue = state.teams[request.team];
+    if (queue.waiting.empty() && queue.running == 0) {
+        // A team that was idle has no claim to the time in which it asked for nothing.
+        queue.virtualTime = std::max(queue.virtualTime, state.virtualTime);
+    }
+    queue.waiting.emplace(request.deadline, request.ticket);
+    state.waiting.emplace(request.ticket, std::make_pair(request.team, request.deadline));
+    startWaiting(state, result, now);
+    return result;
+}
+
+AdmissionResult finishRequest(AdmissionState &state, TicketId ticket, bool measured, TimePoint now)
+{
+    AdmissionResult result;
+    const auto found = state.running.find(ticket);
+    if (found == state.running.end()) {
+        return result;
+    }
+    const TeamName team = found->second.first;
+    const TimePoint startedAt = found->second.second;
+    if (measured) {
+        const bool saturated = static_cast<double>(state.running.size()) >= state.concurrency.limit / 2;
+        addLatency(state.concurrency, state.settings, static_cast<double>((now - startedAt).ms), saturated);
+    }
+    state.running.erase(found);
+    --state.teams.find(team)->second.running;
+    startWaiting(state, result, now);
+    dropIdleTeam(state, team);
+    return result;
+}
+
+AdmissionResult admissionTick(AdmissionState &state, TimePoint now)
+{
+    AdmissionResult result;
+    std::vector<TicketId> expired;
+    for (const auto &[name, queue] : state.teams) {
+        for (const auto &[deadline, ticket] : queue.waiting) {
+            if (deadline > now) {
+                break;
+            }
+            expired.push_back(ticket);
+        }
+    }
+    for (const TicketId ticket : expired) {
+        removeWaiting(state, ticket);
+        refuse(state, result, ticket, ResultCode::DeadlineExpired);
+    }
+    startWaiting(state, result, now);
+    return result;
+}
+
+bool cancelWaiting(AdmissionState &state, TicketId ticket)
+{
+    if (!state.waiting.contains(ticket)) {
+        return false;
+    }
+    removeWaiting(state, ticket);
+    return true;
+}
+
+AdmissionResult refuseWaiting(AdmissionState &state, ResultCode code)
+{
+    AdmissionResult result;
+    while (!state.waiting.empty()) {
+        const TicketId ticket = state.waiting.begin()->first;
+        removeWaiting(state, ticket);
+        refuse(state, result, ticket, code);
+    }
+    return result;
+}
+
+AdmissionResult changeSettings(AdmissionState &state, const AdmissionSettings &settings, TimePoint now)
+{
+    state.settings = settings;
+    state.concurrency.limit = std::clamp<double>(state.concurrency.limit, settings.minLimit, settings.maxLimit);
+    AdmissionResult result;
+    startWaiting(state, result, now);
+    return result;
+}
+
+double expectedQueueMs(const AdmissionState &state)
+{
+    if (hasFreeRun(state)) {
+        return 0;
+    }
+    return (static_cast<double>(state.waiting.size()) + 1) * state.concurrency.usualMs / std::max(state.concurrency.limit, 1.0);
+}
+
+Admission::Admission(const AdmissionSettings &settings)
+    : state(makeAdmission(settings))
+{
+}
+
+AdmissionResult Admission::admit(const AdmissionRequest &request, TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    return Filbertlanding::admit(this->state, request, now);
+}
+
+AdmissionResult Admission::finish(TicketId ticket, bool measured, TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    return finishRequest(this->state, ticket, measured, now);
+}
+
+AdmissionResult Admission::tick(TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    return admissionTick(this->state, now);
+}
+
+bool Admission::cancelWaiting(TicketId ticket)
+{
+    const std::lock_guard lock(this->mutex);
+    return Filbertlanding::cancelWaiting(this->state, ticket);
+}
+
+AdmissionResult Admission::refuseWaiting(ResultCode code)
+{
+    const std::lock_guard lock(this->mutex);
+    return Filbertlanding::refuseWaiting(this->state, code);
+}
+
+AdmissionResult Admission::changeSettings(const AdmissionSettings &settings, TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    return Filbertlanding::changeSettings(this->state, settings, now);
+}
+
+std::size_t Admission::waitingCount()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->state.waiting.size();
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/request/connection_health.cpp
@@ -0,0 +1,100 @@
+/** @file connection_health.cpp Finds long-lived connections that have gone silent. */
+
+#include "request/connection_health.h"
+
+namespace Filbertlanding {
+
+namespace {
+
+    ConnectionAction closeConnection(ConnectionHealth &health, bool reportTarget)
+    {
+        health.state = ConnectionState::Closed;
+        ConnectionAction action;
+        action.close = true;
+        action.reportTarget = reportTarget;
+        return action;
+    }
+
+} // namespace
+
+void connectionSent(ConnectionHealth &health, TimePoint now)
+{
+    if (health.awaited == 0) {
+        health.lastByteAt = now;
+    }
+    health.heartbeatOnly = false;
+    ++health.awaited;
+}
+
+ConnectionAction connectionReceived(ConnectionHealth &health, bool complete, TimePoint now)
+{
+    if (health.state == ConnectionState::Closed) {
+        return {};
+    }
+    if (health.awaited == 0) {
+        // Nobody can tell to which request these bytes belong.
+        return closeConnection(health, false);
+    }
+    health.lastByteAt = now;
+    health.state = ConnectionState::Open;
+    health.awaited -= complete ? 1 : 0;
+    return {};
+}
+
+ConnectionAction connectionTick(ConnectionHealth &health, const ConnectionSettings &settings, TimePoint now)
+{
+    ConnectionAction action;
+    if (health.state == ConnectionState::Suspect && now - health.probeStartedAt >= settings.probeTimeout) {
+        return closeConnection(health, true);
+    }
+    if (health.state == ConnectionState::Slow && now - health.lastByteAt >= settings.answerBound) {
+        return closeConnection(health, false);
+    }
+    if (health.state != ConnectionState::Open) {
+        return action;
+    }
+    if (health.awaited > 0) {
+        action.openProbe = now - health.lastByteAt >= settings.suspectAfter;
+        if (action.openProbe) {
+            health.state = ConnectionState::Suspect;
+            health.probeStartedAt = now;
+        }
+        return action;
+    }
+    const bool idle = now - health.lastByteAt >= settings.heartbeatInterval && now - health.lastHeartbeatAt >= settings.heartbeatInterval;
+    if (idle) {
+        health.lastHeartbeatAt = now;
+        action.sendHeartbeat = true;
+        connectionSent(health, now);
+        health.heartbeatOnly = true;
+    }
+    return action;
+}
+
+ConnectionAction connectionProbed(ConnectionHealth &health, bool answered)
+{
+    if (health.state != ConnectionState::Suspect) {
+        return {};
+    }
+    if (answered && !health.heartbeatOnly) {
+        health.state = ConnectionState::Slow;
+        return {};
+    }
+    // Only a target that fails the new connection as well is reported.
+    return closeConnection(health, !answered);
+}
+
+ConnectionAction connectionAbandoned(ConnectionHealth &health)
+{
+    if (health.state == ConnectionState::Closed) {
+        return {};
+    }
+    return closeConnection(health, false);
+}
+
+bool isReusable(const ConnectionHealth &health)
+{
+    return health.state == ConnectionState::Open && health.awaited == 0;
+}
+
+} // namespace Filbertlanding
--- a/src/request/connection_health.h
+++ b/src/request/connection_health.h
@@ -13,17 +13,19 @@
 enum class ConnectionState : std::uint8_t {
     Open, ///< Answers come in time.
     Suspect, ///< An answer is overdue; a new connection is being probed.
+    Slow, ///< The probe was answered, so the target is alive; the answer may still come, up to the bound.
     Closed, ///< To be closed and never used again.
 };
 
-constexpr auto ConnectionStateNames =
-    makeNameTable<ConnectionState>({{ConnectionState::Open, "open"}, {ConnectionState::Suspect, "suspect"}, {ConnectionState::Closed, "closed"}});
+constexpr auto ConnectionStateNames = makeNameTable<ConnectionState>(
+    {{ConnectionState::Open, "open"}, {ConnectionState::Suspect, "suspect"}, {ConnectionState::Slow, "slow"}, {ConnectionState::Closed, "closed"}});
 
 /** Bounds of a connection. */
 struct ConnectionSettings {
     Duration heartbeatInterval{1000}; ///< An idle connection is checked this often.
     Duration suspectAfter{2000}; ///< Time without a byte, while something is awaited, until a new connection is probed.
     Duration probeTimeout{1000}; ///< Time that the probe has.
+    Duration answerBound{10'000}; ///< Longest time without a byte while an answer is awaited.
 };
 
 /** State of one connection. */
@@ -33,6 +35,7 @@
     TimePoint lastHeartbeatAt; ///< When the last heartbeat was sent.
     TimePoint probeStartedAt; ///< When the probe began.
     std::uint32_t awaited = 0; ///< Answers and heartbeats that are awaited.
+    bool heartbeatOnly = false; ///< What is awaited is a heartbeat, which a live target answers at once.
 };
 
 /** What to do with a connection and its worker. */
@@ -52,8 +55,11 @@
 /** Time has passed. */
 ConnectionAction connectionTick(ConnectionHealth &health, const ConnectionSettings &settings, TimePoint now);
 
-/** The probe on the new connection has ended. */
-ConnectionAction connectionProbed(ConnectionHealth &health, bool answered, TimePoint now);
+/**
+ * The probe on the new connection has ended. A connection that only owes a heartbeat is closed. One that owes an answer
+ * to a request waits on when the probe was answered, since the request may just take long.
+ */
+ConnectionAction connectionProbed(ConnectionHealth &health, bool answered);
 
 /** A request on the connection was given up. Its answer may still come, so the connection is closed. */
 ConnectionAction connectionAbandoned(ConnectionHealth &health);
--- /dev/null
+++ b/src/request/ledger.cpp
@@ -0,0 +1,366 @@
+/** @file ledger.cpp The home's part of the ledger of non-repeatable requests. */
+
+#include "request/ledger_func.h"
+
+#include "core/random.h"
+#include "request/ledger_detail.h"
+
+namespace Filbertlanding {
+
+namespace LedgerDetail {
+
+    bool isFull(const Ledger &ledger)
+    {
+        return ledger.records.size() >= ledger.settings.maxRecords || ledger.answerBytes >= ledger.settings.maxAnswerBytes;
+    }
+
+    LedgerRecord &ensureRecord(Ledger &ledger, const LedgerKey &key, TimePoint now)
+    {
+        const auto [place, isNew] = ledger.records.try_emplace(key);
+        place->second.recordedAt = now;
+        if (isNew) {
+            ledger.ages.emplace_back(now, &place->first);
+        }
+        return place->second;
+    }
+
+    std::uint64_t persist(Ledger &ledger, LedgerActions &actions, const LedgerKey &key, const LedgerRecord &record)
+    {
+        const std::uint64_t number = ++ledger.lastWrite;
+        actions.emplace_back(PersistLedgerRecord{number, key, record});
+        return number;
+    }
+
+    void setAnswer(Ledger &ledger, LedgerRecord &record, ResultCode code, std::string answer)
+    {
+        ledger.answerBytes -= record.answer.size();
+        record.answer = std::move(answer);
+        record.code = code;
+        ledger.answerBytes += record.answer.size();
+    }
+
+} // namespace LedgerDetail
+
+namespace {
+
+    using LedgerDetail::ensureRecord;
+    using LedgerDetail::isFull;
+    using LedgerDetail::persist;
+    using LedgerDetail::setAnswer;
+
+    void answerAll(LedgerActions &actions, const ActiveRequest &active, ResultCode code, const std::string &answer)
+    {
+        for (const SendToken send : active.sends) {
+            actions.emplace_back(AnswerSend{send, code, answer});
+        }
+    }
+
+    /** Starts an attempt: both records are written at the same time. */
+    void startAttempt(Ledger &ledger, LedgerActions &actions, const LedgerSubmit &submit, TimePoint now)
+    {
+        const auto known = ledger.records.find(submit.key);
+        const bool withdrawn = known != ledger.records.end() && known->second.state == LedgerState::Withdrawn;
+        LedgerRecord &record = ensureRecord(ledger, submit.key, now);
+        const LedgerAttempt earlier = withdrawn ? record.attempt : LedgerAttempt{};
+        record.bodyHash = submit.bodyHash;
+        record.attempt = {ledger.settings.instance, ++ledger.lastAttempt};
+        record.first = withdrawn ? record.first : record.attempt;
+        record.state = LedgerState::Recorded;
+        ActiveRequest &active = ledger.active[submit.key];
+        active.askedAt = now;
+        active.sends.push_back(submit.send);
+        active.write = persist(ledger, actions, submit.key, record);
+        ledger.homeWrites.emplace(active.write, submit.key);
+        actions.emplace_back(AskLedgerReplica{{.key = submit.key,
+                                               .bodyHash = submit.bodyHash,
+                                               .attempt = record.attempt,
+                                               .first = record.first,
+                                               .withdrawn = earlier,
+                                               .fenceSeen = record.fence}});
+    }
+
+    /** Gives up an attempt before a byte was sent. */
+    void withdraw(Ledger &ledger, LedgerActions &actions, const LedgerKey &key, ResultCode code)
+    {
+        const auto place = ledger.active.find(key);
+        const ActiveRequest active = std::move(place->second);
+        ledger.active.erase(place);
+        ledger.homeWrites.erase(active.write);
+        LedgerRecord &record = ledger.records.at(key);
+        record.state = LedgerState::Withdrawn;
+        persist(ledger, actions, key, record);
+        actions.emplace_back(TellLedgerReplica{{.key = key, .attempt = record.attempt, .state = LedgerState::Withdrawn, .answer = {}}});
+        answerAll(actions, active, code, {});
+    }
+
+    /** Writes the outcome; the sends are answered when it is synced. */
+    void storeOutcome(Ledger &ledger, LedgerActions &actions, const LedgerKey &key, ActiveRequest &active, const LedgerRecord &record)
+    {
+        active.phase = LedgerPhase::Storing;
+        ledger.homeWrites.erase(active.write);
+        active.write = persist(ledger, actions, key, record);
+        ledger.homeWrites.emplace(active.write, key);
+    }
+
+    void runIfRecorded(Ledger &ledger, LedgerActions &actions, const LedgerKey &key, ActiveRequest &active)
+    {
+        if (!active.homeDone || !active.replicaDone) {
+            return;
+        }
+        active.phase = LedgerPhase::Running;
+        actions.emplace_back(RunLedgerRequest{key, ledger.records.at(key).attempt, active.sends.front()});
+    }
+
+    /** Code for a request of which this voter has no record and the replica cannot be asked. */
+    ResultCode codeWithoutReplica(const Ledger &ledger)
+    {
+        return ledger.settings.complete ? ResultCode::HomeUnreachable : ResultCode::OutcomeUnknown;
+    }
+
+    /** Takes over what the replica knows of an earlier send. */
+    void takeKnown(Ledger &ledger, LedgerActions &actions, const ReplicaAnswer &answer, ActiveRequest &active, LedgerRecord &record)
+    {
+        const bool answered = answer.state == LedgerState::Answered;
+        const bool reused = answer.bodyHash != record.bodyHash;
+        record.state = answered ? LedgerState::Answered : LedgerState::Unknown;
+        // The record is the earlier request's, so that its own resend still gets the right answer.
+        record.bodyHash = answer.bodyHash;
+        setAnswer(ledger, record, answered ? answer.code : ResultCode::OutcomeUnknown, answered ? answer.answer : std::string());
+        active.code = reused ? ResultCode::RequestIdReused : record.code;
+        active.answer = reused ? std::string() : record.answer;
+        storeOutcome(ledger, actions, answer.key, active, record);
+    }
+
+    /** Returns the state in which a run leaves the record. */
+    LedgerState stateAfterRun(const Ledger &ledger, const LedgerRunResult &result)
+    {
+        const bool answered = result.code == ResultCode::Ok || result.code == ResultCode::WorkerFailed;
+        if (answered && result.answer.size() <= ledger.settings.maxAnswerSize) {
+            return LedgerState::Answered;
+        }
+        return isRefusal(result.code) ? LedgerState::Withdrawn : LedgerState::Unknown;
+    }
+
+    ActiveRequest *findRecording(Ledger &ledger, const LedgerKey &key, const LedgerAttempt &attempt)
+    {
+        const auto place = ledger.active.find(key);
+        const bool matches = place != ledger.active.end() && place->second.phase == LedgerPhase::Recording && ledger.records.at(key).attempt == attempt;
+        return matches ? &place->second : nullptr;
+    }
+
+    void homePersisted(Ledger &ledger, LedgerActions &actions, const LedgerKey &key)
+    {
+        ActiveRequest &active = ledger.active.at(key);
+        if (active.phase == LedgerPhase::Recording) {
+            active.homeDone = true;
+            runIfRecorded(ledger, actions, key, active);
+            return;
+        }
+        answerAll(actions, active, active.code, active.answer);
+        ledger.active.erase(key);
+    }
+
+    void dropOldRecords(Ledger &ledger, TimePoint now)
+    {
+        while (!ledger.ages.empty() && now - ledger.ages.front().first >= ledger.settings.retention) {
+            const LedgerKey *key = ledger.ages.front().second;
+            const auto place = ledger.records.find(*key);
+            ledger.ages.pop_front();
+            const bool renewed = now - place->second.recordedAt < ledger.settings.retention;
+            if (renewed || ledger.active.contains(*key)) {
+                ledger.ages.emplace_back(renewed ? place->second.recordedAt : now, key);
+                continue;
+            }
+            ledger.answerBytes -= place->second.answer.size();
+            ledger.records.erase(place);
+        }
+    }
+
+} // namespace
+
+LedgerKey ledgerKey(std::string_view caller, std::string_view requestId)
+{
+    LedgerKey key = std::to_string(caller.size());
+    key += ':';
+    key += caller;
+    key += requestId;
+    return key;
+}
+
+std::optional<LedgerPlace> ledgerPlace(const std::vector<DaemonName> &voters, const LedgerKey &key)
+{
+    std::pair<std::uint64_t, const DaemonName *> first{0, nullptr};
+    std::pair<std::uint64_t, const DaemonName *> second{0, nullptr};
+    for (const DaemonName &voter : voters) {
+        const std::pair<std::uint64_t, const DaemonName *> score{stableHash(voter + '/' + key), &voter};
+        if (first.second == nullptr || score.first > first.first) {
+            second = first;
+            first = score;
+        } else if (second.second == nullptr || score.first > second.first) {
+            second = score;
+        }
+    }
+    if (second.second == nullptr) {
+        return std::nullopt;
+    }
+    return LedgerPlace{*first.second, *second.second};
+}
+
+Ledger loadLedger(const LedgerSettings &settings, std::vector<std::pair<LedgerKey, LedgerRecord>> records, TimePoint now)
+{
+    Ledger ledger;
+    ledger.settings = settings;
+    for (auto &[key, loaded] : records) {
+        LedgerRecord &record = ensureRecord(ledger, key, now);
+        ledger.answerBytes -= record.answer.size();
+        record = std::move(loaded);
+        record.recordedAt = now;
+        ledger.answerBytes += record.answer.size();
+    }
+    return ledger;
+}
+
+LedgerActions ledgerSubmit(Ledger &ledger, const LedgerSubmit &submit, TimePoint now)
+{
+    LedgerActions actions;
+    const auto found = ledger.records.find(submit.key);
+    if (found == ledger.records.end()) {
+        if (isFull(ledger)) {
+            actions.emplace_back(AnswerSend{submit.send, ResultCode::LedgerFull, {}});
+            return actions;
+        }
+        startAttempt(ledger, actions, submit, now);
+        return actions;
+    }
+    const LedgerRecord &record = found->second;
+    if (record.state != LedgerState::Fenced && record.bodyHash != submit.bodyHash) {
+        actions.emplace_back(AnswerSend{submit.send, ResultCode::RequestIdReused, {}});
+        return actions;
+    }
+    const auto active = ledger.active.find(submit.key);
+    if (active != ledger.active.end()) {
+        active->second.sends.push_back(submit.send);
+        return actions;
+    }
+    switch (record.state) {
+    case LedgerState::Answered:
+        actions.emplace_back(AnswerSend{submit.send, record.code, record.answer});
+        break;
+    case LedgerState::Recorded:
+    case LedgerState::Unknown:
+        // Recorded without being in progress: the process restarted, or this voter was only the replica.
+        actions.emplace_back(AnswerSend{submit.send, ResultCode::OutcomeUnknown, {}});
+        break;
+    case LedgerState::Withdrawn:
+    case LedgerState::Fenced:
+        startAttempt(ledger, actions, submit, now);
+        break;
+    }
+    return actions;
+}
+
+LedgerActions ledgerPersisted(Ledger &ledger, std::uint64_t number, TimePoint /*now*/)
+{
+    LedgerActions actions;
+    const auto home = ledger.homeWrites.find(number);
+    if (home != ledger.homeWrites.end()) {
+        const LedgerKey key = home->second;
+        ledger.homeWrites.erase(home);
+        homePersisted(ledger, actions, key);
+        return actions;
+    }
+    const auto replica = ledger.replicaWrites.find(number);
+    if (replica != ledger.replicaWrites.end()) {
+        actions.emplace_back(AnswerReplicaAsk{replica->second.asker, std::move(replica->second.answer)});
+        ledger.replicaWrites.erase(replica);
+    }
+    return actions;
+}
+
+LedgerActions ledgerReplicaAnswered(Ledger &ledger, const ReplicaAnswer &answer, TimePoint /*now*/)
+{
+    LedgerActions actions;
+    ActiveRequest *active = findRecording(ledger, answer.key, answer.attempt);
+    if (active == nullptr || active->replicaDone) {
+        return actions;
+    }
+    LedgerRecord &record = ledger.records.at(answer.key);
+    switch (answer.verdict) {
+    case ReplicaVerdict::Recorded:
+        if (!ledger.settings.complete && !answer.complete) {
+            // Both voters may miss the record of an earlier send that ran.
+            withdraw(ledger, actions, answer.key, ResultCode::OutcomeUnknown);
+            break;
+        }
+        active->replicaDone = true;
+        runIfRecorded(ledger, actions, answer.key, *active);
+        break;
+    case ReplicaVerdict::Known:
+        takeKnown(ledger, actions, answer, *active, record);
+        break;
+    case ReplicaVerdict::Fenced:
+        record.fence = answer.fence;
+        withdraw(ledger, actions, answer.key, ResultCode::HomeUnreachable);
+        break;
+    case ReplicaVerdict::Full:
+        withdraw(ledger, actions, answer.key, ledger.settings.complete ? ResultCode::LedgerFull : ResultCode::OutcomeUnknown);
+        break;
+    case ReplicaVerdict::NotRecorded:
+        break;
+    }
+    return actions;
+}
+
+LedgerActions ledgerReplicaFailed(Ledger &ledger, const LedgerKey &key, const LedgerAttempt &attempt, TimePoint /*now*/)
+{
+    LedgerActions actions;
+    const ActiveRequest *active = findRecording(ledger, key, attempt);
+    if (active != nullptr && !active->replicaDone) {
+        withdraw(ledger, actions, key, codeWithoutReplica(ledger));
+    }
+    return actions;
+}
+
+LedgerActions ledgerFinished(Ledger &ledger, const LedgerKey &key, const LedgerAttempt &attempt, LedgerRunResult result, TimePoint /*now*/)
+{
+    LedgerActions actions;
+    const auto place = ledger.active.find(key);
+    if (place == ledger.active.end() || place->second.phase != LedgerPhase::Running) {
+        return actions;
+    }
+    LedgerRecord &record = ledger.records.at(key);
+    if (record.attempt != attempt) {
+        return actions;
+    }
+    ActiveRequest &active = place->second;
+    const bool answered = result.code == ResultCode::Ok || result.code == ResultCode::WorkerFailed;
+    const bool told = answered || isRefusal(result.code);
+    record.state = stateAfterRun(ledger, result);
+    active.code = told ? result.code : ResultCode::OutcomeUnknown;
+    active.answer = std::move(result.answer);
+    if (record.state == LedgerState::Answered) {
+        setAnswer(ledger, record, active.code, active.answer);
+    }
+    actions.emplace_back(TellLedgerReplica{{.key = key, .attempt = record.attempt, .state = record.state, .code = active.code, .answer = record.answer}});
+    storeOutcome(ledger, actions, key, active, record);
+    return actions;
+}
+
+LedgerActions ledgerTick(Ledger &ledger, TimePoint now)
+{
+    LedgerActions actions;
+    std::vector<LedgerKey> late;
+    for (const auto &[key, active] : ledger.active) {
+        const bool waits = active.phase == LedgerPhase::Recording && !active.replicaDone;
+        if (waits && now - active.askedAt >= ledger.settings.replicaTimeout) {
+            late.push_back(key);
+        }
+    }
+    for (const LedgerKey &key : late) {
+        withdraw(ledger, actions, key, codeWithoutReplica(ledger));
+    }
+    dropOldRecords(ledger, now);
+    return actions;
+}
+
+} // namespace Filbertlanding
--- a/src/request/ledger_base.h
+++ b/src/request/ledger_base.h
@@ -52,23 +52,26 @@
 /** One record as kept in memory and in the journal. */
 struct LedgerRecord {
     std::uint64_t bodyHash = 0; ///< Hash of the body; the same id with another body is refused.
+    LedgerAttempt first; ///< First attempt of which the home knows the fate of all later ones; a lost disk starts anew.
     LedgerAttempt attempt; ///< Latest attempt.
     std::uint64_t fence = 0; ///< Number of fences set by the replica, as far as known.
     std::string answer; ///< Stored answer in state Answered, empty otherwise.
     TimePoint recordedAt; ///< When this process recorded or loaded it; the retention counts from here.
+    ResultCode code = ResultCode::Ok; ///< Code of the stored answer.
     LedgerState state = LedgerState::Recorded; ///< State.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->bodyHash, this->attempt, this->fence, this->answer, this->state);
+        archive(this->bodyHash, this->first, this->attempt, this->fence, this->answer, this->code, this->state);
     }
 };
 
 /** Settings of a ledger. */
 struct LedgerSettings {
     std::uint64_t instance = 0; ///< Start number of this process: higher at each start, also after the disk was lost.
-    bool complete = true; ///< False for the retention time after the disk was lost: earlier records may be missing.
+    /** False for the retention time after the disk was lost or the voter was added: earlier records may be missing. */
+    bool complete = true;
     std::uint32_t maxRecords = 50'000; ///< Records on this voter.
     std::uint64_t maxAnswerBytes = 16'777'216; ///< Stored answers on this voter, in bytes; new ids are refused above it.
     std::uint32_t maxAnswerSize = 65'536; ///< A longer answer is given to the caller once and not stored; a resend gets OutcomeUnknown.
@@ -88,13 +91,14 @@
     LedgerKey key; ///< Caller and request id.
     std::uint64_t bodyHash = 0; ///< Hash of the body.
     LedgerAttempt attempt; ///< The attempt.
-    LedgerAttempt withdrawn; ///< Attempts up to this one are known by the home not to have run.
+    LedgerAttempt first; ///< The home knows that the attempts from this one ...
+    LedgerAttempt withdrawn; ///< ... up to this one have not run; empty when there is none.
     std::uint64_t fenceSeen = 0; ///< Fences that the home knows of.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->key, this->bodyHash, this->attempt, this->withdrawn, this->fenceSeen);
+        archive(this->key, this->bodyHash, this->attempt, this->first, this->withdrawn, this->fenceSeen);
     }
 };
 
@@ -112,15 +116,17 @@
     LedgerKey key; ///< Caller and request id.
     LedgerAttempt attempt; ///< The attempt that was asked about; empty for a query.
     ReplicaVerdict verdict = ReplicaVerdict::Recorded; ///< The verdict.
+    bool complete = true; ///< The replica misses no earlier record.
     LedgerState state = LedgerState::Recorded; ///< For Known.
     std::uint64_t bodyHash = 0; ///< For Known.
     std::uint64_t fence = 0; ///< For Fenced: number to give in the next ask.
+    ResultCode code = ResultCode::Ok; ///< For Known in state Answered.
     std::string answer; ///< For Known in state Answered.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->key, this->attempt, this->verdict, this->state, this->bodyHash, this->fence, this->answer);
+        archive(this->key, this->attempt, this->verdict, this->complete, this->state, this->bodyHash, this->fence, this->code, this->answer);
     }
 };
 
@@ -129,12 +135,13 @@
     LedgerKey key; ///< Caller and request id.
     LedgerAttempt attempt; ///< The attempt.
     LedgerState state = LedgerState::Answered; ///< Answered, Unknown or Withdrawn.
+    ResultCode code = ResultCode::Ok; ///< Code of the answer in state Answered.
     std::string answer; ///< The answer in state Answered.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->key, this->attempt, this->state, this->answer);
+        archive(this->key, this->attempt, this->state, this->code, this->answer);
     }
 };
 
@@ -179,12 +186,20 @@
 using LedgerActions = std::vector<LedgerAction>; ///< Actions in the order in which to start them.
 
 /** What the home is doing with a request. */
+enum class LedgerPhase : std::uint8_t {
+    Recording, ///< The two records are being written.
+    Running, ///< The request was handed to the adapter.
+    Storing, ///< The outcome is being written.
+};
+
+/** A request in progress at the home. */
 struct ActiveRequest {
+    LedgerPhase phase = LedgerPhase::Recording; ///< What is being done.
     bool homeDone = false; ///< The home's record is synced.
     bool replicaDone = false; ///< The replica's record is synced.
-    bool running = false; ///< The request was handed to the adapter.
-    std::uint64_t persistNumber = 0; ///< Write that is awaited.
+    std::uint64_t write = 0; ///< Write that is awaited.
     TimePoint askedAt; ///< When the replica was asked.
+    ResultCode code = ResultCode::Ok; ///< Outcome that is being stored.
     std::string answer; ///< Answer that is being stored.
     std::vector<SendToken> sends; ///< Sends that wait for the answer; the first one's body is used.
 };
@@ -195,14 +210,18 @@
     ReplicaAnswer answer; ///< The answer.
 };
 
-/** The ledger of one voter. Functions are in ledger_func.h. */
+/** The ledger of one voter. Functions are in ledger_func.h. It is not copied, since ages points into records. */
 struct Ledger {
+    Ledger() = default;
+    Ledger(Ledger &&) = default;
+    Ledger &operator=(Ledger &&) = default;
+
     LedgerSettings settings; ///< Settings.
     std::unordered_map<LedgerKey, LedgerRecord> records; ///< Records as home and as replica.
     std::unordered_map<LedgerKey, ActiveRequest> active; ///< Requests in progress at this home.
     std::unordered_map<std::uint64_t, LedgerKey> homeWrites; ///< Writes that the home waits for.
     std::unordered_map<std::uint64_t, HeldAnswer> replicaWrites; ///< Writes that answers of the replica wait for.
-    std::deque<std::pair<TimePoint, LedgerKey>> ages; ///< Records by age, oldest first.
+    std::deque<std::pair<TimePoint, const LedgerKey *>> ages; ///< One entry for each record, oldest first.
     std::uint64_t lastWrite = 0; ///< Number of the latest write.
     std::uint64_t lastAttempt = 0; ///< Number of the latest attempt.
     std::uint64_t answerBytes = 0; ///< Size of the stored answers.
--- /dev/null
+++ b/src/request/ledger_replica.cpp
@@ -0,0 +1,154 @@
+/** @file ledger_replica.cpp The replica's part of the ledger of non-repeatable requests. */
+
+#include "request/ledger_detail.h"
+#include "request/ledger_func.h"
+
+namespace Filbertlanding {
+
+namespace {
+
+    using LedgerDetail::ensureRecord;
+    using LedgerDetail::isFull;
+    using LedgerDetail::persist;
+    using LedgerDetail::setAnswer;
+
+    ReplicaAnswer makeReplicaAnswer(const Ledger &ledger, const LedgerKey &key, const LedgerAttempt &attempt, ReplicaVerdict verdict)
+    {
+        ReplicaAnswer answer;
+        answer.key = key;
+        answer.attempt = attempt;
+        answer.verdict = verdict;
+        answer.complete = ledger.settings.complete;
+        return answer;
+    }
+
+    ReplicaAnswer makeKnownAnswer(const Ledger &ledger, const LedgerKey &key, const LedgerAttempt &attempt, const LedgerRecord &record)
+    {
+        ReplicaAnswer answer = makeReplicaAnswer(ledger, key, attempt, ReplicaVerdict::Known);
+        answer.state = record.state;
+        answer.bodyHash = record.bodyHash;
+        answer.code = record.code;
+        answer.answer = record.answer;
+        return answer;
+    }
+
+    /** Returns whether a record forbids a new attempt. */
+    bool forbidsAttempt(const LedgerRecord &record, const ReplicaAsk &ask)
+    {
+        switch (record.state) {
+        case LedgerState::Withdrawn:
+        case LedgerState::Fenced:
+            return false;
+        case LedgerState::Recorded: {
+            const bool sameAttempt = record.attempt == ask.attempt;
+            const bool knownUnrun = ask.first <= record.attempt && record.attempt <= ask.withdrawn;
+            return record.bodyHash != ask.bodyHash || (!sameAttempt && !knownUnrun);
+        }
+        case LedgerState::Answered:
+        case LedgerState::Unknown:
+            return true;
+        }
+        return true;
+    }
+
+    /** Sends the answer when the record is synced. */
+    void answerWhenSynced(Ledger &ledger, LedgerActions &actions, const LedgerRecord &record, SendToken asker, ReplicaAnswer answer)
+    {
+        const std::uint64_t number = persist(ledger, actions, answer.key, record);
+        ledger.replicaWrites.emplace(number, HeldAnswer{asker, std::move(answer)});
+    }
+
+} // namespace
+
+LedgerActions replicaRecord(Ledger &ledger, const ReplicaAsk &ask, SendToken asker, TimePoint now)
+{
+    LedgerActions actions;
+    const auto found = ledger.records.find(ask.key);
+    if (found == ledger.records.end() && isFull(ledger)) {
+        actions.emplace_back(AnswerReplicaAsk{asker, makeReplicaAnswer(ledger, ask.key, ask.attempt, ReplicaVerdict::Full)});
+        return actions;
+    }
+    if (found != ledger.records.end()) {
+        const LedgerRecord &known = found->second;
+        // A request in progress here means that voters disagree about the home; the earlier attempt counts.
+        if (ledger.active.contains(ask.key) || forbidsAttempt(known, ask)) {
+            actions.emplace_back(AnswerReplicaAsk{asker, makeKnownAnswer(ledger, ask.key, ask.attempt, known)});
+            return actions;
+        }
+        if (known.fence > ask.fenceSeen) {
+            ReplicaAnswer answer = makeReplicaAnswer(ledger, ask.key, ask.attempt, ReplicaVerdict::Fenced);
+            answer.fence = known.fence;
+            actions.emplace_back(AnswerReplicaAsk{asker, std::move(answer)});
+            return actions;
+        }
+    }
+    LedgerRecord &record = ensureRecord(ledger, ask.key, now);
+    record.bodyHash = ask.bodyHash;
+    record.first = ask.first;
+    record.attempt = ask.attempt;
+    record.state = LedgerState::Recorded;
+    answerWhenSynced(ledger, actions, record, asker, makeReplicaAnswer(ledger, ask.key, ask.attempt, ReplicaVerdict::Recorded));
+    return actions;
+}
+
+LedgerActions replicaQuery(Ledger &ledger, const LedgerKey &key, SendToken asker, TimePoint now)
+{
+    LedgerActions actions;
+    const auto found = ledger.records.find(key);
+    if (found == ledger.records.end() && isFull(ledger)) {
+        actions.emplace_back(AnswerReplicaAsk{asker, makeReplicaAnswer(ledger, key, {}, ReplicaVerdict::Full)});
+        return actions;
+    }
+    const bool unrun = found == ledger.records.end() || found->second.state == LedgerState::Withdrawn || found->second.state == LedgerState::Fenced;
+    if (!unrun || ledger.active.contains(key)) {
+        actions.emplace_back(AnswerReplicaAsk{asker, makeKnownAnswer(ledger, key, {}, found->second)});
+        return actions;
+    }
+    LedgerRecord &record = ensureRecord(ledger, key, now);
+    record.state = LedgerState::Fenced;
+    ++record.fence;
+    answerWhenSynced(ledger, actions, record, asker, makeReplicaAnswer(ledger, key, {}, ReplicaVerdict::NotRecorded));
+    return actions;
+}
+
+LedgerActions replicaOutcome(Ledger &ledger, const ReplicaOutcome &outcome, TimePoint /*now*/)
+{
+    LedgerActions actions;
+    const auto found = ledger.records.find(outcome.key);
+    if (found == ledger.records.end() || ledger.active.contains(outcome.key)) {
+        return actions;
+    }
+    LedgerRecord &record = found->second;
+    if (record.state != LedgerState::Recorded || record.attempt != outcome.attempt) {
+        return actions;
+    }
+    record.state = outcome.state;
+    if (outcome.state == LedgerState::Answered) {
+        setAnswer(ledger, record, outcome.code, outcome.answer);
+    }
+    persist(ledger, actions, outcome.key, record);
+    return actions;
+}
+
+AnswerSend answerWithoutHome(SendToken send, std::uint64_t bodyHash, const std::optional<ReplicaAnswer> &replica)
+{
+    AnswerSend answer{send, ResultCode::OutcomeUnknown, {}};
+    if (!replica) {
+        return answer;
+    }
+    if (replica->verdict == ReplicaVerdict::NotRecorded && replica->complete) {
+        answer.code = ResultCode::HomeUnreachable;
+    }
+    if (replica->verdict != ReplicaVerdict::Known) {
+        return answer;
+    }
+    if (replica->bodyHash != bodyHash) {
+        answer.code = ResultCode::RequestIdReused;
+    } else if (replica->state == LedgerState::Answered) {
+        answer.code = replica->code;
+        answer.answer = replica->answer;
+    }
+    return answer;
+}
+
+} // namespace Filbertlanding
--- a/src/request/rcu_pointer.h
+++ b/src/request/rcu_pointer.h
@@ -33,11 +33,11 @@
     class ReadGuard
     {
     public:
-        explicit ReadGuard(const RcuPointer &owner)
-            : owner(&owner)
+        explicit ReadGuard(const RcuPointer &source)
+            : owner(&source)
         {
             RcuDetail::readLock();
-            this->object = owner.current.load(std::memory_order_acquire);
+            this->object = source.current.load(std::memory_order_acquire);
         }
 
         ~ReadGuard()
--- a/src/request/retry_budget_base.h
+++ b/src/request/retry_budget_base.h
@@ -35,8 +35,10 @@
 class RetryBudget
 {
 public:
-    explicit RetryBudget(const RetryBudgetSettings &settings = {})
-        : settings(settings)
+    RetryBudget() = default;
+
+    explicit RetryBudget(const RetryBudgetSettings &given)
+        : settings(given)
     {
     }
 
