--- /dev/null
+++ b/src/job/eviction_budget.h
@@ -0,0 +1,33 @@
+/** @file eviction_budget.h Bound on the evictions of each service in a time window. */
+
+#pragma once
+
+#include "core/clock_type.h"
+#include "job/interference_estimate.h"
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** Settings of the eviction budget. */
+struct EvictionBudgetSettings {
+    bool enabled = true; ///< False for the baseline without a budget.
+    std::uint32_t perWindow = 6; ///< Evictions of jobs of one service in one window.
+    Duration window{60'000}; ///< Length of the sliding window.
+};
+
+/** Evictions of the last window, by service. */
+struct EvictionBudget {
+    EvictionBudgetSettings settings; ///< Settings.
+    std::vector<std::deque<TimePoint>> evictions; ///< Times of the evictions, oldest first, by service.
+};
+
+/** Returns whether the service may lose one more job now. */
+bool hasEvictionBudget(EvictionBudget &budget, ServiceIndex service, TimePoint now);
+
+/** Counts one eviction. */
+void spendEviction(EvictionBudget &budget, ServiceIndex service, TimePoint now);
+
+} // namespace Filbertlanding
