--- a/src/job/job_queue.cpp
+++ b/src/job/job_queue.cpp
@@ -44,7 +44,7 @@
 
     void takeFront(std::deque<QueueEntry> &entries)
     {
-        TaskRange &tasks = entries.front().tasks;
+        TaskSpan &tasks = entries.front().tasks;
         ++tasks.first;
         --tasks.count;
         if (tasks.count == 0) {
--- a/src/job/job_queue.h
+++ b/src/job/job_queue.h
@@ -19,7 +19,7 @@
 /** Tasks that wait. A range of tasks is one entry, from whose front tasks are taken. */
 struct QueueEntry {
     JobId job; ///< The job.
-    TaskRange tasks; ///< The tasks.
+    TaskSpan tasks; ///< The tasks.
 };
 
 /** Queue and use of one team. */
--- a/src/job/job_type.h
+++ b/src/job/job_type.h
@@ -12,19 +12,20 @@
 namespace Filbertlanding {
 
 /** Consecutive tasks of a job: first to first + count - 1. */
-struct TaskRange {
+struct TaskSpan {
     std::uint32_t first = 0; ///< Number of the first task.
     std::uint32_t count = 1; ///< Number of tasks.
 
-    bool operator==(const TaskRange &) const = default;
+    bool operator==(const TaskSpan &) const = default;
 };
 
-/** What a job asks for. */
-struct JobSpec {
+/** What a job asks for, as far as the shard needs it. */
+struct BatchSpec {
     ServiceName service; ///< Service that the job belongs to.
     TeamName team; ///< Team whose quota it uses.
     std::string jobClass; ///< Class for learning size and interference.
     Resources declared; ///< Size of one task as the submitter declared it; may be far off.
+    std::string payload; ///< Input of the task, passed on to the worker.
     bool urgent = false; ///< Goes first and may use the reserved share.
     std::uint32_t taskCount = 1; ///< Number of tasks; more than 1 makes it a job with many tasks.
 };
@@ -33,9 +34,9 @@
 struct AssignedJob {
     JobId job; ///< The job.
     std::uint64_t epoch = 0; ///< Fencing token of this assignment.
-    JobSpec spec; ///< What it asks for.
+    BatchSpec spec; ///< What it asks for.
     std::string checkpoint; ///< State to resume from; empty for a start from the beginning.
-    TaskRange tasks; ///< Tasks of this assignment; {0, 1} for a job with one task.
+    std::vector<TaskSpan> tasks{{0, 1}}; ///< Unfinished tasks of this assignment.
     std::uint32_t evictions = 0; ///< How often the job was evicted for the sake of requests.
     std::vector<WorkerName> failedOn; ///< Workers on which it failed under earlier epochs, where the catalog keeps them.
     bool beforeRestart = false; ///< Was assigned to this daemon before its last restart, so that its task may still run.
@@ -43,10 +44,9 @@
 
 /** Kind of a command that the shard wants in the log. */
 enum class ProposalKind : std::uint8_t {
-    Finish, ///< The task has a result.
+    Finish, ///< Tasks are finished.
     Fail, ///< The job can never finish.
     Evict, ///< The epoch ends; the job continues from the checkpoint under the next one.
-    FinishTasks, ///< Ranges of tasks of a job with many tasks are finished.
 };
 
 /** Why an epoch ends. */
@@ -68,7 +68,7 @@
     std::string result; ///< Finish: the result. Fail: the reason.
     EvictReason reason = EvictReason::Interference; ///< Evict: why.
     WorkerName worker; ///< Worker on which the attempt ran; empty when there was none.
-    std::vector<TaskRange> finished; ///< FinishTasks: the ranges.
+    std::vector<TaskSpan> finished; ///< Finish: the tasks.
 };
 
 /** Why a worker was left out of a placement. */
@@ -83,6 +83,13 @@
     Count, ///< Number of reasons.
 };
 
+/** End of a task on a worker, for the quarantine in membership. */
+struct WorkerOutcome {
+    WorkerName worker; ///< The worker.
+    JobId job; ///< The job.
+    bool succeeded = false; ///< Finished, as opposed to failed.
+};
+
 /** One line for the log: how a placement was decided. */
 struct PlacementRecord {
     JobId job; ///< The job (with task and attempt number for a job with many tasks).
