Add: job shard with placement, eviction, adoption after a restart

Each epoch of a job with one task is started on at most one worker: lost, failed and evicted attempts end their epoch in the catalog, and so does an epoch whose task no worker reported in the quiet period. Tasks of a job with many tasks get an attempt number in the id that the worker sees, so that they can be tried again without a log entry.

--- a/src/job/job_queue.cpp
+++ b/src/job/job_queue.cpp
@@ -69,7 +69,7 @@
                 break;
             }
             auto &entries = entriesOf(queue.teams[*chosen], urgent);
-            const QueueOutcome outcome = tryPlace(entries.front().job, entries.front().tasks.first, static_cast<std::uint32_t>(*chosen));
+            const QueueOutcome outcome = tryPlace(entries.front(), static_cast<std::uint32_t>(*chosen));
             switch (outcome) {
             case QueueOutcome::Placed:
                 takeFront(entries);
--- a/src/job/job_queue.h
+++ b/src/job/job_queue.h
@@ -19,6 +19,7 @@
 /** Tasks that wait. A range of tasks is one entry, from whose front tasks are taken. */
 struct QueueEntry {
     JobId job; ///< The job.
+    std::uint64_t epoch = 0; ///< Epoch of its assignment.
     TaskSpan tasks; ///< The tasks.
 };
 
@@ -47,8 +48,8 @@
     Stop, ///< Enough for this pass.
 };
 
-/** Called with the front task of an entry: job, task number, urgent. */
-using QueueTry = std::function<QueueOutcome(const JobId &job, std::uint32_t task, std::uint32_t team)>;
+/** Called with an entry, whose front task is offered, and the index of its team. */
+using QueueTry = std::function<QueueOutcome(const QueueEntry &entry, std::uint32_t team)>;
 
 /** Returns the index of a team, which is added when it is new. */
 std::uint32_t queueTeam(JobQueue &queue, const TeamName &team);
--- /dev/null
+++ b/src/job/job_shard.cpp
@@ -0,0 +1,408 @@
+/** @file job_shard.cpp Assignments, leases, proposals and the passing of time in a shard. */
+
+#include "job/job_shard_detail.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+using namespace ShardDetail;
+
+namespace {
+
+    constexpr Duration PlaceInterval{1000}; ///< The queue is served at least this often, since leases, ramps and holds change with time.
+    constexpr std::size_t MaxHistory = 20000; ///< Jobs whose evictions and failures are kept; two days of submissions.
+
+    void enqueueJob(JobShard &shard, ShardJob &job, TimePoint now)
+    {
+        job.waitingSince = now;
+        for (const TaskSpan &span : job.assigned.tasks) {
+            enqueueTasks(shard.queue, job.team, {job.assigned.job, job.assigned.epoch, span}, job.assigned.spec.urgent, false);
+        }
+        shard.placementDue = true;
+    }
+
+    bool hasAttempt(const JobShard &shard, const ShardJob &job, std::uint32_t number)
+    {
+        return std::any_of(shard.tasks.begin(), shard.tasks.end(), [&job, number](const auto &entry) {
+            const ShardTask &task = *entry.second;
+            return task.task == number && task.job == job.assigned.job && task.key.epoch == job.assigned.epoch;
+        });
+    }
+
+    void endQuietOfMany(JobShard &shard, ShardJob &job, TimePoint now)
+    {
+        std::unordered_set<std::uint32_t> adopted;
+        for (const auto &[key, task] : shard.tasks) {
+            if (task->job == job.assigned.job && key.epoch == job.assigned.epoch) {
+                adopted.insert(task->task);
+            }
+        }
+        for (const TaskSpan &span : job.assigned.tasks) {
+            TaskSpan open{span.first, 0};
+            for (std::uint32_t i = 0; i < span.count; ++i) {
+                if (!adopted.contains(span.first + i)) {
+                    ++open.count;
+                    continue;
+                }
+                if (open.count > 0) {
+                    enqueueTasks(shard.queue, job.team, {job.assigned.job, job.assigned.epoch, open}, job.assigned.spec.urgent, false);
+                }
+                open = {span.first + i + 1, 0};
+            }
+            if (open.count > 0) {
+                enqueueTasks(shard.queue, job.team, {job.assigned.job, job.assigned.epoch, open}, job.assigned.spec.urgent, false);
+            }
+        }
+        job.waitingSince = now;
+        job.waitsForReports = false;
+        --shard.jobsWaiting;
+        shard.placementDue = true;
+    }
+
+    /** Ends the quiet period: an epoch whose task no worker has reported ends, so that no epoch is ever started on two workers. */
+    void endQuiet(JobShard &shard, TimePoint now)
+    {
+        if (shard.jobsWaiting == 0 || now < shard.quietUntil || !shard.caughtUp) {
+            return;
+        }
+        for (auto &[key, job] : shard.jobs) {
+            if (!job->waitsForReports) {
+                continue;
+            }
+            if (job->assigned.spec.taskCount > 1) {
+                endQuietOfMany(shard, *job, now);
+                continue;
+            }
+            if (!job->evictProposed && hasAttempt(shard, *job, 0)) {
+                job->waitsForReports = false;
+                --shard.jobsWaiting;
+                continue;
+            }
+            if (job->evictProposed && now - job->proposedAt < shard.settings.reproposeAfter) {
+                continue;
+            }
+            job->evictProposed = true;
+            job->proposedAt = now;
+            shard.actions.proposals.push_back(
+                {ProposalKind::Evict, job->assigned.job, job->assigned.epoch, job->assigned.checkpoint, {}, EvictReason::DaemonRestarted, {}, {}});
+        }
+    }
+
+    std::vector<TaskSpan> spansOf(std::vector<std::uint32_t> numbers)
+    {
+        std::sort(numbers.begin(), numbers.end());
+        std::vector<TaskSpan> spans;
+        for (const std::uint32_t number : numbers) {
+            if (!spans.empty() && spans.back().first + spans.back().count == number) {
+                ++spans.back().count;
+            } else {
+                spans.push_back({number, 1});
+            }
+        }
+        return spans;
+    }
+
+    void proposeFinished(JobShard &shard, TimePoint now)
+    {
+        for (auto entry = shard.finishing.begin(); entry != shard.finishing.end();) {
+            ShardJob *job = jobOf(shard, entry->id, entry->epoch);
+            if (job == nullptr || job->finished.empty()) {
+                entry = shard.finishing.erase(entry);
+                continue;
+            }
+            ++entry;
+            if (now - job->proposedAt < shard.settings.finishBatch) {
+                continue;
+            }
+            job->proposedAt = now;
+            shard.actions.proposals.push_back({ProposalKind::Finish, job->assigned.job, job->assigned.epoch, {}, {}, {}, {}, spansOf(job->finished)});
+        }
+    }
+
+    void checkAttempts(JobShard &shard, TimePoint now)
+    {
+        std::vector<ShardTask *> ended;
+        std::vector<ShardTask *> unsent;
+        for (auto &[key, task] : shard.tasks) {
+            if (isTerminal(task->state)) {
+                const bool due = task->proposedAt.ms != 0 && now - task->proposedAt >= shard.settings.reproposeAfter;
+                if (due) {
+                    proposeEnd(shard, *task, now);
+                }
+            } else if (task->state == AttemptState::Assigned) {
+                const ShardWorker &worker = shard.workers[task->worker];
+                const bool possible = now < worker.ownedUntil && !worker.leaving && worker.allowedTasks > 0 && !isZoneDrained(shard, worker.zone);
+                if (!possible) {
+                    unsent.push_back(task.get());
+                }
+            } else if (now >= task->leaseEnd) {
+                ended.push_back(task.get());
+            }
+        }
+        for (ShardTask *task : ended) {
+            moveAttempt(*task, AttemptEvent::LeaseEnded);
+            endAttempt(shard, *task, now);
+        }
+        for (ShardTask *task : unsent) {
+            requeueTask(shard, *task, now);
+        }
+    }
+
+    void stopTasksOf(JobShard &shard, const JobId &job, const std::uint64_t *epoch, TimePoint now)
+    {
+        std::vector<ShardTask *> found;
+        for (auto &[key, task] : shard.tasks) {
+            if (task->job == job && (epoch == nullptr || key.epoch == *epoch)) {
+                found.push_back(task.get());
+            }
+        }
+        for (ShardTask *task : found) {
+            if (task->state == AttemptState::Assigned || isTerminal(task->state)) {
+                detachTask(shard, *task, now);
+                settle(shard, task->key);
+                dropTask(shard, task->key);
+            } else {
+                task->stopOrdered = true;
+            }
+        }
+    }
+
+    void eraseJob(JobShard &shard, const TaskKey &key)
+    {
+        const auto found = shard.jobs.find(key);
+        if (found == shard.jobs.end()) {
+            return;
+        }
+        shard.jobsWaiting -= found->second->waitsForReports ? 1 : 0;
+        shard.jobs.erase(found);
+    }
+
+    void settleFinishedOfMany(JobShard &shard, const JobProposal &proposal)
+    {
+        ShardJob *job = jobOf(shard, proposal.job, proposal.epoch);
+        const auto confirmed = [&proposal](std::uint32_t number) {
+            return std::any_of(proposal.finished.begin(), proposal.finished.end(), [number](const TaskSpan &span) {
+                return number >= span.first && number - span.first < span.count;
+            });
+        };
+        if (job != nullptr) {
+            std::erase_if(job->finished, confirmed);
+        }
+        std::vector<TaskKey> keys;
+        for (const auto &[key, task] : shard.tasks) {
+            if (task->many && task->state == AttemptState::Finished && task->job == proposal.job && key.epoch == proposal.epoch && confirmed(task->task)) {
+                keys.push_back(key);
+            }
+        }
+        for (const TaskKey &key : keys) {
+            settle(shard, key);
+            dropTask(shard, key);
+        }
+    }
+
+    void settleProposal(JobShard &shard, const JobProposal &proposal)
+    {
+        const TaskKey key{proposal.job, proposal.epoch};
+        const auto task = shard.tasks.find(key);
+        if (task == shard.tasks.end()) {
+            settle(shard, key);
+            return;
+        }
+        if (isTerminal(task->second->state)) {
+            settle(shard, key);
+            dropTask(shard, key);
+        }
+    }
+
+} // namespace
+
+std::optional<JobShard> makeJobShard(const ShardSettings &settings, TimePoint now)
+{
+    const auto *policy = PlacePolicyRegistry::find(settings.placePolicy);
+    if (policy == nullptr) {
+        return std::nullopt;
+    }
+    JobShard shard;
+    shard.settings = settings;
+    shard.policy = policy;
+    shard.interference.settings = settings.interference;
+    shard.budget.settings = settings.budget;
+    shard.failures.settings = settings.failure;
+    shard.quietUntil = now + withDrift(settings.taskLease);
+    shard.freshUntil = now;
+    shard.runningUntil = now;
+    return shard;
+}
+
+void shardAssign(JobShard &shard, const AssignedJob &job, TimePoint now)
+{
+    const TaskKey key{job.job, job.epoch};
+    if (shard.jobs.contains(key) || shard.settled.contains(key)) {
+        return;
+    }
+    auto record = std::make_unique<ShardJob>();
+    record->assigned = job;
+    record->service = static_cast<ServiceIndex>(shard.services.of(job.spec.service));
+    record->jobClass = static_cast<ClassIndex>(shard.classes.of(job.spec.jobClass));
+    record->team = queueTeam(shard.queue, job.spec.team);
+    if (record->jobClass >= shard.sizes.size()) {
+        shard.sizes.resize(record->jobClass + 1U);
+    }
+    for (const WorkerName &worker : job.failedOn) {
+        const std::uint32_t index = workerOf(shard, worker);
+        auto &workers = shard.failures.jobs[job.job].workers;
+        if (std::find(workers.begin(), workers.end(), index) == workers.end()) {
+            workers.push_back(index);
+        }
+    }
+    ShardJob &added = *shard.jobs.emplace(key, std::move(record)).first->second;
+    if (job.beforeRestart) {
+        added.waitsForReports = true;
+        ++shard.jobsWaiting;
+        return;
+    }
+    enqueueJob(shard, added, now);
+}
+
+void shardRevoke(JobShard &shard, const JobId &job, std::uint64_t epoch, TimePoint now)
+{
+    eraseJob(shard, {job, epoch});
+    stopTasksOf(shard, job, &epoch, now);
+    settle(shard, {job, epoch});
+    shard.placementDue = true;
+}
+
+std::size_t shardCancel(JobShard &shard, std::span<const JobId> jobs, TimePoint now)
+{
+    const std::unordered_set<JobId> cancelled(jobs.begin(), jobs.end());
+    std::vector<TaskKey> keys;
+    for (const auto &[key, job] : shard.jobs) {
+        if (cancelled.contains(key.id)) {
+            keys.push_back(key);
+        }
+    }
+    for (const TaskKey &key : keys) {
+        eraseJob(shard, key);
+        settle(shard, key);
+    }
+    std::vector<ShardTask *> found;
+    for (auto &[key, task] : shard.tasks) {
+        if (cancelled.contains(task->job)) {
+            found.push_back(task.get());
+        }
+    }
+    for (ShardTask *task : found) {
+        if (task->state != AttemptState::Assigned && !isTerminal(task->state)) {
+            task->stopOrdered = true;
+            continue;
+        }
+        detachTask(shard, *task, now);
+        settle(shard, task->key);
+        dropTask(shard, task->key);
+    }
+    for (const JobId &job : cancelled) {
+        shard.evictions.erase(job);
+        shard.failures.jobs.erase(job);
+    }
+    return removeJobs(shard.queue, cancelled);
+}
+
+void shardLeases(JobShard &shard, TimePoint freshUntil, TimePoint runningUntil, TimePoint now)
+{
+    shard.placementDue |= shard.freshUntil <= now && freshUntil > now;
+    shard.caughtUp |= freshUntil > now;
+    shard.freshUntil = freshUntil;
+    shard.runningUntil = runningUntil;
+}
+
+void shardZone(JobShard &shard, const ZoneName &zone, bool drained, Duration limit, std::int64_t spareCpuMillis, TimePoint now)
+{
+    ZoneDrain &record = shard.zones[zone];
+    if (drained && !record.drained) {
+        record.since = now;
+    }
+    if (!drained && record.drained) {
+        record.returnedAt = now;
+    }
+    record.drained = drained;
+    record.limit = limit;
+    record.spareCpuMillis = spareCpuMillis;
+    shard.placementDue = true;
+}
+
+void shardTeam(JobShard &shard, const TeamName &team, double weight, std::int64_t quotaCpuMillis)
+{
+    TeamQueue &queue = shard.queue.teams[queueTeam(shard.queue, team)];
+    queue.weight = weight;
+    queue.quotaCpuMillis = quotaCpuMillis;
+    shard.placementDue = true;
+}
+
+void shardProposalAnswered(JobShard &shard, const JobProposal &proposal, ResultCode code, TimePoint now)
+{
+    const auto number = static_cast<unsigned>(code);
+    const bool refused = number >= 4000 && number < 5000;
+    if (code != ResultCode::Ok && !refused) {
+        return;
+    }
+    const bool isMany = proposal.kind == ProposalKind::Finish && jobOf(shard, proposal.job, proposal.epoch) != nullptr
+        && jobOf(shard, proposal.job, proposal.epoch)->assigned.spec.taskCount > 1;
+    if (isMany) {
+        settleFinishedOfMany(shard, proposal);
+    } else {
+        settleProposal(shard, proposal);
+    }
+    if (refused || !isMany) {
+        shardRevoke(shard, proposal.job, proposal.epoch, now);
+    }
+    if (proposal.kind != ProposalKind::Evict && !isMany) {
+        shard.evictions.erase(proposal.job);
+        shard.failures.jobs.erase(proposal.job);
+    }
+}
+
+void shardAllowance(JobShard &shard, const WorkerName &worker, const WorkerAllowance &allowance, TimePoint now)
+{
+    const std::uint32_t index = workerOf(shard, worker);
+    ShardWorker &record = shard.workers[index];
+    if (allowance.leaving && !record.leaving) {
+        record.leavingSince = now;
+    }
+    record.ownedUntil = allowance.ownedUntil;
+    record.allowedTasks = allowance.allowedTasks;
+    record.leaving = allowance.leaving;
+    workerFailures(shard.failures, index).quarantined = allowance.allowedTasks == 0;
+    shard.placementDue = true;
+}
+
+void shardWorkerGone(JobShard &shard, const WorkerName &worker, TimePoint now)
+{
+    shardAllowance(shard, worker, {now, 0, true}, now);
+    workerFailures(shard.failures, workerOf(shard, worker)).quarantined = false;
+}
+
+void shardTick(JobShard &shard, TimePoint now)
+{
+    checkAttempts(shard, now);
+    endQuiet(shard, now);
+    proposeFinished(shard, now);
+    drainTasks(shard, now);
+    if (shard.placementDue || now - shard.placedAt >= PlaceInterval) {
+        placeWaiting(shard, now);
+    }
+    // Jobs that went on elsewhere leave their history behind; losing it costs at most one more try.
+    if (shard.evictions.size() > MaxHistory) {
+        shard.evictions.clear();
+    }
+    if (shard.failures.jobs.size() > MaxHistory) {
+        shard.failures.jobs.clear();
+    }
+}
+
+ShardActions takeActions(JobShard &shard)
+{
+    return std::exchange(shard.actions, {});
+}
+
+} // namespace Filbertlanding
--- a/src/job/job_shard_base.h
+++ b/src/job/job_shard_base.h
@@ -42,6 +42,7 @@
     Duration finishBatch{1000}; ///< Finished tasks of jobs with many tasks are committed in batches of this length.
     Duration measureAfter{5000}; ///< Usage of a task counts as its size once it has run this long.
     Duration rampAfterReturn{30000}; ///< Time over which load returns to a zone.
+    std::uint32_t maxThrottled = 2; ///< Tasks of a worker that are throttled before one is evicted.
     Duration preemptAfter{500}; ///< Wait of an urgent task before others are evicted for it.
     std::uint32_t startsPerPass = 400; ///< Bound on placements in one pass.
     std::uint64_t daemonIncarnation = 1; ///< Higher after each restart; part of the attempt numbers of jobs with many tasks.
@@ -70,6 +71,8 @@
     ClassIndex jobClass = 0; ///< Interned class.
     std::uint32_t team = 0; ///< Interned team.
     bool waitsForReports = false; ///< Assigned before the restart; nothing starts until the quiet period is over.
+    std::unordered_set<std::uint32_t> adopted; ///< Tasks that workers have reported in the quiet period.
+    TimePoint missRecordedAt{-1'000'000'000}; ///< Last record of a placement that found no worker.
     bool evictProposed = false; ///< Its epoch ends without an attempt on record.
     TimePoint proposedAt; ///< Last proposal about it.
     TimePoint waitingSince; ///< Since when a task of it waits.
@@ -86,6 +89,8 @@
     std::uint32_t worker = 0; ///< Index of the worker.
     std::uint64_t workerIncarnation = 0; ///< Incarnation of the worker that got the start command.
     AttemptState state = AttemptState::Assigned; ///< State.
+    bool started = false; ///< The worker has reported it.
+    bool giveUp = false; ///< It failed on enough good workers; the job is to be failed.
     bool throttleReported = false; ///< The worker reported it as throttled.
     bool stopOrdered = false; ///< It is to stop without a checkpoint.
     bool urgent = false; ///< Urgent.
@@ -98,6 +103,7 @@
     std::uint32_t team = 0; ///< Interned team.
     Resources declared; ///< Declared size.
     Resources charge; ///< Size at which it counts now.
+    Resources used; ///< Last measured use.
     Resources peak; ///< Highest measured use.
     std::int64_t teamCharge = 0; ///< What was added to the team's use.
     TimePoint startedAt; ///< First report of it, or the start command.
@@ -122,9 +128,9 @@
     bool leaving = false; ///< It takes no new work.
     TimePoint leavingSince; ///< Since when.
     std::vector<ShardTask *> tasks; ///< Attempts on it.
-    std::unordered_set<TaskKey, TaskKeyHash> foreign; ///< Live tasks on it that are not assigned to this shard.
+    std::unordered_map<TaskKey, TimePoint, TaskKeyHash> foreign; ///< Live tasks on it that are not assigned to this shard, with the time of the first report.
     ThrottleState throttle; ///< Throttling.
-    std::vector<double> baselineMs; ///< Latency without batch work, by place in the candidate's services; 0 if unknown.
+    TimePoint countedAt{-1'000'000'000}; ///< Last report that counted for throttling; doubled reports do not.
     double measuredSlowdown = 0; ///< Largest measured slowdown of its services.
 };
 
@@ -166,6 +172,11 @@
 struct JobShard {
     ShardSettings settings; ///< Settings.
     const std::function<PlacePolicy> *policy = nullptr; ///< Placement policy.
+    std::uint32_t jobsWaiting = 0; ///< Jobs that wait for the end of the quiet period or for the end of their epoch after it.
+    std::unordered_set<TaskKey, TaskKeyHash> finishing; ///< Jobs with finished tasks that are not confirmed.
+    std::vector<double> baselineMs; ///< Latency of each service without batch work; 0 if unknown.
+    std::vector<bool> baselineIdle; ///< Whether the baseline was measured on a worker without batch work.
+    TimePoint placedAt; ///< Last pass over the queue.
     TimePoint quietUntil; ///< End of the quiet period after the restart.
     TimePoint freshUntil; ///< End of the freshness lease.
     TimePoint runningUntil; ///< End of the running lease.
