Change: adopt attempts that were reported before the assignment was known

A worker's report can come before the daemon has replayed the catalog after a restart. Its tasks were then foreign until they expired, and the lease of the worker was renewed again while the epoch was ended: two places at once were possible. The assignment now looks among the reported tasks.

--- a/src/job/job_shard.cpp
+++ b/src/job/job_shard.cpp
@@ -22,26 +22,12 @@
         shard.placementDue = true;
     }
 
-    bool hasAttempt(const JobShard &shard, const ShardJob &job, std::uint32_t number)
-    {
-        return std::any_of(shard.tasks.begin(), shard.tasks.end(), [&job, number](const auto &entry) {
-            const ShardTask &task = *entry.second;
-            return task.task == number && task.job == job.assigned.job && task.key.epoch == job.assigned.epoch;
-        });
-    }
-
     void endQuietOfMany(JobShard &shard, ShardJob &job, TimePoint now)
     {
-        std::unordered_set<std::uint32_t> adopted;
-        for (const auto &[key, task] : shard.tasks) {
-            if (task->job == job.assigned.job && key.epoch == job.assigned.epoch) {
-                adopted.insert(task->task);
-            }
-        }
         for (const TaskSpan &span : job.assigned.tasks) {
             TaskSpan open{span.first, 0};
             for (std::uint32_t i = 0; i < span.count; ++i) {
-                if (!adopted.contains(span.first + i)) {
+                if (!job.adopted.contains(span.first + i)) {
                     ++open.count;
                     continue;
                 }
@@ -74,7 +60,7 @@
                 endQuietOfMany(shard, *job, now);
                 continue;
             }
-            if (!job->evictProposed && hasAttempt(shard, *job, 0)) {
+            if (!job->evictProposed && shard.tasks.contains(key)) {
                 job->waitsForReports = false;
                 --shard.jobsWaiting;
                 continue;
@@ -89,6 +75,20 @@
         }
     }
 
+    /** Takes over attempts that workers reported before this daemon knew the job. */
+    void adoptReported(JobShard &shard, const TaskKey &jobKey, TimePoint now)
+    {
+        for (std::uint32_t index = 0; index < shard.workers.size(); ++index) {
+            auto &foreign = shard.workers[index].foreign;
+            for (auto entry = foreign.begin(); entry != foreign.end();) {
+                const TaskKey &key = entry->first;
+                const bool matches = key.epoch == jobKey.epoch && parseWireId(key.id).job == jobKey.id;
+                const bool adopted = matches && !shard.tasks.contains(key) && adoptTask(shard, index, key, now) != nullptr;
+                entry = adopted ? foreign.erase(entry) : std::next(entry);
+            }
+        }
+    }
+
     std::vector<TaskSpan> spansOf(std::vector<std::uint32_t> numbers)
     {
         std::sort(numbers.begin(), numbers.end());
@@ -260,6 +260,7 @@
     if (job.beforeRestart) {
         added.waitsForReports = true;
         ++shard.jobsWaiting;
+        adoptReported(shard, key, now);
         return;
     }
     enqueueJob(shard, added, now);
@@ -366,6 +367,9 @@
 {
     const std::uint32_t index = workerOf(shard, worker);
     ShardWorker &record = shard.workers[index];
+    const bool owned = now < record.ownedUntil;
+    const bool same = owned == (now < allowance.ownedUntil) && record.allowedTasks == allowance.allowedTasks && record.leaving == allowance.leaving;
+    shard.placementDue |= !same;
     if (allowance.leaving && !record.leaving) {
         record.leavingSince = now;
     }
@@ -373,7 +377,6 @@
     record.allowedTasks = allowance.allowedTasks;
     record.leaving = allowance.leaving;
     workerFailures(shard.failures, index).quarantined = allowance.allowedTasks == 0;
-    shard.placementDue = true;
 }
 
 void shardWorkerGone(JobShard &shard, const WorkerName &worker, TimePoint now)
--- a/src/job/job_shard_evict.cpp
+++ b/src/job/job_shard_evict.cpp
@@ -234,7 +234,8 @@
 void drainTasks(JobShard &shard, TimePoint now)
 {
     for (ShardWorker &worker : shard.workers) {
-        if (worker.tasks.empty()) {
+        // The tasks of a worker that is gone end with their leases.
+        if (worker.tasks.empty() || now >= worker.ownedUntil) {
             continue;
         }
         const auto zone = shard.zones.find(worker.zone);
