--- a/src/job/job_queue.cpp
+++ b/src/job/job_queue.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr std::size_t MissesPerTeam = 4; ///< Tasks of a team that may miss in one pass, so that one large task does not block its team.
+    constexpr std::size_t UrgentMissesPerTeam = 64; ///< Urgent tasks make room when they miss, so more of them have to be looked at.
 
     /** A team in one pass. */
     struct TeamPass {
@@ -52,11 +53,11 @@
         }
     }
 
-    void setAside(std::deque<QueueEntry> &entries, TeamPass &pass)
+    void setAside(std::deque<QueueEntry> &entries, TeamPass &pass, bool urgent)
     {
         pass.missed.push_back(std::move(entries.front()));
         entries.pop_front();
-        pass.done = pass.missed.size() >= MissesPerTeam;
+        pass.done = pass.missed.size() >= (urgent ? UrgentMissesPerTeam : MissesPerTeam);
     }
 
     bool serveKind(JobQueue &queue, const QueueTry &tryPlace, bool urgent)
@@ -78,7 +79,7 @@
                 entries.pop_front();
                 break;
             case QueueOutcome::NoWorker:
-                setAside(entries, passes[*chosen]);
+                setAside(entries, passes[*chosen], urgent);
                 break;
             case QueueOutcome::Stop:
                 stopped = true;
--- a/src/job/job_shard_place.cpp
+++ b/src/job/job_shard_place.cpp
@@ -13,6 +13,8 @@
     namespace {
 
         constexpr std::uint32_t MaxPreemptionsPerPass = 16; ///< Bounds the time of one pass; a pass is run each 200 ms.
+        constexpr Duration MissRecordInterval{10'000}; ///< A waiting job gets one line in the log in this time.
+        constexpr Duration RetrySameWorkers{30'000}; ///< After this wait a job may return to a worker on which it failed, if all others are out of reach.
         constexpr Duration PreemptAgain{4000}; ///< A checkpoint takes up to two reports and the time to write it.
 
         /** A kind of task that found no worker in this pass; another one of the kind would not either. */
@@ -84,7 +86,10 @@
             if (request.failedOn.empty()) {
                 pass.missed.push_back({job.jobClass, request.declared, request.urgent});
             }
-            recordPlacement(shard, {job.assigned.job, job.assigned.epoch}, result);
+            if (now - job.missRecordedAt >= MissRecordInterval) {
+                job.missRecordedAt = now;
+                recordPlacement(shard, {job.assigned.job, job.assigned.epoch}, result);
+            }
             const bool due = now - job.waitingSince >= shard.settings.preemptAfter && (job.preemptedAt.ms == 0 || now - job.preemptedAt >= PreemptAgain);
             if (request.urgent && due && pass.preemptions < MaxPreemptionsPerPass) {
                 ++pass.preemptions;
@@ -108,12 +113,17 @@
                 return QueueOutcome::NoWorker;
             }
             const std::uint32_t number = entry.tasks.first;
-            const PlaceRequest request = requestFor(shard, *job, number);
+            PlaceRequest request = requestFor(shard, *job, number);
             const TeamQueue &queue = shard.queue.teams[team];
             if (queue.quotaCpuMillis > 0 && queue.runningCpuMillis + request.size.cpuMillis > queue.quotaCpuMillis) {
                 return QueueOutcome::NoWorker;
             }
-            const PlaceResult result = (*shard.policy)(request, shard.candidates, shard.interference, shard.settings.place);
+            PlaceResult result = (*shard.policy)(request, shard.candidates, shard.interference, shard.settings.place);
+            const bool onlyFailed = result.chosen < 0 && result.excluded[static_cast<std::size_t>(ExcludeReason::FailedHere)] > 0;
+            if (onlyFailed && now - job->waitingSince >= RetrySameWorkers) {
+                request.failedOn = {};
+                result = (*shard.policy)(request, shard.candidates, shard.interference, shard.settings.place);
+            }
             if (result.chosen < 0) {
                 return handleMiss(shard, *job, request, result, pass, now);
             }
