Add: public headers of the network adapters

The daemon is written at the same time and needs the interfaces first. Headers contain plain structs, std::function and opaque owners only, so no Beast or Asio header reaches their users.

--- /dev/null
+++ b/src/network/peer_link.h
@@ -0,0 +1,100 @@
+/** @file peer_link.h TCP links between daemons: framed, authenticated, with heartbeats and reconnection (design section 10). */
+
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/names_type.h"
+#include "core/result_code.h"
+#include "network/network_counters.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** One configured peer. */
+struct PeerAddress {
+    DaemonName name; ///< Name of the daemon.
+    std::string address; ///< IP number.
+    std::uint16_t port = 0; ///< TCP port of its peer listener, or UDP port of its heartbeat socket.
+};
+
+/** Settings of the links of one daemon. */
+struct PeerLinkSettings {
+    DaemonName self; ///< Name of this daemon; at most 64 bytes.
+    std::string address = "127.0.0.1"; ///< IP number to listen on.
+    std::uint16_t port = 0; ///< TCP port to listen on; 0 takes a free one.
+    std::string key; ///< Shared secret of the installation; must not be empty.
+    std::size_t maxQueuedBytes = 16 * 1024 * 1024; ///< Bytes that wait to be sent on one link.
+    std::size_t maxQueuedMessages = 4096; ///< Messages that wait to be sent on one link.
+    std::size_t maxHandshakes = 64; ///< Accepted connections that have not completed the handshake.
+    Duration connectTimeout{2'000}; ///< Time to connect, and time to complete the handshake.
+    Duration heartbeatInterval{1'000}; ///< A heartbeat is sent when nothing else was for this time.
+    Duration silentTimeout{3'500}; ///< Time without a received byte after which a link is replaced.
+    Duration backoffMin{100}; ///< Wait before the first new try to connect; doubles with each failure, with random variation.
+    Duration backoffMax{3'000}; ///< Longest wait before a new try.
+};
+
+/** Outcome of a request to a peer. */
+struct PeerAnswer {
+    ResultCode code = ResultCode::Internal; ///< Ok, Timeout, ConnectionClosed, QueueFull, UnknownPeer or FrameTooLarge.
+    bool bytesSent = false; ///< False only if certainly no byte of the request has left the process.
+    std::string payload; ///< Payload of the answer.
+};
+
+using PeerAnswerCallback = std::function<void(PeerAnswer)>; ///< Called exactly once: on the link thread, or on the calling thread when refused at once.
+using PeerReply =
+    std::function<void(std::string payload)>; ///< Sends the answer of a request; from any thread, the first call counts. Empty for a one-way message.
+
+/** Takes a message from a peer; called on the link thread in the order of sending for each peer; must not block. */
+using PeerHandler = std::function<void(const DaemonName &peer, std::uint8_t kind, std::string payload, PeerReply reply)>;
+
+/**
+ * Links of one daemon to all its configured peers. A daemon sends its own messages and requests on the link that it opened; on links
+ * that peers opened it receives, and sends only answers and heartbeats. So no two daemons have to agree on which of two links to keep.
+ * A message to a peer without an open link is refused at once and not kept for later.
+ */
+class PeerLinks
+{
+public:
+    PeerLinks(PeerLinkSettings settings, PeerHandler handler, NetworkCounters &counters);
+    PeerLinks(const PeerLinks &) = delete;
+    PeerLinks &operator=(const PeerLinks &) = delete;
+    /** Calls stop(). */
+    ~PeerLinks();
+
+    /** Sets the hook that is told when the link to a peer opens or closes. To be set before start(); called on the link thread. */
+    void setLinkHook(std::function<void(const DaemonName &peer, bool open)> hook);
+
+    /** Binds, listens and starts the thread. Returns BadAddress, ConflictingSettings or the error of the system. */
+    std::error_code start();
+
+    /** Returns the TCP port that the links are accepted on. */
+    std::uint16_t port() const;
+
+    /** Replaces the set of peers; links to and from peers that are not in it any more are closed. May be called before and after start(). */
+    void setPeers(std::vector<PeerAddress> peers);
+
+    /** Sends a message without an answer. Returns Ok once it is queued, or QueueFull, ConnectionClosed, UnknownPeer or FrameTooLarge. */
+    ResultCode sendOneWay(const DaemonName &peer, std::uint8_t kind, std::string payload);
+
+    /** Sends a request. */
+    void sendRequest(const DaemonName &peer, std::uint8_t kind, std::string payload, Duration timeout, PeerAnswerCallback callback);
+
+    /** Returns whether the link to this peer is open. */
+    bool isOpen(const DaemonName &peer) const;
+
+    /** Closes all links and joins the thread; must not be called on the link thread. */
+    void stop();
+
+private:
+    struct Core;
+    std::shared_ptr<Core> core;
+};
+
+} // namespace Filbertlanding
