--- /dev/null
+++ b/src/network/http_server.cpp
@@ -0,0 +1,316 @@
+/** @file http_server.cpp Acceptor, event loops and graceful stop of the HTTP server. */
+
+#include "network/http_server.h"
+
+#include "network/http_connection.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <mutex>
+#include <thread>
+#include <unordered_set>
+
+namespace Filbertlanding {
+
+namespace {
+
+    namespace net = boost::asio;
+    using Tcp = net::ip::tcp;
+    using Error = boost::system::error_code;
+    using ConnectionPointer = std::shared_ptr<HttpConnection>;
+
+    constexpr std::chrono::milliseconds AcceptRetryDelay{100}; ///< Wait after a failed accept, for example for want of file descriptors.
+
+    /** One event loop with its thread and the connections that live on it. */
+    struct ServerLoop {
+        net::io_context io{1}; ///< Event loop; run by one thread only.
+        std::unordered_set<ConnectionPointer> connections; ///< Open connections; touched on the thread only.
+        bool stopping = false; ///< Set by stop(); touched on the thread only.
+        std::optional<net::executor_work_guard<net::io_context::executor_type>> work; ///< Keeps the loop running.
+        std::thread thread; ///< Runs the loop.
+    };
+
+    std::error_code standardError(const Error &error)
+    {
+        return {error.value(), std::system_category()};
+    }
+
+} // namespace
+
+/** Acceptor, loops and the state of the graceful stop. */
+struct HttpServer::Core : std::enable_shared_from_this<HttpServer::Core> {
+    Core(HttpServerSettings settings, HttpHandler handler, NetworkCounters &counters)
+        : shared{std::move(settings), std::move(handler), counters, {}, {}}
+    {
+    }
+
+    std::error_code listen();
+    void run();
+    void accept();
+    void onAccepted(Error error, std::size_t loopIndex, Tcp::socket socket);
+    void handOver(std::size_t loopIndex, Tcp::socket socket);
+    void onClosed(ServerLoop &loop, const ConnectionPointer &connection);
+    void beginDrain();
+    void checkStopped();
+    void stop();
+
+    std::vector<std::unique_ptr<ServerLoop>> loops; ///< Declared first, so that everything that uses them is destroyed earlier.
+    HttpServerShared shared;
+    std::optional<Tcp::acceptor> acceptor; ///< Used on the first loop.
+    std::optional<net::steady_timer> retryTimer; ///< Used on the first loop.
+    std::atomic<std::size_t> open{0}; ///< Accepted connections that have not closed.
+    std::atomic<bool> listening{false}; ///< Whether the acceptor is open or an accept has not ended.
+    std::mutex stopMutex; ///< Guards stopped.
+    std::function<void()> stopped; ///< Told when the graceful stop is complete.
+    std::size_t nextLoop = 0; ///< Loop of the next connection; used on the first loop.
+    std::uint16_t port = 0;
+    bool running = false;
+};
+
+std::error_code HttpServer::Core::listen()
+{
+    Error error;
+    const auto address = net::ip::make_address(this->shared.settings.address, error);
+    if (error) {
+        return ResultCode::BadAddress;
+    }
+    const Tcp::endpoint endpoint(address, this->shared.settings.port);
+    this->acceptor.emplace(this->loops.front()->io);
+    this->acceptor->open(endpoint.protocol(), error);
+    if (!error) {
+        this->acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        this->acceptor->bind(endpoint, error);
+    }
+    if (!error) {
+        this->acceptor->listen(net::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return standardError(error);
+    }
+    this->port = this->acceptor->local_endpoint(error).port();
+    return standardError(error);
+}
+
+void HttpServer::Core::run()
+{
+    this->running = true;
+    this->listening = true;
+    for (const auto &loop : this->loops) {
+        loop->work.emplace(loop->io.get_executor());
+    }
+    this->accept();
+    for (const auto &loop : this->loops) {
+        loop->thread = std::thread([target = loop.get()] {
+            target->io.run();
+        });
+    }
+}
+
+void HttpServer::Core::accept()
+{
+    const std::size_t index = this->nextLoop;
+    this->nextLoop = (index + 1) % this->loops.size();
+    // The handler runs on the loop of the acceptor, although the socket belongs to another one.
+    this->acceptor->async_accept(this->loops[index]->io, net::bind_executor(this->loops.front()->io, [this, index](Error error, Tcp::socket socket) {
+                                     this->onAccepted(error, index, std::move(socket));
+                                 }));
+}
+
+void HttpServer::Core::onAccepted(Error error, std::size_t loopIndex, Tcp::socket socket)
+{
+    if (!error) {
+        this->handOver(loopIndex, std::move(socket));
+    }
+    if (!this->acceptor->is_open()) {
+        this->listening = false;
+        this->checkStopped();
+        return;
+    }
+    if (!error) {
+        this->accept();
+        return;
+    }
+    this->retryTimer->expires_after(AcceptRetryDelay);
+    this->retryTimer->async_wait([this](Error) {
+        if (this->acceptor->is_open()) {
+            this->accept();
+            return;
+        }
+        this->listening = false;
+        this->checkStopped();
+    });
+}
+
+void HttpServer::Core::handOver(std::size_t loopIndex, Tcp::socket socket)
+{
+    if (this->open >= this->shared.settings.maxConnections) {
+        ++this->shared.counters.httpConnectionsRefused;
+        return;
+    }
+    ++this->open;
+    ++this->shared.counters.httpConnectionsAccepted;
+    ++this->shared.counters.httpConnectionsOpen;
+    ServerLoop &loop = *this->loops[loopIndex];
+    net::post(loop.io, [this, &loop, moved = std::make_shared<Tcp::socket>(std::move(socket))] {
+        Error ignored;
+        const bool isIpv6 = moved->local_endpoint(ignored).address().is_v6();
+        const auto connection = makeHttpConnection(this->shared, loop.io, moved->release(ignored), isIpv6, [this, &loop](const ConnectionPointer &closed) {
+            this->onClosed(loop, closed);
+        });
+        loop.connections.insert(connection);
+        if (loop.stopping) {
+            connection->close();
+            return;
+        }
+        connection->start();
+    });
+}
+
+void HttpServer::Core::onClosed(ServerLoop &loop, const ConnectionPointer &connection)
+{
+    loop.connections.erase(connection);
+    --this->shared.counters.httpConnectionsOpen;
+    --this->open;
+    this->checkStopped();
+}
+
+/** Runs on the first loop. Connections that the kernel has completed are accepted first, since closing the listener would reset them. */
+void HttpServer::Core::beginDrain()
+{
+    if (!this->acceptor->is_open()) {
+        this->checkStopped();
+        return;
+    }
+    Error error;
+    this->acceptor->non_blocking(true, error);
+    while (!error) {
+        const std::size_t index = this->nextLoop;
+        this->nextLoop = (index + 1) % this->loops.size();
+        Tcp::socket socket(this->loops[index]->io);
+        this->acceptor->accept(socket, error);
+        if (!error) {
+            this->handOver(index, std::move(socket));
+        }
+    }
+    this->acceptor->close(error);
+    this->retryTimer->cancel();
+    for (const auto &loop : this->loops) {
+        net::post(loop->io, [target = loop.get()] {
+            const auto connections = target->connections;
+            for (const ConnectionPointer &connection : connections) {
+                connection->drain();
+            }
+        });
+    }
+}
+
+void HttpServer::Core::checkStopped()
+{
+    if (!this->shared.draining || this->listening || this->open > 0) {
+        return;
+    }
+    std::function<void()> callback;
+    {
+        const std::lock_guard lock(this->stopMutex);
+        callback.swap(this->stopped);
+    }
+    if (callback) {
+        callback();
+    }
+}
+
+void HttpServer::Core::stop()
+{
+    if (!this->running) {
+        return;
+    }
+    this->running = false;
+    this->shared.draining = true;
+    net::post(this->loops.front()->io, [this] {
+        Error ignored;
+        this->acceptor->close(ignored);
+        this->retryTimer->cancel();
+    });
+    for (const auto &loop : this->loops) {
+        net::post(loop->io, [target = loop.get()] {
+            target->stopping = true;
+            const auto connections = target->connections;
+            for (const ConnectionPointer &connection : connections) {
+                connection->close();
+            }
+            target->work.reset();
+        });
+    }
+    for (const auto &loop : this->loops) {
+        loop->thread.join();
+    }
+    // A loop may have ended before another one handed it a connection; this closes such connections.
+    for (const auto &loop : this->loops) {
+        loop->io.restart();
+        loop->io.poll();
+    }
+}
+
+HttpServer::HttpServer(HttpServerSettings settings, HttpHandler handler, NetworkCounters &counters)
+    : core(std::make_shared<Core>(std::move(settings), std::move(handler), counters))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->stop();
+}
+
+std::error_code HttpServer::start()
+{
+    Core &state = *this->core;
+    if (state.running || !state.loops.empty()) {
+        return ResultCode::Internal;
+    }
+    const unsigned count = std::max(1U, state.shared.settings.threads);
+    for (unsigned i = 0; i < count; ++i) {
+        state.loops.push_back(std::make_unique<ServerLoop>());
+    }
+    if (const std::error_code error = state.listen()) {
+        return error;
+    }
+    state.shared.owner = this->core;
+    state.retryTimer.emplace(state.loops.front()->io);
+    state.run();
+    return {};
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return this->core->port;
+}
+
+void HttpServer::stopAccepting(std::function<void()> stopped)
+{
+    Core &state = *this->core;
+    {
+        const std::lock_guard lock(state.stopMutex);
+        state.stopped = std::move(stopped);
+    }
+    state.shared.draining = true;
+    if (!state.running) {
+        state.checkStopped();
+        return;
+    }
+    net::post(state.loops.front()->io, [&state] {
+        state.beginDrain();
+    });
+}
+
+void HttpServer::stop()
+{
+    this->core->stop();
+}
+
+} // namespace Filbertlanding
