--- a/src/network/peer_link.h
+++ b/src/network/peer_link.h
@@ -47,7 +47,7 @@
     std::string payload; ///< Payload of the answer.
 };
 
-using PeerAnswerCallback = std::function<void(PeerAnswer)>; ///< Called exactly once: on the link thread, or on the calling thread when refused at once.
+using PeerAnswerCallback = std::function<void(PeerAnswer)>; ///< Called exactly once, on the link thread; after stop() on the calling thread.
 using PeerReply =
     std::function<void(std::string payload)>; ///< Sends the answer of a request; from any thread, the first call counts. Empty for a one-way message.
 
@@ -71,6 +71,13 @@
     /** Sets the hook that is told when the link to a peer opens or closes. To be set before start(); called on the link thread. */
     void setLinkHook(std::function<void(const DaemonName &peer, bool open)> hook);
 
+    /**
+     * Sets the hook that is told when a handshake failed, for the log of the daemon. To be set before start(); called on the link thread.
+     * The peer is empty when it has not shown a valid name; the code is BadPeerKey, UnknownPeer, VersionUnsupported, FrameCorrupt, FrameTooLarge,
+     * ConflictingSettings (the address belongs to another daemon) or Timeout.
+     */
+    void setRefusalHook(std::function<void(const DaemonName &peer, ResultCode code)> hook);
+
     /** Binds, listens and starts the thread. Returns BadAddress, ConflictingSettings or the error of the system. */
     std::error_code start();
 
