--- a/src/catalog/catalog_archive.h
+++ b/src/catalog/catalog_archive.h
@@ -43,7 +43,7 @@
 template<class Archive>
 void serialize(Archive &archive, JobSpec &spec)
 {
-    archive(spec.service, spec.team, spec.jobClass, spec.size, spec.priority, spec.urgent, spec.taskCount);
+    archive(spec.service, spec.team, spec.jobClass, spec.size, spec.priority, spec.urgent, spec.taskCount, spec.payload);
 }
 
 } // namespace Filbertlanding
--- a/src/catalog/job_state.cpp
+++ b/src/catalog/job_state.cpp
@@ -115,6 +115,9 @@
         if (!isNamed) {
             return ResultCode::BadRequest;
         }
+        if (spec.payload.size() > MaxPayloadBytes) {
+            return ResultCode::TooLarge;
+        }
         const bool isSized = isAmountValid(spec.size.cpuMillis) && isAmountValid(spec.size.memoryMb) && isAmountValid(spec.size.accelerators);
         return isSized && spec.taskCount > 0 && spec.taskCount <= MaxTasksPerJob ? ResultCode::Ok : ResultCode::OutOfRange;
     }
--- a/src/catalog/job_type.h
+++ b/src/catalog/job_type.h
@@ -17,6 +17,7 @@
 constexpr std::size_t MaxAssignmentsPerJob = 1000; ///< Current assignments of one job.
 constexpr std::int64_t MaxTaskAmount = 1'000'000'000; ///< Upper bound of each resource of one task.
 constexpr std::size_t MaxCheckpointBytes = 4096; ///< Bytes of a checkpoint, which is a reference to data that the worker keeps elsewhere.
+constexpr std::size_t MaxPayloadBytes = 32 * 1024; ///< Bytes of a job's input; 11,000 of them a day stay below 400 MB of log.
 constexpr std::size_t MaxResultBytes = 4096; ///< Bytes of a job's result or reason.
 constexpr std::size_t MaxActiveJobs = 50'000; ///< Jobs that wait or run; four days of submissions at 11,000 a day.
 constexpr std::size_t MaxTerminalJobs = 12'000; ///< Ended jobs whose records are kept; about one day of submissions.
@@ -45,6 +46,7 @@
     std::int32_t priority = 0; ///< Higher goes first within a team.
     bool urgent = false; ///< Goes before all jobs that are not urgent and may use the reserved share.
     std::uint32_t taskCount = 1; ///< Number of tasks.
+    std::string payload; ///< Input of the tasks, passed on to the workers.
 
     bool operator==(const JobSpec &) const = default;
 };
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    using TeamPlace = std::map<TeamName, TeamQueue, std::less<>>::iterator;
+    using TeamPlace = std::map<TeamName, AdmissionQueue, std::less<>>::iterator;
 
     TeamShare shareOf(const AdmissionSettings &settings, const TeamName &team)
     {
@@ -44,7 +44,7 @@
 
     void startRunning(AdmissionState &state, AdmissionResult &result, const TeamName &team, TicketId ticket, TimePoint now)
     {
-        TeamQueue &queue = state.teams.find(team)->second;
+        AdmissionQueue &queue = state.teams.find(team)->second;
         state.virtualTime = std::max(state.virtualTime, queue.virtualTime);
         queue.virtualTime += 1 / shareOf(state.settings, team).weight;
         ++queue.running;
@@ -57,7 +57,7 @@
     {
         TeamPlace best = state.teams.end();
         for (TeamPlace place = state.teams.begin(); place != state.teams.end(); ++place) {
-            const TeamQueue &queue = place->second;
+            const AdmissionQueue &queue = place->second;
             if (queue.waiting.empty() || queue.running >= shareOf(state.settings, place->first).quota) {
                 continue;
             }
@@ -151,7 +151,7 @@
         if (found == state.teams.end()) {
             return;
         }
-        const TeamQueue &queue = found->second;
+        const AdmissionQueue &queue = found->second;
         if (queue.waiting.empty() && queue.running == 0 && queue.virtualTime <= state.virtualTime + 1 / shareOf(state.settings, team).weight) {
             state.teams.erase(found);
         }
@@ -225,7 +225,7 @@
         refuse(state, result, request.ticket, ResultCode::QueueFull);
         return result;
     }
-    TeamQueue &queue = state.teams[request.team];
+    AdmissionQueue &queue = state.teams[request.team];
     if (queue.waiting.empty() && queue.running == 0) {
         // A team that was idle has no claim to the time in which it asked for nothing.
         queue.virtualTime = std::max(queue.virtualTime, state.virtualTime);
--- a/src/request/admission_base.h
+++ b/src/request/admission_base.h
@@ -65,7 +65,7 @@
 };
 
 /** Queue and counts of one team. */
-struct TeamQueue {
+struct AdmissionQueue {
     std::set<std::pair<TimePoint, TicketId>> waiting; ///< Waiting requests, earliest deadline first.
     double virtualTime = 0; ///< Requests started, divided by the weight.
     std::uint32_t running = 0; ///< Requests running.
@@ -75,7 +75,7 @@
 struct AdmissionState {
     AdmissionSettings settings; ///< Settings.
     ConcurrencyLimit concurrency; ///< Limit.
-    std::map<TeamName, TeamQueue, std::less<>> teams; ///< Teams that have waiting or running requests, or a virtual time.
+    std::map<TeamName, AdmissionQueue, std::less<>> teams; ///< Teams that have waiting or running requests, or a virtual time.
     std::map<TicketId, std::pair<TeamName, TimePoint>> waiting; ///< Team and deadline of each waiting request.
     std::map<TicketId, std::pair<TeamName, TimePoint>> running; ///< Team and start of each running request.
     double virtualTime = 0; ///< Virtual time of the last start.
