--- a/src/replication/lease_view.cpp
+++ b/src/replication/lease_view.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-bool isWithin(const LeaseView &view, Duration lease, std::uint64_t appliedIndex, TimePoint now)
-{
-    return view.leaseStart && now < *view.leaseStart + lease && appliedIndex >= view.requiredIndex;
-}
+    bool isWithin(const LeaseView &view, Duration lease, std::uint64_t appliedIndex, TimePoint now)
+    {
+        return view.leaseStart && now < *view.leaseStart + lease && appliedIndex >= view.requiredIndex;
+    }
 
 } // namespace
 
--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -6,23 +6,23 @@
 
 namespace {
 
-/** Entries that a leader keeps in memory after a snapshot, so that replicas that are a little behind need no snapshot. */
-constexpr std::uint64_t TrailingShare = 8;
-
-void takeLog(RaftState &state, std::vector<LogEntry> log)
-{
-    for (auto &entry : log) {
-        if (entry.index == state.baseIndex && entry.term != state.baseTerm) {
-            // The crash came between the sync of a received snapshot and the removal of the log that it replaces.
-            return;
+    /** Entries that a leader keeps in memory after a snapshot, so that replicas that are a little behind need no snapshot. */
+    constexpr std::uint64_t TrailingShare = 8;
+
+    void takeLog(RaftState &state, std::vector<LogEntry> log)
+    {
+        for (auto &entry : log) {
+            if (entry.index == state.baseIndex && entry.term != state.baseTerm) {
+                // The crash came between the sync of a received snapshot and the removal of the log that it replaces.
+                return;
+            }
+            if (entry.index != lastLogIndex(state) + 1) {
+                continue;
+            }
+            RaftActions none;
+            appendEntry(state, none, std::move(entry), TimePoint{});
         }
-        if (entry.index != lastLogIndex(state) + 1) {
-            continue;
-        }
-        RaftActions none;
-        appendEntry(state, none, std::move(entry), TimePoint{});
     }
-}
 
 } // namespace
 
--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -6,28 +6,28 @@
 
 namespace {
 
-/** Returns the last entry of a follower that may match, given that the one at prevIndex does not. */
-std::uint64_t matchHint(const RaftState &state, std::uint64_t prevIndex)
-{
-    std::uint64_t hint = std::min(lastLogIndex(state), prevIndex - 1);
-    const auto conflicting = entryTerm(state, prevIndex);
-    // All entries of the conflicting term are skipped at once, which saves a round trip for each of them.
-    while (conflicting && hint > state.commitIndex && entryTerm(state, hint) == conflicting) {
-        --hint;
+    /** Returns the last entry of a follower that may match, given that the one at prevIndex does not. */
+    std::uint64_t matchHint(const RaftState &state, std::uint64_t prevIndex)
+    {
+        std::uint64_t hint = std::min(lastLogIndex(state), prevIndex - 1);
+        const auto conflicting = entryTerm(state, prevIndex);
+        // All entries of the conflicting term are skipped at once, which saves a round trip for each of them.
+        while (conflicting && hint > state.commitIndex && entryTerm(state, hint) == conflicting) {
+            --hint;
+        }
+        return std::max(hint, state.commitIndex);
     }
-    return std::max(hint, state.commitIndex);
-}
 
-bool hasRecentQuorum(const RaftState &state, TimePoint now)
-{
-    return isQuorum(state, [&state, now](const VoterId &voter) {
-        if (voter == state.settings.self) {
-            return true;
-        }
-        const auto found = state.progress.find(voter);
-        return found != state.progress.end() && now - found->second.lastAnswer < state.settings.electionTimeoutMax;
-    });
-}
+    bool hasRecentQuorum(const RaftState &state, TimePoint now)
+    {
+        return isQuorum(state, [&state, now](const VoterId &voter) {
+            if (voter == state.settings.self) {
+                return true;
+            }
+            const auto found = state.progress.find(voter);
+            return found != state.progress.end() && now - found->second.lastAnswer < state.settings.electionTimeoutMax;
+        });
+    }
 
 } // namespace
 
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -6,63 +6,63 @@
 
 namespace {
 
-bool isUpToDate(const RaftState &state, const VoteRequest &request)
-{
-    const std::uint64_t ownTerm = lastLogTerm(state);
-    return request.lastTerm > ownTerm || (request.lastTerm == ownTerm && request.lastIndex >= lastLogIndex(state));
-}
+    bool isUpToDate(const RaftState &state, const VoteRequest &request)
+    {
+        const std::uint64_t ownTerm = lastLogTerm(state);
+        return request.lastTerm > ownTerm || (request.lastTerm == ownTerm && request.lastIndex >= lastLogIndex(state));
+    }
 
-/** Returns whether a leader was heard so recently that an election would only disturb it. */
-bool hasLiveLeader(const RaftState &state, TimePoint now)
-{
-    return state.role == RaftRole::Leader || (state.leaderContact && now - *state.leaderContact < state.settings.electionTimeoutMin);
-}
+    /** Returns whether a leader was heard so recently that an election would only disturb it. */
+    bool hasLiveLeader(const RaftState &state, TimePoint now)
+    {
+        return state.role == RaftRole::Leader || (state.leaderContact && now - *state.leaderContact < state.settings.electionTimeoutMin);
+    }
 
-void askForVotes(const RaftState &state, RaftActions &actions, bool preVote)
-{
-    const std::uint64_t term = preVote ? state.term + 1 : state.term;
-    for (const auto &voter : currentMembership(state).voters) {
-        if (voter != state.settings.self) {
-            sendTo(state, actions, voter, term, VoteRequest{preVote, lastLogIndex(state), lastLogTerm(state)});
+    void askForVotes(const RaftState &state, RaftActions &actions, bool preVote)
+    {
+        const std::uint64_t term = preVote ? state.term + 1 : state.term;
+        for (const auto &voter : currentMembership(state).voters) {
+            if (voter != state.settings.self) {
+                sendTo(state, actions, voter, term, VoteRequest{preVote, lastLogIndex(state), lastLogTerm(state)});
+            }
         }
     }
-}
 
-bool hasVotes(const RaftState &state)
-{
-    return isQuorum(state, [&state](const VoterId &voter) {
-        return state.votes.contains(voter);
-    });
-}
+    bool hasVotes(const RaftState &state)
+    {
+        return isQuorum(state, [&state](const VoterId &voter) {
+            return state.votes.contains(voter);
+        });
+    }
 
-void becomeLeader(RaftState &state, RaftActions &actions, TimePoint now)
-{
-    state.role = nextRole(state.role, RaftRoleEvent::ElectionWon);
-    state.leader = state.settings.self;
-    state.leaderSince = now;
-    state.progress.clear();
-    state.joinWaiting.clear();
-    state.reads.clear();
-    membershipChanged(state, now);
-    // Entries of earlier terms are accepted only together with one of the own term (Raft, section 5.4.2).
-    state.termStart = lastLogIndex(state) + 1;
-    appendEntry(state, actions, {state.termStart, state.term, EntryKind::Empty, {}}, now);
-    startRound(state, actions, now);
-    advanceCommit(state, actions, now);
-}
+    void becomeLeader(RaftState &state, RaftActions &actions, TimePoint now)
+    {
+        state.role = nextRole(state.role, RaftRoleEvent::ElectionWon);
+        state.leader = state.settings.self;
+        state.leaderSince = now;
+        state.progress.clear();
+        state.joinWaiting.clear();
+        state.reads.clear();
+        membershipChanged(state, now);
+        // Entries of earlier terms are accepted only together with one of the own term (Raft, section 5.4.2).
+        state.termStart = lastLogIndex(state) + 1;
+        appendEntry(state, actions, {state.termStart, state.term, EntryKind::Empty, {}}, now);
+        startRound(state, actions, now);
+        advanceCommit(state, actions, now);
+    }
 
-void becomeCandidate(RaftState &state, RaftActions &actions, TimePoint now)
-{
-    state.role = nextRole(state.role, RaftRoleEvent::PreVoteWon);
-    ++state.term;
-    state.votedFor = state.settings.self;
-    state.votes = {state.settings.self};
-    resetElection(state, now);
-    askForVotes(state, actions, false);
-    if (hasVotes(state)) {
-        becomeLeader(state, actions, now);
+    void becomeCandidate(RaftState &state, RaftActions &actions, TimePoint now)
+    {
+        state.role = nextRole(state.role, RaftRoleEvent::PreVoteWon);
+        ++state.term;
+        state.votedFor = state.settings.self;
+        state.votes = {state.settings.self};
+        resetElection(state, now);
+        askForVotes(state, actions, false);
+        if (hasVotes(state)) {
+            becomeLeader(state, actions, now);
+        }
     }
-}
 
 } // namespace
 
--- a/src/replication/raft_log.cpp
+++ b/src/replication/raft_log.cpp
@@ -12,14 +12,14 @@
 
 namespace {
 
-Membership decodeMembership(const std::string &payload)
-{
-    std::istringstream stream(payload);
-    Membership membership;
-    cereal::PortableBinaryInputArchive archive(stream);
-    archive(membership);
-    return membership;
-}
+    Membership decodeMembership(const std::string &payload)
+    {
+        std::istringstream stream(payload);
+        Membership membership;
+        cereal::PortableBinaryInputArchive archive(stream);
+        archive(membership);
+        return membership;
+    }
 
 } // namespace
 
--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -17,113 +17,113 @@
 
 namespace {
 
-std::string encodeMembership(const Membership &membership)
-{
-    std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(membership);
-    return stream.str();
-}
+    std::string encodeMembership(const Membership &membership)
+    {
+        std::ostringstream stream;
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(membership);
+        return stream.str();
+    }
 
-void eraseDaemon(std::vector<VoterId> &list, const DaemonName &daemon)
-{
-    std::erase_if(list, [&daemon](const VoterId &id) {
-        return id.daemon == daemon;
-    });
-}
+    void eraseDaemon(std::vector<VoterId> &list, const DaemonName &daemon)
+    {
+        std::erase_if(list, [&daemon](const VoterId &id) {
+            return id.daemon == daemon;
+        });
+    }
 
-const VoterId *findDaemon(const std::vector<VoterId> &list, const DaemonName &daemon)
-{
-    for (const auto &id : list) {
-        if (id.daemon == daemon) {
-            return &id;
+    const VoterId *findDaemon(const std::vector<VoterId> &list, const DaemonName &daemon)
+    {
+        for (const auto &id : list) {
+            if (id.daemon == daemon) {
+                return &id;
+            }
         }
+        return nullptr;
     }
-    return nullptr;
-}
 
-/** Returns whether the last change is accepted and the leader has accepted an entry of its own term. */
-bool mayChange(const RaftState &state)
-{
-    // The second condition closes the gap in the original rule for single-server changes (Ongaro, raft-dev, 2015).
-    return state.role == RaftRole::Leader && state.memberships.back().index <= state.commitIndex && state.commitIndex >= state.termStart;
-}
-
-void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now)
-{
-    appendEntry(state, actions, {lastLogIndex(state) + 1, state.term, EntryKind::Membership, encodeMembership(membership)}, now);
-    startRound(state, actions, now);
-    advanceCommit(state, actions, now);
-}
+    /** Returns whether the last change is accepted and the leader has accepted an entry of its own term. */
+    bool mayChange(const RaftState &state)
+    {
+        // The second condition closes the gap in the original rule for single-server changes (Ongaro, raft-dev, 2015).
+        return state.role == RaftRole::Leader && state.memberships.back().index <= state.commitIndex && state.commitIndex >= state.termStart;
+    }
 
-bool isAnswering(const RaftState &state, const VoterId &id, TimePoint now)
-{
-    const auto found = state.progress.find(id);
-    return found != state.progress.end() && now - found->second.lastAnswer < state.settings.electionTimeoutMin;
-}
+    void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now)
+    {
+        appendEntry(state, actions, {lastLogIndex(state) + 1, state.term, EntryKind::Membership, encodeMembership(membership)}, now);
+        startRound(state, actions, now);
+        advanceCommit(state, actions, now);
+    }
 
-bool isCaughtUp(const RaftState &state, const VoterId &id)
-{
-    const auto found = state.progress.find(id);
-    return found != state.progress.end() && found->second.match >= state.commitIndex;
-}
+    bool isAnswering(const RaftState &state, const VoterId &id, TimePoint now)
+    {
+        const auto found = state.progress.find(id);
+        return found != state.progress.end() && now - found->second.lastAnswer < state.settings.electionTimeoutMin;
+    }
 
-/** Returns the membership with a new incarnation taken in, or nothing when there is nothing to do. */
-std::optional<Membership> withJoiner(const Membership &membership, const VoterId &joiner)
-{
-    const auto newest = newestIncarnation(membership, joiner.daemon);
-    if (!newest || *newest >= joiner.incarnation) {
-        return std::nullopt;
-    }
-    const bool isVoterDisk = findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
-    Membership next = membership;
-    eraseDaemon(next.learners, joiner.daemon);
-    eraseDaemon(next.joining, joiner.daemon);
-    (isVoterDisk ? next.joining : next.learners).push_back(joiner);
-    return next;
-}
+    bool isCaughtUp(const RaftState &state, const VoterId &id)
+    {
+        const auto found = state.progress.find(id);
+        return found != state.progress.end() && found->second.match >= state.commitIndex;
+    }
 
-/** Returns the membership after the next step for a joining identity, or nothing when it is too early. */
-std::optional<Membership> withReplacement(const RaftState &state, const VoterId &joiner, TimePoint now)
-{
-    const Membership &membership = currentMembership(state);
-    if (!isCaughtUp(state, joiner) || !isAnswering(state, joiner, now)) {
-        return std::nullopt;
+    /** Returns the membership with a new incarnation taken in, or nothing when there is nothing to do. */
+    std::optional<Membership> withJoiner(const Membership &membership, const VoterId &joiner)
+    {
+        const auto newest = newestIncarnation(membership, joiner.daemon);
+        if (!newest || *newest >= joiner.incarnation) {
+            return std::nullopt;
+        }
+        const bool isVoterDisk = findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
+        Membership next = membership;
+        eraseDaemon(next.learners, joiner.daemon);
+        eraseDaemon(next.joining, joiner.daemon);
+        (isVoterDisk ? next.joining : next.learners).push_back(joiner);
+        return next;
     }
-    Membership next = membership;
-    const VoterId *lost = findDaemon(membership.voters, joiner.daemon);
-    if (lost != nullptr) {
-        if (*lost == state.settings.self || isAnswering(state, *lost, now) || membership.voters.size() == 1) {
+
+    /** Returns the membership after the next step for a joining identity, or nothing when it is too early. */
+    std::optional<Membership> withReplacement(const RaftState &state, const VoterId &joiner, TimePoint now)
+    {
+        const Membership &membership = currentMembership(state);
+        if (!isCaughtUp(state, joiner) || !isAnswering(state, joiner, now)) {
             return std::nullopt;
         }
-        std::erase(next.voters, VoterId(*lost));
+        Membership next = membership;
+        const VoterId *lost = findDaemon(membership.voters, joiner.daemon);
+        if (lost != nullptr) {
+            if (*lost == state.settings.self || isAnswering(state, *lost, now) || membership.voters.size() == 1) {
+                return std::nullopt;
+            }
+            std::erase(next.voters, VoterId(*lost));
+            return next;
+        }
+        eraseDaemon(next.joining, joiner.daemon);
+        next.voters.push_back(joiner);
         return next;
     }
-    eraseDaemon(next.joining, joiner.daemon);
-    next.voters.push_back(joiner);
-    return next;
-}
 
-/** Returns how many voters of one list are missing in the other. */
-std::size_t countMissing(const std::vector<VoterId> &list, const std::vector<VoterId> &other)
-{
-    std::size_t missing = 0;
-    for (const auto &id : list) {
-        missing += holdsId(other, id) ? 0 : 1;
+    /** Returns how many voters of one list are missing in the other. */
+    std::size_t countMissing(const std::vector<VoterId> &list, const std::vector<VoterId> &other)
+    {
+        std::size_t missing = 0;
+        for (const auto &id : list) {
+            missing += holdsId(other, id) ? 0 : 1;
+        }
+        return missing;
     }
-    return missing;
-}
 
-bool isSingleServerChange(const Membership &from, const Membership &to)
-{
-    std::set<DaemonName> names;
-    for (const auto &id : to.voters) {
-        if (id.incarnation == 0 || !names.insert(id.daemon).second) {
-            return false;
+    bool isSingleServerChange(const Membership &from, const Membership &to)
+    {
+        std::set<DaemonName> names;
+        for (const auto &id : to.voters) {
+            if (id.incarnation == 0 || !names.insert(id.daemon).second) {
+                return false;
+            }
         }
+        return !to.voters.empty() && countMissing(from.voters, to.voters) + countMissing(to.voters, from.voters) <= 1;
     }
-    return !to.voters.empty() && countMissing(from.voters, to.voters) + countMissing(to.voters, from.voters) <= 1;
-}
 
 } // namespace
 
@@ -184,7 +184,7 @@
         return result;
     }
     if (!isSingleServerChange(currentMembership(state), membership)) {
-        result.code = ResultCode::Internal;
+        result.code = ResultCode::BadRequest;
         return result;
     }
     bool isReady = mayChange(state);
--- a/src/replication/raft_role.cpp
+++ b/src/replication/raft_role.cpp
@@ -13,40 +13,40 @@
 
 namespace {
 
-namespace Front = boost::msm::front;
-
-template<RaftRoleEvent Value>
-struct RoleEvent {
-};
-
-using ElectionTimeout = RoleEvent<RaftRoleEvent::ElectionTimeout>;
-using PreVoteWon = RoleEvent<RaftRoleEvent::PreVoteWon>;
-using ElectionWon = RoleEvent<RaftRoleEvent::ElectionWon>;
-using SteppedDown = RoleEvent<RaftRoleEvent::SteppedDown>;
-using Removed = RoleEvent<RaftRoleEvent::Removed>;
-using Promoted = RoleEvent<RaftRoleEvent::Promoted>;
-
-/** A state that notes the role it stands for when it is entered. */
-template<RaftRole Value>
-struct RoleState : Front::state<> {
-    template<class Event, class Machine>
-    void on_entry(const Event &, Machine &machine)
-    {
-        machine.current = Value;
-    }
-};
-
-struct RoleMachineDef : Front::state_machine_def<RoleMachineDef> {
-    using Follower = RoleState<RaftRole::Follower>;
-    using PreCandidate = RoleState<RaftRole::PreCandidate>;
-    using Candidate = RoleState<RaftRole::Candidate>;
-    using Leader = RoleState<RaftRole::Leader>;
-    using Learner = RoleState<RaftRole::Learner>;
-    using initial_state = Follower; // NOLINT(readability-identifier-naming): the name is given by Boost.MSM
-
-    RaftRole current = RaftRole::Follower;
-
-    // clang-format off
+    namespace Front = boost::msm::front;
+
+    template<RaftRoleEvent Value>
+    struct RoleEvent {
+    };
+
+    using ElectionTimeout = RoleEvent<RaftRoleEvent::ElectionTimeout>;
+    using PreVoteWon = RoleEvent<RaftRoleEvent::PreVoteWon>;
+    using ElectionWon = RoleEvent<RaftRoleEvent::ElectionWon>;
+    using SteppedDown = RoleEvent<RaftRoleEvent::SteppedDown>;
+    using Removed = RoleEvent<RaftRoleEvent::Removed>;
+    using Promoted = RoleEvent<RaftRoleEvent::Promoted>;
+
+    /** A state that notes the role it stands for when it is entered. */
+    template<RaftRole Value>
+    struct RoleState : Front::state<> {
+        template<class Event, class Machine>
+        void on_entry(const Event &, Machine &machine)
+        {
+            machine.current = Value;
+        }
+    };
+
+    struct RoleMachineDef : Front::state_machine_def<RoleMachineDef> {
+        using Follower = RoleState<RaftRole::Follower>;
+        using PreCandidate = RoleState<RaftRole::PreCandidate>;
+        using Candidate = RoleState<RaftRole::Candidate>;
+        using Leader = RoleState<RaftRole::Leader>;
+        using Learner = RoleState<RaftRole::Learner>;
+        using initial_state = Follower; // NOLINT(readability-identifier-naming): the name is given by Boost.MSM
+
+        RaftRole current = RaftRole::Follower;
+
+        // clang-format off
     struct transition_table : boost::mpl::vector< // NOLINT(readability-identifier-naming): the name is given by Boost.MSM
         Front::Row<Follower,     ElectionTimeout, PreCandidate>,
         Front::Row<PreCandidate, ElectionTimeout, PreCandidate>,
@@ -63,67 +63,67 @@
         Front::Row<Leader,       Removed,         Learner>,
         Front::Row<Learner,      Promoted,        Follower>
     > {};
-    // clang-format on
+        // clang-format on
 
-    template<class Machine, class Event>
-    void no_transition(const Event &, Machine &, int)
-    {
-    }
-};
+        template<class Machine, class Event>
+        void no_transition(const Event &, Machine &, int)
+        {
+        }
+    };
 
-using RoleMachine = boost::msm::back::state_machine<RoleMachineDef>;
+    using RoleMachine = boost::msm::back::state_machine<RoleMachineDef>;
 
-void processRoleEvent(RoleMachine &machine, RaftRoleEvent event)
-{
-    switch (event) {
-    case RaftRoleEvent::ElectionTimeout:
-        machine.process_event(ElectionTimeout());
-        break;
-    case RaftRoleEvent::PreVoteWon:
-        machine.process_event(PreVoteWon());
-        break;
-    case RaftRoleEvent::ElectionWon:
-        machine.process_event(ElectionWon());
-        break;
-    case RaftRoleEvent::SteppedDown:
-        machine.process_event(SteppedDown());
-        break;
-    case RaftRoleEvent::Removed:
-        machine.process_event(Removed());
-        break;
-    case RaftRoleEvent::Promoted:
-        machine.process_event(Promoted());
-        break;
+    void processRoleEvent(RoleMachine &machine, RaftRoleEvent event)
+    {
+        switch (event) {
+        case RaftRoleEvent::ElectionTimeout:
+            machine.process_event(ElectionTimeout());
+            break;
+        case RaftRoleEvent::PreVoteWon:
+            machine.process_event(PreVoteWon());
+            break;
+        case RaftRoleEvent::ElectionWon:
+            machine.process_event(ElectionWon());
+            break;
+        case RaftRoleEvent::SteppedDown:
+            machine.process_event(SteppedDown());
+            break;
+        case RaftRoleEvent::Removed:
+            machine.process_event(Removed());
+            break;
+        case RaftRoleEvent::Promoted:
+            machine.process_event(Promoted());
+            break;
+        }
     }
-}
 
-/** Returns a machine in a role. The replica keeps only the role, so that RaftState stays a plain struct. */
-RoleMachine machineInRole(RaftRole role)
-{
-    RoleMachine machine;
-    machine.start();
-    if (role == RaftRole::Learner) {
-        processRoleEvent(machine, RaftRoleEvent::Removed);
-    }
-    if (role == RaftRole::PreCandidate || role == RaftRole::Candidate || role == RaftRole::Leader) {
-        processRoleEvent(machine, RaftRoleEvent::ElectionTimeout);
-    }
-    if (role == RaftRole::Candidate || role == RaftRole::Leader) {
-        processRoleEvent(machine, RaftRoleEvent::PreVoteWon);
-    }
-    if (role == RaftRole::Leader) {
-        processRoleEvent(machine, RaftRoleEvent::ElectionWon);
+    /** Returns a machine in a role. The replica keeps only the role, so that RaftState stays a plain struct. */
+    RoleMachine machineInRole(RaftRole role)
+    {
+        RoleMachine machine;
+        machine.start();
+        if (role == RaftRole::Learner) {
+            processRoleEvent(machine, RaftRoleEvent::Removed);
+        }
+        if (role == RaftRole::PreCandidate || role == RaftRole::Candidate || role == RaftRole::Leader) {
+            processRoleEvent(machine, RaftRoleEvent::ElectionTimeout);
+        }
+        if (role == RaftRole::Candidate || role == RaftRole::Leader) {
+            processRoleEvent(machine, RaftRoleEvent::PreVoteWon);
+        }
+        if (role == RaftRole::Leader) {
+            processRoleEvent(machine, RaftRoleEvent::ElectionWon);
+        }
+        return machine;
     }
-    return machine;
-}
 
-constexpr auto RoleNames = makeNameTable<RaftRole>({
-    {RaftRole::Follower, "follower"},
-    {RaftRole::PreCandidate, "pre-candidate"},
-    {RaftRole::Candidate, "candidate"},
-    {RaftRole::Leader, "leader"},
-    {RaftRole::Learner, "learner"},
-});
+    constexpr auto RoleNames = makeNameTable<RaftRole>({
+        {RaftRole::Follower, "follower"},
+        {RaftRole::PreCandidate, "pre-candidate"},
+        {RaftRole::Candidate, "candidate"},
+        {RaftRole::Leader, "leader"},
+        {RaftRole::Learner, "learner"},
+    });
 
 } // namespace
 
--- a/src/replication/raft_snapshot.cpp
+++ b/src/replication/raft_snapshot.cpp
@@ -6,41 +6,41 @@
 
 namespace {
 
-void installIncoming(RaftState &state, RaftActions &actions, TimePoint now)
-{
-    Snapshot received = std::move(state.incoming);
-    state.incoming = {};
-    if (entryTerm(state, received.index) == received.term) {
-        // The log holds everything that the snapshot holds, so applying is enough.
-        commitUpTo(state, received.index);
-        return;
-    }
-    state.log.clear();
-    state.baseIndex = received.index;
-    state.baseTerm = received.term;
-    state.memberships = {{received.index, received.membership}};
-    state.commitIndex = received.index;
-    state.appliedIndex = received.index;
-    state.installPending = true;
-    state.snapshot = std::move(received);
-    if (state.settings.hasDisk) {
-        actions.persistSnapshot = state.snapshot;
+    void installIncoming(RaftState &state, RaftActions &actions, TimePoint now)
+    {
+        Snapshot received = std::move(state.incoming);
+        state.incoming = {};
+        if (entryTerm(state, received.index) == received.term) {
+            // The log holds everything that the snapshot holds, so applying is enough.
+            commitUpTo(state, received.index);
+            return;
+        }
+        state.log.clear();
+        state.baseIndex = received.index;
+        state.baseTerm = received.term;
+        state.memberships = {{received.index, received.membership}};
+        state.commitIndex = received.index;
+        state.appliedIndex = received.index;
+        state.installPending = true;
+        state.snapshot = std::move(received);
+        if (state.settings.hasDisk) {
+            actions.persistSnapshot = state.snapshot;
+        }
+        membershipChanged(state, now);
     }
-    membershipChanged(state, now);
-}
 
-/** Adds a part; returns whether the snapshot is complete. */
-bool takePart(RaftState &state, const SnapshotChunk &chunk)
-{
-    const bool isSame = state.incoming.index == chunk.index && state.incoming.term == chunk.indexTerm;
-    if (!isSame || chunk.offset == 0) {
-        state.incoming = {chunk.index, chunk.indexTerm, chunk.membership, {}};
-    }
-    if (chunk.offset == state.incoming.state.size()) {
-        state.incoming.state += chunk.data;
+    /** Adds a part; returns whether the snapshot is complete. */
+    bool takePart(RaftState &state, const SnapshotChunk &chunk)
+    {
+        const bool isSame = state.incoming.index == chunk.index && state.incoming.term == chunk.indexTerm;
+        if (!isSame || chunk.offset == 0) {
+            state.incoming = {chunk.index, chunk.indexTerm, chunk.membership, {}};
+        }
+        if (chunk.offset == state.incoming.state.size()) {
+            state.incoming.state += chunk.data;
+        }
+        return state.incoming.state.size() >= chunk.total;
     }
-    return state.incoming.state.size() >= chunk.total;
-}
 
 } // namespace
 
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -270,7 +270,8 @@
 /** What the caller carries out, in the order of the members, before it calls again. */
 struct RaftActions {
     std::optional<HardState> persistHardState;
-    std::optional<Snapshot> persistSnapshot; ///< Sync it before the log is changed. It replaces the log up to its index, and all of the log if that has another term at its index.
+    std::optional<Snapshot>
+        persistSnapshot; ///< Sync it before the log is changed. It replaces the log up to its index, and all of the log if that has another term at its index.
     std::optional<std::uint64_t> truncateFrom; ///< Remove this entry and all after it.
     std::vector<LogEntry> append; ///< Sync all of the above before anything below.
     std::vector<RaftEnvelope> send;
@@ -281,7 +282,7 @@
 
 /** Answer to a proposal. */
 struct ProposeResult {
-    ResultCode code = ResultCode::Ok; ///< Ok, NotLeader, MembershipBusy, or Internal for a change that is no single-server change.
+    ResultCode code = ResultCode::Ok; ///< Ok, NotLeader, MembershipBusy, or BadRequest for a change that is no single-server change.
     std::uint64_t index = 0; ///< The proposal is accepted if this entry is applied with this term.
     std::uint64_t term = 0;
     DaemonName leaderHint; ///< Leader as far as known; may be empty.
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -9,127 +9,127 @@
 
 namespace {
 
-constexpr std::string_view IncarnationFile = "incarnation";
-constexpr std::string_view DamagedPrefix = "damaged-";
-
-/** Reads an incarnation file; nothing if it is missing or damaged. */
-std::optional<std::uint64_t> readIncarnation(const FileFunctions &files, const std::string &folder)
-{
-    const auto bytes = files.read(folder + "/" + std::string(IncarnationFile));
-    const JournalContent content = decodeJournal(bytes.value_or(std::string()));
-    if (content.code != ResultCode::Ok || content.records.size() != 1 || content.validBytes != bytes->size()) {
-        return std::nullopt;
-    }
-    const std::string &text = content.records.front();
-    std::uint64_t number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? std::optional(number) : std::nullopt;
-}
+    constexpr std::string_view IncarnationFile = "incarnation";
+    constexpr std::string_view DamagedPrefix = "damaged-";
+
+    /** Reads an incarnation file; nothing if it is missing or damaged. */
+    std::optional<std::uint64_t> readIncarnation(const FileFunctions &files, const std::string &folder)
+    {
+        const auto bytes = files.read(folder + "/" + std::string(IncarnationFile));
+        const JournalContent content = decodeJournal(bytes.value_or(std::string()));
+        if (content.code != ResultCode::Ok || content.records.size() != 1 || content.validBytes != bytes->size()) {
+            return std::nullopt;
+        }
+        const std::string &text = content.records.front();
+        std::uint64_t number = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? std::optional(number) : std::nullopt;
+    }
 
-/** Returns whether snapshot and log together hold every entry. */
-bool isComplete(const std::optional<Snapshot> &snapshot, const LogContent &content)
-{
-    return content.baseIndex <= (snapshot ? snapshot->index : 0);
-}
+    /** Returns whether snapshot and log together hold every entry. */
+    bool isComplete(const std::optional<Snapshot> &snapshot, const LogContent &content)
+    {
+        return content.baseIndex <= (snapshot ? snapshot->index : 0);
+    }
 
-/** Reads `current`. Returns Ok, DiskFailed, or DataDamaged for anything that counts as a lost disk. */
-ResultCode loadCurrent(const FileFunctions &files, const std::string &current, DataFolder &folder)
-{
-    const auto incarnation = readIncarnation(files, current);
-    if (!incarnation) {
-        return ResultCode::DataDamaged;
-    }
-    // A process that failed between a rename and the sync of the folder leaves names that a loss of power would still take away.
-    if (!files.syncFolder(current)) {
-        return ResultCode::DiskFailed;
-    }
-    folder.incarnation = *incarnation;
-    folder.log = std::make_unique<LogStore>(files, current);
-    folder.snapshots = std::make_unique<SnapshotStore>(files, current);
-    folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
-    ResultCode code = folder.snapshots->load(folder.persisted.snapshot);
-    code = code == ResultCode::Ok ? folder.log->open() : code;
-    code = code == ResultCode::Ok ? folder.ledger->open(folder.ledgerRecords) : code;
-    if (code != ResultCode::Ok) {
+    /** Reads `current`. Returns Ok, DiskFailed, or DataDamaged for anything that counts as a lost disk. */
+    ResultCode loadCurrent(const FileFunctions &files, const std::string &current, DataFolder &folder)
+    {
+        const auto incarnation = readIncarnation(files, current);
+        if (!incarnation) {
+            return ResultCode::DataDamaged;
+        }
+        // A process that failed between a rename and the sync of the folder leaves names that a loss of power would still take away.
+        if (!files.syncFolder(current)) {
+            return ResultCode::DiskFailed;
+        }
+        folder.incarnation = *incarnation;
+        folder.log = std::make_unique<LogStore>(files, current);
+        folder.snapshots = std::make_unique<SnapshotStore>(files, current);
+        folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
+        ResultCode code = folder.snapshots->load(folder.persisted.snapshot);
+        code = code == ResultCode::Ok ? folder.log->open() : code;
+        code = code == ResultCode::Ok ? folder.ledger->open(folder.ledgerRecords) : code;
+        if (code != ResultCode::Ok) {
+            return code;
+        }
+        const auto &snapshot = folder.persisted.snapshot;
+        if (!isComplete(snapshot, folder.log->content())) {
+            return ResultCode::DataDamaged;
+        }
+        if (snapshot) {
+            // Finishes a compaction that a crash interrupted after the snapshot was synced.
+            code = folder.log->compact(snapshot->index, snapshot->term);
+        }
+        if (snapshot && code == ResultCode::Ok) {
+            folder.snapshots->removeOlder(snapshot->index);
+        }
+        folder.persisted.hardState = folder.log->content().hardState;
+        folder.persisted.log = folder.log->content().log;
         return code;
     }
-    const auto &snapshot = folder.persisted.snapshot;
-    if (!isComplete(snapshot, folder.log->content())) {
-        return ResultCode::DataDamaged;
-    }
-    if (snapshot) {
-        // Finishes a compaction that a crash interrupted after the snapshot was synced.
-        code = folder.log->compact(snapshot->index, snapshot->term);
-    }
-    if (snapshot && code == ResultCode::Ok) {
-        folder.snapshots->removeOlder(snapshot->index);
-    }
-    folder.persisted.hardState = folder.log->content().hardState;
-    folder.persisted.log = folder.log->content().log;
-    return code;
-}
-
-/** Creates `current`. The incarnation is written last, so a crash on the way leaves a folder that counts as lost and never voted. */
-ResultCode createCurrent(const FileFunctions &files, const std::string &path, const std::string &current, std::uint64_t incarnation, DataFolder &folder)
-{
-    folder.log = std::make_unique<LogStore>(files, current);
-    folder.snapshots = std::make_unique<SnapshotStore>(files, current);
-    folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
-    folder.persisted = {};
-    folder.ledgerRecords.clear();
-    folder.isNew = true;
-    folder.incarnation = incarnation;
-    if (!files.makeFolder(current) || !files.syncFolder(path)) {
-        return ResultCode::DiskFailed;
-    }
-    if (folder.log->create() != ResultCode::Ok || folder.ledger->create() != ResultCode::Ok) {
-        return ResultCode::DiskFailed;
-    }
-    return Journal(files, current, std::string(IncarnationFile)).rewrite({std::to_string(incarnation)});
-}
-
 
-/** Returns an incarnation above every one that this data folder has had, as far as it can be read. */
-std::uint64_t freshIncarnation(const FileFunctions &files, const std::string &path, const std::vector<std::string> &names, std::uint64_t proposed)
-{
-    std::uint64_t fresh = proposed;
-    for (const auto &name : names) {
-        if (name.starts_with(DamagedPrefix)) {
-            fresh = std::max(fresh, readIncarnation(files, path + "/" + name).value_or(0) + 1);
+    /** Creates `current`. The incarnation is written last, so a crash on the way leaves a folder that counts as lost and never voted. */
+    ResultCode createCurrent(const FileFunctions &files, const std::string &path, const std::string &current, std::uint64_t incarnation, DataFolder &folder)
+    {
+        folder.log = std::make_unique<LogStore>(files, current);
+        folder.snapshots = std::make_unique<SnapshotStore>(files, current);
+        folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
+        folder.persisted = {};
+        folder.ledgerRecords.clear();
+        folder.isNew = true;
+        folder.incarnation = incarnation;
+        if (!files.makeFolder(current) || !files.syncFolder(path)) {
+            return ResultCode::DiskFailed;
+        }
+        if (folder.log->create() != ResultCode::Ok || folder.ledger->create() != ResultCode::Ok) {
+            return ResultCode::DiskFailed;
         }
+        return Journal(files, current, std::string(IncarnationFile)).rewrite({std::to_string(incarnation)});
     }
-    return fresh;
-}
 
-/** Renames `current`; returns the new path, or nothing on failure. */
-std::optional<std::string> setAsideCurrent(const FileFunctions &files, const std::string &path, const std::string &current, const std::vector<std::string> &names)
-{
-    std::size_t number = 1;
-    while (std::find(names.begin(), names.end(), std::string(DamagedPrefix) + std::to_string(number)) != names.end()) {
-        ++number;
+    /** Returns an incarnation above every one that this data folder has had, as far as it can be read. */
+    std::uint64_t freshIncarnation(const FileFunctions &files, const std::string &path, const std::vector<std::string> &names, std::uint64_t proposed)
+    {
+        std::uint64_t fresh = proposed;
+        for (const auto &name : names) {
+            if (name.starts_with(DamagedPrefix)) {
+                fresh = std::max(fresh, readIncarnation(files, path + "/" + name).value_or(0) + 1);
+            }
+        }
+        return fresh;
     }
-    const std::string target = path + "/" + std::string(DamagedPrefix) + std::to_string(number);
-    if (!files.rename(current, target) || !files.syncFolder(path)) {
-        return std::nullopt;
+
+    /** Renames `current`; returns the new path, or nothing on failure. */
+    std::optional<std::string>
+    setAsideCurrent(const FileFunctions &files, const std::string &path, const std::string &current, const std::vector<std::string> &names)
+    {
+        std::size_t number = 1;
+        while (std::find(names.begin(), names.end(), std::string(DamagedPrefix) + std::to_string(number)) != names.end()) {
+            ++number;
+        }
+        const std::string target = path + "/" + std::string(DamagedPrefix) + std::to_string(number);
+        if (!files.rename(current, target) || !files.syncFolder(path)) {
+            return std::nullopt;
+        }
+        return target;
     }
-    return target;
-}
 
-std::string parentOf(const std::string &path)
-{
-    const auto slash = path.find_last_of('/');
-    if (slash == std::string::npos) {
-        return ".";
+    std::string parentOf(const std::string &path)
+    {
+        const auto slash = path.find_last_of('/');
+        if (slash == std::string::npos) {
+            return ".";
+        }
+        return slash == 0 ? "/" : path.substr(0, slash);
     }
-    return slash == 0 ? "/" : path.substr(0, slash);
-}
 
-DataFolder failedFolder(ResultCode code)
-{
-    DataFolder folder;
-    folder.code = code;
-    return folder;
-}
+    DataFolder failedFolder(ResultCode code)
+    {
+        DataFolder folder;
+        folder.code = code;
+        return folder;
+    }
 
 } // namespace
 
--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -17,7 +17,8 @@
 
 /** An open data folder. */
 struct DataFolder {
-    ResultCode code = ResultCode::Ok; ///< Ok, DiskFailed, or DataFolderInUse; nothing else is valid unless Ok. Set for good by the first failure of persistActions.
+    ResultCode code =
+        ResultCode::Ok; ///< Ok, DiskFailed, or DataFolderInUse; nothing else is valid unless Ok. Set for good by the first failure of persistActions.
     std::uint64_t incarnation = 0; ///< Number of this folder's content.
     bool isNew = false; ///< The folder was missing, empty or damaged, so the incarnation is new.
     std::string setAside; ///< Folder to which damaged data was renamed; empty if there was none.
--- a/src/storage/file_functions.cpp
+++ b/src/storage/file_functions.cpp
@@ -16,78 +16,78 @@
 
 namespace {
 
-constexpr mode_t FileMode = 0640;
-constexpr mode_t FolderMode = 0750;
-constexpr std::size_t ReadStep = 65536;
+    constexpr mode_t FileMode = 0640;
+    constexpr mode_t FolderMode = 0750;
+    constexpr std::size_t ReadStep = 65536;
 
-std::optional<int> openFile(const std::string &path, int flags)
-{
-    const int file = ::open(path.c_str(), flags | O_CLOEXEC, FileMode);
-    return file < 0 ? std::nullopt : std::optional<int>(file);
-}
-
-std::optional<std::size_t> writeFile(int file, std::string_view data)
-{
-    ssize_t written = -1;
-    do {
-        written = ::write(file, data.data(), data.size());
-    } while (written < 0 && errno == EINTR);
-    return written < 0 ? std::nullopt : std::optional<std::size_t>(static_cast<std::size_t>(written));
-}
+    std::optional<int> openFile(const std::string &path, int flags)
+    {
+        const int file = ::open(path.c_str(), flags | O_CLOEXEC, FileMode);
+        return file < 0 ? std::nullopt : std::optional<int>(file);
+    }
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    const auto file = openFile(path, O_RDONLY);
-    if (!file) {
-        return std::nullopt;
+    std::optional<std::size_t> writeFile(int file, std::string_view data)
+    {
+        ssize_t written = -1;
+        do {
+            written = ::write(file, data.data(), data.size());
+        } while (written < 0 && errno == EINTR);
+        return written < 0 ? std::nullopt : std::optional<std::size_t>(static_cast<std::size_t>(written));
     }
-    std::string content;
-    std::string buffer(ReadStep, '\0');
-    ssize_t got = 0;
-    do {
-        got = ::read(*file, buffer.data(), buffer.size());
-        if (got > 0) {
-            content.append(buffer, 0, static_cast<std::size_t>(got));
-        }
-    } while (got > 0 || (got < 0 && errno == EINTR));
-    ::close(*file);
-    return got < 0 ? std::nullopt : std::optional<std::string>(std::move(content));
-}
 
-bool syncFolderAt(const std::string &path)
-{
-    const auto folder = openFile(path, O_RDONLY | O_DIRECTORY);
-    if (!folder) {
-        return false;
+    std::optional<std::string> readFile(const std::string &path)
+    {
+        const auto file = openFile(path, O_RDONLY);
+        if (!file) {
+            return std::nullopt;
+        }
+        std::string content;
+        std::string buffer(ReadStep, '\0');
+        ssize_t got = 0;
+        do {
+            got = ::read(*file, buffer.data(), buffer.size());
+            if (got > 0) {
+                content.append(buffer, 0, static_cast<std::size_t>(got));
+            }
+        } while (got > 0 || (got < 0 && errno == EINTR));
+        ::close(*file);
+        return got < 0 ? std::nullopt : std::optional<std::string>(std::move(content));
     }
-    const bool isSynced = ::fsync(*folder) == 0;
-    ::close(*folder);
-    return isSynced;
-}
 
-std::optional<std::vector<std::string>> listFolder(const std::string &path)
-{
-    std::error_code error;
-    std::vector<std::string> names;
-    for (std::filesystem::directory_iterator item(path, error), end; !error && item != end; item.increment(error)) {
-        names.push_back(item->path().filename().string());
+    bool syncFolderAt(const std::string &path)
+    {
+        const auto folder = openFile(path, O_RDONLY | O_DIRECTORY);
+        if (!folder) {
+            return false;
+        }
+        const bool isSynced = ::fsync(*folder) == 0;
+        ::close(*folder);
+        return isSynced;
     }
-    if (error) {
-        return std::nullopt;
+
+    std::optional<std::vector<std::string>> listFolder(const std::string &path)
+    {
+        std::error_code error;
+        std::vector<std::string> names;
+        for (std::filesystem::directory_iterator item(path, error), end; !error && item != end; item.increment(error)) {
+            names.push_back(item->path().filename().string());
+        }
+        if (error) {
+            return std::nullopt;
+        }
+        std::sort(names.begin(), names.end());
+        return names;
     }
-    std::sort(names.begin(), names.end());
-    return names;
-}
 
-std::optional<int> lockFile(const std::string &path)
-{
-    const auto file = openFile(path, O_RDWR | O_CREAT);
-    if (file && ::flock(*file, LOCK_EX | LOCK_NB) != 0) {
-        ::close(*file);
-        return std::nullopt;
+    std::optional<int> lockFile(const std::string &path)
+    {
+        const auto file = openFile(path, O_RDWR | O_CREAT);
+        if (file && ::flock(*file, LOCK_EX | LOCK_NB) != 0) {
+            ::close(*file);
+            return std::nullopt;
+        }
+        return file;
     }
-    return file;
-}
 
 } // namespace
 
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -9,53 +9,53 @@
 
 namespace {
 
-constexpr std::string_view FileMagic = "FLJOURN1"; ///< The digit is the format version.
-constexpr std::string_view RecordMagic = "\xf1R\xe7\x01"; ///< Marks where a record begins; lets the reader find valid records after a damaged one.
-constexpr std::size_t PrefixBytes = 12; ///< Record magic, length and checksum.
+    constexpr std::string_view FileMagic = "FLJOURN1"; ///< The digit is the format version.
+    constexpr std::string_view RecordMagic = "\xf1R\xe7\x01"; ///< Marks where a record begins; lets the reader find valid records after a damaged one.
+    constexpr std::size_t PrefixBytes = 12; ///< Record magic, length and checksum.
 
-void appendNumber(std::string &text, std::uint32_t number)
-{
-    const std::uint32_t little = boost::endian::native_to_little(number);
-    text.append(reinterpret_cast<const char *>(&little), sizeof(little));
-}
-
-std::uint32_t numberAt(std::string_view bytes, std::size_t position)
-{
-    return boost::endian::load_little_u32(reinterpret_cast<const unsigned char *>(bytes.data() + position));
-}
+    void appendNumber(std::string &text, std::uint32_t number)
+    {
+        const std::uint32_t little = boost::endian::native_to_little(number);
+        text.append(reinterpret_cast<const char *>(&little), sizeof(little));
+    }
 
-std::uint32_t checksum(std::string_view record)
-{
-    boost::crc_32_type crc;
-    const std::uint32_t length = boost::endian::native_to_little(static_cast<std::uint32_t>(record.size()));
-    crc.process_bytes(&length, sizeof(length));
-    crc.process_bytes(record.data(), record.size());
-    return crc.checksum();
-}
+    std::uint32_t numberAt(std::string_view bytes, std::size_t position)
+    {
+        return boost::endian::load_little_u32(reinterpret_cast<const unsigned char *>(bytes.data() + position));
+    }
 
-/** Returns the record at a position, or nothing if there is no valid one. */
-std::optional<std::string_view> recordAt(std::string_view bytes, std::size_t position)
-{
-    if (bytes.size() - position < PrefixBytes || bytes.substr(position, RecordMagic.size()) != RecordMagic) {
-        return std::nullopt;
+    std::uint32_t checksum(std::string_view record)
+    {
+        boost::crc_32_type crc;
+        const std::uint32_t length = boost::endian::native_to_little(static_cast<std::uint32_t>(record.size()));
+        crc.process_bytes(&length, sizeof(length));
+        crc.process_bytes(record.data(), record.size());
+        return crc.checksum();
     }
-    const std::uint32_t length = numberAt(bytes, position + 4);
-    if (length > MaxRecordBytes || length > bytes.size() - position - PrefixBytes) {
-        return std::nullopt;
+
+    /** Returns the record at a position, or nothing if there is no valid one. */
+    std::optional<std::string_view> recordAt(std::string_view bytes, std::size_t position)
+    {
+        if (bytes.size() - position < PrefixBytes || bytes.substr(position, RecordMagic.size()) != RecordMagic) {
+            return std::nullopt;
+        }
+        const std::uint32_t length = numberAt(bytes, position + 4);
+        if (length > MaxRecordBytes || length > bytes.size() - position - PrefixBytes) {
+            return std::nullopt;
+        }
+        const std::string_view record = bytes.substr(position + PrefixBytes, length);
+        return checksum(record) == numberAt(bytes, position + 8) ? std::optional(record) : std::nullopt;
     }
-    const std::string_view record = bytes.substr(position + PrefixBytes, length);
-    return checksum(record) == numberAt(bytes, position + 8) ? std::optional(record) : std::nullopt;
-}
 
-bool hasRecordAfter(std::string_view bytes, std::size_t position)
-{
-    for (std::size_t at = bytes.find(RecordMagic, position); at != std::string_view::npos; at = bytes.find(RecordMagic, at + 1)) {
-        if (recordAt(bytes, at)) {
-            return true;
+    bool hasRecordAfter(std::string_view bytes, std::size_t position)
+    {
+        for (std::size_t at = bytes.find(RecordMagic, position); at != std::string_view::npos; at = bytes.find(RecordMagic, at + 1)) {
+            if (recordAt(bytes, at)) {
+                return true;
+            }
         }
+        return false;
     }
-    return false;
-}
 
 } // namespace
 
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -13,66 +13,66 @@
 
 namespace {
 
-/** One record: what the actions of one call ask to persist, or the whole content after a compaction. */
-struct LogRecord {
-    std::optional<HardState> hardState;
-    std::optional<std::uint64_t> baseIndex; ///< Only in the first record of a compacted journal.
-    std::optional<std::uint64_t> truncateFrom;
-    std::vector<LogEntry> append;
-
-    template<class Archive>
-    void serialize(Archive &archive)
-    {
-        archive(this->hardState, this->baseIndex, this->truncateFrom, this->append);
-    }
-};
-
-std::string encodeLogRecord(const LogRecord &record)
-{
-    std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(record);
-    return stream.str();
-}
+    /** One record: what the actions of one call ask to persist, or the whole content after a compaction. */
+    struct LogRecord {
+        std::optional<HardState> hardState;
+        std::optional<std::uint64_t> baseIndex; ///< Only in the first record of a compacted journal.
+        std::optional<std::uint64_t> truncateFrom;
+        std::vector<LogEntry> append;
+
+        template<class Archive>
+        void serialize(Archive &archive)
+        {
+            archive(this->hardState, this->baseIndex, this->truncateFrom, this->append);
+        }
+    };
 
-bool decodeLogRecord(const std::string &bytes, LogRecord &record)
-{
-    try {
-        std::istringstream stream(bytes);
-        cereal::PortableBinaryInputArchive archive(stream);
+    std::string encodeLogRecord(const LogRecord &record)
+    {
+        std::ostringstream stream;
+        cereal::PortableBinaryOutputArchive archive(stream);
         archive(record);
-        return true;
-    } catch (const std::exception &) {
-        // The codec reports malformed bytes by exceptions, also a length that cannot be allocated.
-        return false;
+        return stream.str();
     }
-}
 
-/** Applies a record; returns false if it leaves a gap. */
-bool applyRecord(LogContent &content, LogRecord record)
-{
-    if (record.hardState) {
-        content.hardState = *record.hardState;
-    }
-    if (record.baseIndex) {
-        content.baseIndex = *record.baseIndex;
-        content.log.clear();
-    }
-    if (record.truncateFrom) {
-        const std::uint64_t last = content.baseIndex + content.log.size();
-        if (*record.truncateFrom <= content.baseIndex || *record.truncateFrom > last) {
+    bool decodeLogRecord(const std::string &bytes, LogRecord &record)
+    {
+        try {
+            std::istringstream stream(bytes);
+            cereal::PortableBinaryInputArchive archive(stream);
+            archive(record);
+            return true;
+        } catch (const std::exception &) {
+            // The codec reports malformed bytes by exceptions, also a length that cannot be allocated.
             return false;
         }
-        content.log.resize(*record.truncateFrom - content.baseIndex - 1);
     }
-    for (auto &entry : record.append) {
-        if (entry.index != content.baseIndex + content.log.size() + 1) {
-            return false;
+
+    /** Applies a record; returns false if it leaves a gap. */
+    bool applyRecord(LogContent &content, LogRecord record)
+    {
+        if (record.hardState) {
+            content.hardState = *record.hardState;
         }
-        content.log.push_back(std::move(entry));
+        if (record.baseIndex) {
+            content.baseIndex = *record.baseIndex;
+            content.log.clear();
+        }
+        if (record.truncateFrom) {
+            const std::uint64_t last = content.baseIndex + content.log.size();
+            if (*record.truncateFrom <= content.baseIndex || *record.truncateFrom > last) {
+                return false;
+            }
+            content.log.resize(*record.truncateFrom - content.baseIndex - 1);
+        }
+        for (auto &entry : record.append) {
+            if (entry.index != content.baseIndex + content.log.size() + 1) {
+                return false;
+            }
+            content.log.push_back(std::move(entry));
+        }
+        return true;
     }
-    return true;
-}
 
 } // namespace
 
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -15,40 +15,40 @@
 
 namespace {
 
-constexpr std::string_view Prefix = "snapshot-";
+    constexpr std::string_view Prefix = "snapshot-";
 
-/** Returns the index in a file name, or nothing for another file. */
-std::optional<std::uint64_t> indexOf(const std::string &name)
-{
-    if (!name.starts_with(Prefix)) {
-        return std::nullopt;
+    /** Returns the index in a file name, or nothing for another file. */
+    std::optional<std::uint64_t> indexOf(const std::string &name)
+    {
+        if (!name.starts_with(Prefix)) {
+            return std::nullopt;
+        }
+        std::uint64_t index = 0;
+        const char *end = name.data() + name.size();
+        const auto parsed = std::from_chars(name.data() + Prefix.size(), end, index);
+        return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(index) : std::nullopt;
     }
-    std::uint64_t index = 0;
-    const char *end = name.data() + name.size();
-    const auto parsed = std::from_chars(name.data() + Prefix.size(), end, index);
-    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(index) : std::nullopt;
-}
-
-std::string encodeSnapshot(const Snapshot &snapshot)
-{
-    std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(snapshot);
-    return stream.str();
-}
 
-bool decodeSnapshot(const std::string &bytes, Snapshot &snapshot)
-{
-    try {
-        std::istringstream stream(bytes);
-        cereal::PortableBinaryInputArchive archive(stream);
+    std::string encodeSnapshot(const Snapshot &snapshot)
+    {
+        std::ostringstream stream;
+        cereal::PortableBinaryOutputArchive archive(stream);
         archive(snapshot);
-        return true;
-    } catch (const std::exception &) {
-        // The codec reports malformed bytes by exceptions.
-        return false;
+        return stream.str();
+    }
+
+    bool decodeSnapshot(const std::string &bytes, Snapshot &snapshot)
+    {
+        try {
+            std::istringstream stream(bytes);
+            cereal::PortableBinaryInputArchive archive(stream);
+            archive(snapshot);
+            return true;
+        } catch (const std::exception &) {
+            // The codec reports malformed bytes by exceptions.
+            return false;
+        }
     }
-}
 
 } // namespace
 
