--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -5,11 +5,12 @@
 #include "core/clock_type.h"
 #include "core/names_type.h"
 #include "core/result_code.h"
+#include "replication/flag_codec.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -52,7 +53,12 @@
     DaemonName daemon;
     std::uint64_t incarnation = 0; ///< Number of the data folder; 0 for a daemon without a disk.
 
-    auto operator<=>(const VoterId &) const = default;
+    bool operator==(const VoterId &) const = default;
+
+    bool operator<(const VoterId &other) const
+    {
+        return std::tie(this->daemon, this->incarnation) < std::tie(other.daemon, other.incarnation);
+    }
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -87,7 +93,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->term, this->votedFor, this->commit);
+        archive(this->term, this->commit);
+        serializeOptional(archive, this->votedFor);
     }
 };
 
@@ -125,7 +132,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->preVote, this->lastIndex, this->lastTerm);
+        serializeFlag(archive, this->preVote);
+        archive(this->lastIndex, this->lastTerm);
     }
 };
 
@@ -137,7 +145,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->preVote, this->granted);
+        serializeFlag(archive, this->preVote);
+        serializeFlag(archive, this->granted);
     }
 };
 
@@ -166,7 +175,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->success, this->index, this->rejected, this->round);
+        serializeFlag(archive, this->success);
+        archive(this->index, this->rejected, this->round);
     }
 };
 
@@ -184,7 +194,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->index, this->indexTerm, this->membership, this->offset, this->total, this->data, this->round, this->fetched);
+        archive(this->index, this->indexTerm, this->membership, this->offset, this->total, this->data, this->round);
+        serializeFlag(archive, this->fetched);
     }
 };
 
@@ -208,7 +219,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->hasDisk);
+        serializeFlag(archive, this->hasDisk);
     }
 };
 
@@ -300,7 +311,7 @@
     std::uint64_t snapshotEvery = 512; ///< Entries after which wantsSnapshot() asks for a snapshot.
     std::uint64_t seed = 0; ///< Seed of the election timeouts.
     std::vector<DaemonName> zoneVoters; ///< Voters of the own availability zone, for FetchRequest.
-    std::uint64_t maxBatchBytes = 256 * 1024; ///< Bound of the payload of one message; frames are bounded to 4 MiB.
+    std::uint64_t maxBatchBytes = 262144; ///< Bound of the payload of one message; frames are bounded to 4 MiB.
 };
 
 } // namespace Filbertlanding
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -104,11 +104,14 @@
     std::optional<std::string>
     setAsideCurrent(const FileFunctions &files, const std::string &path, const std::string &current, const std::vector<std::string> &names)
     {
+        const auto nameOf = [](std::size_t number) {
+            return std::string(DamagedPrefix).append(std::to_string(number));
+        };
         std::size_t number = 1;
-        while (std::find(names.begin(), names.end(), std::string(DamagedPrefix) + std::to_string(number)) != names.end()) {
+        while (std::find(names.begin(), names.end(), nameOf(number)) != names.end()) {
             ++number;
         }
-        const std::string target = path + "/" + std::string(DamagedPrefix) + std::to_string(number);
+        const std::string target = path + "/" + nameOf(number);
         if (!files.rename(current, target) || !files.syncFolder(path)) {
             return std::nullopt;
         }
--- a/src/storage/journal.h
+++ b/src/storage/journal.h
@@ -16,7 +16,7 @@
 
 namespace Filbertlanding {
 
-constexpr std::size_t MaxRecordBytes = 64 * 1024 * 1024; ///< Bound of one record; a larger length in a file is damage.
+constexpr std::size_t MaxRecordBytes = 67108864; ///< Bound of one record; a larger length in a file is damage.
 
 /** Records decoded from the bytes of a journal. */
 struct JournalContent {
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -3,7 +3,6 @@
 #include "storage/log_store.h"
 
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
@@ -23,7 +22,10 @@
         template<class Archive>
         void serialize(Archive &archive)
         {
-            archive(this->hardState, this->baseIndex, this->truncateFrom, this->append);
+            serializeOptional(archive, this->hardState);
+            serializeOptional(archive, this->baseIndex);
+            serializeOptional(archive, this->truncateFrom);
+            archive(this->append);
         }
     };
 
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -18,7 +18,7 @@
 {
     std::string text;
     for (const auto &[key, value] : values) {
-        text += key + "=" + value + "\n";
+        text.append(key).append("=").append(value).append("\n");
     }
     return text;
 }
--- a/tests/raft_property_test.cpp
+++ b/tests/raft_property_test.cpp
@@ -190,7 +190,7 @@
             cluster.run(loss % 50);
             TestNode &node = *cluster.nodes[loss % 3];
             cluster.loseDisk(node);
-            cluster.run(loss * 10);
+            cluster.run(std::int64_t{10} * loss);
             cluster.start(node);
             RC_ASSERT(cluster.runUntil(ElectionBound + RepairBound, [&cluster] {
                 return cluster.isRepaired();
