--- a/src/catalog/assign_jobs.cpp
+++ b/src/catalog/assign_jobs.cpp
@@ -202,11 +202,12 @@
         round.commands.push_back(command);
     }
 
-    /** Returns how many teams wait with jobs of the same urgency as the next one of a team, that team included. */
-    std::int64_t countRivals(const Round &round, bool urgent)
+    /** Returns how many teams share the room with a job: its own, and those whose next job is as urgent. */
+    std::int64_t countSharers(const Round &round, const TeamUse &own, bool urgent)
     {
-        return 1 + std::count_if(round.teams.begin(), round.teams.end(), [urgent](const auto &entry) {
-                   return !entry.second.waiting.empty() && entry.second.waiting.back()->spec.urgent == urgent;
+        return 1 + std::count_if(round.teams.begin(), round.teams.end(), [&own, urgent](const auto &entry) {
+                   const auto &waiting = entry.second.waiting;
+                   return &entry.second != &own && !waiting.empty() && waiting.back()->spec.urgent == urgent;
                });
     }
 
@@ -225,9 +226,9 @@
         if (shard == nullptr) {
             return false;
         }
-        const auto rivals = countRivals(round, job.spec.urgent);
+        const auto sharers = countSharers(round, team, job.spec.urgent);
         const auto fit = tasksThatFit(*shard, job.spec.size, job.spec.urgent);
-        const auto part = fit / rivals + (fit % rivals == 0 ? 0 : 1);
+        const auto part = fit / sharers + (fit % sharers == 0 ? 0 : 1);
         const auto count = std::min(quotaRoom(team, job.spec.size), part);
         if (count <= 0) {
             return false;
--- a/src/catalog/catalog_base.h
+++ b/src/catalog/catalog_base.h
@@ -6,15 +6,15 @@
 #include "catalog/config_type.h"
 #include "catalog/job_type.h"
 
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace Filbertlanding {
 
 constexpr std::size_t MaxDaemons = 1000; ///< Daemon names.
 constexpr std::size_t MaxIncarnationsPerService = 4000; ///< Incarnations that one service remembers.
-constexpr std::size_t MaxCounterBytes = 512 * 1024; ///< Encoded final counters of one incarnation and service.
+constexpr std::size_t MaxCounterBytes = std::size_t{512} * 1024; ///< Encoded final counters of one incarnation and service.
 constexpr std::size_t MaxHistory = 4000; ///< Accepted changes that are kept; three days at 1,300 a day.
 
 /** An accepted configuration change, for the history and the report. */
@@ -68,7 +68,12 @@
     DaemonName daemon; ///< Daemon.
     std::uint64_t incarnation = 0; ///< Number of the start.
 
-    auto operator<=>(const DaemonIncarnation &) const = default;
+    bool operator==(const DaemonIncarnation &) const = default;
+
+    bool operator<(const DaemonIncarnation &other) const
+    {
+        return std::tie(this->daemon, this->incarnation) < std::tie(other.daemon, other.incarnation);
+    }
 };
 
 /** What one incarnation has delivered for one service. */
--- a/src/catalog/catalog_func.h
+++ b/src/catalog/catalog_func.h
@@ -8,8 +8,9 @@
 
 namespace Filbertlanding {
 
-constexpr std::size_t MaxCommandBytes = 4 * 1024 * 1024 - 64 * 1024; ///< Encoded command; with its envelope it fits into a peer frame of 4 MiB.
-constexpr std::size_t MaxSnapshotBytes = 256 * 1024 * 1024; ///< Encoded catalog.
+constexpr std::size_t MaxCommandBytes =
+    std::size_t{4} * 1024 * 1024 - std::size_t{64} * 1024; ///< Encoded command; with its envelope it fits into a peer frame of 4 MiB.
+constexpr std::size_t MaxSnapshotBytes = std::size_t{256} * 1024 * 1024; ///< Encoded catalog.
 
 /**
  * Applies a committed command. Deterministic: equal catalogs and equal commands give equal results on every daemon.
--- a/src/catalog/config_check.cpp
+++ b/src/catalog/config_check.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr std::int64_t MaxTimeoutMs = 3'600'000; ///< One hour.
-    constexpr std::int64_t MaxDrainLimitMs = 7 * 24 * 3'600'000LL; ///< One week.
+    constexpr std::int64_t MaxDrainLimitMs = std::int64_t{7} * 24 * 3'600'000; ///< One week.
     constexpr std::int64_t MaxAmount = 1'000'000'000; ///< Upper bound of amounts; sums over all tasks stay far below 2^63.
 
     struct Checker {
--- a/src/catalog/intent_type.h
+++ b/src/catalog/intent_type.h
@@ -12,8 +12,8 @@
 namespace Filbertlanding {
 
 constexpr std::size_t MaxIntentFiles = 2000; ///< Files in one set; twice the 1,000 that the merge target names.
-constexpr std::size_t MaxIntentFileBytes = 256 * 1024; ///< Bytes in one file.
-constexpr std::size_t MaxIntentTotalBytes = 3 * 1024 * 1024; ///< Bytes in one set; a sync of the whole set fits into one peer frame of 4 MiB.
+constexpr std::size_t MaxIntentFileBytes = std::size_t{256} * 1024; ///< Bytes in one file.
+constexpr std::size_t MaxIntentTotalBytes = std::size_t{3} * 1024 * 1024; ///< Bytes in one set; a sync of the whole set fits into one peer frame of 4 MiB.
 constexpr std::size_t MaxIntentDepth = 16; ///< Nested objects and arrays in one file; bounds the recursion of the merge.
 constexpr std::size_t MaxNameBytes = 100; ///< Bytes in the name of a file, service, team, zone, worker or policy.
 
--- a/src/catalog/job_type.h
+++ b/src/catalog/job_type.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Filbertlanding {
@@ -99,7 +100,12 @@
     TeamName team; ///< Team.
     ZoneName zone; ///< Zone of the last assignment; empty for jobs that never had one and for submissions.
 
-    auto operator<=>(const TallyKey &) const = default;
+    bool operator==(const TallyKey &) const = default;
+
+    bool operator<(const TallyKey &other) const
+    {
+        return std::tie(this->service, this->team, this->zone) < std::tie(other.service, other.team, other.zone);
+    }
 };
 
 /** Numbers of jobs, kept when the records are dropped. */
--- a/src/catalog/operation_table.h
+++ b/src/catalog/operation_table.h
@@ -10,7 +10,7 @@
 
 constexpr std::size_t MaxOperations = 16'384; ///< Operation ids that are kept; more than a day's 11,000 jobs and 1,300 changes.
 constexpr std::uint64_t MaxOperationAge = 1'000'000; ///< Log entries after which an id is forgotten; about a day with batches each second from 9 daemons.
-constexpr std::uint64_t MaxOperationBytes = 8 * 1024 * 1024; ///< Memory of the answers, which matter only when they list many errors.
+constexpr std::uint64_t MaxOperationBytes = std::size_t{8} * 1024 * 1024; ///< Memory of the answers, which matter only when they list many errors.
 constexpr std::size_t MaxOperationIdBytes = 200; ///< Bytes of an operation id.
 
 /**
--- a/src/report/outcome_type.h
+++ b/src/report/outcome_type.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Filbertlanding {
@@ -38,7 +39,12 @@
     ZoneName zone; ///< Zone of the daemon that received the request.
     ResultCode code = ResultCode::Ok; ///< Outcome.
 
-    auto operator<=>(const OutcomeKey &) const = default;
+    bool operator==(const OutcomeKey &) const = default;
+
+    bool operator<(const OutcomeKey &other) const
+    {
+        return std::tie(this->team, this->zone, this->code) < std::tie(other.team, other.zone, other.code);
+    }
 };
 
 /** Key of a received count. */
@@ -46,7 +52,12 @@
     TeamName team; ///< Team.
     ZoneName zone; ///< Zone.
 
-    auto operator<=>(const ReceivedKey &) const = default;
+    bool operator==(const ReceivedKey &) const = default;
+
+    bool operator<(const ReceivedKey &other) const
+    {
+        return std::tie(this->team, this->zone) < std::tie(other.team, other.zone);
+    }
 };
 
 /** Counts of one service on one daemon incarnation; every number only grows. */
