--- a/src/catalog/drain_plan.cpp
+++ b/src/catalog/drain_plan.cpp
@@ -55,7 +55,7 @@
         const auto age = input.drainedFor.find(zone);
         const auto configured = catalog.intent.configuration.availabilityZones.find(zone);
         return age != input.drainedFor.end() && configured != catalog.intent.configuration.availabilityZones.end()
-            && age->second >= configured->second.drainLimit;
+            && age->second.ms >= configured->second.drainLimit.ms;
     }
 
     /** Evictions that a service may still order in this minute. */
--- a/src/catalog/intent_merge.cpp
+++ b/src/catalog/intent_merge.cpp
@@ -150,6 +150,7 @@
         return merged;
     }
     std::vector<const IntentFile *> sorted;
+    sorted.reserve(files.size());
     for (const auto &file : files) {
         sorted.push_back(&file);
     }
