--- a/src/membership/owner_lease_holder.cpp
+++ b/src/membership/owner_lease_holder.cpp
@@ -93,10 +93,6 @@
     if (answer.code != ResultCode::Ok || answer.number == 0) {
         return false;
     }
-    // After its lease the owner may already be replaced in the next tick, so a late answer grants nothing.
-    if (now >= holder.grantedUntil) {
-        return false;
-    }
     const bool otherProcess = holder.acknowledged != 0 && holder.ownerIncarnation != answer.ownerIncarnation;
     if (otherProcess) {
         // A daemon that restarted does not know what its earlier process sent; a new epoch makes this count as earlier work.
