--- a/src/policy/route_least_wait.cpp
+++ b/src/policy/route_least_wait.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+    constexpr std::size_t PrefetchDistance = 8; ///< Entries that are fetched ahead in a search through all workers.
     constexpr int MaxDraws = 8; ///< Random draws until all workers are looked at in turn.
 
     /** Counts the worker if it is left out. @return Whether it can take the request. */
@@ -54,6 +55,8 @@
         const std::size_t start = random.below(count);
         for (std::size_t i = 0; i < count && found < 2; ++i) {
             const std::size_t index = (start + i) % count;
+            // The entries are scattered over memory, so the search would wait for each of them.
+            __builtin_prefetch(candidates.workers[(index + PrefetchDistance) % count].get());
             if (isUsable(candidates, index, excluded)) {
                 consider(pick, index, expectedWaitMs(*candidates.workers[index]));
                 ++found;
--- a/src/request/ledger.cpp
+++ b/src/request/ledger.cpp
@@ -126,7 +126,8 @@
         // The record is the earlier request's, so that its own resend still gets the right answer.
         record.bodyHash = answer.bodyHash;
         setAnswer(ledger, record, answered ? answer.code : ResultCode::OutcomeUnknown, answered ? answer.answer : std::string());
-        active.code = reused ? ResultCode::RequestIdReused : record.code;
+        const bool certain = ledger.settings.complete || answer.complete || answered;
+        active.code = reused ? (certain ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown) : record.code;
         active.answer = reused ? std::string() : record.answer;
         storeOutcome(ledger, actions, answer.key, active, record);
     }
@@ -233,11 +234,14 @@
         return actions;
     }
     const LedgerRecord &record = found->second;
-    if (record.state != LedgerState::Fenced && record.bodyHash != submit.bodyHash) {
-        actions.emplace_back(AnswerSend{submit.send, ResultCode::RequestIdReused, {}});
+    const auto active = ledger.active.find(submit.key);
+    const bool neverRan = record.state == LedgerState::Fenced || record.state == LedgerState::Withdrawn;
+    if (!neverRan && record.bodyHash != submit.bodyHash) {
+        // Under a lost disk this body may have run, and the record of the other one was made later.
+        const bool certain = ledger.settings.complete || record.state == LedgerState::Answered;
+        actions.emplace_back(AnswerSend{submit.send, certain ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown, {}});
         return actions;
     }
-    const auto active = ledger.active.find(submit.key);
     if (active != ledger.active.end()) {
         active->second.sends.push_back(submit.send);
         return actions;
@@ -300,7 +304,7 @@
         break;
     case ReplicaVerdict::Fenced:
         record.fence = answer.fence;
-        withdraw(ledger, actions, answer.key, ResultCode::HomeUnreachable);
+        withdraw(ledger, actions, answer.key, answer.complete ? ResultCode::HomeUnreachable : codeWithoutReplica(ledger));
         break;
     case ReplicaVerdict::Full:
         withdraw(ledger, actions, answer.key, ledger.settings.complete ? ResultCode::LedgerFull : ResultCode::OutcomeUnknown);
--- a/src/request/ledger_replica.cpp
+++ b/src/request/ledger_replica.cpp
@@ -42,7 +42,7 @@
         case LedgerState::Recorded: {
             const bool sameAttempt = record.attempt == ask.attempt;
             const bool knownUnrun = ask.first <= record.attempt && record.attempt <= ask.withdrawn;
-            return record.bodyHash != ask.bodyHash || (!sameAttempt && !knownUnrun);
+            return !sameAttempt && !knownUnrun;
         }
         case LedgerState::Answered:
         case LedgerState::Unknown:
@@ -142,9 +142,10 @@
     if (replica->verdict != ReplicaVerdict::Known) {
         return answer;
     }
+    const bool answered = replica->state == LedgerState::Answered;
     if (replica->bodyHash != bodyHash) {
-        answer.code = ResultCode::RequestIdReused;
-    } else if (replica->state == LedgerState::Answered) {
+        answer.code = replica->complete || answered ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown;
+    } else if (answered) {
         answer.code = replica->code;
         answer.answer = replica->answer;
     }
--- a/src/request/route.cpp
+++ b/src/request/route.cpp
@@ -98,6 +98,10 @@
 
 std::optional<RouteExclusion> workerExclusion(const WorkerEntry &entry, const RouteRequest &request, TimePoint now)
 {
+    // First, since it leaves out nearly all workers when a search among many takes longest.
+    if (!entry.slots.hasFree()) {
+        return RouteExclusion::Full;
+    }
     if (entry.leaving.load(std::memory_order_relaxed)) {
         return RouteExclusion::Leaving;
     }
@@ -107,13 +111,9 @@
     if (now.ms < entry.ejectedUntilMs.load(std::memory_order_relaxed)) {
         return RouteExclusion::Ejected;
     }
-    const std::uint32_t inUse = entry.slots.inUse();
-    if (entry.probation.load(std::memory_order_relaxed) && inUse > 0) {
+    if (entry.probation.load(std::memory_order_relaxed) && entry.slots.inUse() > 0) {
         return RouteExclusion::Ejected;
     }
-    if (inUse >= entry.slots.capacity()) {
-        return RouteExclusion::Full;
-    }
     if (wasTried(request, entry.worker)) {
         return RouteExclusion::Tried;
     }
--- a/src/request/slot.h
+++ b/src/request/slot.h
@@ -36,6 +36,13 @@
     /** Sets the number of slots. Slots in use above it stay in use, and none is taken until enough are released. */
     void setCapacity(std::uint32_t capacity);
 
+    /** Returns whether a slot is free, by one read. */
+    bool hasFree() const
+    {
+        const std::uint64_t now = this->word.load(std::memory_order_acquire);
+        return (now & 0xffffffffULL) < now >> 32;
+    }
+
     /** Returns the number of slots. */
     std::uint32_t capacity() const;
 
--- /dev/null
+++ b/tests/ledger_test.cpp
@@ -0,0 +1,450 @@
+/** @file ledger_test.cpp Tests of the ledger of non-repeatable requests: a home and a replica that crash, lose messages and lose disks. */
+
+#include "core/random.h"
+#include "request/ledger_func.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+#include <set>
+
+using namespace Filbertlanding;
+
+namespace {
+
+constexpr std::size_t Home = 0;
+constexpr std::size_t Replica = 1;
+
+using LedgerMessage = std::variant<ReplicaAsk, ReplicaOutcome, ReplicaAnswer>;
+
+struct Envelope {
+    std::int64_t dueAt = 0;
+    std::size_t target = Home;
+    LedgerMessage message;
+};
+
+struct Voter {
+    Ledger ledger;
+    std::map<LedgerKey, LedgerRecord> disk;
+    std::deque<PersistLedgerRecord> unsynced;
+    std::uint64_t instance = 0;
+    bool complete = true;
+    bool up = false;
+};
+
+struct Send {
+    LedgerKey key;
+    std::uint64_t bodyHash = 0;
+    std::int64_t giveUpAt = 0;
+    bool queried = false;
+    std::optional<ResultCode> told;
+};
+
+struct Run {
+    RunLedgerRequest request;
+    std::int64_t endsAt = 0;
+    ResultCode code = ResultCode::Ok;
+};
+
+struct Faults {
+    std::uint64_t lossPercent = 10;
+    std::uint64_t maxDelay = 40;
+    std::uint64_t crashOneIn = 60; ///< 0 for none.
+    std::uint64_t lostDiskPercent = 20; ///< Of crashes.
+    std::uint64_t giveUpMs = 150;
+};
+
+/** Home, replica and the daemons that forward sends, with a naive set of the requests that ran. */
+struct LedgerModel {
+    Random random;
+    Faults faults;
+    std::array<Voter, 2> voters;
+    std::vector<Envelope> network;
+    std::vector<Run> runs;
+    std::map<SendToken, Send> sends;
+    std::map<SendToken, std::int64_t> queries; ///< When a question of a forwarding daemon reaches the replica.
+    std::map<LedgerKey, int> sentToWorker;
+    std::set<std::pair<LedgerKey, std::uint64_t>> ran;
+    std::map<ResultCode, int> told;
+    std::int64_t now = 0;
+
+    LedgerModel(std::uint64_t seed, const Faults &given)
+        : random{seed}
+        , faults(given)
+    {
+        this->start(Home);
+        this->start(Replica);
+    }
+
+    bool chance(std::uint64_t percent)
+    {
+        return this->random.below(100) < percent;
+    }
+
+    void start(std::size_t index)
+    {
+        Voter &voter = this->voters[index];
+        LedgerSettings settings;
+        settings.instance = ++voter.instance;
+        settings.complete = voter.complete;
+        settings.replicaTimeout = Duration{80};
+        voter.ledger = loadLedger(settings, {voter.disk.begin(), voter.disk.end()}, TimePoint{this->now});
+        voter.up = true;
+    }
+
+    /** Ends a process; a part of its writes may have reached the disk unnoticed. */
+    void crash(std::size_t index, bool loseDisk)
+    {
+        Voter &voter = this->voters[index];
+        for (std::uint64_t kept = this->random.below(voter.unsynced.size() + 1); kept > 0; --kept) {
+            voter.disk[voter.unsynced.front().key] = voter.unsynced.front().record;
+            voter.unsynced.pop_front();
+        }
+        voter.unsynced.clear();
+        voter.up = false;
+        if (loseDisk) {
+            voter.disk.clear();
+            voter.complete = false;
+        }
+        if (index == Home) {
+            this->runs.clear();
+            for (auto &[token, send] : this->sends) {
+                this->giveUp(token, send);
+            }
+        }
+    }
+
+    void post(std::size_t target, const LedgerMessage &message)
+    {
+        const int copies = this->chance(this->faults.lossPercent) ? 0 : (this->chance(this->faults.lossPercent) ? 2 : 1);
+        for (int i = 0; i < copies; ++i) {
+            this->network.push_back({this->now + 1 + static_cast<std::int64_t>(this->random.below(this->faults.maxDelay)), target, message});
+        }
+    }
+
+    /** The forwarding daemon has no answer of the home and asks the replica. */
+    void giveUp(SendToken token, Send &send)
+    {
+        if (!send.told && !send.queried) {
+            send.queried = true;
+            this->queries[token] = this->now + static_cast<std::int64_t>(this->random.below(this->faults.maxDelay));
+        }
+    }
+
+    void tell(const AnswerSend &answer)
+    {
+        Send &send = this->sends.at(answer.send);
+        if (send.told) {
+            return;
+        }
+        send.told = answer.code;
+        ++this->told[answer.code];
+        const bool hasRun = this->ran.contains({send.key, send.bodyHash});
+        RC_ASSERT(!isRefusal(answer.code) || !hasRun);
+        RC_ASSERT(answer.code != ResultCode::Ok || hasRun);
+        RC_ASSERT(answer.code != ResultCode::Ok || answer.answer == send.key + std::to_string(send.bodyHash));
+    }
+
+    void begin(const RunLedgerRequest &request)
+    {
+        const Send &send = this->sends.at(request.send);
+        // A caller that was told "not run" must not see its request run later.
+        RC_ASSERT(!send.told || !isRefusal(*send.told));
+        RC_ASSERT(this->voters[Home].disk.at(send.key).attempt == request.attempt);
+        const std::uint64_t kind = this->random.below(10);
+        const bool byteSent = kind >= 2;
+        if (byteSent) {
+            RC_ASSERT(++this->sentToWorker[send.key] == 1);
+            this->ran.insert({send.key, send.bodyHash});
+        }
+        ResultCode code = kind >= 4 ? ResultCode::Ok : ResultCode::OutcomeUnknown;
+        code = byteSent ? code : ResultCode::ConnectFailed;
+        this->runs.push_back({request, this->now + static_cast<std::int64_t>(this->random.below(120)), code});
+    }
+
+    void carryOut(std::size_t index, const LedgerActions &actions)
+    {
+        for (const LedgerAction &action : actions) {
+            if (const auto *write = std::get_if<PersistLedgerRecord>(&action)) {
+                this->voters[index].unsynced.push_back(*write);
+            } else if (const auto *ask = std::get_if<AskLedgerReplica>(&action)) {
+                this->post(Replica, ask->ask);
+            } else if (const auto *outcome = std::get_if<TellLedgerReplica>(&action)) {
+                this->post(Replica, outcome->outcome);
+            } else if (const auto *request = std::get_if<RunLedgerRequest>(&action)) {
+                this->begin(*request);
+            } else if (const auto *answer = std::get_if<AnswerSend>(&action)) {
+                this->tell(*answer);
+            } else if (const auto *reply = std::get_if<AnswerReplicaAsk>(&action)) {
+                this->reply(*reply);
+            }
+        }
+    }
+
+    void reply(const AnswerReplicaAsk &reply)
+    {
+        if (reply.asker == 0) {
+            this->post(Home, reply.answer);
+        } else if (!this->chance(this->faults.lossPercent)) {
+            this->tell(answerWithoutHome(reply.asker, this->sends.at(reply.asker).bodyHash, reply.answer));
+        } else {
+            this->tell(answerWithoutHome(reply.asker, this->sends.at(reply.asker).bodyHash, std::nullopt));
+        }
+    }
+
+    void submit(const LedgerKey &key, std::uint64_t bodyHash)
+    {
+        const SendToken token = this->sends.size() + 1;
+        Send &send = this->sends[token];
+        send = {key, bodyHash, this->now + static_cast<std::int64_t>(this->faults.giveUpMs + this->random.below(200)), false, std::nullopt};
+        if (this->voters[Home].up && !this->chance(this->faults.lossPercent)) {
+            this->carryOut(Home, ledgerSubmit(this->voters[Home].ledger, {key, bodyHash, token}, TimePoint{this->now}));
+        } else {
+            this->giveUp(token, send);
+        }
+    }
+
+    void receive(const Envelope &envelope)
+    {
+        Ledger &ledger = this->voters[envelope.target].ledger;
+        const TimePoint time{this->now};
+        if (const auto *ask = std::get_if<ReplicaAsk>(&envelope.message)) {
+            this->carryOut(Replica, replicaRecord(ledger, *ask, 0, time));
+        } else if (const auto *outcome = std::get_if<ReplicaOutcome>(&envelope.message)) {
+            this->carryOut(Replica, replicaOutcome(ledger, *outcome, time));
+        } else {
+            this->carryOut(Home, ledgerReplicaAnswered(ledger, std::get<ReplicaAnswer>(envelope.message), time));
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<Envelope> due;
+        std::erase_if(this->network, [&](const Envelope &envelope) {
+            if (envelope.dueAt <= this->now) {
+                due.push_back(envelope);
+            }
+            return envelope.dueAt <= this->now;
+        });
+        for (const Envelope &envelope : due) {
+            if (this->voters[envelope.target].up) {
+                this->receive(envelope);
+            }
+        }
+    }
+
+    void sync(std::size_t index)
+    {
+        Voter &voter = this->voters[index];
+        for (std::uint64_t count = this->random.below(4); count > 0 && !voter.unsynced.empty(); --count) {
+            const PersistLedgerRecord write = voter.unsynced.front();
+            voter.unsynced.pop_front();
+            voter.disk[write.key] = write.record;
+            this->carryOut(index, ledgerPersisted(voter.ledger, write.number, TimePoint{this->now}));
+        }
+    }
+
+    void endRuns()
+    {
+        std::vector<Run> due;
+        std::erase_if(this->runs, [&](const Run &run) {
+            if (run.endsAt <= this->now) {
+                due.push_back(run);
+            }
+            return run.endsAt <= this->now;
+        });
+        for (const Run &run : due) {
+            const Send &send = this->sends.at(run.request.send);
+            LedgerRunResult result{run.code, run.code == ResultCode::Ok ? send.key + std::to_string(send.bodyHash) : std::string()};
+            this->carryOut(Home, ledgerFinished(this->voters[Home].ledger, run.request.key, run.request.attempt, std::move(result), TimePoint{this->now}));
+        }
+    }
+
+    void askReplica()
+    {
+        const std::map<SendToken, std::int64_t> asked = this->queries;
+        for (const auto &[token, dueAt] : asked) {
+            if (dueAt > this->now) {
+                continue;
+            }
+            this->queries.erase(token);
+            const Send send = this->sends.at(token);
+            if (this->voters[Replica].up && !this->chance(this->faults.lossPercent)) {
+                this->carryOut(Replica, replicaQuery(this->voters[Replica].ledger, send.key, token, TimePoint{this->now}));
+            } else {
+                this->tell(answerWithoutHome(token, send.bodyHash, std::nullopt));
+            }
+        }
+    }
+
+    void step()
+    {
+        this->now += 5;
+        for (std::size_t index : {Home, Replica}) {
+            if (!this->voters[index].up) {
+                if (this->chance(20)) {
+                    this->start(index);
+                }
+                continue;
+            }
+            if (this->faults.crashOneIn != 0 && this->random.below(this->faults.crashOneIn) == 0) {
+                this->crash(index, this->chance(this->faults.lostDiskPercent));
+                continue;
+            }
+            this->sync(index);
+        }
+        this->deliver();
+        if (this->voters[Home].up) {
+            this->endRuns();
+            this->carryOut(Home, ledgerTick(this->voters[Home].ledger, TimePoint{this->now}));
+        }
+        for (auto &[token, send] : this->sends) {
+            if (send.giveUpAt <= this->now) {
+                this->giveUp(token, send);
+            }
+        }
+        this->askReplica();
+    }
+
+    /** Stops all faults and waits. Every caller must have been told something by then, unless its question was lost with the replica. */
+    void settle()
+    {
+        this->faults.crashOneIn = 0;
+        this->faults.lossPercent = 0;
+        for (int i = 0; i < 200; ++i) {
+            this->step();
+        }
+        RC_ASSERT(this->voters[Home].ledger.active.empty());
+        RC_ASSERT(this->voters[Home].ledger.homeWrites.empty());
+        RC_ASSERT(this->voters[Replica].ledger.replicaWrites.empty());
+    }
+};
+
+/** Returns the only answer among actions, or nothing. */
+std::optional<AnswerSend> answerIn(const LedgerActions &actions)
+{
+    for (const LedgerAction &action : actions) {
+        if (const auto *answer = std::get_if<AnswerSend>(&action)) {
+            return *answer;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("A request id is sent to a worker at most once, and \"not run\" is only told when it never ran")
+{
+    // Guards against a quote that runs twice after a crash, a lost disk or a resend, and against a refusal that is not true.
+    std::map<ResultCode, int> told;
+    CHECK(rc::check("crashes, lost messages, lost disks, resends", [&](std::uint64_t seed) {
+        LedgerModel model(seed, {});
+        for (int i = 0; i < 600; ++i) {
+            if (model.chance(8)) {
+                model.submit(ledgerKey("caller", std::to_string(model.random.below(6))), model.chance(90) ? 1 : 2);
+            }
+            model.step();
+        }
+        model.settle();
+        for (const auto &[code, count] : model.told) {
+            told[code] += count;
+        }
+    }));
+    // The property would hold in vain if nothing ran or nothing was refused.
+    CHECK(told[ResultCode::Ok] > 300);
+    CHECK(told[ResultCode::HomeUnreachable] > 100);
+    CHECK(told[ResultCode::ConnectFailed] > 20);
+    CHECK(told[ResultCode::RequestIdReused] > 50);
+}
+
+TEST_CASE("Home or replica crashes at every step of one request")
+{
+    // Guards against one unlucky point between the two records and the answer.
+    CHECK(rc::check("one crash at one step, then resends", [&](std::uint64_t seed) {
+        for (std::size_t victim : {Home, Replica}) {
+            for (int crashAt = 0; crashAt < 50; ++crashAt) {
+                LedgerModel model(seed, {.lossPercent = 0, .maxDelay = 10, .crashOneIn = 0});
+                for (int i = 0; i < 100; ++i) {
+                    if (i % 25 == 0) {
+                        model.submit("key", 1);
+                    }
+                    if (i == crashAt && model.voters[victim].up) {
+                        model.crash(victim, seed % 2 == 0);
+                    }
+                    model.step();
+                }
+                model.settle();
+            }
+        }
+    }));
+}
+
+TEST_CASE("The ledger keeps its limits")
+{
+    LedgerSettings settings;
+    settings.instance = 1;
+    settings.maxRecords = 2;
+    Ledger ledger = loadLedger(settings, {}, TimePoint{0});
+    ledgerSubmit(ledger, {"a", 1, 1}, TimePoint{0});
+    ledgerSubmit(ledger, {"b", 1, 2}, TimePoint{10});
+    SUBCASE("a new id is refused when it is full, a known one is not")
+    {
+        CHECK(answerIn(ledgerSubmit(ledger, {"c", 1, 3}, TimePoint{20}))->code == ResultCode::LedgerFull);
+        CHECK_FALSE(answerIn(ledgerSubmit(ledger, {"a", 1, 4}, TimePoint{20})));
+        CHECK(answerIn(ledgerSubmit(ledger, {"a", 2, 5}, TimePoint{20}))->code == ResultCode::RequestIdReused);
+    }
+    SUBCASE("records are dropped after 24 h, but not those in progress")
+    {
+        ledgerReplicaFailed(ledger, "a", {1, 1}, TimePoint{30});
+        for (const std::int64_t hours : {23, 24}) {
+            const TimePoint time{hours * 3'600'000 + 5};
+            ledger.active.at("b").replicaDone = true;
+            ledgerTick(ledger, time);
+            CHECK(ledger.records.contains("a") == (hours == 23));
+            CHECK(ledger.records.contains("b"));
+        }
+    }
+    SUBCASE("a restart turns a record without an answer into an unknown outcome, and keeps stored answers")
+    {
+        LedgerRecord open;
+        open.bodyHash = 1;
+        LedgerRecord answered = open;
+        answered.answer = "price";
+        answered.state = LedgerState::Answered;
+        Ledger restarted = loadLedger(settings, {{"a", answered}, {"b", open}}, TimePoint{0});
+        CHECK(answerIn(ledgerSubmit(restarted, {"a", 1, 1}, TimePoint{0}))->answer == "price");
+        CHECK(answerIn(ledgerSubmit(restarted, {"b", 1, 2}, TimePoint{0}))->code == ResultCode::OutcomeUnknown);
+    }
+    SUBCASE("50,000 records fit into half of the memory budget of 32 MB, with a key of 48 bytes and allocation overhead")
+    {
+        constexpr std::size_t NodeOverhead = 16 + 16;
+        constexpr std::size_t Key = sizeof(LedgerKey) + 64;
+        constexpr std::size_t Age = sizeof(std::pair<TimePoint, const LedgerKey *>);
+        CHECK((sizeof(LedgerRecord) + NodeOverhead + Key + Age) * 50'000 <= 16'000'000);
+    }
+}
+
+TEST_CASE("Home and replica are chosen alike everywhere and move as little as possible")
+{
+    const std::vector<DaemonName> voters{"bole-1", "piassa-1", "kazanchis-1"};
+    std::map<DaemonName, int> homes;
+    int replicaBecomesHome = 0;
+    for (int i = 0; i < 3000; ++i) {
+        const LedgerKey key = ledgerKey("caller", std::to_string(i));
+        const LedgerPlace place = *ledgerPlace(voters, key);
+        CHECK(place.home != place.replica);
+        ++homes[place.home];
+        std::vector<DaemonName> others = voters;
+        std::erase(others, place.home);
+        replicaBecomesHome += ledgerPlace(others, key)->home == place.replica ? 1 : 0;
+    }
+    // When a home is replaced, the voter that takes its place already has the record.
+    CHECK(replicaBecomesHome == 3000);
+    for (const DaemonName &voter : voters) {
+        CHECK(homes[voter] > 850);
+    }
+    CHECK_FALSE(ledgerPlace({"bole-1"}, "key"));
+    CHECK(ledgerKey("ab", "c") != ledgerKey("a", "bc"));
+}
