--- a/src/policy/route_least_wait.cpp
+++ b/src/policy/route_least_wait.cpp
@@ -51,13 +51,14 @@
         }
         // Few workers can take the request, so every one is looked at; the first two that can are compared.
         excluded.fill(0);
-        const std::size_t start = random.below(count);
+        // Wraps around by comparison, since a division for each worker would double the time of the search.
+        std::size_t index = random.below(count);
         for (std::size_t i = 0; i < count && found < 2; ++i) {
-            const std::size_t index = (start + i) % count;
             if (isUsable(candidates, index, excluded)) {
                 consider(pick, index, expectedWaitMs(*candidates.workers[index]));
                 ++found;
             }
+            index = index + 1 == count ? 0 : index + 1;
         }
         return pick;
     }
--- a/src/request/ledger.cpp
+++ b/src/request/ledger.cpp
@@ -126,7 +126,8 @@
         // The record is the earlier request's, so that its own resend still gets the right answer.
         record.bodyHash = answer.bodyHash;
         setAnswer(ledger, record, answered ? answer.code : ResultCode::OutcomeUnknown, answered ? answer.answer : std::string());
-        active.code = reused ? ResultCode::RequestIdReused : record.code;
+        const bool certain = ledger.settings.complete || answer.complete || answered;
+        active.code = reused ? (certain ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown) : record.code;
         active.answer = reused ? std::string() : record.answer;
         storeOutcome(ledger, actions, answer.key, active, record);
     }
@@ -192,7 +193,10 @@
     std::pair<std::uint64_t, const DaemonName *> first{0, nullptr};
     std::pair<std::uint64_t, const DaemonName *> second{0, nullptr};
     for (const DaemonName &voter : voters) {
-        const std::pair<std::uint64_t, const DaemonName *> score{stableHash(voter + '/' + key), &voter};
+        std::string text = voter;
+        text += '/';
+        text += key;
+        const std::pair<std::uint64_t, const DaemonName *> score{stableHash(text), &voter};
         if (first.second == nullptr || score.first > first.first) {
             second = first;
             first = score;
@@ -206,7 +210,7 @@
     return LedgerPlace{*first.second, *second.second};
 }
 
-Ledger loadLedger(const LedgerSettings &settings, std::vector<std::pair<LedgerKey, LedgerRecord>> records, TimePoint now)
+Ledger loadLedger(const LedgerSettings &settings, std::vector<std::pair<LedgerKey, LedgerRecord>> &&records, TimePoint now)
 {
     Ledger ledger;
     ledger.settings = settings;
@@ -233,11 +237,14 @@
         return actions;
     }
     const LedgerRecord &record = found->second;
-    if (record.state != LedgerState::Fenced && record.bodyHash != submit.bodyHash) {
-        actions.emplace_back(AnswerSend{submit.send, ResultCode::RequestIdReused, {}});
+    const auto active = ledger.active.find(submit.key);
+    const bool neverRan = record.state == LedgerState::Fenced || record.state == LedgerState::Withdrawn;
+    if (!neverRan && record.bodyHash != submit.bodyHash) {
+        // Under a lost disk this body may have run, and the record of the other one was made later.
+        const bool certain = ledger.settings.complete || record.state == LedgerState::Answered;
+        actions.emplace_back(AnswerSend{submit.send, certain ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown, {}});
         return actions;
     }
-    const auto active = ledger.active.find(submit.key);
     if (active != ledger.active.end()) {
         active->second.sends.push_back(submit.send);
         return actions;
@@ -300,7 +307,7 @@
         break;
     case ReplicaVerdict::Fenced:
         record.fence = answer.fence;
-        withdraw(ledger, actions, answer.key, ResultCode::HomeUnreachable);
+        withdraw(ledger, actions, answer.key, answer.complete ? ResultCode::HomeUnreachable : codeWithoutReplica(ledger));
         break;
     case ReplicaVerdict::Full:
         withdraw(ledger, actions, answer.key, ledger.settings.complete ? ResultCode::LedgerFull : ResultCode::OutcomeUnknown);
