--- a/src/job/job_shard.cpp
+++ b/src/job/job_shard.cpp
@@ -3,6 +3,7 @@
 #include "job/job_shard_detail.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Filbertlanding {
 
@@ -120,6 +121,53 @@
         }
     }
 
+    bool hasUsableWorker(const JobShard &shard, TimePoint now)
+    {
+        return std::any_of(shard.workers.begin(), shard.workers.end(), [&shard, now](const ShardWorker &worker) {
+            return now < worker.ownedUntil && !worker.leaving && worker.allowedTasks > 0 && !isZoneDrained(shard, worker.zone);
+        });
+    }
+
+    /** Chooses jobs of which nothing runs; an epoch with an attempt ends with that attempt. */
+    void chooseReturning(JobShard &shard)
+    {
+        std::unordered_set<TaskKey, TaskKeyHash> busy;
+        for (const auto &[key, task] : shard.tasks) {
+            busy.insert(TaskKey{task->job, key.epoch});
+        }
+        for (auto &[key, job] : shard.jobs) {
+            if (!job->waitsForReports && !job->evictProposed && !busy.contains(key)) {
+                job->evictProposed = true;
+                job->proposedAt = {};
+                shard.returning.insert(key);
+            }
+        }
+    }
+
+    /** Gives waiting jobs back when every worker has left the shard or its zone is drained; they would wait here without an end. */
+    void returnJobs(JobShard &shard, TimePoint now)
+    {
+        if (hasUsableWorker(shard, now)) {
+            shard.usableAt = now;
+        } else if (now - shard.usableAt >= shard.settings.returnAfter && shard.caughtUp) {
+            shard.usableAt = now;
+            chooseReturning(shard);
+        }
+        for (auto entry = shard.returning.begin(); entry != shard.returning.end();) {
+            ShardJob *job = jobOf(shard, entry->id, entry->epoch);
+            if (job == nullptr) {
+                entry = shard.returning.erase(entry);
+                continue;
+            }
+            ++entry;
+            if (job->proposedAt.ms == 0 || now - job->proposedAt >= shard.settings.reproposeAfter) {
+                job->proposedAt = now;
+                const AssignedJob &assigned = job->assigned;
+                shard.actions.proposals.push_back({ProposalKind::Evict, assigned.job, assigned.epoch, assigned.checkpoint, {}, EvictReason::NoWorker, {}, {}});
+            }
+        }
+    }
+
     void checkAttempts(JobShard &shard, TimePoint now)
     {
         std::vector<ShardTask *> ended;
@@ -230,6 +278,7 @@
     shard.budget.settings = settings.budget;
     shard.failures.settings = settings.failure;
     shard.quietUntil = now + withDrift(settings.taskLease);
+    shard.usableAt = now;
     shard.freshUntil = now;
     shard.runningUntil = now;
     return shard;
@@ -390,6 +439,7 @@
     checkAttempts(shard, now);
     endQuiet(shard, now);
     proposeFinished(shard, now);
+    returnJobs(shard, now);
     drainTasks(shard, now);
     if (shard.placementDue || now - shard.placedAt >= PlaceInterval) {
         placeWaiting(shard, now);
--- a/src/job/job_shard_base.h
+++ b/src/job/job_shard_base.h
@@ -43,6 +43,7 @@
     Duration measureAfter{5000}; ///< Usage of a task counts as its size once it has run this long.
     Duration rampAfterReturn{30000}; ///< Time over which load returns to a zone.
     std::uint32_t maxThrottled = 2; ///< Tasks of a worker that are throttled before one is evicted.
+    Duration returnAfter{5000}; ///< Waiting jobs go back to the leader when the shard had no usable worker for this time.
     Duration preemptAfter{500}; ///< Wait of an urgent task before others are evicted for it.
     std::uint32_t startsPerPass = 400; ///< Bound on placements in one pass.
     std::uint64_t daemonIncarnation = 1; ///< Higher after each restart; part of the attempt numbers of jobs with many tasks.
@@ -172,6 +173,8 @@
 struct JobShard {
     ShardSettings settings; ///< Settings.
     const std::function<PlacePolicy> *policy = nullptr; ///< Placement policy.
+    std::unordered_set<TaskKey, TaskKeyHash> returning; ///< Waiting jobs that go back to the leader; they start no more under this epoch.
+    TimePoint usableAt; ///< When the shard last had a worker on which something may start.
     std::uint32_t jobsWaiting = 0; ///< Jobs that wait for the end of the quiet period or for the end of their epoch after it.
     std::unordered_set<TaskKey, TaskKeyHash> finishing; ///< Jobs with finished tasks that are not confirmed.
     std::vector<double> baselineMs; ///< Latency of each service without batch work; 0 if unknown.
--- a/src/job/job_shard_place.cpp
+++ b/src/job/job_shard_place.cpp
@@ -105,7 +105,7 @@
                 return QueueOutcome::Stop;
             }
             ShardJob *job = jobOf(shard, entry.job, entry.epoch);
-            if (job == nullptr) {
+            if (job == nullptr || job->evictProposed) {
                 return QueueOutcome::Dropped;
             }
             // Urgent tasks of one kind still have to make room each.
--- a/src/job/job_type.h
+++ b/src/job/job_type.h
@@ -57,6 +57,7 @@
     WorkerLost, ///< The worker did not report until the task lease had ended.
     TaskFailed, ///< The task failed and is tried on another worker.
     DaemonRestarted, ///< The daemon restarted and no worker reported the task.
+    NoWorker, ///< It waited in a shard without a worker that may start anything.
 };
 
 /** A command for the replicated catalog. Proposing it again is harmless, since the epoch fences it. */
