--- a/src/network/frame_stream.cpp
+++ b/src/network/frame_stream.cpp
@@ -26,8 +26,8 @@
     using SteadyClock = std::chrono::steady_clock;
 
     constexpr std::size_t HandshakeFrameBytes = 1024; ///< Bound on frames of a link that is not authenticated.
-    constexpr std::size_t WriteBatchBytes = 256 * 1024; ///< Frames are sent together up to this size.
-    constexpr std::size_t ReadChunkBytes = 64 * 1024; ///< Bytes read at once.
+    constexpr std::size_t WriteBatchBytes = std::size_t{256} * 1024; ///< Frames are sent together up to this size.
+    constexpr std::size_t ReadChunkBytes = std::size_t{64} * 1024; ///< Bytes read at once.
 
     std::chrono::milliseconds chronoOf(Duration length)
     {
--- a/src/network/http_client.h
+++ b/src/network/http_client.h
@@ -18,8 +18,8 @@
     unsigned threads = 1; ///< Event loops; all connections to one target live on the same one.
     std::size_t maxConnectionsPerTarget = 60; ///< Connections to one target, idle, busy or being opened.
     std::size_t maxWaitingPerTarget = 1024; ///< Requests that wait for a connection to one target.
-    std::size_t maxBodyBytes = 4 * 1024 * 1024; ///< Largest body of a response.
-    std::size_t maxHeaderBytes = 16 * 1024; ///< Largest headers of a response.
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< Largest body of a response.
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024; ///< Largest headers of a response.
     Duration connectTimeout{1'000}; ///< Time to open a connection.
     Duration silentTimeout{2'000}; ///< Time without a byte of the answer after which the silent hook is told.
     Duration idleTimeout{60'000}; ///< An idle connection is closed after this time.
--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -76,7 +76,7 @@
         }
 
     private:
-        static constexpr std::size_t ReadAheadBytes = 64 * 1024;
+        static constexpr std::size_t ReadAheadBytes = std::size_t{64} * 1024;
 
         void readNext();
         void waitForRequest();
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -20,8 +20,8 @@
     std::uint16_t port = 0; ///< TCP port; 0 takes a free one.
     unsigned threads = 2; ///< Request threads, each with its own event loop.
     std::size_t maxConnections = 4096; ///< Connections beyond this number are closed at once.
-    std::size_t maxHeaderBytes = 16 * 1024; ///< Largest request line and headers together.
-    std::size_t maxBodyBytes = 4 * 1024 * 1024; ///< Largest body.
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024; ///< Largest request line and headers together.
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< Largest body.
     std::size_t maxPipelined = 32; ///< Requests of one connection that are handled at the same time; further ones wait in the socket.
     Duration headerTimeout{10'000}; ///< Time from the first byte of a request to the end of its headers.
     Duration bodyTimeout{30'000}; ///< Time from the end of the headers to the end of the body.
--- a/src/network/http_type.h
+++ b/src/network/http_type.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Filbertlanding {
@@ -49,7 +50,13 @@
     std::string address; ///< IP number.
     std::uint16_t port = 0; ///< TCP port.
 
-    auto operator<=>(const HttpAddress &) const = default;
+    bool operator==(const HttpAddress &) const = default;
+
+    /** Any fixed order, for maps. */
+    friend bool operator<(const HttpAddress &left, const HttpAddress &right)
+    {
+        return std::tie(left.address, left.port) < std::tie(right.address, right.port);
+    }
 };
 
 } // namespace Filbertlanding
--- a/src/network/peer_link.h
+++ b/src/network/peer_link.h
@@ -30,7 +30,7 @@
     std::string address = "127.0.0.1"; ///< IP number to listen on.
     std::uint16_t port = 0; ///< TCP port to listen on; 0 takes a free one.
     std::string key; ///< Shared secret of the installation; must not be empty.
-    std::size_t maxQueuedBytes = 16 * 1024 * 1024; ///< Bytes that wait to be sent on one link.
+    std::size_t maxQueuedBytes = std::size_t{16} * 1024 * 1024; ///< Bytes that wait to be sent on one link.
     std::size_t maxQueuedMessages = 4096; ///< Messages that wait to be sent on one link.
     std::size_t maxHandshakes = 64; ///< Accepted connections that have not completed the handshake.
     Duration connectTimeout{2'000}; ///< Time to connect, and time to complete the handshake.
--- a/src/network/udp_heartbeat.cpp
+++ b/src/network/udp_heartbeat.cpp
@@ -149,7 +149,7 @@
     return this->core->port;
 }
 
-void UdpHeartbeat::setPeers(std::vector<PeerAddress> peers)
+void UdpHeartbeat::setPeers(const std::vector<PeerAddress> &peers)
 {
     Core &state = *this->core;
     const std::lock_guard lock(state.mutex);
--- a/src/network/udp_heartbeat.h
+++ b/src/network/udp_heartbeat.h
@@ -48,7 +48,7 @@
     std::uint16_t port() const;
 
     /** Replaces the set of peers; only these are sent to and accepted. */
-    void setPeers(std::vector<PeerAddress> peers);
+    void setPeers(const std::vector<PeerAddress> &peers);
 
     /** Sends a payload to one peer. Returns Ok once it is handed to the thread, or FrameTooLarge or UnknownPeer. */
     ResultCode send(const DaemonName &peer, std::string payload);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -279,6 +279,7 @@
 {
     TestServer test({.threads = 3, .drainIdleTimeout = Duration{20'000}}, false);
     std::vector<RawSocket> callers;
+    callers.reserve(12);
     constexpr int Callers = 12;
     constexpr int Requests = 5;
     for (int i = 0; i < Callers; ++i) {
@@ -345,6 +346,7 @@
             }
         });
         std::vector<std::future<HttpExchange>> results;
+        results.reserve(20);
         for (int i = 0; i < 20; ++i) {
             results.push_back(std::async(std::launch::async, [&, i] {
                 return exchange(client, server.port, "body " + std::to_string(i) + "#");
@@ -412,6 +414,7 @@
         std::vector<HttpExchange> results(4);
         std::atomic<int> ended{0};
         std::vector<std::uint64_t> numbers;
+        numbers.reserve(3);
         for (std::size_t i = 0; i < 3; ++i) {
             numbers.push_back(
                 client.send({"127.0.0.1", server.port}, {"POST", "/", {}, "x", {}}, {.timeout = Duration{60'000}}, [&, i](const HttpExchange &result) {
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -20,7 +20,7 @@
     explicit TestDaemon(const DaemonName &name, const std::string &key = "the key of this test", PeerLinkSettings settings = {})
         : links(
             named(std::move(settings), name, key),
-            [this](const DaemonName &peer, std::uint8_t kind, std::string payload, const PeerReply &reply) {
+            [this](const DaemonName &peer, std::uint8_t kind, const std::string &payload, const PeerReply &reply) {
                 const std::lock_guard lock(this->mutex);
                 this->received.push_back(peer + "/" + std::to_string(kind) + "/" + payload);
                 if (reply && payload != "never") {
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -182,8 +183,9 @@
     {
         this->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address = RawSocket::loopback(0);
-        ::bind(this->fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-        ::listen(this->fd, 128);
+        if (::bind(this->fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0 || ::listen(this->fd, 128) != 0) {
+            throw std::runtime_error("no listener on loopback");
+        }
         socklen_t size = sizeof(address);
         ::getsockname(this->fd, reinterpret_cast<sockaddr *>(&address), &size);
         this->port = ntohs(address.sin_port);
