--- a/tests/intent_test.cpp
+++ b/tests/intent_test.cpp
@@ -79,7 +79,7 @@
     return origin;
 }
 
-void checkOrigins(const std::vector<IntentFile> &files, const MergedIntent &merged, const MergedValue &value, std::vector<std::string> path)
+void checkOrigins(const std::vector<IntentFile> &files, const MergedIntent &merged, const MergedValue &value, const std::vector<std::string> &path)
 {
     if (!value.isObject) {
         RC_ASSERT(merged.fileNames[value.file] == naiveOrigin(files, path));
