--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -47,6 +47,7 @@
     ZoneName availabilityZone; ///< Its zone.
     std::uint64_t incarnation = 0; ///< Its start number.
     std::uint64_t version = 0; ///< Configuration version that it has in force.
+    std::uint64_t appliedIndex = 0; ///< Log index that its load accounts for.
     TimePoint probedAt; ///< Last probe.
     ShardSummary load; ///< Its batch load.
 };
--- a/src/daemon/job_api.cpp
+++ b/src/daemon/job_api.cpp
@@ -68,8 +68,7 @@
 
     SubmitFault findUnknownField(const json::object &object)
     {
-        static const std::set<std::string_view> known{
-            "operationId", "service", "team", "jobClass", "cpuMillis", "memoryMb", "accelerators", "priority", "urgent", "taskCount", "payload"};
+        static const std::set<std::string_view> known{"operationId", "service", "team", "jobClass", "size", "priority", "urgent", "taskCount", "payload"};
         for (const auto &member : object) {
             if (!known.contains(std::string_view(member.key()))) {
                 return {ResultCode::UnknownField, "the field " + std::string(member.key()) + " is not known"};
@@ -78,6 +77,28 @@
         return {};
     }
 
+    SubmitFault readSize(const json::object &object, Resources &size)
+    {
+        const json::value *value = object.if_contains("size");
+        if (value == nullptr) {
+            return {ResultCode::MissingField, "the field size is missing"};
+        }
+        if (!value->is_object()) {
+            return {ResultCode::BadFieldType, "the field size must be an object"};
+        }
+        const SubmitFault faults[] = {
+            readNumber(value->as_object(), "cpuMillis", 0, MaxTaskAmount, size.cpuMillis),
+            readNumber(value->as_object(), "memoryMb", 0, MaxTaskAmount, size.memoryMb),
+            readNumber(value->as_object(), "accelerators", 0, MaxTaskAmount, size.accelerators),
+        };
+        for (const SubmitFault &fault : faults) {
+            if (fault.code != ResultCode::Ok) {
+                return fault;
+            }
+        }
+        return {};
+    }
+
     /** Reads a submission; the first fault is returned. */
     SubmitFault readSubmission(const json::object &object, SubmitJob &command)
     {
@@ -89,9 +110,7 @@
             readText(object, "team", true, spec.team),
             readText(object, "jobClass", true, spec.jobClass),
             readText(object, "payload", false, spec.payload),
-            readNumber(object, "cpuMillis", 0, MaxTaskAmount, spec.size.cpuMillis),
-            readNumber(object, "memoryMb", 0, MaxTaskAmount, spec.size.memoryMb),
-            readNumber(object, "accelerators", 0, MaxTaskAmount, spec.size.accelerators),
+            readSize(object, spec.size),
             readNumber(object, "priority", -1000, 1000, spec.priority),
             readNumber(object, "taskCount", 1, static_cast<std::int64_t>(MaxTasksPerJob), spec.taskCount),
             readUrgent(object, spec.urgent),
--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -87,6 +87,7 @@
             ShardLoad shard;
             shard.daemon = name;
             shard.zone = load.availabilityZone;
+            shard.appliedIndex = load.appliedIndex;
             shard.alive = now - load.probedAt < DaemonAliveFor;
             shard.mayReassign = mayReassign(state.leader.grants, name, now);
             shard.batchCapacity = load.load.capacity;
@@ -155,7 +156,7 @@
         answer.code = leader.active ? ready.code : ResultCode::NotLeader;
         if (answer.code == ResultCode::Ok) {
             const TimePoint now = steadyNow();
-            leader.daemons[probe.daemon] = {probe.availabilityZone, probe.incarnation, probe.version, now, probe.load};
+            leader.daemons[probe.daemon] = {probe.availabilityZone, probe.incarnation, probe.version, probe.appliedIndex, now, probe.load};
             grantLease(leader.grants, probe.daemon, now);
             answer.commitIndex = ready.index;
             answer.spareCpuMillis = spareCpuMillis(daemon, now);
--- a/src/daemon/request_api.cpp
+++ b/src/daemon/request_api.cpp
@@ -33,7 +33,7 @@
             response = errorResponse(outcome.code, {}, outcome.retryAfter.ms > 0 ? outcome.retryAfter.ms : -1);
         }
         response.headers.push_back({"Request-Id", id});
-        response.headers.push_back({"Result-Code", std::to_string(static_cast<int>(outcome.code))});
+        response.headers.push_back({"Result-Code", std::string(resultCodeRow(outcome.code).name)});
         response.headers.push_back({"Outcome", std::string(outcomeName(outcome.code))});
         if (isRefusal(outcome.code) && outcome.retryAfter.ms > 0) {
             response.headers.push_back({"Retry-After", std::to_string((outcome.retryAfter.ms + 999) / 1000)});
--- a/src/daemon/request_service.cpp
+++ b/src/daemon/request_service.cpp
@@ -90,7 +90,11 @@
     /** Returns whether a worker's answer says that it did not run the request. */
     bool isUnrunAnswer(const HttpResponse &response)
     {
-        return headerValue(response.headers, "Not-Run") == "yes";
+        if (response.status < 400) {
+            return false;
+        }
+        const auto code = resultCodeFromName(headerValue(response.headers, "Result-Code"));
+        return code && (isRefusal(*code) || *code == ResultCode::StaleOwner);
     }
 
     RequestOutcome outcomeOf(const HttpExchange &exchange, const WorkerName &worker)
--- a/src/daemon/worker_json.cpp
+++ b/src/daemon/worker_json.cpp
@@ -194,6 +194,7 @@
         });
         report.capacity = resourcesOf(object, "capacity");
         report.leaving = flagOf(object, "leaving");
+        report.sequence = numberOf(object, "sequence", UINT64_MAX, false);
         report.ownerEpoch = numberOf(object, "ownerEpoch", UINT64_MAX, false);
         report.acknowledged = numberOf(object, "acknowledged", UINT64_MAX, false);
         report.ownerIncarnation = numberOf(object, "ownerIncarnation", UINT64_MAX, false);
--- a/src/daemon/worker_service.cpp
+++ b/src/daemon/worker_service.cpp
@@ -67,8 +67,8 @@
         case ProposalKind::Evict:
             break;
         }
-        const bool lost =
-            proposal.reason == EvictReason::WorkerLost || proposal.reason == EvictReason::DaemonRestarted || proposal.reason == EvictReason::TaskFailed;
+        const bool lost = proposal.reason == EvictReason::WorkerLost || proposal.reason == EvictReason::DaemonRestarted
+            || proposal.reason == EvictReason::TaskFailed || proposal.reason == EvictReason::NoWorker;
         return EvictJob{proposal.job, proposal.epoch, proposal.checkpoint, lost ? EvictCause::LeaseEnded : EvictCause::Eviction};
     }
 
@@ -145,6 +145,10 @@
         answer.taskLease = shard.taskLease;
         answer.commands = std::move(shard.commands);
     }
+    const auto worker = state.shard.workerIndex.find(report.worker);
+    if (worker != state.shard.workerIndex.end()) {
+        setBatchTasks(state.registry, report.worker, static_cast<std::uint32_t>(state.shard.workers[worker->second].tasks.size()));
+    }
     carryOutShard(daemon, now);
     return answer;
 }
