Add: restrictions that a daemon without a quorum keeps and obeys

Cause: an operator's drain could not reach a zone that is cut off, and the change was only refused. Ruled out: taking any change locally, since a permissive one would have to be taken back. Change: a purely restrictive change given to a daemon without a quorum takes effect there, is kept on its disk and proposed when the leader is back; the answer names what holds in which zone. Conclusion: the operator has to address each daemon of the cut-off zone; the answer says so.

--- a/src/daemon/apply_state.cpp
+++ b/src/daemon/apply_state.cpp
@@ -3,6 +3,7 @@
 #include "daemon/apply_state.h"
 
 #include "core/clock_func.h"
+#include "daemon/drain_restriction.h"
 #include "daemon/log_func.h"
 #include "daemon/propose_func.h"
 #include "job/job_shard_func.h"
@@ -117,14 +118,14 @@
     void noteZoneChanges(Daemon &daemon, TimePoint now)
     {
         ControlState &state = daemon.controlState;
-        for (const auto &[zone, config] : state.catalog.intent.configuration.availabilityZones) {
+        for (const auto &[zone, config] : state.configuration.availabilityZones) {
             if (config.state == ZoneState::Drained) {
                 state.drainedSince.try_emplace(zone, now);
                 state.returnedAt.erase(zone);
             }
         }
         for (auto it = state.drainedSince.begin(); it != state.drainedSince.end();) {
-            if (state.catalog.intent.configuration.isDrained(it->first)) {
+            if (state.configuration.isDrained(it->first)) {
                 ++it;
                 continue;
             }
@@ -137,7 +138,7 @@
     void updateShardTeams(Daemon &daemon)
     {
         ControlState &state = daemon.controlState;
-        for (const auto &[team, config] : state.catalog.intent.configuration.teams) {
+        for (const auto &[team, config] : state.configuration.teams) {
             shardTeam(state.shard, team, static_cast<double>(config.weight), config.quotaCpuMillis.value_or(0));
         }
     }
@@ -145,7 +146,7 @@
     void updateLeavingWorkers(Daemon &daemon)
     {
         std::set<WorkerName> leaving;
-        for (const auto &[worker, config] : daemon.controlState.catalog.intent.configuration.workers) {
+        for (const auto &[worker, config] : daemon.controlState.configuration.workers) {
             if (config.state == WorkerIntent::Leaving) {
                 leaving.insert(worker);
             }
@@ -153,19 +154,6 @@
         setLeavingWorkers(daemon.controlState.registry, std::move(leaving));
     }
 
-    /** Puts a new configuration in force. */
-    void configurationChanged(Daemon &daemon, TimePoint now)
-    {
-        ControlState &state = daemon.controlState;
-        noteZoneChanges(daemon, now);
-        updateShardZones(daemon, now);
-        updateShardTeams(daemon);
-        updateLeavingWorkers(daemon);
-        state.viewVersion = state.catalog.intent.version;
-        publishView(daemon);
-        logLine(LogArea::Intent, LogLevel::Info, "configuration-in-force", {{"version", state.viewVersion}, {"index", state.appliedIndex}});
-    }
-
     void markConfigured(Daemon &daemon)
     {
         ControlState &state = daemon.controlState;
@@ -212,7 +200,7 @@
     std::shared_ptr<ServiceRuntime> runtimeOf(Daemon &daemon, const ServiceName &name, const ServiceConfig &config, bool configChanged)
     {
         ControlState &state = daemon.controlState;
-        const AdmissionSettings admission = admissionSettings(state.catalog.intent.configuration, config);
+        const AdmissionSettings admission = admissionSettings(state.configuration, config);
         auto &runtime = state.services[name];
         if (runtime == nullptr) {
             const RetryBudgetSettings budget{static_cast<double>(config.retryBudgetPercent) / 100, static_cast<std::uint32_t>(config.retryBudgetMinPerSecond)};
@@ -250,9 +238,21 @@
 
 } // namespace
 
+void configurationChanged(Daemon &daemon, TimePoint now)
+{
+    ControlState &state = daemon.controlState;
+    noteZoneChanges(daemon, now);
+    updateShardZones(daemon, now);
+    updateShardTeams(daemon);
+    updateLeavingWorkers(daemon);
+    state.viewVersion = state.catalog.intent.version;
+    publishView(daemon);
+    logLine(LogArea::Intent, LogLevel::Info, "configuration-in-force", {{"version", state.viewVersion}, {"index", state.appliedIndex}});
+}
+
 bool isOwnZoneDrained(const Daemon &daemon)
 {
-    return daemon.controlState.catalog.intent.configuration.isDrained(daemon.settings.availabilityZone);
+    return daemon.controlState.configuration.isDrained(daemon.settings.availabilityZone);
 }
 
 std::vector<DaemonEndpoint> liveZoneDaemons(const Daemon &daemon, TimePoint now)
@@ -275,8 +275,8 @@
 {
     ControlState &state = daemon.controlState;
     for (const auto &[zone, since] : state.drainedSince) {
-        const auto config = state.catalog.intent.configuration.availabilityZones.find(zone);
-        const Duration limit = config == state.catalog.intent.configuration.availabilityZones.end() ? ZoneConfig().drainLimit : config->second.drainLimit;
+        const auto config = state.configuration.availabilityZones.find(zone);
+        const Duration limit = config == state.configuration.availabilityZones.end() ? ZoneConfig().drainLimit : config->second.drainLimit;
         shardZone(state.shard, zone, true, limit, state.spareCpuMillis, now);
     }
 }
@@ -284,7 +284,7 @@
 void publishView(Daemon &daemon)
 {
     ControlState &state = daemon.controlState;
-    const Configuration &configuration = state.catalog.intent.configuration;
+    const Configuration &configuration = state.configuration;
     const std::uint64_t published = daemon.view.read()->version;
     auto view = std::make_unique<RequestView>();
     view->version = state.catalog.intent.version;
@@ -314,6 +314,7 @@
     }
     markConfigured(daemon);
     if (state.catalog.intent.version != state.viewVersion) {
+        updateEffectiveConfiguration(daemon);
         configurationChanged(daemon, now);
     }
 }
@@ -332,6 +333,7 @@
     state.appliedIndex = snapshot.index;
     syncAllJobs(daemon, now);
     markConfigured(daemon);
+    updateEffectiveConfiguration(daemon);
     configurationChanged(daemon, now);
 }
 
--- a/src/daemon/apply_state.h
+++ b/src/daemon/apply_state.h
@@ -17,6 +17,9 @@
 /** Hands a snapshot of the catalog to the replicated log. */
 void takeSnapshot(Daemon &daemon);
 
+/** Puts a changed configuration in force. */
+void configurationChanged(Daemon &daemon, TimePoint now);
+
 /** Publishes what the request threads need to know. */
 void publishView(Daemon &daemon);
 
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -73,6 +73,10 @@
 /** State of the control thread. No other thread touches it. */
 struct ControlState {
     Catalog catalog; ///< Replicated state.
+    Configuration configuration; ///< Configuration in force here: the accepted one with the kept restrictions.
+    std::vector<ChangeFiles> restrictions; ///< Restrictive changes that wait for a quorum.
+    std::unique_ptr<Journal> restrictionJournal; ///< Keeps them; empty without a disk.
+    bool restrictionProposed = false; ///< One of them is being proposed.
     std::uint64_t appliedIndex = 0; ///< Last entry applied here.
     bool configured = false; ///< Some state has been applied.
     ReplicationStatus replication; ///< State of the replicated log.
--- a/src/daemon/daemon_func.cpp
+++ b/src/daemon/daemon_func.cpp
@@ -5,6 +5,7 @@
 #include "core/clock_func.h"
 #include "daemon/apply_state.h"
 #include "daemon/counter_delivery.h"
+#include "daemon/drain_restriction.h"
 #include "daemon/http_service.h"
 #include "daemon/key_file.h"
 #include "daemon/lease_driver.h"
@@ -208,6 +209,7 @@
         daemon.control.every(CounterInterval, [&daemon] {
             const TimePoint now = steadyNow();
             announceLife(daemon, now);
+            restrictionTick(daemon, now);
             sendCounters(daemon);
             deliverFinalCounters(daemon, now);
         });
@@ -255,6 +257,9 @@
         return failed(operatorKey.code, operatorKey.message);
     }
     daemon.operatorKey = operatorKey.key;
+    if (openRestrictions(daemon) != ResultCode::Ok) {
+        return failed(ResultCode::DiskFailed, "cannot open the kept restrictions in the data folder " + daemon.settings.dataFolder);
+    }
     startLedger(daemon, start, options.firstStart);
     startTimers(daemon);
     daemon.control.start();
--- a/src/daemon/intent_api.cpp
+++ b/src/daemon/intent_api.cpp
@@ -4,6 +4,7 @@
 #include "catalog/intent_diff.h"
 #include "core/clock_func.h"
 #include "daemon/api_func.h"
+#include "daemon/drain_restriction.h"
 #include "daemon/http_service.h"
 #include "daemon/log_func.h"
 #include "daemon/propose_func.h"
@@ -51,6 +52,25 @@
         return jsonResponse(row.httpStatus, json::serialize(body));
     }
 
+    /** Says for each zone what a restriction has come to that this daemon keeps. */
+    HttpResponse keptResponse(const Daemon &daemon, ResultCode code)
+    {
+        const ResultCodeRow &row = resultCodeRow(code);
+        json::object zones;
+        for (const auto &[name, peer] : daemon.controlState.peers) {
+            zones[peer.settings.availabilityZone] = "not reached";
+        }
+        zones[daemon.settings.availabilityZone] = "in force on daemon " + daemon.settings.daemon + " only";
+        const json::object body{{"code", static_cast<int>(code)},
+                                {"name", row.name},
+                                {"message", row.sentence},
+                                {"version", daemon.controlState.catalog.intent.version},
+                                {"daemon", daemon.settings.daemon},
+                                {"durable", daemon.controlState.restrictionJournal != nullptr},
+                                {"availabilityZones", std::move(zones)}};
+        return jsonResponse(row.httpStatus, json::serialize(body));
+    }
+
     PolicyNames knownPolicies()
     {
         PolicyNames names;
@@ -63,28 +83,6 @@
         return names;
     }
 
-    /** Files as they would be after a change. */
-    std::vector<IntentFile> filesAfter(const IntentStore &store, const ChangeFiles &change)
-    {
-        std::map<std::string, std::string> files;
-        if (change.kind != ChangeKind::Sync) {
-            files = store.files;
-        }
-        for (const IntentFile &file : change.files) {
-            if (change.kind == ChangeKind::Remove) {
-                files.erase(file.name);
-            } else {
-                files[file.name] = file.text;
-            }
-        }
-        std::vector<IntentFile> list;
-        list.reserve(files.size());
-        for (const auto &[name, text] : files) {
-            list.push_back({name, text});
-        }
-        return list;
-    }
-
     /** Reads the headers that every change carries. Returns an error response for a fault. */
     std::optional<HttpResponse> readChangeHeaders(const HttpRequest &request, ChangeFiles &change)
     {
@@ -103,9 +101,9 @@
 
     void proposeChange(Daemon &daemon, const ChangeFiles &change, const HttpRespond &respond)
     {
-        const ConfigCheck check = checkIntent(filesAfter(daemon.controlState.catalog.intent, change));
+        const ConfigCheck check = checkIntent(filesAfterChange(daemon.controlState.catalog.intent.files, change));
         const PolicyNames policies = knownPolicies();
-        const ConfigCheck withPolicies = checkIntent(filesAfter(daemon.controlState.catalog.intent, change), &policies);
+        const ConfigCheck withPolicies = checkIntent(filesAfterChange(daemon.controlState.catalog.intent.files, change), &policies);
         // The log checks everything again; only what depends on this program's plug-ins has to be checked here.
         if (check.errors.empty() && !withPolicies.errors.empty()) {
             CommandResult result;
@@ -116,16 +114,24 @@
             respond(changeResponse(result));
             return;
         }
-        proposeUntil(daemon,
-                     change,
-                     steadyNow() + ChangeTimeout,
-                     [respond, operation = change.operation, name = change.operatorName](const CommandResult &result, std::uint64_t) {
-                         logLine(LogArea::Intent,
-                                 LogLevel::Info,
-                                 "change",
-                                 {{"operation", operation}, {"operator", name}, {"code", resultCodeRow(result.code).name}, {"version", result.version}});
-                         respond(changeResponse(result));
-                     });
+        const TimePoint now = steadyNow();
+        if (isWithoutQuorum(daemon, now) && isRestriction(daemon, change)) {
+            respond(keptResponse(daemon, keepRestriction(daemon, change)));
+            return;
+        }
+        proposeUntil(daemon, change, now + ChangeTimeout, [&daemon, respond, change](const CommandResult &result, std::uint64_t) {
+            logLine(
+                LogArea::Intent,
+                LogLevel::Info,
+                "change",
+                {{"operation", change.operation}, {"operator", change.operatorName}, {"code", resultCodeRow(result.code).name}, {"version", result.version}});
+            const bool lost = result.code == ResultCode::NoQuorum || result.code == ResultCode::NotLeader || result.code == ResultCode::ChangeOutcomeUnknown;
+            if (lost && isRestriction(daemon, change)) {
+                respond(keptResponse(daemon, keepRestriction(daemon, change)));
+                return;
+            }
+            respond(changeResponse(result));
+        });
     }
 
     void changeFile(Daemon &daemon, const std::string &name, const HttpRequest &request, const HttpRespond &respond)
--- a/src/daemon/status_api.cpp
+++ b/src/daemon/status_api.cpp
@@ -32,7 +32,7 @@
         for (const PeerServiceLoad &load : summarizeLoad(daemon.controlState.routes, now)) {
             loads[load.service] = load;
         }
-        for (const auto &[name, config] : daemon.controlState.catalog.intent.configuration.services) {
+        for (const auto &[name, config] : daemon.controlState.configuration.services) {
             const auto runtime = daemon.controlState.services.find(name);
             const bool known = runtime != daemon.controlState.services.end();
             services.push_back({{"service", name},
