Fix: a record without an outcome does not prove that another body was not run

Attempt 3.7 was given up by the home, and the notice to the replica was lost, so the replica still held it as Recorded. A send with the same id and another body was given up by its daemon. The replica answered Known, and the daemon told RequestIdReused, a code that says "not run", without a fence. The home then replaced attempt 3.7 by attempt 3.8 for that send, with 3.7 named as withdrawn, and ran it.

Change: RequestIdReused is told from the replica's record only when its state is final (Answered or Unknown). A Recorded one gives OutcomeUnknown.

--- a/src/request/ledger_replica.cpp
+++ b/src/request/ledger_replica.cpp
@@ -144,7 +144,10 @@
     }
     const bool answered = replica->state == LedgerState::Answered;
     if (replica->bodyHash != bodyHash) {
-        answer.code = replica->complete || answered ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown;
+        // A record without an outcome may belong to an attempt that the home gave up; the home may still run this send after it.
+        const bool final = answered || replica->state == LedgerState::Unknown;
+        const bool certain = replica->complete || answered;
+        answer.code = final && certain ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown;
     } else if (answered) {
         answer.code = replica->code;
         answer.answer = replica->answer;
