Fix: a refusal meant for another body is not given to a send that joins late

A send with body 2 came, and the replica named the record of body 1. While the home stored that record, a send with body 1 joined the waiting sends and got their RequestIdReused, a code that says "not run", although its request had run. One lost disk is enough.

Change: an active request knows the body of its waiting sends. A send with another body does not join once the record is final; it is answered from the record. While a withdrawal is being stored it still joins, because nothing has run.

--- a/src/request/ledger.cpp
+++ b/src/request/ledger.cpp
@@ -68,6 +68,7 @@
         record.state = LedgerState::Recorded;
         ActiveRequest &active = ledger.active[submit.key];
         active.askedAt = now;
+        active.bodyHash = submit.bodyHash;
         active.sends.push_back(submit.send);
         active.write = persist(ledger, actions, submit.key, record);
         ledger.homeWrites.emplace(active.write, submit.key);
@@ -245,7 +246,8 @@
         actions.emplace_back(AnswerSend{submit.send, certain ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown, {}});
         return actions;
     }
-    if (active != ledger.active.end()) {
+    // The replica may have named an earlier request with this body while sends with another one waited: their refusal is not for this send.
+    if (active != ledger.active.end() && (neverRan || active->second.bodyHash == submit.bodyHash)) {
         active->second.sends.push_back(submit.send);
         return actions;
     }
--- a/src/request/ledger_base.h
+++ b/src/request/ledger_base.h
@@ -206,6 +206,7 @@
     TimePoint askedAt; ///< When the replica was asked.
     ResultCode code = ResultCode::Ok; ///< Outcome that is being stored.
     std::string answer; ///< Answer that is being stored.
+    std::uint64_t bodyHash = 0; ///< Hash of the body of the sends that wait; the record's may become that of an earlier request.
     std::vector<SendToken> sends; ///< Sends that wait for the answer; the first one's body is used.
 };
 
