Change: the ledger driver passes the lint

The findings were in the file before: a multiplication in int that is widened, a forwarding reference that is moved from, and three actions taken by value that are only read. The actions are carried out as before. The daemon builds; no test runs the driver.

--- a/src/daemon/ledger_driver.cpp
+++ b/src/daemon/ledger_driver.cpp
@@ -23,7 +23,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds TickInterval{100}; ///< Well below the time that a replica has to answer.
-    constexpr std::uint64_t CompactBytes = 64 * 1024 * 1024; ///< Size at which the journal is rewritten with the records that are still kept.
+    constexpr std::uint64_t CompactBytes = 67'108'864; ///< Size (64 MiB) at which the journal is rewritten with the records that are still kept.
 
     using StoredRecord = std::pair<LedgerKey, LedgerRecord>;
 
@@ -69,10 +69,10 @@
     {
         for (LedgerAction &action : actions) {
             std::visit(
-                [this](auto &&value) {
+                [this](auto &value) {
                     this->start(std::move(value));
                 },
-                std::move(action));
+                action);
         }
     }
 
@@ -90,7 +90,7 @@
         });
     }
 
-    void start(AskLedgerReplica action)
+    void start(const AskLedgerReplica &action)
     {
         const LedgerKey key = action.ask.key;
         const LedgerAttempt attempt = action.ask.attempt;
@@ -102,12 +102,12 @@
         });
     }
 
-    void start(TellLedgerReplica action)
+    void start(const TellLedgerReplica &action)
     {
         this->hooks.tell(action.outcome);
     }
 
-    void start(RunLedgerRequest action)
+    void start(const RunLedgerRequest &action)
     {
         this->hooks.run(action.key, action.send, [this, key = action.key, attempt = action.attempt](ResultCode code, std::string answer) {
             asio::post(this->context, [this, key, attempt, code, answer = std::move(answer)]() mutable {
