--- a/src/catalog/catalog_archive.h
+++ b/src/catalog/catalog_archive.h
@@ -2,32 +2,11 @@
 
 #pragma once
 
-#include "catalog/bounded_archive.h"
 #include "catalog/command_type.h"
-
-#include <cereal/types/string.hpp>
+#include "core/bounded_archive.h"
 
 namespace Filbertlanding {
 
-/** A result code; a number that is not in the table is refused. */
-struct CodeNumber {
-    ResultCode &code;
-};
-
-inline void CEREAL_SAVE_FUNCTION_NAME(BytesOutput &archive, const CodeNumber &holder)
-{
-    archive.writeNumber(static_cast<std::uint64_t>(holder.code), sizeof(std::uint16_t));
-}
-
-inline void CEREAL_LOAD_FUNCTION_NAME(BytesInput &archive, CodeNumber &holder)
-{
-    const auto code = static_cast<ResultCode>(archive.readNumber(sizeof(std::uint16_t)));
-    if (resultCodeRow(code).code != code) {
-        throw cereal::Exception("a result code is not known");
-    }
-    holder.code = code;
-}
-
 template<class Archive>
 void serialize(Archive &archive, IntentFile &file)
 {
--- a/src/catalog/catalog_snapshot.cpp
+++ b/src/catalog/catalog_snapshot.cpp
@@ -6,8 +6,6 @@
 #include "catalog/intent_store.h"
 #include "catalog/job_state.h"
 
-#include <cereal/types/map.hpp>
-
 #include <algorithm>
 
 namespace Filbertlanding {
@@ -86,27 +84,27 @@
 template<class Archive>
 void serialize(Archive &archive, IntentError &error)
 {
-    archive(CodeNumber{error.code}, error.file, error.pointer, error.message);
+    archive(error.code, error.file, error.pointer, error.message);
 }
 
 template<class Archive>
 void serialize(Archive &archive, CommandResult &result)
 {
-    archive(CodeNumber{result.code}, result.message, result.version, result.job, sequence(result.errors), result.errorCount);
-    archive(result.winner, result.winnerOperator, sequence(result.winnerFiles));
+    archive(result.code, result.message, result.version, result.job, result.errors, result.errorCount);
+    archive(result.winner, result.winnerOperator, result.winnerFiles);
 }
 
 template<class Archive>
 void serialize(Archive &archive, ChangeRecord &record)
 {
-    archive(record.version, record.index, enumByte(record.kind, ChangeKind::Sync), record.operation, record.operatorName, record.wallTime);
-    archive(sequence(record.files), sequence(record.drained), sequence(record.returned), sequence(record.opened), sequence(record.closed));
+    archive(record.version, record.index, record.kind, record.operation, record.operatorName, record.wallTime);
+    archive(record.files, record.drained, record.returned, record.opened, record.closed);
 }
 
 template<class Archive>
 void serialize(Archive &archive, IntentStore &store)
 {
-    archive(store.version, store.files, sequence(store.history));
+    archive(store.version, store.files, store.history);
 }
 
 template<class Archive>
@@ -137,9 +135,9 @@
 template<class Archive>
 void serialize(Archive &archive, JobRecord &job)
 {
-    archive(job.id, job.spec, job.submittedAt, enumByte(job.state, JobState::Cancelled), job.lastEpoch, sequence(job.finished));
-    archive(sequence(job.assignments), sequence(job.checkpoints), job.evictions, job.resumes, job.endedBy);
-    archive(job.result, CodeNumber{job.reasonCode}, job.reason, job.lastZone);
+    archive(job.id, job.spec, job.submittedAt, job.state, job.lastEpoch, job.finished);
+    archive(job.assignments, job.checkpoints, job.evictions, job.resumes, job.endedBy);
+    archive(job.result, job.reasonCode, job.reason, job.lastZone);
 }
 
 template<class Archive>
@@ -157,7 +155,7 @@
 template<class Archive>
 void serialize(Archive &archive, FailedJob &job)
 {
-    archive(job.id, CodeNumber{job.code}, job.reason);
+    archive(job.id, job.code, job.reason);
 }
 
 template<class Archive>
@@ -184,33 +182,10 @@
     archive(record.incarnation, record.running);
 }
 
-/** The lists of failed jobs, read element by element. */
-struct FailedJobLists {
-    std::map<ServiceName, std::vector<FailedJob>> &lists;
-};
-
-void CEREAL_SAVE_FUNCTION_NAME(BytesOutput &archive, const FailedJobLists &holder)
-{
-    archive(cereal::make_size_tag(static_cast<cereal::size_type>(holder.lists.size())));
-    for (auto &[service, jobs] : holder.lists) {
-        archive(service, sequence(jobs));
-    }
-}
-
-void CEREAL_LOAD_FUNCTION_NAME(BytesInput &archive, FailedJobLists &holder)
-{
-    const auto size = archive.readSize();
-    for (std::size_t i = 0; i < size; ++i) {
-        ServiceName service;
-        archive(service);
-        archive(sequence(holder.lists[service]));
-    }
-}
-
 template<class Archive>
 void serialize(Archive &archive, JobTable &table)
 {
-    archive(table.jobs, table.terminalOrder, table.tallies, FailedJobLists{table.failedJobs});
+    archive(table.jobs, table.terminalOrder, table.tallies, table.failedJobs);
 }
 
 template<class Archive>
@@ -227,10 +202,7 @@
 
 std::string encodeCatalog(const Catalog &catalog)
 {
-    std::string bytes(1, SnapshotVersion);
-    BytesOutput archive(bytes);
-    archive(catalog);
-    return bytes;
+    return encodeVersioned(SnapshotVersion, catalog);
 }
 
 Decoded<Catalog> decodeCatalog(std::string_view bytes)
@@ -238,21 +210,15 @@
     if (bytes.size() > MaxSnapshotBytes) {
         return {ResultCode::TooLarge, {}};
     }
-    if (bytes.empty()) {
-        return {ResultCode::FrameCorrupt, {}};
-    }
-    if (bytes.front() != SnapshotVersion) {
-        return {ResultCode::VersionUnsupported, {}};
+    Decoded<Catalog> decoded;
+    decoded.code = decodeVersioned(SnapshotVersion, bytes, decoded.value);
+    if (decoded.code != ResultCode::Ok) {
+        return {decoded.code, {}};
     }
     try {
-        Decoded<Catalog> decoded;
-        BytesInput archive(bytes.substr(1));
-        archive(decoded.value);
-        require(archive.isAtEnd(), "bytes follow the catalog");
         checkJobs(decoded.value.jobs);
         checkOperations(decoded.value.operations);
         restoreConfiguration(decoded.value.intent);
-        decoded.code = ResultCode::Ok;
         return decoded;
     } catch (const std::exception &) {
         return {ResultCode::FrameCorrupt, {}};
--- a/src/catalog/command_codec.cpp
+++ b/src/catalog/command_codec.cpp
@@ -3,8 +3,6 @@
 #include "catalog/catalog_archive.h"
 #include "catalog/catalog_func.h"
 
-#include <cereal/types/variant.hpp>
-
 namespace Filbertlanding {
 
 namespace {
@@ -16,7 +14,7 @@
 template<class Archive>
 void serialize(Archive &archive, ChangeFiles &command)
 {
-    archive(enumByte(command.kind, ChangeKind::Sync), sequence(command.files), command.baseVersion);
+    archive(command.kind, command.files, command.baseVersion);
     archive(command.operation, command.operatorName, command.wallTime);
 }
 
@@ -41,19 +39,19 @@
 template<class Archive>
 void serialize(Archive &archive, EvictJob &command)
 {
-    archive(command.job, command.epoch, command.checkpoint, enumByte(command.cause, EvictCause::LeaseEnded));
+    archive(command.job, command.epoch, command.checkpoint, command.cause);
 }
 
 template<class Archive>
 void serialize(Archive &archive, FinishTasks &command)
 {
-    archive(command.job, command.epoch, sequence(command.tasks), command.result);
+    archive(command.job, command.epoch, command.tasks, command.result);
 }
 
 template<class Archive>
 void serialize(Archive &archive, FailJob &command)
 {
-    archive(command.job, command.epoch, CodeNumber{command.code}, command.reason);
+    archive(command.job, command.epoch, command.code, command.reason);
 }
 
 template<class Archive>
@@ -82,10 +80,7 @@
 
 std::string encodeCommand(const LogCommand &command)
 {
-    std::string bytes(1, CommandVersion);
-    BytesOutput archive(bytes);
-    archive(command);
-    return bytes;
+    return encodeVersioned(CommandVersion, command);
 }
 
 Decoded<LogCommand> decodeCommand(std::string_view bytes)
@@ -93,21 +88,9 @@
     if (bytes.size() > MaxCommandBytes) {
         return {ResultCode::TooLarge, {}};
     }
-    if (bytes.empty()) {
-        return {ResultCode::FrameCorrupt, {}};
-    }
-    if (bytes.front() != CommandVersion) {
-        return {ResultCode::VersionUnsupported, {}};
-    }
-    try {
-        Decoded<LogCommand> decoded;
-        BytesInput archive(bytes.substr(1));
-        archive(decoded.value);
-        decoded.code = archive.isAtEnd() ? ResultCode::Ok : ResultCode::FrameCorrupt;
-        return decoded;
-    } catch (const std::exception &) {
-        return {ResultCode::FrameCorrupt, {}};
-    }
+    Decoded<LogCommand> decoded;
+    decoded.code = decodeVersioned(CommandVersion, bytes, decoded.value);
+    return decoded.code == ResultCode::Ok ? std::move(decoded) : Decoded<LogCommand>{decoded.code, {}};
 }
 
 } // namespace Filbertlanding
--- a/src/catalog/command_type.h
+++ b/src/catalog/command_type.h
@@ -15,6 +15,12 @@
 /** How a change treats the files that it names. */
 enum class ChangeKind : std::uint8_t { Put, Remove, Sync };
 
+/** Returns the last enumerator, for checks of decoded numbers. */
+constexpr ChangeKind lastEnumerator(ChangeKind)
+{
+    return ChangeKind::Sync;
+}
+
 constexpr auto ChangeKindNames = makeNameTable<ChangeKind>({{ChangeKind::Put, "put"}, {ChangeKind::Remove, "remove"}, {ChangeKind::Sync, "sync"}});
 
 /** Changes intent files. */
@@ -54,6 +60,12 @@
 /** Why an epoch ended early. */
 enum class EvictCause : std::uint8_t { Eviction, LeaseEnded };
 
+/** Returns the last enumerator, for checks of decoded numbers. */
+constexpr EvictCause lastEnumerator(EvictCause)
+{
+    return EvictCause::LeaseEnded;
+}
+
 /** Ends an epoch; its unfinished tasks wait for the next assignment. */
 struct EvictJob {
     JobId job; ///< Job.
--- a/src/catalog/job_type.h
+++ b/src/catalog/job_type.h
@@ -26,6 +26,12 @@
 /** State of a batch job. */
 enum class JobState : std::uint8_t { Waiting, Running, Finished, Failed, Cancelled };
 
+/** Returns the last enumerator, for checks of decoded numbers. */
+constexpr JobState lastEnumerator(JobState)
+{
+    return JobState::Cancelled;
+}
+
 constexpr auto JobStateNames = makeNameTable<JobState>({{JobState::Waiting, "waiting"},
                                                         {JobState::Running, "running"},
                                                         {JobState::Finished, "finished"},
--- a/src/daemon/ledger_driver.cpp
+++ b/src/daemon/ledger_driver.cpp
@@ -10,9 +10,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/utility.hpp>
-#include <cereal/types/vector.hpp>
 
 #include <thread>
 
@@ -25,28 +22,7 @@
     constexpr std::chrono::milliseconds TickInterval{100}; ///< Well below the time that a replica has to answer.
     constexpr std::uint64_t CompactBytes = 64 * 1024 * 1024; ///< Size at which the journal is rewritten with the records that are still kept.
 
-    using StoredRecord = std::pair<LedgerKey, LedgerRecord>;
-
-    /** Journal form of several records that are synced together. */
-    std::string encodeRecords(const std::vector<StoredRecord> &records)
-    {
-        std::string bytes;
-        BoundedOutputArchive archive(bytes);
-        archive(records);
-        return bytes;
-    }
-
-    bool decodeRecords(const std::string &bytes, std::vector<StoredRecord> &records)
-    {
-        try {
-            BoundedInputArchive archive(bytes);
-            archive(records);
-            return archive.remaining() == 0;
-        } catch (const std::exception &) {
-            // The journal's checksum has passed, so this is a record of another format.
-            return false;
-        }
-    }
+    using StoredRecord = std::pair<LedgerKey, LedgerRecord>; ///< The journal holds lists of these; one list is synced together.
 
 } // namespace
 
@@ -142,7 +118,7 @@
         const std::vector<std::uint64_t> numbers = std::move(this->unsyncedNumbers);
         this->unsynced.clear();
         this->unsyncedNumbers.clear();
-        const ResultCode code = this->journal->append(encodeRecords(records));
+        const ResultCode code = this->journal->append(encodeBounded(records));
         if (code != ResultCode::Ok) {
             this->failed = true;
             this->hooks.failed(code);
@@ -162,7 +138,7 @@
         }
         std::vector<std::string> kept;
         for (const auto &[key, record] : this->ledger.records) {
-            kept.push_back(encodeRecords({{key, record}}));
+            kept.push_back(encodeBounded(std::vector<StoredRecord>{{key, record}}));
         }
         if (this->journal->rewrite(kept) != ResultCode::Ok) {
             this->failed = true;
@@ -206,7 +182,8 @@
     std::vector<StoredRecord> stored;
     for (const std::string &bytes : records) {
         std::vector<StoredRecord> batch;
-        if (!decodeRecords(bytes, batch)) {
+        if (!decodeBounded(bytes, batch)) {
+            // The journal's checksum has passed, so this is a record of another format.
             state.failed = true;
             state.hooks.failed(ResultCode::DataDamaged);
             return;
--- a/src/daemon/peer_codec.cpp
+++ b/src/daemon/peer_codec.cpp
@@ -7,37 +7,19 @@
 #include "replication/raft_type.h"
 #include "request/ledger_base.h"
 
-#include <cereal/types/optional.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
-
 namespace Filbertlanding {
 
 template<class Message>
 std::string encodePeerMessage(const Message &message)
 {
-    std::string bytes;
-    BoundedOutputArchive archive(bytes);
-    archive(message);
-    return bytes;
+    return encodeBounded(message);
 }
 
 template<class Message>
 std::optional<Message> decodePeerMessage(std::string_view bytes)
 {
-    try {
-        Message message;
-        BoundedInputArchive archive(bytes);
-        archive(message);
-        if (archive.remaining() != 0) {
-            return std::nullopt;
-        }
-        return message;
-    } catch (const std::exception &) {
-        // cereal and the archive report damaged bytes by exceptions; the caller counts and drops the message.
-        return std::nullopt;
-    }
+    Message message;
+    return decodeBounded(bytes, message) ? std::optional(std::move(message)) : std::nullopt;
 }
 
 #define PEER_MESSAGE(Type) \
--- a/src/daemon/replication_driver.cpp
+++ b/src/daemon/replication_driver.cpp
@@ -205,7 +205,12 @@
         result.ledgerRecords = std::move(state.folder.ledgerRecords);
         result.ledger = std::move(state.folder.ledger);
     }
-    state.raft = raftStart(raftSettings(settings, result.incarnation), std::move(persisted), steadyNow());
+    RaftStart started = raftStart(raftSettings(settings, result.incarnation), std::move(persisted), steadyNow());
+    result.code = started.code;
+    if (result.code != ResultCode::Ok) {
+        return result;
+    }
+    state.raft = std::move(started.state);
     asio::post(state.context, [&state] {
         state.tick();
     });
--- a/src/network/frame_codec.h
+++ b/src/network/frame_codec.h
@@ -18,7 +18,7 @@
 using FrameMac = std::array<std::uint8_t, 32>; ///< HMAC-SHA256.
 using FrameKey = std::array<std::uint8_t, 32>; ///< Key of one direction of one link, or of all datagrams.
 
-constexpr std::uint8_t FrameFormatVersion = 1; ///< Version of the layout below.
+constexpr std::uint8_t FrameFormatVersion = 2; ///< Version of the layout below and of the payloads; sizes in payloads had 64 bits in version 1.
 constexpr std::size_t FrameLengthBytes = 4; ///< Length field, which does not count itself.
 constexpr std::size_t FrameHeaderBytes = 1 + 1 + 1 + 8 + 8; ///< Version, kind, flow, correlation, sequence.
 constexpr std::size_t FrameOverheadBytes = FrameLengthBytes + FrameHeaderBytes + sizeof(FrameMac); ///< Bytes of a frame without payload.
--- a/src/network/peer_handshake.cpp
+++ b/src/network/peer_handshake.cpp
@@ -2,11 +2,9 @@
 
 #include "network/peer_handshake.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/array.hpp>
+#include "core/bounded_archive.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace Filbertlanding {
 
@@ -44,25 +42,13 @@
 
     std::string encodeBody(const HandshakeBody &body)
     {
-        std::ostringstream stream;
-        {
-            cereal::PortableBinaryOutputArchive archive(stream);
-            archive(body);
-        }
-        return stream.str();
+        return encodeBounded(body);
     }
 
     std::optional<HandshakeBody> decodeBody(const std::string &payload)
     {
-        try {
-            std::istringstream stream(payload);
-            cereal::PortableBinaryInputArchive archive(stream);
-            HandshakeBody body;
-            archive(body);
-            return stream.peek() == std::istringstream::traits_type::eof() ? std::optional(body) : std::nullopt;
-        } catch (const std::exception &) {
-            return std::nullopt;
-        }
+        HandshakeBody body;
+        return decodeBounded(payload, body) ? std::optional(body) : std::nullopt;
     }
 
     HandshakeBody bodyOf(const Handshake &handshake)
--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -26,9 +26,14 @@
 
 } // namespace
 
-RaftState raftStart(RaftSettings settings, PersistedState persisted, TimePoint now)
+RaftStart raftStart(RaftSettings settings, PersistedState persisted, TimePoint now)
 {
-    RaftState state;
+    RaftStart result;
+    result.code = checkPersisted(persisted);
+    if (result.code != ResultCode::Ok) {
+        return result;
+    }
+    RaftState &state = result.state;
     state.settings = std::move(settings);
     state.random = Random{state.settings.seed};
     state.term = persisted.hardState.term;
@@ -49,7 +54,7 @@
     commitUpTo(state, persisted.hardState.commit);
     resetElection(state, now);
     state.requestDue = now;
-    return state;
+    return result;
 }
 
 RaftActions raftTick(RaftState &state, TimePoint now)
@@ -71,7 +76,7 @@
     RaftActions actions;
     const bool anyIncarnation = std::holds_alternative<JoinRequest>(message.body) || std::holds_alternative<FetchRequest>(message.body);
     const bool addressed = message.to == state.settings.self || (anyIncarnation && message.to == VoterId{state.settings.self.daemon, 0});
-    if (!addressed || message.from.daemon == state.settings.self.daemon) {
+    if (!addressed || message.from.daemon == state.settings.self.daemon || !isWellFormed(message)) {
         return actions;
     }
     struct Dispatch {
--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -160,6 +160,10 @@
         becomeFollower(state, actions, message.term, now);
         return nullptr;
     }
+    if (round > state.round) {
+        // No answer to a round that was not started; it would answer reads too early.
+        return nullptr;
+    }
     found->second.lastAnswer = now;
     found->second.ackedRound = std::max(found->second.ackedRound, round);
     return &found->second;
@@ -168,7 +172,7 @@
 void receiveAppendAnswer(RaftState &state, RaftActions &actions, const RaftMessage &message, const AppendAnswer &answer, TimePoint now)
 {
     RaftProgress *progress = noteAnswer(state, actions, message, answer.round, now);
-    if (progress == nullptr) {
+    if (progress == nullptr || (answer.success && answer.index > lastLogIndex(state))) {
         return;
     }
     if (!answer.success) {
@@ -177,7 +181,8 @@
             // A learner without a disk forgets its log when it restarts.
             progress->match = std::min(progress->match, answer.index);
         }
-        progress->next = std::max(progress->match + 1, std::min(answer.rejected, answer.index + 1));
+        const std::uint64_t hint = std::min(answer.index, lastLogIndex(state)) + 1;
+        progress->next = std::max(progress->match + 1, std::min(answer.rejected, hint));
         sendAppend(state, actions, message.from, *progress);
         answerReads(state, actions);
         return;
--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -10,13 +10,22 @@
 
 namespace Filbertlanding {
 
+/** A replica that was started. */
+struct RaftStart {
+    ResultCode code = ResultCode::Ok; ///< Ok or DataDamaged.
+    RaftState state; ///< The replica, when the code is Ok.
+};
+
+/** Returns Ok, or DataDamaged when a membership that the disk holds is malformed; such a disk counts as lost. */
+ResultCode checkPersisted(const PersistedState &persisted);
+
 /** Starts a replica from what its disk holds; the first raftTick hands the accepted state to the state machine. */
-RaftState raftStart(RaftSettings settings, PersistedState persisted, TimePoint now);
+RaftStart raftStart(RaftSettings settings, PersistedState persisted, TimePoint now);
 
 /** Lets time pass: elections, heartbeats, resends, automatic membership changes. Call it at least every 50 ms. */
 RaftActions raftTick(RaftState &state, TimePoint now);
 
-/** Handles a message. Messages to another incarnation or from an unknown identity are dropped. */
+/** Handles a message. Messages to another incarnation or from an unknown identity, and malformed ones, are dropped. */
 RaftActions raftReceive(RaftState &state, const RaftMessage &message, TimePoint now);
 
 /** Appends a command. The command is accepted once the entry with the returned index and term is applied. */
--- a/src/replication/raft_log.cpp
+++ b/src/replication/raft_log.cpp
@@ -2,27 +2,8 @@
 
 #include "replication/raft_internal.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-
-#include <sstream>
-
 namespace Filbertlanding {
 
-namespace {
-
-    Membership decodeMembership(const std::string &payload)
-    {
-        std::istringstream stream(payload);
-        Membership membership;
-        cereal::PortableBinaryInputArchive archive(stream);
-        archive(membership);
-        return membership;
-    }
-
-} // namespace
-
 std::uint64_t lastLogIndex(const RaftState &state)
 {
     return state.baseIndex + state.log.size();
@@ -49,9 +30,11 @@
     if (state.settings.hasDisk) {
         actions.append.push_back(entry);
     }
-    const bool isMembership = entry.kind == EntryKind::Membership;
+    // The payload is valid: raftReceive and raftStart refuse a malformed one, and a leader encodes its own.
+    auto membership = entry.kind == EntryKind::Membership ? decodeMembership(entry.payload) : std::nullopt;
+    const bool isMembership = membership.has_value();
     if (isMembership) {
-        state.memberships.push_back({entry.index, decodeMembership(entry.payload)});
+        state.memberships.push_back({entry.index, std::move(*membership)});
     }
     state.log.push_back(std::move(entry));
     if (isMembership) {
--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -7,24 +7,10 @@
 
 #include "replication/raft_internal.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-
-#include <sstream>
-
 namespace Filbertlanding {
 
 namespace {
 
-    std::string encodeMembership(const Membership &membership)
-    {
-        std::ostringstream stream;
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(membership);
-        return stream.str();
-    }
-
     void eraseDaemon(std::vector<VoterId> &list, const DaemonName &daemon)
     {
         std::erase_if(list, [&daemon](const VoterId &id) {
@@ -116,13 +102,7 @@
 
     bool isSingleServerChange(const Membership &from, const Membership &to)
     {
-        std::set<DaemonName> names;
-        for (const auto &id : to.voters) {
-            if (id.incarnation == 0 || !names.insert(id.daemon).second) {
-                return false;
-            }
-        }
-        return !to.voters.empty() && countMissing(from.voters, to.voters) + countMissing(to.voters, from.voters) <= 1;
+        return isWellFormed(to) && countMissing(from.voters, to.voters) + countMissing(to.voters, from.voters) <= 1;
     }
 
 } // namespace
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -5,7 +5,6 @@
 #include "core/clock_type.h"
 #include "core/names_type.h"
 #include "core/result_code.h"
-#include "replication/flag_codec.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +22,12 @@
     Empty, ///< The entry with which each leader starts its term.
 };
 
+/** Returns the last enumerator, for checks of decoded numbers. */
+constexpr EntryKind lastEnumerator(EntryKind)
+{
+    return EntryKind::Empty;
+}
+
 /** Role of a replica. */
 enum class RaftRole : std::uint8_t {
     Follower,
@@ -94,7 +99,7 @@
     void serialize(Archive &archive)
     {
         archive(this->term, this->commit);
-        serializeOptional(archive, this->votedFor);
+        archive(this->votedFor);
     }
 };
 
@@ -132,8 +137,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        serializeFlag(archive, this->preVote);
-        archive(this->lastIndex, this->lastTerm);
+        archive(this->preVote, this->lastIndex, this->lastTerm);
     }
 };
 
@@ -145,8 +149,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        serializeFlag(archive, this->preVote);
-        serializeFlag(archive, this->granted);
+        archive(this->preVote, this->granted);
     }
 };
 
@@ -175,8 +178,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        serializeFlag(archive, this->success);
-        archive(this->index, this->rejected, this->round);
+        archive(this->success, this->index, this->rejected, this->round);
     }
 };
 
@@ -194,8 +196,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->index, this->indexTerm, this->membership, this->offset, this->total, this->data, this->round);
-        serializeFlag(archive, this->fetched);
+        archive(this->index, this->indexTerm, this->membership, this->offset, this->total, this->data, this->round, this->fetched);
     }
 };
 
@@ -219,7 +220,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        serializeFlag(archive, this->hasDisk);
+        archive(this->hasDisk);
     }
 };
 
--- a/src/report/outcome_type.cpp
+++ b/src/report/outcome_type.cpp
@@ -2,9 +2,7 @@
 
 #include "report/outcome_type.h"
 
-#include "catalog/bounded_archive.h"
-
-#include <cereal/types/string.hpp>
+#include "core/bounded_archive.h"
 
 #include <algorithm>
 #include <bit>
@@ -17,6 +15,9 @@
     constexpr std::size_t BucketsPerOctave = 8;
     constexpr unsigned SubBits = 3; ///< Bits below the leading one that choose the bucket within an octave.
     constexpr char CountsVersion = 1; ///< First byte of encoded counts.
+    constexpr std::size_t MaxZones = 32; ///< Zones with latencies in one encoding; far above the 6 zones of the largest installation.
+    constexpr std::size_t NameCopyFactor =
+        25; ///< Bytes of copied names for each encoded byte; a row of 12 bytes has a team of at most 200 and a zone of at most 100 bytes.
     constexpr std::size_t MaxNames = 65'535; ///< Names in one encoding, whose indexes have 16 bits.
 
     template<class Key>
@@ -73,26 +74,22 @@
         }
     };
 
-    const std::string &nameAt(const std::vector<std::string> &names, std::uint16_t index)
-    {
-        if (index >= names.size()) {
-            throw cereal::Exception("a name index is too large");
-        }
-        return names[index];
-    }
+    /** Finds names by index; each use copies the name, so a long name in many short rows would take much memory. */
+    struct NameReader {
+        const std::vector<std::string> &names;
+        std::size_t bytesLeft; ///< Bytes that copies may still take.
 
-    ResultCode readCode(BytesInput &archive)
-    {
-        std::uint16_t number = 0;
-        archive(number);
-        const auto code = static_cast<ResultCode>(number);
-        if (resultCodeRow(code).code != code) {
-            throw cereal::Exception("a result code is not known");
+        const std::string &at(std::uint16_t index)
+        {
+            if (index >= this->names.size() || this->names[index].size() > this->bytesLeft) {
+                throw cereal::Exception("a name index is too large, or the names take too much memory");
+            }
+            this->bytesLeft -= this->names[index].size();
+            return this->names[index];
         }
-        return code;
-    }
+    };
 
-    void writeHistogram(BytesOutput &archive, const LatencyHistogram &histogram)
+    void writeHistogram(BoundedOutputArchive &archive, const LatencyHistogram &histogram)
     {
         const auto isUsed = [](std::uint64_t count) {
             return count != 0;
@@ -105,7 +102,7 @@
         }
     }
 
-    void readHistogram(BytesInput &archive, LatencyHistogram &histogram)
+    void readHistogram(BoundedInputArchive &archive, LatencyHistogram &histogram)
     {
         std::uint16_t size = 0;
         archive(size);
@@ -119,7 +116,7 @@
         }
     }
 
-    void writeRows(BytesOutput &archive, const OutcomeCounts &counts, NameWriter &names)
+    void writeRows(BoundedOutputArchive &archive, const OutcomeCounts &counts, NameWriter &names)
     {
         archive(static_cast<std::uint32_t>(counts.received.size()));
         for (const auto &[key, count] : counts.received) {
@@ -127,7 +124,7 @@
         }
         archive(static_cast<std::uint32_t>(counts.outcomes.size()));
         for (const auto &[key, count] : counts.outcomes) {
-            archive(names.indexOf(key.team), names.indexOf(key.zone), static_cast<std::uint16_t>(key.code), count);
+            archive(names.indexOf(key.team), names.indexOf(key.zone), key.code, count);
         }
         archive(static_cast<std::uint32_t>(counts.latency.size()));
         for (const auto &[zone, histogram] : counts.latency) {
@@ -136,31 +133,34 @@
         }
         archive(static_cast<std::uint32_t>(counts.examples.size()));
         for (const auto &[code, ids] : counts.examples) {
-            auto copy = ids;
-            archive(static_cast<std::uint16_t>(code), sequence(copy));
+            archive(code, ids);
         }
     }
 
-    void readRows(BytesInput &archive, const std::vector<std::string> &names, OutcomeCounts &counts)
+    void readRows(BoundedInputArchive &archive, NameReader &names, OutcomeCounts &counts)
     {
         std::uint16_t team = 0;
         std::uint16_t zone = 0;
+        auto code = ResultCode::Ok;
         for (auto rows = archive.readSize(); rows > 0; --rows) {
             archive(team, zone);
-            archive(counts.received[{nameAt(names, team), nameAt(names, zone)}]);
+            archive(counts.received[{names.at(team), names.at(zone)}]);
         }
         for (auto rows = archive.readSize(); rows > 0; --rows) {
-            archive(team, zone);
-            const auto code = readCode(archive);
-            archive(counts.outcomes[{nameAt(names, team), nameAt(names, zone), code}]);
+            archive(team, zone, code);
+            archive(counts.outcomes[{names.at(team), names.at(zone), code}]);
         }
         for (auto rows = archive.readSize(); rows > 0; --rows) {
             archive(zone);
-            readHistogram(archive, counts.latency[nameAt(names, zone)]);
+            readHistogram(archive, counts.latency[names.at(zone)]);
+            // A histogram without requests takes 4 bytes in a message and 1.7 KB in memory.
+            if (counts.latency.size() > MaxZones) {
+                throw cereal::Exception("there are too many zones");
+            }
         }
         for (auto rows = archive.readSize(); rows > 0; --rows) {
-            const auto code = readCode(archive);
-            archive(sequence(counts.examples[code]));
+            archive(code);
+            archive(counts.examples[code]);
         }
     }
 
@@ -247,11 +247,11 @@
 {
     NameWriter names;
     std::string rows;
-    BytesOutput rowArchive(rows);
+    BoundedOutputArchive rowArchive(rows);
     writeRows(rowArchive, counts, names);
     std::string bytes(1, CountsVersion);
-    BytesOutput archive(bytes);
-    archive(sequence(names.names));
+    BoundedOutputArchive archive(bytes);
+    archive(names.names);
     return bytes + rows;
 }
 
@@ -263,12 +263,13 @@
     try {
         OutcomeCounts counts;
         std::vector<std::string> names;
-        BytesInput archive(bytes.substr(1));
-        archive(sequence(names));
+        BoundedInputArchive archive(bytes.substr(1));
+        archive(names);
         if (names.size() > MaxNames) {
             return std::nullopt;
         }
-        readRows(archive, names, counts);
+        NameReader reader{names, bytes.size() * NameCopyFactor};
+        readRows(archive, reader, counts);
         return archive.isAtEnd() ? std::optional(std::move(counts)) : std::nullopt;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/request/ledger_base.h
+++ b/src/request/ledger_base.h
@@ -28,6 +28,12 @@
     Unknown, ///< The request may have run; it is never sent again.
 };
 
+/** Returns the last enumerator, for checks of decoded numbers. */
+constexpr LedgerState lastEnumerator(LedgerState)
+{
+    return LedgerState::Unknown;
+}
+
 constexpr auto LedgerStateNames = makeNameTable<LedgerState>({{LedgerState::Recorded, "recorded"},
                                                               {LedgerState::Withdrawn, "withdrawn"},
                                                               {LedgerState::Fenced, "fenced"},
@@ -116,6 +122,12 @@
     NotRecorded, ///< To a query: there was no record, and the fence is on the replica's disk now.
 };
 
+/** Returns the last enumerator, for checks of decoded numbers. */
+constexpr ReplicaVerdict lastEnumerator(ReplicaVerdict)
+{
+    return ReplicaVerdict::NotRecorded;
+}
+
 /** Answer of the replica. */
 struct ReplicaAnswer {
     LedgerKey key; ///< Caller and request id.
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -2,6 +2,8 @@
 
 #include "storage/data_folder.h"
 
+#include "replication/raft_func.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -66,7 +68,7 @@
         }
         folder.persisted.hardState = folder.log->content().hardState;
         folder.persisted.log = folder.log->content().log;
-        return code;
+        return code == ResultCode::Ok ? checkPersisted(folder.persisted) : code;
     }
 
     /** Creates `current`. The incarnation is written last, so a crash on the way leaves a folder that counts as lost and never voted. */
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -2,16 +2,14 @@
 
 #include "storage/log_store.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-
-#include <sstream>
+#include "core/bounded_archive.h"
 
 namespace Filbertlanding {
 
 namespace {
 
+    constexpr char RecordVersion = 2; ///< First byte of a record; version 1 was written by a library archive.
+
     /** One record: what the actions of one call ask to persist, or the whole content after a compaction. */
     struct LogRecord {
         std::optional<HardState> hardState;
@@ -22,34 +20,10 @@
         template<class Archive>
         void serialize(Archive &archive)
         {
-            serializeOptional(archive, this->hardState);
-            serializeOptional(archive, this->baseIndex);
-            serializeOptional(archive, this->truncateFrom);
-            archive(this->append);
+            archive(this->hardState, this->baseIndex, this->truncateFrom, this->append);
         }
     };
 
-    std::string encodeLogRecord(const LogRecord &record)
-    {
-        std::ostringstream stream;
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(record);
-        return stream.str();
-    }
-
-    bool decodeLogRecord(const std::string &bytes, LogRecord &record)
-    {
-        try {
-            std::istringstream stream(bytes);
-            cereal::PortableBinaryInputArchive archive(stream);
-            archive(record);
-            return true;
-        } catch (const std::exception &) {
-            // The codec reports malformed bytes by exceptions, also a length that cannot be allocated.
-            return false;
-        }
-    }
-
     /** Applies a record; returns false if it leaves a gap. */
     bool applyRecord(LogContent &content, LogRecord record)
     {
@@ -83,7 +57,7 @@
     content = {};
     for (const auto &bytes : records) {
         LogRecord record;
-        if (!decodeLogRecord(bytes, record) || !applyRecord(content, std::move(record))) {
+        if (decodeVersioned(RecordVersion, bytes, record) != ResultCode::Ok || !applyRecord(content, std::move(record))) {
             return ResultCode::DataDamaged;
         }
     }
@@ -113,7 +87,7 @@
     if (!record.hardState && !record.truncateFrom && record.append.empty()) {
         return ResultCode::Ok;
     }
-    const ResultCode code = this->journal.append(encodeLogRecord(record));
+    const ResultCode code = this->journal.append(encodeVersioned(RecordVersion, record));
     if (code != ResultCode::Ok) {
         return code;
     }
@@ -135,7 +109,7 @@
         content.log.clear();
     }
     content.baseIndex = snapshotIndex;
-    return this->journal.rewrite({encodeLogRecord({content.hardState, content.baseIndex, std::nullopt, content.log})});
+    return this->journal.rewrite({encodeVersioned(RecordVersion, LogRecord{content.hardState, content.baseIndex, std::nullopt, content.log})});
 }
 
 const LogContent &LogStore::content() const
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -2,20 +2,17 @@
 
 #include "storage/snapshot_store.h"
 
+#include "core/bounded_archive.h"
 #include "storage/journal.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-
 #include <charconv>
-#include <sstream>
 
 namespace Filbertlanding {
 
 namespace {
 
     constexpr std::string_view Prefix = "snapshot-";
+    constexpr char SnapshotVersion = 2; ///< First byte of a snapshot; version 1 was written by a library archive.
 
     /** Returns the index in a file name, or nothing for another file. */
     std::optional<std::uint64_t> indexOf(const std::string &name)
@@ -29,27 +26,6 @@
         return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(index) : std::nullopt;
     }
 
-    std::string encodeSnapshot(const Snapshot &snapshot)
-    {
-        std::ostringstream stream;
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(snapshot);
-        return stream.str();
-    }
-
-    bool decodeSnapshot(const std::string &bytes, Snapshot &snapshot)
-    {
-        try {
-            std::istringstream stream(bytes);
-            cereal::PortableBinaryInputArchive archive(stream);
-            archive(snapshot);
-            return true;
-        } catch (const std::exception &) {
-            // The codec reports malformed bytes by exceptions.
-            return false;
-        }
-    }
-
 } // namespace
 
 SnapshotStore::SnapshotStore(FileFunctions fileFunctions, std::string folderPath)
@@ -76,7 +52,7 @@
     const JournalContent content = decodeJournal(bytes.value_or(std::string()));
     Snapshot loaded;
     const bool isWhole = content.code == ResultCode::Ok && content.records.size() == 1 && content.validBytes == bytes->size();
-    if (!isWhole || !decodeSnapshot(content.records.front(), loaded) || loaded.index != *newest) {
+    if (!isWhole || decodeVersioned(SnapshotVersion, content.records.front(), loaded) != ResultCode::Ok || loaded.index != *newest) {
         return ResultCode::DataDamaged;
     }
     snapshot = std::move(loaded);
@@ -89,7 +65,7 @@
         return ResultCode::DiskFailed;
     }
     Journal file(this->files, this->folder, std::string(Prefix) + std::to_string(snapshot.index));
-    const ResultCode code = file.rewrite({encodeSnapshot(snapshot)});
+    const ResultCode code = file.rewrite({encodeVersioned(SnapshotVersion, snapshot)});
     this->failed = code != ResultCode::Ok;
     return code;
 }
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -146,7 +146,9 @@
         node.values.clear();
         node.applied = 0;
         node.isPaused = false;
-        node.raft = raftStart(settings, persisted, this->clockOf(node));
+        RaftStart started = raftStart(settings, persisted, this->clockOf(node));
+        require(started.code == ResultCode::Ok, "an intact data folder does not start");
+        node.raft = std::move(started.state);
     }
 
     void stop(TestNode &node, bool losesPower)
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -61,6 +61,64 @@
     return settings;
 }
 
+/** Three voters whose messages are delivered by hand, one at a time. */
+struct Trio {
+    std::map<DaemonName, RaftState> replicas;
+    std::map<DaemonName, std::vector<LogEntry>> applied;
+    std::deque<RaftMessage> network;
+
+    void start(const DaemonName &name, const HardState &hardState, std::vector<LogEntry> log)
+    {
+        RaftSettings settings = voterSettings(1);
+        settings.self.daemon = name;
+        settings.maxBatchBytes = 1; // A message holds one command at most.
+        RaftStart started = raftStart(settings, {hardState, std::nullopt, std::move(log)}, {});
+        REQUIRE(started.code == ResultCode::Ok);
+        this->replicas.emplace(name, std::move(started.state));
+    }
+
+    void carryOut(const DaemonName &name, const RaftActions &actions)
+    {
+        auto &entries = this->applied[name];
+        entries.insert(entries.end(), actions.apply.begin(), actions.apply.end());
+        for (const auto &envelope : actions.send) {
+            this->network.push_back(envelope.message);
+        }
+    }
+
+    /** Delivers messages between two replicas until a condition holds; all others are lost, as are those on the way at the end. */
+    template<class Condition>
+    bool exchange(const DaemonName &left, const DaemonName &right, TimePoint now, Condition condition)
+    {
+        while (!condition() && !this->network.empty()) {
+            const RaftMessage message = std::move(this->network.front());
+            this->network.pop_front();
+            const auto &from = message.from.daemon;
+            const auto &to = message.to.daemon;
+            if ((from == left && to == right) || (from == right && to == left)) {
+                this->carryOut(to, raftReceive(this->replicas.at(to), message, now));
+            }
+        }
+        this->network.clear();
+        return condition();
+    }
+
+    /** Lets a replica become the leader with the vote of another one, and stops before it sends anything as the leader. */
+    void elect(const DaemonName &name, const DaemonName &voter, TimePoint now)
+    {
+        RaftState &candidate = this->replicas.at(name);
+        const auto isLeader = [&candidate] {
+            return candidate.role == RaftRole::Leader;
+        };
+        // In the first round the candidate may only learn of a later term.
+        for (int round = 0; round < 2 && !isLeader(); ++round) {
+            this->carryOut(name, raftTick(candidate, now + Duration{3000 * round}));
+            this->exchange(name, voter, now + Duration{3000 * round}, isLeader);
+        }
+        REQUIRE(isLeader());
+    }
+};
+
 } // namespace
 
 TEST_CASE("A leader is silently isolated for a long time, then healed")
@@ -146,7 +204,7 @@
 {
     SUBCASE("does not answer for its old identity")
     {
-        RaftState raft = raftStart(voterSettings(2), {}, {});
+        RaftState raft = raftStart(voterSettings(2), {}, {}).state;
         CHECK(raft.role == RaftRole::Learner);
         CHECK(raftReceive(raft, voteRequest({"a", 1}, {"c", 1}, 5), {5000}).send.empty());
         CHECK(raftReceive(raft, voteRequest({"a", 1}, {"c", 1}, 5, true), {5000}).send.empty());
@@ -198,17 +256,133 @@
 TEST_CASE("A vote survives a restart")
 {
     // Guards against two leaders in one term.
-    RaftState raft = raftStart(voterSettings(1), {}, {});
+    RaftState raft = raftStart(voterSettings(1), {}, {}).state;
     const RaftActions first = raftReceive(raft, voteRequest({"a", 1}, {"c", 1}, 5), {});
     REQUIRE(grantsVote(first));
     REQUIRE(first.persistHardState);
     PersistedState persisted;
     persisted.hardState = *first.persistHardState;
-    RaftState restarted = raftStart(voterSettings(1), persisted, {});
+    RaftState restarted = raftStart(voterSettings(1), persisted, {}).state;
     CHECK_FALSE(grantsVote(raftReceive(restarted, voteRequest({"b", 1}, {"c", 1}, 5), {})));
     CHECK(grantsVote(raftReceive(restarted, voteRequest({"a", 1}, {"c", 1}, 5), {})));
 }
 
+TEST_CASE("An entry of an older term on a majority of disks is not accepted by counting")
+{
+    // Guards against an accepted entry that a later leader removes (Ongaro and Ousterhout, 2014, figure 8).
+    const LogEntry older{1, 2, EntryKind::Command, "of term 2"};
+    const LogEntry newer{1, 3, EntryKind::Command, "of term 3"};
+    Trio trio;
+    trio.start("a", {3, VoterId{"b", 1}, 0}, {});
+    trio.start("b", {3, VoterId{"b", 1}, 0}, {newer});
+    trio.start("c", {3, std::nullopt, 0}, {older});
+    const RaftState &a = trio.replicas.at("a");
+    const RaftState &b = trio.replicas.at("b");
+    const RaftState &c = trio.replicas.at("c");
+
+    trio.elect("c", "a", {5000});
+    REQUIRE(c.term == 4);
+    trio.carryOut("c", raftTick(trio.replicas.at("c"), {5300}));
+    REQUIRE(trio.exchange("c", "a", {5300}, [&c] {
+        return c.progress.at({"a", 1}).match == 1;
+    }));
+    REQUIRE(a.log.size() == 1);
+    REQUIRE(a.log[0] == older);
+    CHECK(c.commitIndex == 0);
+    CHECK(trio.applied["c"].empty());
+
+    trio.elect("b", "a", {20000});
+    REQUIRE(b.term == 5);
+    trio.carryOut("b", raftTick(trio.replicas.at("b"), {23300}));
+    REQUIRE(trio.exchange("b", "a", {23300}, [&a] {
+        return a.commitIndex == 2;
+    }));
+    trio.carryOut("b", raftTick(trio.replicas.at("b"), {23600}));
+    CHECK(trio.exchange("b", "c", {23600}, [&c] {
+        return c.commitIndex == 2;
+    }));
+    for (const DaemonName name : {"a", "b", "c"}) {
+        REQUIRE(trio.applied[name].size() == 2);
+        CHECK(trio.applied[name][0] == newer);
+    }
+}
+
+TEST_CASE("A malformed message is dropped and changes nothing")
+{
+    // Guards against one message that ends every replica that receives it.
+    RaftState raft = raftStart(voterSettings(1), {}, {}).state;
+    const LogEntry membership{1, 1, EntryKind::Membership, encodeMembership({{{"a", 1}}, {}, {}})};
+    LogEntry damaged = membership;
+
+    SUBCASE("a membership that ends early")
+    {
+        damaged.payload.pop_back();
+    }
+    SUBCASE("a membership that announces more voters than it has")
+    {
+        damaged.payload[0] = '\xff';
+    }
+    SUBCASE("a membership without voters")
+    {
+        damaged.payload = encodeMembership({});
+    }
+    SUBCASE("an entry out of order")
+    {
+        damaged.index = 2;
+    }
+    SUBCASE("an entry of a later term than the leader's")
+    {
+        damaged.term = 2;
+    }
+
+    const VoterId from{"a", 1};
+    const VoterId self{"c", 1};
+    const RaftActions dropped = raftReceive(raft, {from, self, 1, AppendRequest{0, 0, {damaged}, 1, 1}}, {});
+    CHECK(dropped.send.empty());
+    CHECK(dropped.append.empty());
+    CHECK_FALSE(dropped.persistHardState);
+    CHECK(raft.log.empty());
+    CHECK(raftReceive(raft, {from, self, 1, AppendRequest{0, 0, {membership}, 1, 1}}, {}).append.size() == 1);
+
+    PersistedState persisted;
+    persisted.log = {membership};
+    CHECK(raftStart(voterSettings(1), persisted, {}).code == ResultCode::Ok);
+    persisted.log[0].payload.pop_back();
+    CHECK(raftStart(voterSettings(1), persisted, {}).code == ResultCode::DataDamaged);
+}
+
+TEST_CASE("A malformed snapshot or answer of another replica does no harm")
+{
+    RaftState raft = raftStart(voterSettings(1), {}, {}).state;
+    const VoterId from{"a", 1};
+    const VoterId self{"c", 1};
+
+    SUBCASE("a snapshot without voters, or with a part outside of it, is not installed")
+    {
+        const Membership voters{{{"a", 1}}, {}, {}};
+        CHECK(raftReceive(raft, {from, self, 1, SnapshotChunk{5, 1, {}, 0, 3, "abc", 1}}, {}).send.empty());
+        CHECK(raftReceive(raft, {from, self, 1, SnapshotChunk{5, 1, voters, 0, 2, "abc", 1}}, {}).send.empty());
+        CHECK(raftReceive(raft, {from, self, 1, SnapshotChunk{5, 1, voters, 4, 3, "", 1}}, {}).send.empty());
+        CHECK(raftReceive(raft, {from, self, 1, SnapshotChunk{5, 1, voters, 0, 3, "abc", 1}}, {}).installSnapshot);
+    }
+
+    SUBCASE("an answer about entries or rounds that the leader never sent is not counted")
+    {
+        raftTick(raft, {5000});
+        raftReceive(raft, {from, self, 1, VoteAnswer{true, true}}, {5001});
+        raftReceive(raft, {from, self, 1, VoteAnswer{false, true}}, {5002});
+        REQUIRE(raft.role == RaftRole::Leader);
+        raftRead(raft, 7, {5003});
+        CHECK(raftReceive(raft, {from, self, 1, AppendAnswer{true, 1, 0, raft.round + 1}}, {5004}).reads.empty());
+        raftReceive(raft, {from, self, 1, AppendAnswer{true, 1000, 0, raft.round}}, {5004});
+        raftReceive(raft, {from, self, 1, AppendAnswer{false, 1000, 1000, raft.round}}, {5004});
+        CHECK(raft.commitIndex == 0);
+        // The next message to the replica follows an entry that the leader has.
+        CHECK(raft.progress.at(from).next <= lastLogIndex(raft) + 1);
+        CHECK_FALSE(raftTick(raft, {5300}).send.empty());
+    }
+}
+
 TEST_CASE("A daemon without a disk restarts in a partitioned availability zone")
 {
     // Guards against a daemon that cannot serve under the configuration that its zone had accepted.
@@ -300,7 +474,7 @@
 TEST_CASE("A new leader answers no read before it has accepted an entry of its own term")
 {
     // Guards against a read that misses entries which the leader holds but does not know to be accepted.
-    RaftState raft = raftStart(voterSettings(1), {}, {});
+    RaftState raft = raftStart(voterSettings(1), {}, {}).state;
     raftTick(raft, {5000});
     raftReceive(raft, {{"a", 1}, {"c", 1}, 1, VoteAnswer{true, true}}, {5001});
     raftReceive(raft, {{"a", 1}, {"c", 1}, 1, VoteAnswer{false, true}}, {5002});
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+const Membership Voters{{{"a", 1}}, {}, {}}; ///< A snapshot without voters counts as damaged.
+
 RaftActions appendActions(std::uint64_t index, std::uint64_t term, const std::string &payload)
 {
     RaftActions actions;
@@ -24,7 +26,7 @@
 RaftActions snapshotActions(std::uint64_t index, std::uint64_t term)
 {
     RaftActions actions;
-    actions.persistSnapshot = Snapshot{index, term, {}, "state"};
+    actions.persistSnapshot = Snapshot{index, term, Voters, "state"};
     return actions;
 }
 
@@ -203,7 +205,7 @@
     CHECK_FALSE(again.isNew);
     CHECK(again.incarnation == 5);
     CHECK(again.persisted.hardState.term == 3);
-    CHECK(again.persisted.snapshot == Snapshot{1, 3, {}, "state"});
+    CHECK(again.persisted.snapshot == Snapshot{1, 3, Voters, "state"});
     CHECK(again.persisted.log == std::vector<LogEntry>{{2, 3, EntryKind::Command, "two"}});
     CHECK(again.ledgerRecords == std::vector<std::string>{"request 1", "request 2"});
     std::filesystem::remove_all(path);
@@ -226,6 +228,38 @@
     }
 }
 
+TEST_CASE("A data folder with a malformed membership counts as lost")
+{
+    // Guards against a voter that ends at every start, or votes in a membership that it cannot read.
+    MemoryDisk disk;
+    writeFolder(disk, 2);
+    RaftActions actions;
+
+    SUBCASE("in a log record with a valid checksum")
+    {
+        actions = appendActions(3, 1, "no membership");
+        actions.append[0].kind = EntryKind::Membership;
+    }
+
+    SUBCASE("in a snapshot")
+    {
+        actions = snapshotActions(2, 1);
+        actions.persistSnapshot->membership = {};
+    }
+
+    {
+        DataFolder folder = openDataFolder(disk.functions(), "data", 1);
+        REQUIRE(persistActions(folder, actions) == ResultCode::Ok);
+    }
+    disk.endProcess();
+    const DataFolder again = openDataFolder(disk.functions(), "data", 1);
+    CHECK(again.code == ResultCode::Ok);
+    CHECK(again.isNew);
+    CHECK(again.incarnation == 2);
+    CHECK_FALSE(again.setAside.empty());
+    CHECK(again.persisted == PersistedState());
+}
+
 TEST_CASE("Properties of the stores")
 {
     SUBCASE("decoding damaged bytes returns only records that were written, in order")
