Fix: the daemon gives each non-repeatable send an identity and refuses only after its record

Cause: a resend could be told "not run" by a check before the ledger (closed service, full queue) although an earlier send had run; the daemon gave sends no identity, so nothing could be fenced; after a restart a replaced disk counted as complete; a daemon that was its own replica recorded nothing. Ruled out: checks before the ledger with another code, which would make most resends unknown. Change: checks and admission of non-repeatable requests happen at the home after the record; sends carry their identity; home and replica are chosen from the settings; completeness follows the age of the data folder.

--- a/src/daemon/apply_state.cpp
+++ b/src/daemon/apply_state.cpp
@@ -8,6 +8,7 @@
 #include "daemon/propose_func.h"
 #include "job/job_shard_func.h"
 #include "membership/worker_registry_func.h"
+#include "settings/settings_func.h"
 
 namespace Filbertlanding {
 
@@ -227,13 +228,30 @@
         return summaries;
     }
 
-    std::vector<DaemonName> voterNames(const ReplicationStatus &status)
+    /**
+     * Returns the daemons with a disk, and the disk with which each is a voter now; 0 while a lost disk is being replaced.
+     * The names come from the settings: while a voter is replaced it is out of the membership, and home and replica
+     * of a non-repeatable request must not move to daemons without its record.
+     */
+    std::vector<LedgerDisk> ledgerVoters(const Daemon &daemon)
     {
-        std::set<DaemonName> names;
-        for (const VoterId &voter : status.membership.voters) {
-            names.insert(voter.daemon);
+        std::vector<LedgerDisk> voters;
+        const auto add = [&daemon, &voters](const DaemonName &name) {
+            LedgerDisk disk{name, 0};
+            for (const VoterId &voter : daemon.controlState.replication.membership.voters) {
+                disk.incarnation = voter.daemon == name ? voter.incarnation : disk.incarnation;
+            }
+            voters.push_back(disk);
+        };
+        if (isVoter(daemon.settings)) {
+            add(daemon.settings.daemon);
+        }
+        for (const PeerSettings &peer : daemon.settings.peers) {
+            if (peer.voter) {
+                add(peer.daemon);
+            }
         }
-        return {names.begin(), names.end()};
+        return voters;
     }
 
 } // namespace
@@ -293,7 +311,7 @@
     for (const auto &[name, config] : configuration.services) {
         view->services[name] = runtimeOf(daemon, name, config, published != view->version);
     }
-    view->voters = voterNames(state.replication);
+    view->voters = ledgerVoters(daemon);
     view->policy = RoutePolicies::find(configuration.policy.routing);
     if (view->policy == nullptr) {
         view->policy = RoutePolicies::find(PolicyConfig().routing);
--- a/src/daemon/daemon_func.cpp
+++ b/src/daemon/daemon_func.cpp
@@ -176,13 +176,17 @@
         return {};
     }
 
-    void startLedger(Daemon &daemon, ReplicationStart &start, bool firstStart)
+    void startLedger(Daemon &daemon, ReplicationStart &start)
     {
         LedgerSettings settings;
         settings.instance = daemon.incarnation;
-        // After a lost disk, earlier records may be missing, so a known id must not be taken for a new one.
-        settings.complete = !start.isNew || firstStart || daemon.settings.peers.empty();
-        daemon.ledger.start(settings, std::move(start.ledger), start.ledgerRecords, ledgerHooks(daemon));
+        settings.self = {daemon.settings.daemon, start.incarnation};
+        // A folder made after the first start stands for a lost disk: until its age reaches the retention, a record that
+        // is not there may have been lost with the old one. Such folders are numbered by their time of creation.
+        const std::int64_t age = wallNow().ms - static_cast<std::int64_t>(start.incarnation);
+        const Duration missing{start.incarnation == FirstIncarnation ? 0 : std::max<std::int64_t>(settings.retention.ms - age, 0)};
+        settings.complete = missing.ms == 0;
+        daemon.ledger.start(settings, missing, std::move(start.ledger), start.ledgerRecords, ledgerHooks(daemon));
     }
 
     void startTimers(Daemon &daemon)
@@ -260,7 +264,7 @@
     if (openRestrictions(daemon) != ResultCode::Ok) {
         return failed(ResultCode::DiskFailed, "cannot open the kept restrictions in the data folder " + daemon.settings.dataFolder);
     }
-    startLedger(daemon, start, options.firstStart);
+    startLedger(daemon, start);
     startTimers(daemon);
     daemon.control.start();
     if (StartResult result = openPeers(daemon); result.code != ResultCode::Ok) {
--- a/src/daemon/ledger_driver.cpp
+++ b/src/daemon/ledger_driver.cpp
@@ -36,6 +36,7 @@
     std::unique_ptr<Journal> journal;
     std::vector<StoredRecord> unsynced;
     std::vector<std::uint64_t> unsyncedNumbers;
+    TimePoint completeAt; ///< From then on no record of a lost disk is missing any more.
     bool flushScheduled = false;
     bool failed = false;
     SendToken lastAsker = 0;
@@ -148,7 +149,9 @@
 
     void tick()
     {
-        this->carryOut(ledgerTick(this->ledger, steadyNow()));
+        const TimePoint now = steadyNow();
+        this->ledger.settings.complete = this->ledger.settings.complete || now >= this->completeAt;
+        this->carryOut(ledgerTick(this->ledger, now));
         this->timer.expires_after(TickInterval);
         this->timer.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
@@ -174,11 +177,13 @@
     this->stop();
 }
 
-void LedgerDriver::start(const LedgerSettings &settings, std::unique_ptr<Journal> journal, const std::vector<std::string> &records, LedgerHooks hooks)
+void LedgerDriver::start(
+    const LedgerSettings &settings, Duration completeAfter, std::unique_ptr<Journal> journal, const std::vector<std::string> &records, LedgerHooks hooks)
 {
     Core &state = *this->core;
     state.hooks = std::move(hooks);
     state.journal = std::move(journal);
+    state.completeAt = steadyNow() + completeAfter;
     std::vector<StoredRecord> stored;
     for (const std::string &bytes : records) {
         std::vector<StoredRecord> batch;
--- a/src/daemon/ledger_driver.h
+++ b/src/daemon/ledger_driver.h
@@ -32,8 +32,12 @@
     LedgerDriver(const LedgerDriver &) = delete;
     LedgerDriver &operator=(const LedgerDriver &) = delete;
 
-    /** Starts the thread with the records of the journal. */
-    void start(const LedgerSettings &settings, std::unique_ptr<Journal> journal, const std::vector<std::string> &records, LedgerHooks hooks);
+    /**
+     * Starts the thread with the records of the journal.
+     * @param completeAfter Time after which the ledger counts as complete again, when the settings say that it is not.
+     */
+    void
+    start(const LedgerSettings &settings, Duration completeAfter, std::unique_ptr<Journal> journal, const std::vector<std::string> &records, LedgerHooks hooks);
 
     /** Ends the thread. */
     void stop();
--- a/src/daemon/ledger_path.cpp
+++ b/src/daemon/ledger_path.cpp
@@ -8,6 +8,7 @@
 #include "daemon/request_service.h"
 #include "request/ledger_func.h"
 
+#include <algorithm>
 #include <mutex>
 
 namespace Filbertlanding {
@@ -34,20 +35,33 @@
         return sends;
     }
 
-    std::vector<DaemonName> votersOf(Daemon &daemon)
-    {
-        registerReaderThread();
-        return daemon.view.read()->voters;
-    }
+    /** Where a request is recorded. */
+    struct RecordPlace {
+        DaemonName home; ///< Runs the request.
+        LedgerDisk replica; ///< Holds the second record.
+    };
 
     /** Home and replica of a key. With a single voter its synced record is the only one there can be. */
-    std::optional<LedgerPlace> placeOf(Daemon &daemon, const LedgerKey &key)
+    std::optional<RecordPlace> placeOf(Daemon &daemon, const LedgerKey &key)
     {
-        const std::vector<DaemonName> voters = votersOf(daemon);
+        registerReaderThread();
+        const std::vector<LedgerDisk> voters = daemon.view.read()->voters;
         if (voters.size() == 1) {
-            return LedgerPlace{voters.front(), voters.front()};
+            return RecordPlace{voters.front().daemon, voters.front()};
+        }
+        std::vector<DaemonName> names;
+        names.reserve(voters.size());
+        for (const LedgerDisk &voter : voters) {
+            names.push_back(voter.daemon);
+        }
+        const auto place = ledgerPlace(names, key);
+        if (!place) {
+            return std::nullopt;
         }
-        return ledgerPlace(voters, key);
+        const auto replica = std::find_if(voters.begin(), voters.end(), [&place](const LedgerDisk &voter) {
+            return voter.daemon == place->replica;
+        });
+        return RecordPlace{place->home, *replica};
     }
 
     ForwardedAnswer toForwarded(const RequestOutcome &outcome)
@@ -75,6 +89,11 @@
         return outcome;
     }
 
+    std::uint64_t bodyHashOf(const CallerRequest &request)
+    {
+        return stableHash(request.service + '\n' + request.body);
+    }
+
     void submitHere(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, std::function<void(RequestOutcome)> done)
     {
         OpenSends &open = openSends();
@@ -84,7 +103,7 @@
             token = ++open.last;
             open.sends[token] = {request, std::move(done)};
         }
-        daemon.ledger.submit({ledgerKey(request->caller, request->id), stableHash(request->service + '\n' + request->body), token});
+        daemon.ledger.submit({ledgerKey(request->caller, request->id), bodyHashOf(*request), token, request->send});
     }
 
     ForwardedRequest toForwarded(const CallerRequest &request)
@@ -95,6 +114,7 @@
         message.caller = request.caller;
         message.request = request.id;
         message.repeatable = false;
+        message.send = request.send;
         message.remaining = request.deadline - steadyNow();
         message.contentType = request.contentType;
         message.body = request.body;
@@ -102,10 +122,10 @@
     }
 
     /** The home did not answer: the replica's record decides what the caller is told. */
-    void askReplicaInstead(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, const LedgerPlace &place, std::function<void(RequestOutcome)> done)
+    void askReplicaInstead(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, const RecordPlace &place, std::function<void(RequestOutcome)> done)
     {
         const LedgerKey key = ledgerKey(request->caller, request->id);
-        const std::uint64_t bodyHash = stableHash(request->service + '\n' + request->body);
+        const std::uint64_t bodyHash = bodyHashOf(*request);
         const auto answered = [done = std::move(done), bodyHash, request](const std::optional<ReplicaAnswer> &answer) {
             const AnswerSend result = answerWithoutHome(0, bodyHash, answer);
             logLine(
@@ -115,14 +135,15 @@
                 {{"request", request->id}, {"caller", request->caller}, {"code", resultCodeRow(result.code).name}, {"replicaAnswered", answer.has_value()}});
             done(outcomeOfLedger(result.code, result.answer));
         };
-        if (place.replica == daemon.settings.daemon) {
-            daemon.ledger.query({key, {}}, [answered](ReplicaAnswer answer) {
+        if (place.replica.daemon == daemon.settings.daemon) {
+            daemon.ledger.query({key, request->send}, [answered](ReplicaAnswer answer) {
                 answered(answer);
             });
             return;
         }
         const auto kind = static_cast<std::uint8_t>(PeerKind::LedgerQuery);
-        daemon.peers->sendRequest(place.replica, kind, encodePeerMessage(LedgerQuery{key}), ReplicaQueryTimeout, [answered](const PeerAnswer &answer) {
+        const ReplicaQuery query{key, request->send};
+        daemon.peers->sendRequest(place.replica.daemon, kind, encodePeerMessage(query), ReplicaQueryTimeout, [answered](const PeerAnswer &answer) {
             answered(answer.code == ResultCode::Ok ? decodePeerMessage<ReplicaAnswer>(answer.payload) : std::nullopt);
         });
     }
@@ -144,13 +165,12 @@
             return;
         }
         const auto run = std::make_shared<CallerRequest>(*original);
-        run->admitted = false;
-        run->attempts = 0;
+        run->recorded = true;
         run->done = [finished = std::move(finished)](const RequestOutcome &outcome) {
             const bool ran = outcome.code == ResultCode::Ok || outcome.code == ResultCode::WorkerFailed;
             finished(ran ? ResultCode::Ok : outcome.code, ran ? encodePeerMessage(toForwarded(outcome)) : std::string());
         };
-        routeAndSend(daemon, run);
+        admitRequest(daemon, run);
     }
 
     void answerSend(SendToken token, ResultCode code, const std::string &answer)
@@ -176,7 +196,12 @@
             answered(std::nullopt);
             return;
         }
-        if (place->replica == daemon.settings.daemon) {
+        // A request that came here under an older list of voters has no second record, so it must not run.
+        if (place->home != daemon.settings.daemon) {
+            answered(std::nullopt);
+            return;
+        }
+        if (place->replica.daemon == place->home) {
             ReplicaAnswer answer;
             answer.key = ask.key;
             answer.attempt = ask.attempt;
@@ -186,7 +211,7 @@
         }
         const auto kind = static_cast<std::uint8_t>(PeerKind::LedgerRecord);
         daemon.peers->sendRequest(
-            place->replica, kind, encodePeerMessage(ask), LedgerSettings().replicaTimeout, [answered = std::move(answered)](const PeerAnswer &answer) {
+            place->replica.daemon, kind, encodePeerMessage(ask), LedgerSettings().replicaTimeout, [answered = std::move(answered)](const PeerAnswer &answer) {
                 answered(answer.code == ResultCode::Ok ? decodePeerMessage<ReplicaAnswer>(answer.payload) : std::nullopt);
             });
     }
@@ -194,10 +219,10 @@
     void tellReplica(Daemon &daemon, const ReplicaOutcome &outcome)
     {
         const auto place = placeOf(daemon, outcome.key);
-        if (!place || place->replica == daemon.settings.daemon) {
+        if (!place || place->replica.daemon == daemon.settings.daemon) {
             return;
         }
-        daemon.peers->sendOneWay(place->replica, static_cast<std::uint8_t>(PeerKind::LedgerOutcome), encodePeerMessage(outcome));
+        daemon.peers->sendOneWay(place->replica.daemon, static_cast<std::uint8_t>(PeerKind::LedgerOutcome), encodePeerMessage(outcome));
     }
 
 } // namespace
@@ -211,6 +236,7 @@
         done(std::move(outcome));
         return;
     }
+    request->send = {daemon.settings.daemon + "-" + std::to_string(daemon.incarnation) + "-" + std::to_string(++daemon.lastRequest), place->replica};
     if (place->home == daemon.settings.daemon) {
         submitHere(daemon, request, std::move(done));
         return;
@@ -236,6 +262,7 @@
     request->caller = std::move(forwarded.caller);
     request->id = std::move(forwarded.request);
     request->repeatable = false;
+    request->send = std::move(forwarded.send);
     request->deadline = steadyNow() + forwarded.remaining;
     request->contentType = std::move(forwarded.contentType);
     request->body = std::move(forwarded.body);
@@ -247,7 +274,8 @@
     }
     if (request->runtime == nullptr) {
         ForwardedAnswer answer;
-        answer.code = ResultCode::ServiceUnknown;
+        // An earlier send may have run before the service was removed here.
+        answer.code = ResultCode::OutcomeUnknown;
         reply(std::move(answer));
         return;
     }
@@ -289,9 +317,8 @@
         }
         return true;
     case PeerKind::LedgerQuery:
-        if (auto query = decodePeerMessage<LedgerQuery>(payload)) {
-            // LedgerQuery names no send, so nothing is fenced and the caller is told OutcomeUnknown when there is no record.
-            daemon.ledger.query({std::move(query->key), {}}, answer);
+        if (auto query = decodePeerMessage<ReplicaQuery>(payload)) {
+            daemon.ledger.query(std::move(*query), answer);
         }
         return true;
     case PeerKind::LedgerOutcome:
--- a/src/daemon/peer_message_type.h
+++ b/src/daemon/peer_message_type.h
@@ -5,6 +5,7 @@
 #include "core/clock_type.h"
 #include "core/names_type.h"
 #include "core/result_code.h"
+#include "request/ledger_base.h"
 
 #include <cstdint>
 #include <string>
@@ -34,13 +35,14 @@
     RequestId request; ///< Request id.
     bool repeatable = true; ///< Whether it may be sent to a worker more than once.
     Duration remaining; ///< Time until the deadline, counted by the receiver from the arrival.
+    SendIdentity send; ///< Identity of a non-repeatable send on its way to the home.
     std::string contentType; ///< Content type of the body.
     std::string body; ///< Body.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->service, this->team, this->caller, this->request, this->repeatable, this->remaining, this->contentType, this->body);
+        archive(this->service, this->team, this->caller, this->request, this->repeatable, this->remaining, this->send, this->contentType, this->body);
     }
 };
 
@@ -60,17 +62,6 @@
     }
 };
 
-/** Asks a replica what it knows of a non-repeatable request. */
-struct LedgerQuery {
-    std::string key; ///< Key of the request in the ledger.
-
-    template<class Archive>
-    void serialize(Archive &archive)
-    {
-        archive(this->key);
-    }
-};
-
 /** A command for the log. */
 struct ProposeRequest {
     std::string command; ///< Encoded command.
--- a/src/daemon/replication_driver.cpp
+++ b/src/daemon/replication_driver.cpp
@@ -25,8 +25,6 @@
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Well below the shortest heartbeat interval, so that elections and heartbeats are on time.
 
-    constexpr std::uint64_t FirstIncarnation = 1; ///< Incarnation of every data folder at the first start of an installation.
-
     /** Membership before the first log entry: every daemon derives the same one from its settings. */
     Membership bootstrapMembership(const Settings &settings)
     {
--- a/src/daemon/replication_driver.h
+++ b/src/daemon/replication_driver.h
@@ -13,6 +13,8 @@
 
 namespace Filbertlanding {
 
+constexpr std::uint64_t FirstIncarnation = 1; ///< Incarnation of every data folder at the first start of an installation.
+
 /** State of the replicated log, for decisions and the status page. */
 struct ReplicationStatus {
     RaftRole role = RaftRole::Follower; ///< Role of this replica.
--- a/src/daemon/request_service.cpp
+++ b/src/daemon/request_service.cpp
@@ -228,19 +228,6 @@
         });
     }
 
-    /** Runs a request that admission control has let through. */
-    void runAdmitted(Daemon &daemon, const std::shared_ptr<CallerRequest> &request)
-    {
-        request->admitted = true;
-        if (request->repeatable) {
-            routeAndSend(daemon, request);
-            return;
-        }
-        sendThroughLedger(daemon, request, [&daemon, request](RequestOutcome outcome) {
-            finish(daemon, request, std::move(outcome));
-        });
-    }
-
     std::shared_ptr<CallerRequest> takeWaiting(ServiceRuntime &runtime, TicketId ticket)
     {
         const std::lock_guard lock(runtime.mutex);
@@ -254,16 +241,14 @@
     }
 
     /** Returns the reason to refuse a request before admission, or Ok. */
-    ResultCode checkRequest(const RequestView &view, CallerRequest &request)
+    ResultCode checkRequest(const RequestView &view, const CallerRequest &request)
     {
         if (view.finishing) {
             return ResultCode::Draining;
         }
-        const auto runtime = view.services.find(request.service);
-        if (runtime == view.services.end() || view.configuration == nullptr) {
+        if (!view.services.contains(request.service)) {
             return ResultCode::ServiceUnknown;
         }
-        request.runtime = runtime->second;
         const Configuration &configuration = *view.configuration;
         if (configuration.services.at(request.service).state == ServiceState::Closed) {
             return ResultCode::ServiceClosed;
@@ -280,15 +265,11 @@
         OutcomeSeries &series = daemon.outcomes->series(request->service, request->team);
         daemon.outcomes->countReceived(series);
         const auto runtime = request->runtime;
-        if (runtime != nullptr) {
-            runtime->inFlight += 1;
-        }
+        runtime->inFlight += 1;
         request->done = [&daemon, &series, runtime, id = request->id, startedUs = request->startedUs, done = std::move(request->done)](RequestOutcome outcome) {
             daemon.outcomes->countOutcome(series, outcome.code, static_cast<std::uint64_t>(steadyMicroseconds() - startedUs), id);
             done(std::move(outcome));
-            if (runtime != nullptr) {
-                runtime->inFlight -= 1;
-            }
+            runtime->inFlight -= 1;
         };
     }
 
@@ -302,18 +283,33 @@
 void serveRequest(Daemon &daemon, const std::shared_ptr<CallerRequest> &request)
 {
     registerReaderThread();
-    ResultCode code = ResultCode::Ok;
     {
         const auto view = daemon.view.read();
-        code = checkRequest(*view, *request);
+        const auto runtime = view->services.find(request->service);
+        request->runtime = runtime == view->services.end() ? nullptr : runtime->second;
         if (request->deadline.ms == 0 && request->runtime != nullptr) {
             request->deadline = steadyNow() + view->configuration->services.at(request->service).defaultTimeout;
         }
     }
     // Names that no configuration has are chosen by callers, so they are not counted one by one.
-    if (request->runtime != nullptr) {
-        countAround(daemon, request);
+    if (request->runtime == nullptr) {
+        request->done(refusal(ResultCode::ServiceUnknown));
+        return;
     }
+    countAround(daemon, request);
+    if (request->repeatable) {
+        admitRequest(daemon, request);
+        return;
+    }
+    sendThroughLedger(daemon, request, [request](RequestOutcome outcome) {
+        request->done(std::move(outcome));
+    });
+}
+
+void admitRequest(Daemon &daemon, const std::shared_ptr<CallerRequest> &request)
+{
+    registerReaderThread();
+    const ResultCode code = checkRequest(*daemon.view.read(), *request);
     if (code != ResultCode::Ok) {
         request->done(refusal(code));
         return;
@@ -394,7 +390,8 @@
     for (const TicketId ticket : result.run) {
         const auto request = takeWaiting(*runtime, ticket);
         if (request != nullptr) {
-            runAdmitted(daemon, request);
+            request->admitted = true;
+            routeAndSend(daemon, request);
         }
     }
     for (const AdmissionRefusal &refused : result.refused) {
--- a/src/daemon/request_service.h
+++ b/src/daemon/request_service.h
@@ -9,6 +9,13 @@
 /** Takes a request of a caller. `request->done` is called exactly once. */
 void serveRequest(Daemon &daemon, const std::shared_ptr<CallerRequest> &request);
 
+/**
+ * Checks a request against the configuration in force and asks for admission; runs it when both are passed.
+ * A non-repeatable request comes here at its home only, after it was recorded: a refusal before that would tell the caller
+ * of a resend "not run" although an earlier send may have run.
+ */
+void admitRequest(Daemon &daemon, const std::shared_ptr<CallerRequest> &request);
+
 /** Takes a request that a peer forwarded; only own workers are used. */
 void serveForwarded(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply);
 
--- a/src/daemon/request_view_type.h
+++ b/src/daemon/request_view_type.h
@@ -6,6 +6,7 @@
 #include "report/outcome_counters.h"
 #include "request/admission_base.h"
 #include "request/ejection_base.h"
+#include "request/ledger_base.h"
 #include "request/retry_budget_base.h"
 #include "request/route_func.h"
 #include "request/routing_type.h"
@@ -40,6 +41,7 @@
     RequestId id; ///< Request id.
     bool repeatable = true; ///< Whether it may be sent to a worker more than once.
     bool forwarded = false; ///< Came from another daemon.
+    bool recorded = false; ///< Non-repeatable and recorded in the ledger of this home, so that it may run.
     bool admitted = false; ///< Holds a place in admission control.
     TimePoint deadline; ///< Deadline.
     std::int64_t startedUs = 0; ///< Arrival, for the latency.
@@ -47,6 +49,7 @@
     std::string body; ///< Body.
     std::shared_ptr<ServiceRuntime> runtime; ///< Shared state of its service.
     TicketId ticket = 0; ///< Number in admission control.
+    SendIdentity send; ///< Identity of a non-repeatable send.
     std::uint32_t attempts = 0; ///< Attempts so far.
     std::vector<std::string> tried; ///< Targets that failed it.
     std::function<void(RequestOutcome)> done; ///< Takes the outcome; called exactly once.
@@ -74,7 +77,7 @@
     std::shared_ptr<const Configuration> configuration; ///< Configuration in force.
     std::uint64_t version = 0; ///< Its version.
     std::unordered_map<ServiceName, std::shared_ptr<ServiceRuntime>> services; ///< Shared state of each configured service.
-    std::vector<DaemonName> voters; ///< Voters, which keep the ledger of non-repeatable requests.
+    std::vector<LedgerDisk> voters; ///< Voters and their disks, which keep the ledger of non-repeatable requests.
     const std::function<RoutePolicy> *policy = nullptr; ///< Routing policy.
     bool finishing = false; ///< The daemon takes no new request.
 };
--- a/src/request/ledger_base.h
+++ b/src/request/ledger_base.h
@@ -172,7 +172,7 @@
 /** Returns the last enumerator, for checks of decoded numbers. */
 constexpr ReplicaVerdict lastEnumerator(ReplicaVerdict)
 {
-    return ReplicaVerdict::NotRecorded;
+    return ReplicaVerdict::OtherDisk;
 }
 
 /** Answer of the replica. */
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -247,7 +247,7 @@
     checkPeerMessage<RaftMessage>("RaftMessage");
     checkPeerMessage<ForwardedRequest>("ForwardedRequest");
     checkPeerMessage<ForwardedAnswer>("ForwardedAnswer");
-    checkPeerMessage<LedgerQuery>("LedgerQuery");
+    checkPeerMessage<ReplicaQuery>("ReplicaQuery");
     checkPeerMessage<ProposeRequest>("ProposeRequest");
     checkPeerMessage<ProposeAnswer>("ProposeAnswer");
     checkPeerMessage<ProbeRequest>("ProbeRequest");
