--- a/src/ctl/ctl_output.cpp
+++ b/src/ctl/ctl_output.cpp
@@ -2,7 +2,7 @@
 
 #include "ctl/ctl_output.h"
 
-#include <boost/json.hpp>
+#include "ctl/json_access.h"
 
 namespace Filbertlanding {
 
@@ -56,58 +56,27 @@
         return std::to_string(static_cast<int>(code)) + " " + std::string(resultCodeRow(code).name);
     }
 
-    std::string textAt(const json::object &object, std::string_view name)
+    void writeWinner(std::ostream &err, const json::value &body)
     {
-        const json::value *value = object.if_contains(name);
-        return value != nullptr && value->is_string() ? printable(std::string_view(value->as_string())) : std::string();
-    }
-
-    std::string joined(const json::value *list)
-    {
-        std::string text;
-        if (list == nullptr || !list->is_array()) {
-            return text;
-        }
-        for (const json::value &entry : list->as_array()) {
-            text += text.empty() ? "" : ", ";
-            text += entry.is_string() ? printable(std::string_view(entry.as_string())) : json::serialize(entry);
-        }
-        return text;
-    }
-
-    void writeWinner(std::ostream &err, const json::object &body)
-    {
-        const json::value *winner = body.if_contains("winner");
-        if (winner == nullptr || !winner->is_object()) {
-            return;
-        }
-        const json::object &object = winner->as_object();
-        if (textAt(object, "operation").empty()) {
+        const json::value &winner = memberOf(body, "winner");
+        if (textOf(winner, "operation").empty()) {
             return;
         }
-        err << "  the other change: operation " << textAt(object, "operation") << " by " << textAt(object, "operator") << ", files "
-            << joined(object.if_contains("files")) << "\n"
+        err << "  the other change: operation " << printable(textOf(winner, "operation")) << " by " << printable(textOf(winner, "operator")) << ", files "
+            << printable(namesOf(winner, "files")) << "\n"
             << "  nothing was changed; look at it with `filbertctl intent history` and repeat the command to apply yours after it\n";
     }
 
-    void writeFaults(std::ostream &err, const json::object &body)
+    void writeFaults(std::ostream &err, const json::value &body)
     {
-        const json::value *errors = body.if_contains("errors");
-        if (errors == nullptr || !errors->is_array()) {
-            return;
-        }
-        for (const json::value &entry : errors->as_array()) {
-            if (!entry.is_object()) {
-                continue;
-            }
-            const json::object &fault = entry.as_object();
-            const json::value *code = fault.if_contains("code");
-            err << "  " << textAt(fault, "file") << " " << textAt(fault, "pointer") << ": " << (code == nullptr ? "" : json::serialize(*code) + " ")
-                << textAt(fault, "name") << ": " << textAt(fault, "message") << "\n";
+        const json::array &errors = listOf(body, "errors");
+        for (const json::value &fault : errors) {
+            err << "  " << printable(textOf(fault, "file")) << " " << printable(textOf(fault, "pointer")) << ": " << numberOf(fault, "code") << " "
+                << printable(textOf(fault, "name")) << ": " << printable(textOf(fault, "message")) << "\n";
         }
-        const json::value *count = body.if_contains("errorCount");
-        if (count != nullptr && count->is_int64() && static_cast<std::size_t>(count->as_int64()) > errors->as_array().size()) {
-            err << "  and " << static_cast<std::size_t>(count->as_int64()) - errors->as_array().size() << " more\n";
+        const std::uint64_t count = numberOf(body, "errorCount");
+        if (count > errors.size()) {
+            err << "  and " << count - errors.size() << " more\n";
         }
     }
 
@@ -175,12 +144,13 @@
 {
     static const std::map<std::string, CellColour, std::less<>> colours{{"in-service", CellColour::Green},
                                                                         {"open", CellColour::Green},
-                                                                        {"serving", CellColour::Green},
+                                                                        {"healthy", CellColour::Green},
                                                                         {"alive", CellColour::Green},
                                                                         {"drained", CellColour::Yellow},
                                                                         {"leaving", CellColour::Yellow},
                                                                         {"stopping", CellColour::Yellow},
                                                                         {"closed", CellColour::Yellow},
+                                                                        {"suspect", CellColour::Yellow},
                                                                         {"silent", CellColour::Red},
                                                                         {"failed", CellColour::Red},
                                                                         {"quarantined", CellColour::Red}};
@@ -219,18 +189,15 @@
 
 ResultCode writeReplyError(const CtlContext &context, const CtlReply &reply)
 {
-    boost::system::error_code error;
-    const json::value root = json::parse(reply.body, error);
-    const bool isObject = !error && root.is_object();
+    const json::value root = parseBody(reply.body);
+    const bool isObject = root.is_object();
     if (context.options.json) {
         context.streams.out << json::serialize(isObject ? root : json::value(errorBody(reply.code, reply.message))) << "\n";
         return reply.code;
     }
     context.streams.err << "filbertctl: " << numbered(reply.code) << ": " << printable(reply.message) << "\n";
-    if (isObject) {
-        writeWinner(context.streams.err, root.as_object());
-        writeFaults(context.streams.err, root.as_object());
-    }
+    writeWinner(context.streams.err, root);
+    writeFaults(context.streams.err, root);
     return reply.code;
 }
 
--- a/src/ctl/daemon_call.cpp
+++ b/src/ctl/daemon_call.cpp
@@ -3,19 +3,17 @@
 #include "ctl/daemon_call.h"
 
 #include "core/clock_func.h"
+#include "ctl/json_access.h"
 #include "network/http_client.h"
 
-#include <boost/json.hpp>
-
 #include <future>
 
 namespace Filbertlanding {
 
 namespace {
 
-    namespace json = boost::json;
-
     constexpr int MaxRounds = 3; ///< Times that all daemons are tried; an election takes 1 to 2 s, a daemon itself waits 8 s for it.
+    constexpr std::int64_t MaxResultCode = 9999; ///< A newer daemon may have codes that this program does not know, but none above.
     constexpr Duration RoundPause{500}; ///< Pause before all daemons are tried again.
 
     /** What is known after the tries so far. */
@@ -49,15 +47,16 @@
         reply.code = isSuccess ? ResultCode::Ok : ResultCode::Internal;
         reply.message = isSuccess ? std::string() : "the answer has status " + std::to_string(response.status) + " and no result code";
         reply.body = std::move(response.body);
-        boost::system::error_code error;
-        const json::value root = json::parse(reply.body, error);
-        const json::value *code = error || !root.is_object() ? nullptr : root.as_object().if_contains("code");
-        if (code == nullptr || !code->is_int64()) {
+        const boost::json::value root = parseBody(reply.body);
+        const boost::json::value &code = memberOf(root, "code");
+        if (!code.is_int64() || code.as_int64() < 0 || code.as_int64() > MaxResultCode) {
             return reply;
         }
-        reply.code = static_cast<ResultCode>(code->as_int64());
-        const json::value *message = root.as_object().if_contains("message");
-        reply.message = message != nullptr && message->is_string() ? std::string(message->as_string()) : std::string(resultCodeRow(reply.code).sentence);
+        reply.code = static_cast<ResultCode>(code.as_int64());
+        reply.message = textOf(root, "message");
+        if (reply.message.empty()) {
+            reply.message = resultCodeRow(reply.code).sentence;
+        }
         return reply;
     }
 
--- a/src/ctl/intent_client.cpp
+++ b/src/ctl/intent_client.cpp
@@ -3,9 +3,7 @@
 #include "ctl/intent_client.h"
 
 #include "catalog/intent_merge.h"
-#include "ctl/ctl_output.h"
-
-#include <boost/json.hpp>
+#include "ctl/json_access.h"
 
 #include <filesystem>
 #include <fstream>
@@ -17,14 +15,6 @@
     namespace json = boost::json;
     namespace fs = std::filesystem;
 
-    std::uint64_t numberAt(const json::object &object, std::string_view name)
-    {
-        const json::value *value = object.if_contains(name);
-        boost::system::error_code error;
-        const auto number = value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
-        return error ? 0 : number;
-    }
-
     LocalFiles fault(ResultCode code, std::string message)
     {
         return {code, std::move(message), {}};
@@ -34,17 +24,11 @@
     std::optional<std::uint64_t> baseVersionOf(CtlContext &context, const OperationId &operation)
     {
         const CtlReply reply = readFromDaemons(context, "/v1/intent/history");
-        boost::system::error_code error;
-        const json::value root = json::parse(reply.body, error);
-        const json::value *changes = error || !root.is_object() ? nullptr : root.as_object().if_contains("changes");
-        if (changes == nullptr || !changes->is_array()) {
-            return std::nullopt;
-        }
-        for (const json::value &entry : changes->as_array()) {
-            const json::value *id = entry.is_object() ? entry.as_object().if_contains("operation") : nullptr;
-            if (id != nullptr && id->is_string() && std::string_view(id->as_string()) == operation) {
-                const std::uint64_t version = numberAt(entry.as_object(), "version");
-                return version == 0 ? std::nullopt : std::optional(version - 1);
+        const json::value root = parseBody(reply.body);
+        for (const json::value &change : listOf(root, "changes")) {
+            const std::uint64_t version = numberOf(change, "version");
+            if (textOf(change, "operation") == operation && version > 0) {
+                return version - 1;
             }
         }
         return std::nullopt;
@@ -84,17 +68,16 @@
     if (state.reply.code != ResultCode::Ok) {
         return state;
     }
-    boost::system::error_code error;
-    const json::value root = json::parse(state.reply.body, error);
-    const json::value *files = error || !root.is_object() ? nullptr : root.as_object().if_contains("files");
-    if (files == nullptr || !files->is_object() || !root.as_object().contains("version")) {
+    const json::value root = parseBody(state.reply.body);
+    const json::value &files = memberOf(root, "files");
+    if (!files.is_object() || !memberOf(root, "version").is_number()) {
         state.reply.code = ResultCode::BadJson;
         state.reply.message = "the daemon's answer has no version and files";
         state.reply.body.clear();
         return state;
     }
-    state.version = numberAt(root.as_object(), "version");
-    for (const auto &file : files->as_object()) {
+    state.version = numberOf(root, "version");
+    for (const auto &file : files.as_object()) {
         const bool isText = file.value().is_string();
         state.files.push_back({std::string(file.key()), isText ? std::string(file.value().as_string()) : json::serialize(file.value())});
     }
@@ -190,18 +173,19 @@
     return result;
 }
 
-std::string fileThatSets(const std::vector<IntentFile> &files, const std::vector<std::string> &path)
+MergedText mergedTextAt(const std::vector<IntentFile> &files, const std::vector<std::string> &path)
 {
     const MergedIntent merged = mergeIntent(files);
     const MergedValue *value = &merged.root;
     for (const std::string &key : path) {
         const auto member = value->members.find(key);
-        if (!value->isObject || member == value->members.end()) {
+        if (member == value->members.end()) {
             return {};
         }
         value = &member->second;
     }
-    return merged.fileNames.at(value->file);
+    const auto *text = value->isObject ? nullptr : std::get_if<std::string>(&value->scalar);
+    return text == nullptr ? MergedText{} : MergedText{*text, merged.fileNames.at(value->file)};
 }
 
 CtlReply sendChange(CtlContext &context, const IntentChange &change, std::uint64_t versionRead)
@@ -221,9 +205,7 @@
 
 std::uint64_t versionOf(const CtlReply &reply)
 {
-    boost::system::error_code error;
-    const json::value root = json::parse(reply.body, error);
-    return error || !root.is_object() ? 0 : numberAt(root.as_object(), "version");
+    return numberOf(parseBody(reply.body), "version");
 }
 
 } // namespace Filbertlanding
--- a/src/ctl/intent_client.h
+++ b/src/ctl/intent_client.h
@@ -46,8 +46,14 @@
 /** Returns the files as they are after a change. */
 std::vector<IntentFile> filesAfter(const std::vector<IntentFile> &files, const IntentChange &change);
 
-/** Returns the name of the file that sets the value at a JSON pointer of the merged files, or an empty text. */
-std::string fileThatSets(const std::vector<IntentFile> &files, const std::vector<std::string> &path);
+/** A text value of the merged files. */
+struct MergedText {
+    std::string value; ///< The text; empty when it is not set.
+    std::string file; ///< File that set it last.
+};
+
+/** Returns the text at a path of keys in the merged files. */
+MergedText mergedTextAt(const std::vector<IntentFile> &files, const std::vector<std::string> &path);
 
 /**
  * Sends a change. It is based on --if-version, or on the version that a given operation had when it was accepted, or on the version read.
--- a/src/ctl/intent_command.cpp
+++ b/src/ctl/intent_command.cpp
@@ -6,9 +6,9 @@
 #include "ctl/ctl_func.h"
 #include "ctl/ctl_output.h"
 #include "ctl/intent_client.h"
+#include "ctl/json_access.h"
 
 #include <CLI/CLI.hpp>
-#include <boost/json.hpp>
 
 namespace Filbertlanding {
 
@@ -22,15 +22,6 @@
         std::string name; ///< Name of an intent file.
     };
 
-    std::string joined(const std::vector<std::string> &names)
-    {
-        std::string text;
-        for (const std::string &name : names) {
-            text += (text.empty() ? "" : ", ") + name;
-        }
-        return text;
-    }
-
     json::object diffAsJson(const IntentDiff &diff)
     {
         json::array values;
@@ -194,9 +185,7 @@
         if (!context.options.json || !isSuccess(reply.code)) {
             return writeOutcome(context, reply, "version " + std::to_string(versionOf(reply)) + " has the files of the folder");
         }
-        boost::system::error_code error;
-        json::value result = json::parse(reply.body, error);
-        context.streams.out << json::serialize(json::object{{"diff", diffAsJson(diff)}, {"result", std::move(result)}}) << "\n";
+        context.streams.out << json::serialize(json::object{{"diff", diffAsJson(diff)}, {"result", parseBody(reply.body)}}) << "\n";
         return reply.code;
     }
 
@@ -231,33 +220,12 @@
         return writeSyncOutcome(context, diff, sendChange(context, {ChangeKind::Sync, std::move(local.files)}, state.version));
     }
 
-    std::string textAt(const json::object &object, std::string_view name)
-    {
-        const json::value *value = object.if_contains(name);
-        if (value == nullptr) {
-            return {};
-        }
-        return value->is_string() ? std::string(value->as_string()) : json::serialize(*value);
-    }
-
-    std::string listAt(const json::object &object, std::string_view name)
-    {
-        const json::value *value = object.if_contains(name);
-        std::vector<std::string> names;
-        if (value != nullptr && value->is_array()) {
-            for (const json::value &entry : value->as_array()) {
-                names.push_back(entry.is_string() ? std::string(entry.as_string()) : json::serialize(entry));
-            }
-        }
-        return joined(names);
-    }
-
     /** What a change did to zones and services. */
-    std::string effectOf(const json::object &change)
+    std::string effectOf(const json::value &change)
     {
         std::string text;
         for (const char *verb : {"drained", "returned", "opened", "closed"}) {
-            const std::string names = listAt(change, verb);
+            const std::string names = namesOf(change, verb);
             if (!names.empty()) {
                 text += (text.empty() ? "" : "; ") + std::string(verb) + " " + names;
             }
@@ -271,17 +239,16 @@
         if (reply.code != ResultCode::Ok || context.options.json) {
             return writeOutcome(context, reply, {});
         }
-        const json::value root = json::parse(reply.body);
+        const json::value root = parseBody(reply.body);
         std::vector<TableRow> rows;
-        for (const json::value &entry : root.at("changes").as_array()) {
-            const json::object &change = entry.as_object();
-            rows.push_back({textAt(change, "version"),
-                            textAt(change, "time"),
-                            textAt(change, "operator"),
-                            textAt(change, "kind"),
-                            listAt(change, "files"),
+        for (const json::value &change : listOf(root, "changes")) {
+            rows.push_back({TableCell(numberOf(change, "version")),
+                            textOf(change, "time"),
+                            textOf(change, "operator"),
+                            textOf(change, "kind"),
+                            namesOf(change, "files"),
                             effectOf(change),
-                            textAt(change, "operation")});
+                            textOf(change, "operation")});
         }
         writeTable(context.streams, {"VERSION", "TIME", "OPERATOR", "KIND", "FILES", "EFFECT", "OPERATION"}, rows);
         return ResultCode::Ok;
