--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -465,7 +465,8 @@
 
 TEST_CASE("names from outside cannot steer a terminal, and columns stay aligned")
 {
-    rc::check("each line has its second column at the same place and no control character", [](const std::vector<std::string> &names) {
+    CHECK(rc::check("each line has its second column at the same place and no control character, and the whole name", [] {
+        const auto names = *rc::gen::container<std::vector<std::string>>(rc::gen::container<std::string>(rc::gen::inRange<char>(0, 127)));
         std::ostringstream out;
         std::ostringstream err;
         std::vector<TableRow> rows;
@@ -479,6 +480,7 @@
         const std::size_t column = line.find("MARK");
         std::size_t count = 0;
         while (std::getline(lines, line)) {
+            RC_ASSERT(line.starts_with(printable(names.at(count))));
             ++count;
             std::size_t width = 0;
             for (const char byte : line) {
@@ -488,7 +490,7 @@
             RC_ASSERT(width == column + 1);
         }
         RC_ASSERT(count == names.size());
-    });
+    }));
     std::ostringstream out;
     writeTable({out, out, true, nullptr}, {"STATE", "N"}, {{stateCell("drained"), "1"}});
     CHECK(out.str() == "STATE    N\n\x1b[33mdrained\x1b[0m  1\n");
