--- a/tests/allocation_count.h
+++ b/tests/allocation_count.h
@@ -30,15 +30,23 @@
 
 } // namespace Filbertlanding
 
-void *operator new(std::size_t size)
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
 {
     auto &count = Filbertlanding::allocationCount;
     count.peak = std::max(count.peak, count.live + static_cast<std::ptrdiff_t>(size));
     void *memory = std::malloc(size == 0 ? 1 : size);
+    if (memory != nullptr) {
+        count.live += static_cast<std::ptrdiff_t>(malloc_usable_size(memory));
+    }
+    return memory;
+}
+
+void *operator new(std::size_t size)
+{
+    void *memory = operator new(size, std::nothrow);
     if (memory == nullptr) {
         throw std::bad_alloc();
     }
-    count.live += static_cast<std::ptrdiff_t>(malloc_usable_size(memory));
     return memory;
 }
 
