--- a/src/report/outcome_type.cpp
+++ b/src/report/outcome_type.cpp
@@ -17,7 +17,7 @@
     constexpr char CountsVersion = 1; ///< First byte of encoded counts.
     constexpr std::size_t MaxZones = 32; ///< Zones with latencies in one encoding; far above the 6 zones of the largest installation.
     constexpr std::size_t NameCopyFactor =
-        25; ///< Bytes of copied names for each encoded byte; a row of 12 bytes has a team of at most 200 and a zone of at most 100 bytes.
+        25; ///< Copied bytes of names for each encoded byte; a row of 12 bytes names a team (at most 200 bytes) and a zone (100).
     constexpr std::size_t MaxNames = 65'535; ///< Names in one encoding, whose indexes have 16 bits.
 
     template<class Key>
