Fix: a stopping home answers what peers sent to it

Cause: a planned stop counted the requests of its own callers only; a non-repeatable request that a peer had sent to this home did not hold the stop back, and peers went on sending until the process had gone. The caller was told OutcomeUnknown. Ruled out: a lost worker answer, since the worker had answered 63 ms after the request; a broken caller connection, since the status was 502 from a peer. Change: open sends of the ledger count as in flight; a home past its grace records nothing new for peers and says Draining, whereupon the peer asks the replica, which knows of earlier sends.

--- a/src/daemon/ledger_path.cpp
+++ b/src/daemon/ledger_path.cpp
@@ -24,6 +24,7 @@
         };
 
         std::mutex mutex;
+        bool refusesPeers = false; ///< This daemon stops and takes no further sends from peers.
         SendToken last = 0;
         std::unordered_map<SendToken, Send> sends;
     };
@@ -75,16 +76,21 @@
         return outcome;
     }
 
-    void submitHere(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, std::function<void(RequestOutcome)> done)
+    /** Returns false, with nothing recorded, for a send of a peer when this daemon takes none any more. */
+    bool submitHere(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, bool fromPeer, std::function<void(RequestOutcome)> done)
     {
         OpenSends &open = openSends();
         SendToken token = 0;
         {
             const std::lock_guard lock(open.mutex);
+            if (fromPeer && open.refusesPeers) {
+                return false;
+            }
             token = ++open.last;
             open.sends[token] = {request, std::move(done)};
         }
         daemon.ledger.submit({ledgerKey(request->caller, request->id), stableHash(request->service + '\n' + request->body), token});
+        return true;
     }
 
     ForwardedRequest toForwarded(const CallerRequest &request)
@@ -212,7 +218,7 @@
         return;
     }
     if (place->home == daemon.settings.daemon) {
-        submitHere(daemon, request, std::move(done));
+        submitHere(daemon, request, false, std::move(done));
         return;
     }
     const ForwardedRequest message = toForwarded(*request);
@@ -220,7 +226,8 @@
     daemon.peers->sendRequest(
         place->home, kind, encodePeerMessage(message), message.remaining, [&daemon, request, place = *place, done = std::move(done)](const PeerAnswer &answer) {
             const auto decoded = answer.code == ResultCode::Ok ? decodePeerMessage<ForwardedAnswer>(answer.payload) : std::nullopt;
-            if (decoded) {
+            // A home that stops records nothing new; whether an earlier send ran is known to the replica.
+            if (decoded && decoded->code != ResultCode::Draining) {
                 done(fromForwarded(*decoded));
                 return;
             }
@@ -228,7 +235,7 @@
         });
 }
 
-void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply)
+void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, const std::function<void(ForwardedAnswer)> &reply)
 {
     const auto request = std::make_shared<CallerRequest>();
     request->service = std::move(forwarded.service);
@@ -251,9 +258,28 @@
         reply(std::move(answer));
         return;
     }
-    submitHere(daemon, request, [reply = std::move(reply)](const RequestOutcome &outcome) {
+    const bool taken = submitHere(daemon, request, true, [reply](const RequestOutcome &outcome) {
         reply(toForwarded(outcome));
     });
+    if (!taken) {
+        ForwardedAnswer answer;
+        answer.code = ResultCode::Draining;
+        reply(std::move(answer));
+    }
+}
+
+void refuseSendsOfPeers()
+{
+    OpenSends &open = openSends();
+    const std::lock_guard lock(open.mutex);
+    open.refusesPeers = true;
+}
+
+std::size_t openLedgerSends()
+{
+    OpenSends &open = openSends();
+    const std::lock_guard lock(open.mutex);
+    return open.sends.size();
 }
 
 LedgerHooks ledgerHooks(Daemon &daemon)
--- a/src/daemon/ledger_path.h
+++ b/src/daemon/ledger_path.h
@@ -9,8 +9,14 @@
 /** Sends a request to its home; `done` takes the outcome and is called exactly once. */
 void sendThroughLedger(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, std::function<void(RequestOutcome)> done);
 
-/** As home: takes a request that a peer sent. */
-void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply);
+/** As home: takes a request that a peer sent. The answer is Draining, with nothing recorded, after refuseSendsOfPeers(). */
+void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, const std::function<void(ForwardedAnswer)> &reply);
+
+/** At a planned stop: takes no further request from peers as home. */
+void refuseSendsOfPeers();
+
+/** Returns the number of requests that this home has taken and not answered. */
+std::size_t openLedgerSends();
 
 /** Makes the hooks by which the ledger sends and answers. */
 LedgerHooks ledgerHooks(Daemon &daemon);
--- a/src/daemon/stop_func.cpp
+++ b/src/daemon/stop_func.cpp
@@ -5,6 +5,7 @@
 #include "core/clock_func.h"
 #include "daemon/apply_state.h"
 #include "daemon/counter_delivery.h"
+#include "daemon/ledger_path.h"
 #include "daemon/log_func.h"
 #include "daemon/peer_service.h"
 #include "membership/worker_registry_func.h"
@@ -21,6 +22,8 @@
         for (const auto &[name, runtime] : daemon.controlState.services) {
             inFlight += runtime->inFlight;
         }
+        // Requests that peers sent to this home are not counted with the services.
+        inFlight += static_cast<std::int64_t>(openLedgerSends());
         return inFlight;
     }
 
@@ -57,6 +60,7 @@
     void closeListener(Daemon &daemon)
     {
         changeState(daemon, DaemonEvent::GraceEnded);
+        refuseSendsOfPeers();
         daemon.http->stopAccepting([&daemon] {
             daemon.control.post([&daemon] {
                 waitUntilIdle(daemon);
