Fix: the ramp after a zone's return was applied twice

Cause: a daemon reported the free part of its ramped capacity, and the leader subtracted the part that the ramp holds back once more, so that a zone got no job before the middle of the ramp. Ruled out: a slow return of leases, since the daemons of the zone were fresh and owned their workers; learned sizes, since nothing was assigned. Change: a daemon reports its free capacity without the ramp, which the leader applies; the largest free piece stays what is released now. The spare capacity that paces drains takes the ramp into account at the leader.

--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -31,7 +31,8 @@
             const Resources free = shard.candidates[i].capacity - shard.candidates[i].used;
             summary.workers += 1;
             summary.capacity = summary.capacity + worker.capacity;
-            summary.free = summary.free + free;
+            // Without the ramp after a return, which the leader applies to the sum; only the largest piece is what is released now.
+            summary.free = summary.free + worker.capacity - shard.candidates[i].used;
             if (free.cpuMillis > summary.largestFree.cpuMillis) {
                 summary.largestFree = free;
             }
@@ -56,6 +57,16 @@
         updateShardLeases(daemon, now);
     }
 
+    double rampUp(const Daemon &daemon, const ZoneName &zone, TimePoint now)
+    {
+        const auto returned = daemon.controlState.returnedAt.find(zone);
+        if (returned == daemon.controlState.returnedAt.end()) {
+            return 1.0;
+        }
+        const double part = static_cast<double>((now - returned->second).ms) / static_cast<double>(RampAfterReturn.ms);
+        return std::clamp(part, 0.05, 1.0);
+    }
+
     /** Free processors of the zones in service, as the leader knows them. */
     std::int64_t spareCpuMillis(const Daemon &daemon, TimePoint now)
     {
@@ -63,21 +74,13 @@
         std::int64_t spare = 0;
         for (const auto &[name, load] : state.leader.daemons) {
             const bool counts = now - load.probedAt < DaemonAliveFor && !state.catalog.intent.configuration.isDrained(load.availabilityZone);
-            spare += counts ? std::max<std::int64_t>(load.load.free.cpuMillis, 0) : 0;
+            const double held = 1.0 - rampUp(daemon, load.availabilityZone, now);
+            const auto released = load.load.free.cpuMillis - static_cast<std::int64_t>(held * static_cast<double>(load.load.capacity.cpuMillis));
+            spare += counts ? std::max<std::int64_t>(released, 0) : 0;
         }
         return spare;
     }
 
-    double rampUp(const Daemon &daemon, const ZoneName &zone, TimePoint now)
-    {
-        const auto returned = daemon.controlState.returnedAt.find(zone);
-        if (returned == daemon.controlState.returnedAt.end()) {
-            return 1.0;
-        }
-        const double part = static_cast<double>((now - returned->second).ms) / static_cast<double>(RampAfterReturn.ms);
-        return std::clamp(part, 0.05, 1.0);
-    }
-
     AssignInput assignInput(const Daemon &daemon, TimePoint now)
     {
         const ControlState &state = daemon.controlState;
--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -132,10 +132,7 @@
         throw std::runtime_error("no temporary folder");
     }
     this->folder = pattern;
-    // Below the ports that the kernel gives to outgoing connections, and apart for test programs that run at the same time.
-    constexpr int FirstPort = 20'000;
-    constexpr int PortRange = 11'000;
-    this->nextPort = static_cast<std::uint16_t>(FirstPort + (::getpid() * 131) % PortRange);
+    this->claimPorts();
     writeFile(this->folder / "operator.key", std::string(OperatorKey) + "\n");
     writeFile(this->folder / "peer.key", "peer-key-of-the-test-0123456789abcdef\n");
     this->makeDaemons();
@@ -166,6 +163,27 @@
     }
 }
 
+/** Listens on the first port of a block for as long as the test runs, so that test programs that run at the same time take other blocks. */
+void ProcessCluster::claimPorts()
+{
+    // Below the ports that the kernel gives to outgoing connections.
+    constexpr std::uint16_t FirstPort = 20'000;
+    constexpr std::uint16_t BlockSize = 200;
+    constexpr std::uint16_t Blocks = 60;
+    for (std::uint16_t block = 0; block < Blocks; ++block) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + block * BlockSize);
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address = RawSocket::loopback(port);
+        if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0 && ::listen(descriptor, 1) == 0) {
+            this->portClaim = std::make_unique<RawSocket>(descriptor);
+            this->nextPort = port;
+            return;
+        }
+        ::close(descriptor);
+    }
+    throw std::runtime_error("no block of ports is free");
+}
+
 std::uint16_t ProcessCluster::freePort()
 {
     do {
@@ -264,7 +282,10 @@
     this->workerPorts.push_back(first);
     std::vector<std::string> all{FILBERTLANDING_FAKEWORKER, "--name", zone + "-w", "--zone", zone, "--count", std::to_string(WorkersPerZone)};
     add(all, {"--port", std::to_string(first), "--ledger", (this->folder / ("worker-" + zone + ".ledger")).string()});
-    add(all, {"--service-ms", "5", "--usage-lag-ms", "500"});
+    add(all, {"--usage-lag-ms", "500"});
+    if (std::find(arguments.begin(), arguments.end(), "--service-ms") == arguments.end()) {
+        add(all, {"--service-ms", "5"});
+    }
     for (const TestDaemon &daemon : this->daemons) {
         if (daemon.zone == zone) {
             add(all, {"--daemon", "127.0.0.1:" + std::to_string(daemon.httpPort)});
--- a/tests/process_cluster.h
+++ b/tests/process_cluster.h
@@ -134,10 +134,12 @@
 
     void makeDaemons();
     void writeSettings(const TestDaemon &daemon);
+    void claimPorts();
     std::uint16_t freePort();
 
     TestLeases leases;
     std::filesystem::path folder;
+    std::unique_ptr<class RawSocket> portClaim; ///< Keeps the block of ports.
     std::uint16_t nextPort = 0;
     std::uint64_t operations = 0;
     PeerRelay relay;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -40,8 +40,23 @@
 /** Jobs with more tasks than the workers can run at once, so that each zone always has one to start. */
 void startBacklog(ProcessCluster &cluster, const std::vector<std::size_t> &to)
 {
-    cluster.startAllWorkers({"--task-ms", "400", "--cpu-millis", "8000"});
-    cluster.startCaller("jobs", to, {"--rate", "5", "--count", "400", "--jobs", "1.0", "--tasks-per-job", "60", "--max-ms", "40000"});
+    cluster.startAllWorkers({"--task-ms", "1000"});
+    cluster.startCaller("jobs",
+                        to,
+                        {"--rate",
+                         "5",
+                         "--count",
+                         "400",
+                         "--jobs",
+                         "1.0",
+                         "--tasks-per-job",
+                         "60",
+                         "--job-cpu-millis",
+                         "1000",
+                         "--job-memory-mb",
+                         "1000",
+                         "--max-ms",
+                         "40000"});
     for (const std::string &zone : cluster.zones) {
         REQUIRE_MESSAGE(eventually([&] {
                             return startsIn(cluster, zone, {0}) > 20;
@@ -69,15 +84,19 @@
     CHECK(startsIn(cluster, zone, bound) == 0);
 }
 
-/** Ends the drain and waits until the zone starts tasks. */
+/** Ends the drain and checks that the zone starts tasks while its load ramps up. */
 void checkReturn(ProcessCluster &cluster, std::size_t daemon, const std::string &zone)
 {
+    // The ramp is linear over 30 s and a tenth of the capacity is kept for urgent jobs; two ramps on top of each other gave nothing for 16 s.
+    constexpr Duration ThirdOfRamp{10'000};
     const Reply returned = cluster.change(daemon, "DELETE", "90-drain.json");
     const TimePoint ordered = steadyNow();
     REQUIRE_MESSAGE(returned.status == 200, returned.body);
-    CHECK(eventually([&] {
-        return startsIn(cluster, zone, ordered) > 0;
-    }));
+    CHECK(eventually(
+        [&] {
+            return startsIn(cluster, zone, ordered) > 0;
+        },
+        ThirdOfRamp));
 }
 
 } // namespace
@@ -381,7 +400,7 @@
     ProcessCluster cluster;
     openService(cluster);
     cluster.startAllWorkers({"--task-ms", "500"});
-    cluster.startCaller("caller", {0, 1, 2, 3}, mixedLoad(150, 10'000));
+    cluster.startCaller("caller", AllDaemons, mixedLoad(150, 10'000));
     const std::string zone = cluster.zones[2];
     std::string worker = zone + "-w-1";
     // Worker 1 begins with the second daemon of its zone.
