Change: probes that arrive together share one quorum round

Cause: the leader made one quorum round for each probe.

Ruled out: worker reports (another connection, counted separately) and heartbeats by UDP (a follower sends as many and takes 8.0 KB/s in all).

Change: the leader gathers probes for 200 ms, the heartbeat interval, and makes one round for all of them. The round starts after the last probe of its batch, so an answer still proves that the leader led after each probe was sent. The leases start at the sending of the probe as before; an answer comes up to 200 ms later, and the freshness lease of 3 s leaves room for that.

--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -52,6 +52,12 @@
     ShardSummary load; ///< Its batch load.
 };
 
+/** A probe that waits for a quorum round. */
+struct WaitingProbe {
+    ProbeRequest probe; ///< The probe.
+    std::function<void(ProbeAnswer)> reply; ///< Takes the answer.
+};
+
 /** Duties of the leader. */
 struct LeaderState {
     bool active = false; ///< This daemon leads.
@@ -79,6 +85,7 @@
     std::map<std::uint64_t, PendingProposal> proposals; ///< By index.
     LeaseView lease; ///< Leases held from the leader.
     LeaderState leader; ///< Duties as leader.
+    std::vector<WaitingProbe> waitingProbes; ///< Probes for which no quorum round has started.
     std::map<DaemonName, PeerState> peers; ///< Peers.
     WorkerRegistry registry; ///< Workers that report here.
     JobShard shard; ///< Batch jobs assigned here.
--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -17,6 +17,12 @@
 
     constexpr Duration DaemonAliveFor{2500}; ///< Five probe intervals; a daemon that is silent for longer gets no new job.
     constexpr Duration RampAfterReturn{30'000}; ///< Time over which a zone that returned gets its full share again.
+    /**
+     * Probes that arrive within this time share one quorum round. A round sends a message to each daemon, so one for each probe would make the
+     * leader's traffic grow with the square of the number of daemons. It is the heartbeat interval, which a round replaces, and well below the
+     * freshness lease.
+     */
+    constexpr Duration ProbeGather{200};
     constexpr Duration AssignRetry{2000}; ///< A round whose proposals are not answered in this time is made again.
 
     /** Summarizes the batch load of the own shard. */
@@ -161,7 +167,21 @@
             answer.commitIndex = ready.index;
             answer.spareCpuMillis = spareCpuMillis(daemon, now);
         }
-        reply(std::move(answer));
+        reply(answer);
+    }
+
+    /** Starts one quorum round for all probes that wait. */
+    void startProbeRound(Daemon &daemon)
+    {
+        // A probe that arrives from here on is not in the list, so the round starts after each of its probes.
+        auto probes = std::make_shared<std::vector<WaitingProbe>>(std::exchange(daemon.controlState.waitingProbes, {}));
+        daemon.replication.read([&daemon, probes](const ReadReady &ready) {
+            daemon.control.post([&daemon, probes, ready] {
+                for (const WaitingProbe &waiting : *probes) {
+                    grantProbe(daemon, waiting.probe, ready, waiting.reply);
+                }
+            });
+        });
     }
 
 } // namespace
@@ -208,10 +228,13 @@
 
 void answerProbe(Daemon &daemon, const ProbeRequest &probe, std::function<void(ProbeAnswer)> reply)
 {
-    daemon.replication.read([&daemon, probe, reply = std::move(reply)](const ReadReady &ready) {
-        daemon.control.post([&daemon, probe, ready, reply] {
-            grantProbe(daemon, probe, ready, reply);
-        });
+    std::vector<WaitingProbe> &waiting = daemon.controlState.waitingProbes;
+    waiting.push_back({probe, std::move(reply)});
+    if (waiting.size() > 1) {
+        return;
+    }
+    daemon.control.after(ProbeGather, [&daemon] {
+        startProbeRound(daemon);
     });
 }
 
