Change: fewer rounds of assignment while nothing has changed

Cause: the leader looked at every job record four times a second, also when the last round had nothing to assign and no entry had been applied since. With 2,000 jobs of one task each at rest the leader used 1.49% of a core (1.45 to 1.69) against 0.82% without jobs.

Ruled out: the shard of the leader and worker reports, since a follower with as many tasks used 0.79%.

Change: after a round without commands the next one waits for a newly applied entry or for 1 s. A job that waits for room may learn of a new worker or an ended lease up to 0.75 s later; urgent work has 7.8 s. With a steady stream of entries rounds are as frequent as before, so the cost for each job record remains there (docs/CAPACITY.md).

--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -66,6 +66,7 @@
     std::map<DaemonName, DaemonLoad> daemons; ///< Daemons that have probed it.
     std::size_t openProposals = 0; ///< Assignments that have not been answered.
     TimePoint assignedAt; ///< Last round of assignments.
+    std::optional<std::uint64_t> idleIndex; ///< Applied index at the last round, if that round had nothing to assign.
 };
 
 /** What is known of a peer from its heartbeats. */
--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -24,6 +24,11 @@
      */
     constexpr Duration ProbeGather{200};
     constexpr Duration AssignRetry{2000}; ///< A round whose proposals are not answered in this time is made again.
+    /**
+     * Time until the next round when the last one had nothing to assign and no entry has been applied since. A round looks at every job record.
+     * It bounds how late a job that waits for room learns of a new worker or an ended lease, and is well below the 7.8 s of urgent work.
+     */
+    constexpr Duration IdleRounds{1000};
 
     /** Summarizes the batch load of the own shard. */
     ShardSummary summarizeShard(const JobShard &shard, TimePoint now)
@@ -274,9 +279,13 @@
     if (roundOpen) {
         return;
     }
+    if (leader.idleIndex == state.appliedIndex && now - leader.assignedAt < IdleRounds) {
+        return;
+    }
     const std::vector<LogCommand> commands = assignJobs(state.catalog, assignInput(daemon, now));
     leader.openProposals = commands.size();
     leader.assignedAt = now;
+    leader.idleIndex = commands.empty() ? std::optional(state.appliedIndex) : std::nullopt;
     for (const LogCommand &command : commands) {
         logAssignment(command);
         proposeCommand(daemon, command, [&daemon](const CommandResult &, std::uint64_t) {
