--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -52,6 +52,12 @@
     ShardSummary load; ///< Its batch load.
 };
 
+/** A probe that waits for a quorum round. */
+struct WaitingProbe {
+    ProbeRequest probe; ///< The probe.
+    std::function<void(ProbeAnswer)> reply; ///< Takes the answer.
+};
+
 /** Duties of the leader. */
 struct LeaderState {
     bool active = false; ///< This daemon leads.
@@ -60,6 +66,7 @@
     std::map<DaemonName, DaemonLoad> daemons; ///< Daemons that have probed it.
     std::size_t openProposals = 0; ///< Assignments that have not been answered.
     TimePoint assignedAt; ///< Last round of assignments.
+    std::optional<std::uint64_t> idleIndex; ///< Applied index at the last round, if that round had nothing to assign.
 };
 
 /** What is known of a peer from its heartbeats. */
@@ -83,6 +90,7 @@
     std::map<std::uint64_t, PendingProposal> proposals; ///< By index.
     LeaseView lease; ///< Leases held from the leader.
     LeaderState leader; ///< Duties as leader.
+    std::vector<WaitingProbe> waitingProbes; ///< Probes for which no quorum round has started.
     std::map<DaemonName, PeerState> peers; ///< Peers.
     WorkerRegistry registry; ///< Workers that report here.
     JobShard shard; ///< Batch jobs assigned here.
--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -17,7 +17,18 @@
 
     constexpr Duration DaemonAliveFor{2500}; ///< Five probe intervals; a daemon that is silent for longer gets no new job.
     constexpr Duration RampAfterReturn{30'000}; ///< Time over which a zone that returned gets its full share again.
+    /**
+     * Probes that arrive within this time share one quorum round. A round sends a message to each daemon, so one for each probe would make the
+     * leader's traffic grow with the square of the number of daemons. It is the heartbeat interval, which a round replaces, and well below the
+     * freshness lease.
+     */
+    constexpr Duration ProbeGather{200};
     constexpr Duration AssignRetry{2000}; ///< A round whose proposals are not answered in this time is made again.
+    /**
+     * Time until the next round when the last one had nothing to assign and no entry has been applied since. A round looks at every job record.
+     * It bounds how late a job that waits for room learns of a new worker or an ended lease, and is well below the 7.8 s of urgent work.
+     */
+    constexpr Duration IdleRounds{1000};
 
     /** Summarizes the batch load of the own shard. */
     ShardSummary summarizeShard(const JobShard &shard, TimePoint now)
@@ -167,6 +178,20 @@
         reply(answer);
     }
 
+    /** Starts one quorum round for all probes that wait. */
+    void startProbeRound(Daemon &daemon)
+    {
+        // A probe that arrives from here on is not in the list, so the round starts after each of its probes.
+        auto probes = std::make_shared<std::vector<WaitingProbe>>(std::exchange(daemon.controlState.waitingProbes, {}));
+        daemon.replication.read([&daemon, probes](const ReadReady &ready) {
+            daemon.control.post([&daemon, probes, ready] {
+                for (const WaitingProbe &waiting : *probes) {
+                    grantProbe(daemon, waiting.probe, ready, waiting.reply);
+                }
+            });
+        });
+    }
+
 } // namespace
 
 void updateShardLeases(Daemon &daemon, TimePoint now)
@@ -211,10 +236,13 @@
 
 void answerProbe(Daemon &daemon, const ProbeRequest &probe, std::function<void(ProbeAnswer)> reply)
 {
-    daemon.replication.read([&daemon, probe, reply = std::move(reply)](const ReadReady &ready) {
-        daemon.control.post([&daemon, probe, ready, reply] {
-            grantProbe(daemon, probe, ready, reply);
-        });
+    std::vector<WaitingProbe> &waiting = daemon.controlState.waitingProbes;
+    waiting.push_back({probe, std::move(reply)});
+    if (waiting.size() > 1) {
+        return;
+    }
+    daemon.control.after(ProbeGather, [&daemon] {
+        startProbeRound(daemon);
     });
 }
 
@@ -254,9 +282,13 @@
     if (roundOpen) {
         return;
     }
+    if (leader.idleIndex == state.appliedIndex && now - leader.assignedAt < IdleRounds) {
+        return;
+    }
     const std::vector<LogCommand> commands = assignJobs(state.catalog, assignInput(daemon, now));
     leader.openProposals = commands.size();
     leader.assignedAt = now;
+    leader.idleIndex = commands.empty() ? std::optional(state.appliedIndex) : std::nullopt;
     for (const LogCommand &command : commands) {
         logAssignment(command);
         proposeCommand(daemon, command, [&daemon](const CommandResult &, std::uint64_t) {
