--- a/src/ctl/completion_command.cpp
+++ b/src/ctl/completion_command.cpp
@@ -75,7 +75,7 @@
         });
     }
 
-    const CtlRegistration registration{"completion", addCompletion};
+    const CtlRegistration Registered{"completion", addCompletion};
 
 } // namespace
 
--- a/src/ctl/ctl_func.cpp
+++ b/src/ctl/ctl_func.cpp
@@ -8,10 +8,14 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <memory>
+#include <optional>
 #include <random>
 
 namespace Filbertlanding {
--- a/src/ctl/ctl_output.cpp
+++ b/src/ctl/ctl_output.cpp
@@ -4,6 +4,9 @@
 
 #include "ctl/json_access.h"
 
+#include <algorithm>
+#include <map>
+
 namespace Filbertlanding {
 
 namespace {
@@ -140,7 +143,7 @@
     }
 }
 
-TableCell stateCell(std::string state)
+TableCell stateCell(const std::string &state)
 {
     static const std::map<std::string, CellColour, std::less<>> colours{{"in-service", CellColour::Green},
                                                                         {"open", CellColour::Green},
@@ -155,7 +158,7 @@
                                                                         {"failed", CellColour::Red},
                                                                         {"quarantined", CellColour::Red}};
     const auto found = colours.find(state);
-    return {std::move(state), found == colours.end() ? CellColour::None : found->second};
+    return {state, found == colours.end() ? CellColour::None : found->second};
 }
 
 std::string printable(std::string_view text, bool keepLines)
--- a/src/ctl/ctl_output.h
+++ b/src/ctl/ctl_output.h
@@ -27,7 +27,7 @@
 void writeTable(const CtlStreams &streams, const std::vector<std::string> &titles, const std::vector<TableRow> &rows);
 
 /** Returns a cell for a state, coloured when it needs attention. */
-TableCell stateCell(std::string state);
+TableCell stateCell(const std::string &state);
 
 /** Returns a text without control characters; line feeds and tabs stay when wanted. */
 std::string printable(std::string_view text, bool keepLines = false);
--- a/src/ctl/daemon_call.cpp
+++ b/src/ctl/daemon_call.cpp
@@ -6,7 +6,9 @@
 #include "ctl/json_access.h"
 #include "network/http_client.h"
 
+#include <algorithm>
 #include <future>
+#include <optional>
 
 namespace Filbertlanding {
 
--- a/src/ctl/daemon_command.cpp
+++ b/src/ctl/daemon_command.cpp
@@ -7,6 +7,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <memory>
+
 namespace Filbertlanding {
 
 namespace {
@@ -46,7 +48,7 @@
         });
     }
 
-    const CtlRegistration registration{"daemon", addDaemon};
+    const CtlRegistration Registered{"daemon", addDaemon};
 
 } // namespace
 
--- a/src/ctl/intent_client.cpp
+++ b/src/ctl/intent_client.cpp
@@ -5,8 +5,12 @@
 #include "catalog/intent_merge.h"
 #include "ctl/json_access.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <map>
+#include <optional>
+#include <variant>
 
 namespace Filbertlanding {
 
@@ -167,6 +171,7 @@
         }
     }
     std::vector<IntentFile> result;
+    result.reserve(texts.size());
     for (auto &[name, text] : texts) {
         result.push_back({name, std::move(text)});
     }
--- a/src/ctl/intent_command.cpp
+++ b/src/ctl/intent_command.cpp
@@ -10,6 +10,9 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
+#include <memory>
+
 namespace Filbertlanding {
 
 namespace {
@@ -311,7 +314,7 @@
         });
     }
 
-    const CtlRegistration registration{"intent", addIntent};
+    const CtlRegistration Registered{"intent", addIntent};
 
 } // namespace
 
--- a/src/ctl/job_command.cpp
+++ b/src/ctl/job_command.cpp
@@ -7,6 +7,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <memory>
+
 namespace Filbertlanding {
 
 namespace {
@@ -156,7 +158,7 @@
         });
     }
 
-    const CtlRegistration registration{"jobs", addJobs};
+    const CtlRegistration Registered{"jobs", addJobs};
 
 } // namespace
 
--- a/src/ctl/report_command.cpp
+++ b/src/ctl/report_command.cpp
@@ -7,6 +7,8 @@
 #include <CLI/CLI.hpp>
 #include <boost/json.hpp>
 
+#include <memory>
+
 namespace Filbertlanding {
 
 namespace {
@@ -76,7 +78,7 @@
         });
     }
 
-    const CtlRegistration registration{"report", addReport};
+    const CtlRegistration Registered{"report", addReport};
 
 } // namespace
 
--- a/src/ctl/service_command.cpp
+++ b/src/ctl/service_command.cpp
@@ -9,6 +9,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <memory>
+
 namespace Filbertlanding {
 
 namespace {
@@ -98,7 +100,7 @@
         CLI::App *service = addCommand(root, "service", "services", "filbertctl service close quote-desk --wait");
         service->require_subcommand(1);
         CLI::App *close =
-            addCommand(*service, "close", "close a service for good: writes the file 90-close-NAME.json", "filbertctl service close quote-desk --wait");
+            addCommand(*service, "close", "close a service: writes the file 90-close-NAME.json", "filbertctl service close quote-desk --wait");
         close->add_option("NAME", arguments->service, "service")->required();
         addWaitOptions(*close, arguments->wait);
         close->callback([&context, arguments] {
@@ -108,7 +110,7 @@
         });
     }
 
-    const CtlRegistration registration{"service", addService};
+    const CtlRegistration Registered{"service", addService};
 
 } // namespace
 
--- a/src/ctl/status_command.cpp
+++ b/src/ctl/status_command.cpp
@@ -6,6 +6,10 @@
 
 #include <CLI/CLI.hpp>
 
+#include <algorithm>
+#include <memory>
+#include <set>
+
 namespace Filbertlanding {
 
 namespace {
@@ -176,7 +180,7 @@
         });
     }
 
-    const CtlRegistration registration{"status", addStatus};
+    const CtlRegistration Registered{"status", addStatus};
 
 } // namespace
 
--- a/src/ctl/wait_func.cpp
+++ b/src/ctl/wait_func.cpp
@@ -7,6 +7,8 @@
 
 #include <CLI/CLI.hpp>
 
+#include <functional>
+
 namespace Filbertlanding {
 
 namespace {
--- a/src/ctl/zone_command.cpp
+++ b/src/ctl/zone_command.cpp
@@ -9,6 +9,9 @@
 
 #include <CLI/CLI.hpp>
 
+#include <memory>
+#include <optional>
+
 namespace Filbertlanding {
 
 namespace {
@@ -157,7 +160,7 @@
         });
     }
 
-    const CtlRegistration registration{"zone", addZones};
+    const CtlRegistration Registered{"zone", addZones};
 
 } // namespace
 
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -10,10 +10,14 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <mutex>
+#include <optional>
 #include <sstream>
+#include <utility>
 
 using namespace Filbertlanding;
 
