--- a/bench/added_latency.cpp
+++ b/bench/added_latency.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <chrono>
 #include <cmath>
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <mutex>
@@ -31,12 +32,14 @@
     std::int64_t blockMs = 1000; ///< Length of a block in ms.
     std::int64_t warmUpMs = 500; ///< Time at the start of each block that is not counted, in ms.
     std::uint64_t seed = 1; ///< Seed of the arrival times.
+    std::string samples; ///< File for the single latencies through the daemon; empty for none.
 };
 
 /** Latencies of one path. */
 struct Samples {
     std::mutex mutex; ///< Guards the values.
     std::vector<double> microseconds; ///< From the planned time of sending to the whole answer.
+    std::vector<std::pair<std::int64_t, double>> byTime; ///< The same with the planned time, in microseconds.
     std::uint64_t failed = 0; ///< Requests without an answer of status 200.
 };
 
@@ -51,6 +54,7 @@
     app.add_option("--blocks", options.blocks, "Blocks of each path; direct and daemon take turns")->check(CLI::Range(1U, 600U))->capture_default_str();
     app.add_option("--block-ms", options.blockMs, "Length of a block in ms")->check(CLI::Range(100, 60'000))->capture_default_str();
     app.add_option("--warm-up-ms", options.warmUpMs, "Time at the start of a block that is not counted")->check(CLI::Range(0, 60'000))->capture_default_str();
+    app.add_option("--samples", options.samples, "File for lines of planned time and latency through the daemon in us; shows whether slow requests cluster");
     app.add_option("--seed", options.seed, "Seed of the arrival times")->capture_default_str();
 }
 
@@ -130,6 +134,7 @@
                 samples.failed += answered ? 0 : 1;
                 if (answered) {
                     samples.microseconds.push_back(latency);
+                    samples.byTime.emplace_back(plannedUs, latency);
                 }
             }
             --this->outstanding;
@@ -175,6 +180,12 @@
     Comparison comparison(options, *workers, daemon->front(), client);
     comparison.run();
     client.stop();
+    if (!options.samples.empty()) {
+        std::ofstream file(options.samples);
+        for (const auto &[plannedUs, latencyUs] : comparison.throughDaemon.byTime) {
+            file << plannedUs << ' ' << latencyUs << '\n';
+        }
+    }
     printRow("direct", comparison.direct, {0.5, 0.99});
     printRow("daemon", comparison.throughDaemon, {0.5, 0.99});
     const auto added = [&comparison](double quantile) {
