--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -339,9 +339,10 @@
         cluster.start(i);
     }
     for (std::size_t i = 0; i < first.size(); ++i) {
-        const auto &[operation, answer] = first[i];
+        const std::string &operation = first[i].first;
+        const Reply &answer = first[i].second;
         Reply again;
-        CHECK_MESSAGE(eventually([&, operation = operation, answer = answer] {
+        CHECK_MESSAGE(eventually([&] {
                           again = put((i + 1) % 6, operation, operation.substr(1));
                           return again.status == answer.status && again.body == answer.body;
                       }),
