--- a/src/ctl/service_command.cpp
+++ b/src/ctl/service_command.cpp
@@ -99,8 +99,7 @@
         const auto arguments = std::make_shared<ServiceArguments>();
         CLI::App *service = addCommand(root, "service", "services", "filbertctl service close quote-desk --wait");
         service->require_subcommand(1);
-        CLI::App *close =
-            addCommand(*service, "close", "close a service: writes the file 90-close-NAME.json", "filbertctl service close quote-desk --wait");
+        CLI::App *close = addCommand(*service, "close", "close a service: writes the file 90-close-NAME.json", "filbertctl service close quote-desk --wait");
         close->add_option("NAME", arguments->service, "service")->required();
         addWaitOptions(*close, arguments->wait);
         close->callback([&context, arguments] {
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -258,7 +258,7 @@
     {
         const std::size_t title = status.out.find("DAEMON");
         REQUIRE(title != std::string::npos);
-        const std::size_t line = status.out.rfind("\n", status.out.find("piassa-1  "));
+        const std::size_t line = status.out.rfind('\n', status.out.find("piassa-1  "));
         const std::size_t column = status.out.find("VERSION", title) - title;
         CHECK(status.out.substr(line + 1 + column, 7) == "      4");
         CHECK(status.out.find('\x1b') == std::string::npos);
@@ -474,6 +474,7 @@
         std::ostringstream out;
         std::ostringstream err;
         std::vector<TableRow> rows;
+        rows.reserve(names.size());
         for (const std::string &name : names) {
             rows.push_back({name, "x"});
         }
--- a/tests/process_checks.cpp
+++ b/tests/process_checks.cpp
@@ -93,8 +93,8 @@
     for (const json::object &line : cluster.workerLedgers()) {
         results[std::string(line.at("event") == "taskFinished" ? line.at("job").as_string() : json::string())] += 1;
     }
-    for (const auto &[job, count] : records) {
-        CHECK_MESSAGE(results[job] >= 1, (job + " is finished and no worker finished it"));
+    for (const auto &record : records) {
+        CHECK_MESSAGE(results[record.first] >= 1, (record.first + " is finished and no worker finished it"));
     }
 }
 
--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -14,6 +14,7 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <map>
 
 namespace Filbertlanding {
 
