--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -94,7 +94,7 @@
         std::uint64_t fresh = proposed;
         for (const auto &name : names) {
             if (name.starts_with(DamagedPrefix)) {
-                fresh = std::max(fresh, readIncarnation(files, path + "/" + name).value_or(0) + 1);
+                fresh = std::max(fresh, readIncarnation(files, std::string(path).append("/").append(name)).value_or(0) + 1);
             }
         }
         return fresh;
