--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -70,6 +70,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::filesystem::path &output)
 {
     std::vector<char *> list;
+    list.reserve(arguments.size() + 1);
     for (const std::string &argument : arguments) {
         list.push_back(const_cast<char *>(argument.c_str()));
     }
