--- a/src/ctl/ctl_func.cpp
+++ b/src/ctl/ctl_func.cpp
@@ -18,6 +18,9 @@
 #include <optional>
 #include <random>
 
+#include <pwd.h>
+#include <unistd.h>
+
 namespace Filbertlanding {
 
 namespace {
@@ -86,7 +89,9 @@
                 return value;
             }
         }
-        return {};
+        // Services and containers often start programs without these variables.
+        const passwd *user = getpwuid(getuid());
+        return user == nullptr ? std::string() : std::string(user->pw_name);
     }
 
     /** Checks the common options and opens the client. */
--- a/src/ctl/status_command.cpp
+++ b/src/ctl/status_command.cpp
@@ -10,6 +10,8 @@
 #include <memory>
 #include <set>
 
+#include <cstdio>
+
 namespace Filbertlanding {
 
 namespace {
@@ -52,6 +54,18 @@
         writeTable(streams, {"ZONE", "STATE", "DRAINED FOR", "ASSIGNMENTS"}, rows);
     }
 
+    /** Latency estimate of a service; a daemon without slots for it has none. */
+    std::string latencyText(const json::value &service)
+    {
+        const json::value *value = service.is_object() ? service.as_object().if_contains("quantileMs") : nullptr;
+        if (value == nullptr || !value->is_number() || numberOf(service, "slots") == 0) {
+            return "-";
+        }
+        char text[32];
+        std::snprintf(text, sizeof text, "%.1f", value->to_number<double>());
+        return text;
+    }
+
     void writeServices(const CtlStreams &streams, const json::value &status)
     {
         std::vector<TableRow> rows;
@@ -62,7 +76,7 @@
                             TableCell(numberOf(service, "inUse")),
                             TableCell(numberOf(service, "waiting")),
                             TableCell(numberOf(service, "inFlight")),
-                            textOf(service, "quantileMs")});
+                            latencyText(service)});
         }
         writeTable(streams, {"SERVICE", "STATE", "SLOTS", "IN USE", "QUEUED", "IN FLIGHT", "LATENCY MS"}, rows);
     }
--- a/src/daemon/apply_state.cpp
+++ b/src/daemon/apply_state.cpp
@@ -144,6 +144,23 @@
         }
     }
 
+    /** Gives the shard its part of each service's eviction budget, and the policy. */
+    void updateShardPolicy(Daemon &daemon)
+    {
+        constexpr double LatencyFirst = 0.9; // The weights of docs/measurements.md.
+        constexpr double ThroughputFirst = 0.1;
+        ControlState &state = daemon.controlState;
+        const auto daemons = static_cast<std::int64_t>(daemon.settings.peers.size()) + 1;
+        for (const auto &[service, config] : state.configuration.services) {
+            // The configured number is for the whole installation; every daemon evicts at least its rounded up part.
+            shardService(state.shard, service, static_cast<std::uint32_t>((config.maxEvictionsPerMinute + daemons - 1) / daemons));
+        }
+        const PolicyConfig &policy = state.configuration.policy;
+        if (!shardPolicy(state.shard, policy.placement, policy.weighing == Weighing::Latency ? LatencyFirst : ThroughputFirst)) {
+            logLine(LogArea::Place, LogLevel::Error, "placement-policy-unknown", {{"policy", policy.placement}});
+        }
+    }
+
     void updateLeavingWorkers(Daemon &daemon)
     {
         std::set<WorkerName> leaving;
@@ -262,6 +279,7 @@
     noteZoneChanges(daemon, now);
     updateShardZones(daemon, now);
     updateShardTeams(daemon);
+    updateShardPolicy(daemon);
     updateLeavingWorkers(daemon);
     state.viewVersion = state.catalog.intent.version;
     publishView(daemon);
@@ -301,6 +319,7 @@
 
 void publishView(Daemon &daemon)
 {
+    const StepTimer timer(daemon.timings, TimedStep::ViewPublication);
     ControlState &state = daemon.controlState;
     const Configuration &configuration = state.configuration;
     const std::uint64_t published = daemon.view.read()->version;
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -10,6 +10,7 @@
 #include "daemon/peer_message_type.h"
 #include "daemon/replication_driver.h"
 #include "daemon/request_view_type.h"
+#include "daemon/timing_metrics.h"
 #include "job/job_shard_base.h"
 #include "membership/worker_registry_base.h"
 #include "network/http_client.h"
@@ -120,6 +121,7 @@
     std::string peerKey; ///< Key of peers; empty without peers.
     std::uint64_t incarnation = 0; ///< Start number of this process: calendar time in ms.
     NetworkCounters network; ///< Counters of the network adapters.
+    TimingMetrics timings; ///< Durations of watched steps.
     std::unique_ptr<OutcomeCounters> outcomes; ///< Outcomes of requests received here.
     RcuPointer<RequestView> view; ///< What request threads know.
     std::atomic<TicketId> lastTicket{0}; ///< Number of the latest ticket.
--- a/src/daemon/daemon_func.cpp
+++ b/src/daemon/daemon_func.cpp
@@ -92,6 +92,9 @@
                 takeSnapshot(daemon);
             });
         };
+        hooks.synced = [&daemon](std::int64_t microseconds) {
+            daemon.timings.record(TimedStep::DiskSync, microseconds);
+        };
         hooks.failed = [&daemon](ResultCode code) {
             logLine(LogArea::Replication, LogLevel::Error, "disk-failed", {{"code", resultCodeRow(code).name}});
             daemon.stopped(code);
--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -285,6 +285,7 @@
     if (leader.idleIndex == state.appliedIndex && now - leader.assignedAt < IdleRounds) {
         return;
     }
+    const StepTimer timer(daemon.timings, TimedStep::Assignment);
     const std::vector<LogCommand> commands = assignJobs(state.catalog, assignInput(daemon, now));
     leader.openProposals = commands.size();
     leader.assignedAt = now;
--- a/src/daemon/replication_driver.cpp
+++ b/src/daemon/replication_driver.cpp
@@ -108,8 +108,13 @@
         if (this->diskFailed) {
             return false;
         }
+        const bool writes = actions.persistHardState || actions.persistSnapshot || actions.truncateFrom || !actions.append.empty();
+        const std::int64_t startedUs = steadyMicroseconds();
         const ResultCode code = persistActions(this->folder, actions);
         if (code == ResultCode::Ok) {
+            if (writes) {
+                this->hooks.synced(steadyMicroseconds() - startedUs);
+            }
             return true;
         }
         this->diskFailed = true;
--- a/src/daemon/status_api.cpp
+++ b/src/daemon/status_api.cpp
@@ -146,6 +146,18 @@
         addMetric(text, "resident_peak_kilobytes", {}, static_cast<std::uint64_t>(usage.ru_maxrss));
     }
 
+    void addTimingMetrics(std::string &text, const TimingMetrics &timings)
+    {
+        for (const auto &row : TimedStepNames.rows) {
+            const TimingSummary summary = timings.summary(row.value);
+            const std::string step = labels({{"step", row.name}});
+            addMetric(text, "step_total", step, summary.count);
+            addMetric(text, "step_mean_microseconds", step, summary.meanUs);
+            addMetric(text, "step_p99_microseconds", step, summary.p99Us);
+            addMetric(text, "step_max_microseconds", step, summary.maxUs);
+        }
+    }
+
     void addNetworkMetrics(std::string &text, const NetworkCounters &network)
     {
         addMetric(text, "http_requests_total", {}, network.httpRequests);
@@ -209,6 +221,7 @@
 {
     std::string text;
     addProcessMetrics(text);
+    addTimingMetrics(text, daemon.timings);
     addNetworkMetrics(text, daemon.network);
     addOutcomeMetrics(text, *daemon.outcomes);
     addMetric(text, "workers", {}, daemon.controlState.registry.workers.size());
--- a/src/daemon/worker_service.cpp
+++ b/src/daemon/worker_service.cpp
@@ -132,6 +132,7 @@
 
 ReportAnswer serveReport(Daemon &daemon, const WorkerReport &report)
 {
+    const StepTimer timer(daemon.timings, TimedStep::WorkerReport);
     ControlState &state = daemon.controlState;
     const TimePoint now = steadyNow();
     ReportAnswer answer = handleReport(state.registry, report, now);
--- a/src/job/eviction_budget.h
+++ b/src/job/eviction_budget.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace Filbertlanding {
@@ -21,9 +22,13 @@
 /** Evictions of the last window, by service. */
 struct EvictionBudget {
     EvictionBudgetSettings settings; ///< Settings.
+    std::vector<std::optional<std::uint32_t>> limits; ///< Limit of each service that has one of its own, by service.
     std::vector<std::deque<TimePoint>> evictions; ///< Times of the evictions, oldest first, by service.
 };
 
+/** Gives a service a limit of its own in place of the general one. */
+void setEvictionLimit(EvictionBudget &budget, ServiceIndex service, std::uint32_t perWindow);
+
 /** Returns whether the service may lose one more job now. */
 bool hasEvictionBudget(EvictionBudget &budget, ServiceIndex service, TimePoint now);
 
--- a/src/job/job_shard.cpp
+++ b/src/job/job_shard.cpp
@@ -389,6 +389,23 @@
     shard.placementDue = true;
 }
 
+void shardService(JobShard &shard, const ServiceName &service, std::uint32_t evictionsPerWindow)
+{
+    setEvictionLimit(shard.budget, static_cast<ServiceIndex>(shard.services.of(service)), evictionsPerWindow);
+}
+
+bool shardPolicy(JobShard &shard, std::string_view name, double latencyWeight)
+{
+    shard.settings.place.latencyWeight = latencyWeight;
+    const auto *policy = PlacePolicyRegistry::find(name);
+    if (policy == nullptr) {
+        return false;
+    }
+    shard.policy = policy;
+    shard.placementDue = true;
+    return true;
+}
+
 void shardProposalAnswered(JobShard &shard, const JobProposal &proposal, ResultCode code, TimePoint now)
 {
     const auto number = static_cast<unsigned>(code);
--- a/src/job/job_shard_func.h
+++ b/src/job/job_shard_func.h
@@ -42,6 +42,15 @@
 /** Sets the weight of a team and its quota in this shard; 0 for no quota. */
 void shardTeam(JobShard &shard, const TeamName &team, double weight, std::int64_t quotaCpuMillis);
 
+/** Sets how many jobs of a service this shard may evict in one window of the eviction budget. */
+void shardService(JobShard &shard, const ServiceName &service, std::uint32_t evictionsPerWindow);
+
+/**
+ * Chooses the placement policy and how much it weighs the latency of requests, from 0 (only batch progress) to 1 (only latency).
+ * @return Whether there is a policy with this name; otherwise the one before stays.
+ */
+bool shardPolicy(JobShard &shard, std::string_view name, double latencyWeight);
+
 /** The catalog has answered a proposal. Every code but Ok and the codes of jobs (4000 to 4999) means that it is made again. */
 void shardProposalAnswered(JobShard &shard, const JobProposal &proposal, ResultCode code, TimePoint now);
 
--- a/tests/eviction_test.cpp
+++ b/tests/eviction_test.cpp
@@ -98,6 +98,32 @@
     CHECK(hasEvictionBudget(budget, 3, {89'999}));
 }
 
+TEST_CASE("A service has an eviction limit of its own, and a shard a policy")
+{
+    // Guards against a configured maxEvictionsPerMinute or policy that changes nothing.
+    ShardSettings settings;
+    auto shard = makeJobShard(settings, {0});
+    REQUIRE(shard);
+    shardService(*shard, "surveys", 1);
+    const auto surveys = static_cast<ServiceIndex>(shard->services.of("surveys"));
+    const auto other = static_cast<ServiceIndex>(shard->services.of("quote-desk"));
+    for (const ServiceIndex service : {surveys, other}) {
+        CHECK(hasEvictionBudget(shard->budget, service, {0}));
+        spendEviction(shard->budget, service, {0});
+    }
+    CHECK_FALSE(hasEvictionBudget(shard->budget, surveys, {1}));
+    CHECK(hasEvictionBudget(shard->budget, other, {1}));
+
+    SUBCASE("an unknown policy leaves the one before")
+    {
+        const auto *before = shard->policy;
+        CHECK(shardPolicy(*shard, "first-fit", 0.1));
+        CHECK(shard->policy != before);
+        CHECK_FALSE(shardPolicy(*shard, "no-such-policy", 0.1));
+        CHECK(shard->policy != nullptr);
+    }
+}
+
 TEST_CASE("Usage that grows after the start is throttled, then evicted, within the budget")
 {
     // The capacity guarantee is by the sizes in force at the placement. When the class then uses more, the worker is brought back
