Change: one drain plan, and spare capacity shared by the daemons of a drained zone

Cause: the rule for waves of a drain stood twice: planDrain in the catalog, which nothing called, and the shard's own. Each daemon of a drained zone could fill the whole spare capacity. Ruled out: keeping the leader's plan, since the daemon knows what its workers run and needs no further message. Conclusion: no behaviour of the daemon depended on the removed code.

--- a/src/catalog/assign_func.h
+++ b/src/catalog/assign_func.h
@@ -14,10 +14,4 @@
  */
 std::vector<LogCommand> assignJobs(const Catalog &catalog, const AssignInput &input);
 
-/**
- * Chooses the running jobs of drained zones to evict now, under the eviction budget of each service and the spare
- * capacity of the other zones. After the drain limit of a zone all its remaining jobs are forced out.
- */
-std::vector<DrainOrder> planDrain(const Catalog &catalog, const DrainInput &input);
-
 } // namespace Filbertlanding
--- a/src/catalog/assign_type.h
+++ b/src/catalog/assign_type.h
@@ -32,23 +32,4 @@
     std::size_t maxCommands = 200; ///< Commands in one round, so that one round does not fill the log.
 };
 
-/** Inputs of the drain plan. */
-struct DrainInput {
-    std::vector<ShardLoad> shards; ///< Every daemon that the leader has heard from.
-    std::map<ZoneName, Duration> drainedFor; ///< Time since each drained zone was drained.
-    std::map<ServiceName, std::int64_t> recentEvictions; ///< Evictions ordered in the last 60 s by service.
-    std::set<std::pair<JobId, std::uint64_t>> ordered; ///< Job epochs whose eviction was ordered already.
-    std::set<std::pair<JobId, std::uint64_t>> forced; ///< Job epochs that were already forced.
-};
-
-/** An order to a daemon to end an epoch. The daemon stops the tasks and then proposes the eviction itself. */
-struct DrainOrder {
-    JobId job; ///< Job.
-    std::uint64_t epoch = 0; ///< Epoch.
-    DaemonName daemon; ///< Daemon that runs it.
-    bool forced = false; ///< Stop at once, even without a checkpoint.
-
-    bool operator==(const DrainOrder &) const = default;
-};
-
 } // namespace Filbertlanding
--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -78,18 +78,25 @@
         return std::clamp(part, 0.05, 1.0);
     }
 
-    /** Free processors of the zones in service, as the leader knows them. */
+    /** Free processors of the zones in service that one daemon of a drained zone may fill; several such daemons share them. */
     std::int64_t spareCpuMillis(const Daemon &daemon, TimePoint now)
     {
         const ControlState &state = daemon.controlState;
         std::int64_t spare = 0;
+        std::int64_t drained = 0;
         for (const auto &[name, load] : state.leader.daemons) {
-            const bool counts = now - load.probedAt < DaemonAliveFor && !state.catalog.intent.configuration.isDrained(load.availabilityZone);
+            if (now - load.probedAt >= DaemonAliveFor) {
+                continue;
+            }
+            if (state.catalog.intent.configuration.isDrained(load.availabilityZone)) {
+                drained += load.load.runningTasks > 0 ? 1 : 0;
+                continue;
+            }
             const double held = 1.0 - rampUp(daemon, load.availabilityZone, now);
             const auto released = load.load.free.cpuMillis - static_cast<std::int64_t>(held * static_cast<double>(load.load.capacity.cpuMillis));
-            spare += counts ? std::max<std::int64_t>(released, 0) : 0;
+            spare += std::max<std::int64_t>(released, 0);
         }
-        return spare;
+        return spare / std::max<std::int64_t>(drained, 1);
     }
 
     AssignInput assignInput(const Daemon &daemon, TimePoint now)
