--- a/src/daemon/apply_state.cpp
+++ b/src/daemon/apply_state.cpp
@@ -3,10 +3,12 @@
 #include "daemon/apply_state.h"
 
 #include "core/clock_func.h"
+#include "daemon/drain_restriction.h"
 #include "daemon/log_func.h"
 #include "daemon/propose_func.h"
 #include "job/job_shard_func.h"
 #include "membership/worker_registry_func.h"
+#include "settings/settings_func.h"
 
 namespace Filbertlanding {
 
@@ -117,14 +119,14 @@
     void noteZoneChanges(Daemon &daemon, TimePoint now)
     {
         ControlState &state = daemon.controlState;
-        for (const auto &[zone, config] : state.catalog.intent.configuration.availabilityZones) {
+        for (const auto &[zone, config] : state.configuration.availabilityZones) {
             if (config.state == ZoneState::Drained) {
                 state.drainedSince.try_emplace(zone, now);
                 state.returnedAt.erase(zone);
             }
         }
         for (auto it = state.drainedSince.begin(); it != state.drainedSince.end();) {
-            if (state.catalog.intent.configuration.isDrained(it->first)) {
+            if (state.configuration.isDrained(it->first)) {
                 ++it;
                 continue;
             }
@@ -137,15 +139,32 @@
     void updateShardTeams(Daemon &daemon)
     {
         ControlState &state = daemon.controlState;
-        for (const auto &[team, config] : state.catalog.intent.configuration.teams) {
+        for (const auto &[team, config] : state.configuration.teams) {
             shardTeam(state.shard, team, static_cast<double>(config.weight), config.quotaCpuMillis.value_or(0));
         }
     }
 
+    /** Gives the shard its part of each service's eviction budget, and the policy. */
+    void updateShardPolicy(Daemon &daemon)
+    {
+        constexpr double LatencyFirst = 0.9; // The weights of docs/measurements.md.
+        constexpr double ThroughputFirst = 0.1;
+        ControlState &state = daemon.controlState;
+        const auto daemons = static_cast<std::int64_t>(daemon.settings.peers.size()) + 1;
+        for (const auto &[service, config] : state.configuration.services) {
+            // The configured number is for the whole installation; every daemon evicts at least its rounded up part.
+            shardService(state.shard, service, static_cast<std::uint32_t>((config.maxEvictionsPerMinute + daemons - 1) / daemons));
+        }
+        const PolicyConfig &policy = state.configuration.policy;
+        if (!shardPolicy(state.shard, policy.placement, policy.weighing == Weighing::Latency ? LatencyFirst : ThroughputFirst)) {
+            logLine(LogArea::Place, LogLevel::Error, "placement-policy-unknown", {{"policy", policy.placement}});
+        }
+    }
+
     void updateLeavingWorkers(Daemon &daemon)
     {
         std::set<WorkerName> leaving;
-        for (const auto &[worker, config] : daemon.controlState.catalog.intent.configuration.workers) {
+        for (const auto &[worker, config] : daemon.controlState.configuration.workers) {
             if (config.state == WorkerIntent::Leaving) {
                 leaving.insert(worker);
             }
@@ -153,19 +172,6 @@
         setLeavingWorkers(daemon.controlState.registry, std::move(leaving));
     }
 
-    /** Puts a new configuration in force. */
-    void configurationChanged(Daemon &daemon, TimePoint now)
-    {
-        ControlState &state = daemon.controlState;
-        noteZoneChanges(daemon, now);
-        updateShardZones(daemon, now);
-        updateShardTeams(daemon);
-        updateLeavingWorkers(daemon);
-        state.viewVersion = state.catalog.intent.version;
-        publishView(daemon);
-        logLine(LogArea::Intent, LogLevel::Info, "configuration-in-force", {{"version", state.viewVersion}, {"index", state.appliedIndex}});
-    }
-
     void markConfigured(Daemon &daemon)
     {
         ControlState &state = daemon.controlState;
@@ -212,7 +218,7 @@
     std::shared_ptr<ServiceRuntime> runtimeOf(Daemon &daemon, const ServiceName &name, const ServiceConfig &config, bool configChanged)
     {
         ControlState &state = daemon.controlState;
-        const AdmissionSettings admission = admissionSettings(state.catalog.intent.configuration, config);
+        const AdmissionSettings admission = admissionSettings(state.configuration, config);
         auto &runtime = state.services[name];
         if (runtime == nullptr) {
             const RetryBudgetSettings budget{static_cast<double>(config.retryBudgetPercent) / 100, static_cast<std::uint32_t>(config.retryBudgetMinPerSecond)};
@@ -239,20 +245,50 @@
         return summaries;
     }
 
-    std::vector<DaemonName> voterNames(const ReplicationStatus &status)
+    /**
+     * Returns the daemons with a disk, and the disk with which each is a voter now; 0 while a lost disk is being replaced.
+     * The names come from the settings: while a voter is replaced it is out of the membership, and home and replica
+     * of a non-repeatable request must not move to daemons without its record.
+     */
+    std::vector<LedgerDisk> ledgerVoters(const Daemon &daemon)
     {
-        std::set<DaemonName> names;
-        for (const VoterId &voter : status.membership.voters) {
-            names.insert(voter.daemon);
+        std::vector<LedgerDisk> voters;
+        const auto add = [&daemon, &voters](const DaemonName &name) {
+            LedgerDisk disk{name, 0};
+            for (const VoterId &voter : daemon.controlState.replication.membership.voters) {
+                disk.incarnation = voter.daemon == name ? voter.incarnation : disk.incarnation;
+            }
+            voters.push_back(disk);
+        };
+        if (isVoter(daemon.settings)) {
+            add(daemon.settings.daemon);
+        }
+        for (const PeerSettings &peer : daemon.settings.peers) {
+            if (peer.voter) {
+                add(peer.daemon);
+            }
         }
-        return {names.begin(), names.end()};
+        return voters;
     }
 
 } // namespace
 
+void configurationChanged(Daemon &daemon, TimePoint now)
+{
+    ControlState &state = daemon.controlState;
+    noteZoneChanges(daemon, now);
+    updateShardZones(daemon, now);
+    updateShardTeams(daemon);
+    updateShardPolicy(daemon);
+    updateLeavingWorkers(daemon);
+    state.viewVersion = state.catalog.intent.version;
+    publishView(daemon);
+    logLine(LogArea::Intent, LogLevel::Info, "configuration-in-force", {{"version", state.viewVersion}, {"index", state.appliedIndex}});
+}
+
 bool isOwnZoneDrained(const Daemon &daemon)
 {
-    return daemon.controlState.catalog.intent.configuration.isDrained(daemon.settings.availabilityZone);
+    return daemon.controlState.configuration.isDrained(daemon.settings.availabilityZone);
 }
 
 std::vector<DaemonEndpoint> liveZoneDaemons(const Daemon &daemon, TimePoint now)
@@ -275,16 +311,17 @@
 {
     ControlState &state = daemon.controlState;
     for (const auto &[zone, since] : state.drainedSince) {
-        const auto config = state.catalog.intent.configuration.availabilityZones.find(zone);
-        const Duration limit = config == state.catalog.intent.configuration.availabilityZones.end() ? ZoneConfig().drainLimit : config->second.drainLimit;
+        const auto config = state.configuration.availabilityZones.find(zone);
+        const Duration limit = config == state.configuration.availabilityZones.end() ? ZoneConfig().drainLimit : config->second.drainLimit;
         shardZone(state.shard, zone, true, limit, state.spareCpuMillis, now);
     }
 }
 
 void publishView(Daemon &daemon)
 {
+    const StepTimer timer(daemon.timings, TimedStep::ViewPublication);
     ControlState &state = daemon.controlState;
-    const Configuration &configuration = state.catalog.intent.configuration;
+    const Configuration &configuration = state.configuration;
     const std::uint64_t published = daemon.view.read()->version;
     auto view = std::make_unique<RequestView>();
     view->version = state.catalog.intent.version;
@@ -293,7 +330,7 @@
     for (const auto &[name, config] : configuration.services) {
         view->services[name] = runtimeOf(daemon, name, config, published != view->version);
     }
-    view->voters = voterNames(state.replication);
+    view->voters = ledgerVoters(daemon);
     view->policy = RoutePolicies::find(configuration.policy.routing);
     if (view->policy == nullptr) {
         view->policy = RoutePolicies::find(PolicyConfig().routing);
@@ -314,6 +351,7 @@
     }
     markConfigured(daemon);
     if (state.catalog.intent.version != state.viewVersion) {
+        updateEffectiveConfiguration(daemon);
         configurationChanged(daemon, now);
     }
 }
@@ -332,6 +370,7 @@
     state.appliedIndex = snapshot.index;
     syncAllJobs(daemon, now);
     markConfigured(daemon);
+    updateEffectiveConfiguration(daemon);
     configurationChanged(daemon, now);
 }
 
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -10,6 +10,7 @@
 #include "daemon/peer_message_type.h"
 #include "daemon/replication_driver.h"
 #include "daemon/request_view_type.h"
+#include "daemon/timing_metrics.h"
 #include "job/job_shard_base.h"
 #include "membership/worker_registry_base.h"
 #include "network/http_client.h"
@@ -52,6 +53,12 @@
     ShardSummary load; ///< Its batch load.
 };
 
+/** A probe that waits for a quorum round. */
+struct WaitingProbe {
+    ProbeRequest probe; ///< The probe.
+    std::function<void(ProbeAnswer)> reply; ///< Takes the answer.
+};
+
 /** Duties of the leader. */
 struct LeaderState {
     bool active = false; ///< This daemon leads.
@@ -60,6 +67,7 @@
     std::map<DaemonName, DaemonLoad> daemons; ///< Daemons that have probed it.
     std::size_t openProposals = 0; ///< Assignments that have not been answered.
     TimePoint assignedAt; ///< Last round of assignments.
+    std::optional<std::uint64_t> idleIndex; ///< Applied index at the last round, if that round had nothing to assign.
 };
 
 /** What is known of a peer from its heartbeats. */
@@ -73,12 +81,17 @@
 /** State of the control thread. No other thread touches it. */
 struct ControlState {
     Catalog catalog; ///< Replicated state.
+    Configuration configuration; ///< Configuration in force here: the accepted one with the kept restrictions.
+    std::vector<ChangeFiles> restrictions; ///< Restrictive changes that wait for a quorum.
+    std::unique_ptr<Journal> restrictionJournal; ///< Keeps them; empty without a disk.
+    bool restrictionProposed = false; ///< One of them is being proposed.
     std::uint64_t appliedIndex = 0; ///< Last entry applied here.
     bool configured = false; ///< Some state has been applied.
     ReplicationStatus replication; ///< State of the replicated log.
     std::map<std::uint64_t, PendingProposal> proposals; ///< By index.
     LeaseView lease; ///< Leases held from the leader.
     LeaderState leader; ///< Duties as leader.
+    std::vector<WaitingProbe> waitingProbes; ///< Probes for which no quorum round has started.
     std::map<DaemonName, PeerState> peers; ///< Peers.
     WorkerRegistry registry; ///< Workers that report here.
     JobShard shard; ///< Batch jobs assigned here.
@@ -108,6 +121,7 @@
     std::string peerKey; ///< Key of peers; empty without peers.
     std::uint64_t incarnation = 0; ///< Start number of this process: calendar time in ms.
     NetworkCounters network; ///< Counters of the network adapters.
+    TimingMetrics timings; ///< Durations of watched steps.
     std::unique_ptr<OutcomeCounters> outcomes; ///< Outcomes of requests received here.
     RcuPointer<RequestView> view; ///< What request threads know.
     std::atomic<TicketId> lastTicket{0}; ///< Number of the latest ticket.
--- a/src/daemon/daemon_func.cpp
+++ b/src/daemon/daemon_func.cpp
@@ -5,6 +5,7 @@
 #include "core/clock_func.h"
 #include "daemon/apply_state.h"
 #include "daemon/counter_delivery.h"
+#include "daemon/drain_restriction.h"
 #include "daemon/http_service.h"
 #include "daemon/key_file.h"
 #include "daemon/lease_driver.h"
@@ -91,6 +92,9 @@
                 takeSnapshot(daemon);
             });
         };
+        hooks.synced = [&daemon](std::int64_t microseconds) {
+            daemon.timings.record(TimedStep::DiskSync, microseconds);
+        };
         hooks.failed = [&daemon](ResultCode code) {
             logLine(LogArea::Replication, LogLevel::Error, "disk-failed", {{"code", resultCodeRow(code).name}});
             daemon.stopped(code);
@@ -175,13 +179,17 @@
         return {};
     }
 
-    void startLedger(Daemon &daemon, ReplicationStart &start, bool firstStart)
+    void startLedger(Daemon &daemon, ReplicationStart &start)
     {
         LedgerSettings settings;
         settings.instance = daemon.incarnation;
-        // After a lost disk, earlier records may be missing, so a known id must not be taken for a new one.
-        settings.complete = !start.isNew || firstStart || daemon.settings.peers.empty();
-        daemon.ledger.start(settings, std::move(start.ledger), start.ledgerRecords, ledgerHooks(daemon));
+        settings.self = {daemon.settings.daemon, start.incarnation};
+        // A folder made after the first start stands for a lost disk: until its age reaches the retention, a record that
+        // is not there may have been lost with the old one. Such folders are numbered by their time of creation.
+        const std::int64_t age = wallNow().ms - static_cast<std::int64_t>(start.incarnation);
+        const Duration missing{start.incarnation == FirstIncarnation ? 0 : std::max<std::int64_t>(settings.retention.ms - age, 0)};
+        settings.complete = missing.ms == 0;
+        daemon.ledger.start(settings, missing, std::move(start.ledger), start.ledgerRecords, ledgerHooks(daemon));
     }
 
     void startTimers(Daemon &daemon)
@@ -208,6 +216,7 @@
         daemon.control.every(CounterInterval, [&daemon] {
             const TimePoint now = steadyNow();
             announceLife(daemon, now);
+            restrictionTick(daemon, now);
             sendCounters(daemon);
             deliverFinalCounters(daemon, now);
         });
@@ -255,7 +264,10 @@
         return failed(operatorKey.code, operatorKey.message);
     }
     daemon.operatorKey = operatorKey.key;
-    startLedger(daemon, start, options.firstStart);
+    if (openRestrictions(daemon) != ResultCode::Ok) {
+        return failed(ResultCode::DiskFailed, "cannot open the kept restrictions in the data folder " + daemon.settings.dataFolder);
+    }
+    startLedger(daemon, start);
     startTimers(daemon);
     daemon.control.start();
     if (StartResult result = openPeers(daemon); result.code != ResultCode::Ok) {
--- a/src/daemon/ledger_driver.cpp
+++ b/src/daemon/ledger_driver.cpp
@@ -10,9 +10,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/utility.hpp>
-#include <cereal/types/vector.hpp>
 
 #include <thread>
 
@@ -25,28 +22,7 @@
     constexpr std::chrono::milliseconds TickInterval{100}; ///< Well below the time that a replica has to answer.
     constexpr std::uint64_t CompactBytes = 67'108'864; ///< Size at which the journal is rewritten with the records that are still kept.
 
-    using StoredRecord = std::pair<LedgerKey, LedgerRecord>;
-
-    /** Journal form of several records that are synced together. */
-    std::string encodeRecords(const std::vector<StoredRecord> &records)
-    {
-        std::string bytes;
-        BoundedOutputArchive archive(bytes);
-        archive(records);
-        return bytes;
-    }
-
-    bool decodeRecords(const std::string &bytes, std::vector<StoredRecord> &records)
-    {
-        try {
-            BoundedInputArchive archive(bytes);
-            archive(records);
-            return archive.remaining() == 0;
-        } catch (const std::exception &) {
-            // The journal's checksum has passed, so this is a record of another format.
-            return false;
-        }
-    }
+    using StoredRecord = std::pair<LedgerKey, LedgerRecord>; ///< The journal holds lists of these; one list is synced together.
 
 } // namespace
 
@@ -60,6 +36,7 @@
     std::unique_ptr<Journal> journal;
     std::vector<StoredRecord> unsynced;
     std::vector<std::uint64_t> unsyncedNumbers;
+    TimePoint completeAt; ///< From then on no record of a lost disk is missing any more.
     bool flushScheduled = false;
     bool failed = false;
     SendToken lastAsker = 0;
@@ -142,7 +119,7 @@
         const std::vector<std::uint64_t> numbers = std::move(this->unsyncedNumbers);
         this->unsynced.clear();
         this->unsyncedNumbers.clear();
-        const ResultCode code = this->journal->append(encodeRecords(records));
+        const ResultCode code = this->journal->append(encodeBounded(records));
         if (code != ResultCode::Ok) {
             this->failed = true;
             this->hooks.failed(code);
@@ -162,7 +139,7 @@
         }
         std::vector<std::string> kept;
         for (const auto &[key, record] : this->ledger.records) {
-            kept.push_back(encodeRecords({{key, record}}));
+            kept.push_back(encodeBounded(std::vector<StoredRecord>{{key, record}}));
         }
         if (this->journal->rewrite(kept) != ResultCode::Ok) {
             this->failed = true;
@@ -172,7 +149,9 @@
 
     void tick()
     {
-        this->carryOut(ledgerTick(this->ledger, steadyNow()));
+        const TimePoint now = steadyNow();
+        this->ledger.settings.complete = this->ledger.settings.complete || now >= this->completeAt;
+        this->carryOut(ledgerTick(this->ledger, now));
         this->timer.expires_after(TickInterval);
         this->timer.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
@@ -198,15 +177,18 @@
     this->stop();
 }
 
-void LedgerDriver::start(const LedgerSettings &settings, std::unique_ptr<Journal> journal, const std::vector<std::string> &records, LedgerHooks hooks)
+void LedgerDriver::start(
+    const LedgerSettings &settings, Duration completeAfter, std::unique_ptr<Journal> journal, const std::vector<std::string> &records, LedgerHooks hooks)
 {
     Core &state = *this->core;
     state.hooks = std::move(hooks);
     state.journal = std::move(journal);
+    state.completeAt = steadyNow() + completeAfter;
     std::vector<StoredRecord> stored;
     for (const std::string &bytes : records) {
         std::vector<StoredRecord> batch;
-        if (!decodeRecords(bytes, batch)) {
+        if (!decodeBounded(bytes, batch)) {
+            // The journal's checksum has passed, so this is a record of another format.
             state.failed = true;
             state.hooks.failed(ResultCode::DataDamaged);
             return;
@@ -252,11 +234,11 @@
     });
 }
 
-void LedgerDriver::query(LedgerKey key, std::function<void(ReplicaAnswer)> reply)
+void LedgerDriver::query(ReplicaQuery query, std::function<void(ReplicaAnswer)> reply)
 {
-    asio::post(this->core->context, [state = this->core.get(), key = std::move(key), reply = std::move(reply)]() mutable {
+    asio::post(this->core->context, [state = this->core.get(), query = std::move(query), reply = std::move(reply)]() mutable {
         const SendToken asker = state->remember(std::move(reply));
-        state->carryOut(replicaQuery(state->ledger, key, asker, steadyNow()));
+        state->carryOut(replicaQuery(state->ledger, query, asker, steadyNow()));
     });
 }
 
--- a/src/daemon/ledger_path.cpp
+++ b/src/daemon/ledger_path.cpp
@@ -8,6 +8,7 @@
 #include "daemon/request_service.h"
 #include "request/ledger_func.h"
 
+#include <algorithm>
 #include <mutex>
 
 namespace Filbertlanding {
@@ -24,6 +25,7 @@
         };
 
         std::mutex mutex;
+        bool refusesPeers = false; ///< This daemon stops and takes no further sends from peers.
         SendToken last = 0;
         std::unordered_map<SendToken, Send> sends;
     };
@@ -34,20 +36,33 @@
         return sends;
     }
 
-    std::vector<DaemonName> votersOf(Daemon &daemon)
-    {
-        registerReaderThread();
-        return daemon.view.read()->voters;
-    }
+    /** Where a request is recorded. */
+    struct RecordPlace {
+        DaemonName home; ///< Runs the request.
+        LedgerDisk replica; ///< Holds the second record.
+    };
 
     /** Home and replica of a key. With a single voter its synced record is the only one there can be. */
-    std::optional<LedgerPlace> placeOf(Daemon &daemon, const LedgerKey &key)
+    std::optional<RecordPlace> placeOf(Daemon &daemon, const LedgerKey &key)
     {
-        const std::vector<DaemonName> voters = votersOf(daemon);
+        registerReaderThread();
+        const std::vector<LedgerDisk> voters = daemon.view.read()->voters;
         if (voters.size() == 1) {
-            return LedgerPlace{voters.front(), voters.front()};
+            return RecordPlace{voters.front().daemon, voters.front()};
+        }
+        std::vector<DaemonName> names;
+        names.reserve(voters.size());
+        for (const LedgerDisk &voter : voters) {
+            names.push_back(voter.daemon);
         }
-        return ledgerPlace(voters, key);
+        const auto place = ledgerPlace(names, key);
+        if (!place) {
+            return std::nullopt;
+        }
+        const auto replica = std::find_if(voters.begin(), voters.end(), [&place](const LedgerDisk &voter) {
+            return voter.daemon == place->replica;
+        });
+        return RecordPlace{place->home, *replica};
     }
 
     ForwardedAnswer toForwarded(const RequestOutcome &outcome)
@@ -75,16 +90,26 @@
         return outcome;
     }
 
-    void submitHere(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, std::function<void(RequestOutcome)> done)
+    std::uint64_t bodyHashOf(const CallerRequest &request)
+    {
+        return stableHash(request.service + '\n' + request.body);
+    }
+
+    /** Returns false, with nothing recorded, for a send of a peer when this daemon takes none any more. */
+    bool submitHere(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, bool fromPeer, std::function<void(RequestOutcome)> done)
     {
         OpenSends &open = openSends();
         SendToken token = 0;
         {
             const std::lock_guard lock(open.mutex);
+            if (fromPeer && open.refusesPeers) {
+                return false;
+            }
             token = ++open.last;
             open.sends[token] = {request, std::move(done)};
         }
-        daemon.ledger.submit({ledgerKey(request->caller, request->id), stableHash(request->service + '\n' + request->body), token});
+        daemon.ledger.submit({ledgerKey(request->caller, request->id), bodyHashOf(*request), token, request->send});
+        return true;
     }
 
     ForwardedRequest toForwarded(const CallerRequest &request)
@@ -95,6 +120,7 @@
         message.caller = request.caller;
         message.request = request.id;
         message.repeatable = false;
+        message.send = request.send;
         message.remaining = request.deadline - steadyNow();
         message.contentType = request.contentType;
         message.body = request.body;
@@ -102,10 +128,10 @@
     }
 
     /** The home did not answer: the replica's record decides what the caller is told. */
-    void askReplicaInstead(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, const LedgerPlace &place, std::function<void(RequestOutcome)> done)
+    void askReplicaInstead(Daemon &daemon, const std::shared_ptr<CallerRequest> &request, const RecordPlace &place, std::function<void(RequestOutcome)> done)
     {
         const LedgerKey key = ledgerKey(request->caller, request->id);
-        const std::uint64_t bodyHash = stableHash(request->service + '\n' + request->body);
+        const std::uint64_t bodyHash = bodyHashOf(*request);
         const auto answered = [done = std::move(done), bodyHash, request](const std::optional<ReplicaAnswer> &answer) {
             const AnswerSend result = answerWithoutHome(0, bodyHash, answer);
             logLine(
@@ -115,14 +141,15 @@
                 {{"request", request->id}, {"caller", request->caller}, {"code", resultCodeRow(result.code).name}, {"replicaAnswered", answer.has_value()}});
             done(outcomeOfLedger(result.code, result.answer));
         };
-        if (place.replica == daemon.settings.daemon) {
-            daemon.ledger.query(key, [answered](ReplicaAnswer answer) {
+        if (place.replica.daemon == daemon.settings.daemon) {
+            daemon.ledger.query({key, request->send}, [answered](ReplicaAnswer answer) {
                 answered(answer);
             });
             return;
         }
         const auto kind = static_cast<std::uint8_t>(PeerKind::LedgerQuery);
-        daemon.peers->sendRequest(place.replica, kind, encodePeerMessage(LedgerQuery{key}), ReplicaQueryTimeout, [answered](const PeerAnswer &answer) {
+        const ReplicaQuery query{key, request->send};
+        daemon.peers->sendRequest(place.replica.daemon, kind, encodePeerMessage(query), ReplicaQueryTimeout, [answered](const PeerAnswer &answer) {
             answered(answer.code == ResultCode::Ok ? decodePeerMessage<ReplicaAnswer>(answer.payload) : std::nullopt);
         });
     }
@@ -144,13 +171,12 @@
             return;
         }
         const auto run = std::make_shared<CallerRequest>(*original);
-        run->admitted = false;
-        run->attempts = 0;
+        run->recorded = true;
         run->done = [finished = std::move(finished)](const RequestOutcome &outcome) {
             const bool ran = outcome.code == ResultCode::Ok || outcome.code == ResultCode::WorkerFailed;
             finished(ran ? ResultCode::Ok : outcome.code, ran ? encodePeerMessage(toForwarded(outcome)) : std::string());
         };
-        routeAndSend(daemon, run);
+        admitRequest(daemon, run);
     }
 
     void answerSend(SendToken token, ResultCode code, const std::string &answer)
@@ -176,7 +202,12 @@
             answered(std::nullopt);
             return;
         }
-        if (place->replica == daemon.settings.daemon) {
+        // A request that came here under an older list of voters has no second record, so it must not run.
+        if (place->home != daemon.settings.daemon) {
+            answered(std::nullopt);
+            return;
+        }
+        if (place->replica.daemon == place->home) {
             ReplicaAnswer answer;
             answer.key = ask.key;
             answer.attempt = ask.attempt;
@@ -186,7 +217,7 @@
         }
         const auto kind = static_cast<std::uint8_t>(PeerKind::LedgerRecord);
         daemon.peers->sendRequest(
-            place->replica, kind, encodePeerMessage(ask), LedgerSettings().replicaTimeout, [answered = std::move(answered)](const PeerAnswer &answer) {
+            place->replica.daemon, kind, encodePeerMessage(ask), LedgerSettings().replicaTimeout, [answered = std::move(answered)](const PeerAnswer &answer) {
                 answered(answer.code == ResultCode::Ok ? decodePeerMessage<ReplicaAnswer>(answer.payload) : std::nullopt);
             });
     }
@@ -194,10 +225,10 @@
     void tellReplica(Daemon &daemon, const ReplicaOutcome &outcome)
     {
         const auto place = placeOf(daemon, outcome.key);
-        if (!place || place->replica == daemon.settings.daemon) {
+        if (!place || place->replica.daemon == daemon.settings.daemon) {
             return;
         }
-        daemon.peers->sendOneWay(place->replica, static_cast<std::uint8_t>(PeerKind::LedgerOutcome), encodePeerMessage(outcome));
+        daemon.peers->sendOneWay(place->replica.daemon, static_cast<std::uint8_t>(PeerKind::LedgerOutcome), encodePeerMessage(outcome));
     }
 
 } // namespace
@@ -211,8 +242,9 @@
         done(std::move(outcome));
         return;
     }
+    request->send = {daemon.settings.daemon + "-" + std::to_string(daemon.incarnation) + "-" + std::to_string(++daemon.lastRequest), place->replica};
     if (place->home == daemon.settings.daemon) {
-        submitHere(daemon, request, std::move(done));
+        submitHere(daemon, request, false, std::move(done));
         return;
     }
     const ForwardedRequest message = toForwarded(*request);
@@ -220,7 +252,8 @@
     daemon.peers->sendRequest(
         place->home, kind, encodePeerMessage(message), message.remaining, [&daemon, request, place = *place, done = std::move(done)](const PeerAnswer &answer) {
             const auto decoded = answer.code == ResultCode::Ok ? decodePeerMessage<ForwardedAnswer>(answer.payload) : std::nullopt;
-            if (decoded) {
+            // A home that stops records nothing new; whether an earlier send ran is known to the replica.
+            if (decoded && decoded->code != ResultCode::Draining) {
                 done(fromForwarded(*decoded));
                 return;
             }
@@ -228,7 +261,7 @@
         });
 }
 
-void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply)
+void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, const std::function<void(ForwardedAnswer)> &reply)
 {
     const auto request = std::make_shared<CallerRequest>();
     request->service = std::move(forwarded.service);
@@ -236,6 +269,7 @@
     request->caller = std::move(forwarded.caller);
     request->id = std::move(forwarded.request);
     request->repeatable = false;
+    request->send = std::move(forwarded.send);
     request->deadline = steadyNow() + forwarded.remaining;
     request->contentType = std::move(forwarded.contentType);
     request->body = std::move(forwarded.body);
@@ -247,13 +281,33 @@
     }
     if (request->runtime == nullptr) {
         ForwardedAnswer answer;
-        answer.code = ResultCode::ServiceUnknown;
+        // An earlier send may have run before the service was removed here.
+        answer.code = ResultCode::OutcomeUnknown;
         reply(std::move(answer));
         return;
     }
-    submitHere(daemon, request, [reply = std::move(reply)](const RequestOutcome &outcome) {
+    const bool taken = submitHere(daemon, request, true, [reply](const RequestOutcome &outcome) {
         reply(toForwarded(outcome));
     });
+    if (!taken) {
+        ForwardedAnswer answer;
+        answer.code = ResultCode::Draining;
+        reply(std::move(answer));
+    }
+}
+
+void refuseSendsOfPeers()
+{
+    OpenSends &open = openSends();
+    const std::lock_guard lock(open.mutex);
+    open.refusesPeers = true;
+}
+
+std::size_t openLedgerSends()
+{
+    OpenSends &open = openSends();
+    const std::lock_guard lock(open.mutex);
+    return open.sends.size();
 }
 
 LedgerHooks ledgerHooks(Daemon &daemon)
@@ -289,8 +343,8 @@
         }
         return true;
     case PeerKind::LedgerQuery:
-        if (auto query = decodePeerMessage<LedgerQuery>(payload)) {
-            daemon.ledger.query(std::move(query->key), answer);
+        if (auto query = decodePeerMessage<ReplicaQuery>(payload)) {
+            daemon.ledger.query(std::move(*query), answer);
         }
         return true;
     case PeerKind::LedgerOutcome:
--- a/src/daemon/replication_driver.cpp
+++ b/src/daemon/replication_driver.cpp
@@ -25,8 +25,6 @@
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Well below the shortest heartbeat interval, so that elections and heartbeats are on time.
 
-    constexpr std::uint64_t FirstIncarnation = 1; ///< Incarnation of every data folder at the first start of an installation.
-
     /** Membership before the first log entry: every daemon derives the same one from its settings. */
     Membership bootstrapMembership(const Settings &settings)
     {
@@ -110,8 +108,13 @@
         if (this->diskFailed) {
             return false;
         }
+        const bool writes = actions.persistHardState || actions.persistSnapshot || actions.truncateFrom || !actions.append.empty();
+        const std::int64_t startedUs = steadyMicroseconds();
         const ResultCode code = persistActions(this->folder, actions);
         if (code == ResultCode::Ok) {
+            if (writes) {
+                this->hooks.synced(steadyMicroseconds() - startedUs);
+            }
             return true;
         }
         this->diskFailed = true;
@@ -205,7 +208,12 @@
         result.ledgerRecords = std::move(state.folder.ledgerRecords);
         result.ledger = std::move(state.folder.ledger);
     }
-    state.raft = raftStart(raftSettings(settings, result.incarnation), std::move(persisted), steadyNow());
+    RaftStart started = raftStart(raftSettings(settings, result.incarnation), std::move(persisted), steadyNow());
+    result.code = started.code;
+    if (result.code != ResultCode::Ok) {
+        return result;
+    }
+    state.raft = std::move(started.state);
     asio::post(state.context, [&state] {
         state.tick();
     });
--- a/src/request/ledger.cpp
+++ b/src/request/ledger.cpp
@@ -31,6 +31,15 @@
         return number;
     }
 
+    std::uint64_t storedBytes(const LedgerRecord &record)
+    {
+        std::uint64_t bytes = record.answer.size();
+        for (const std::string &name : record.fencedSends) {
+            bytes += name.size();
+        }
+        return bytes;
+    }
+
     void setAnswer(Ledger &ledger, LedgerRecord &record, ResultCode code, std::string answer)
     {
         ledger.answerBytes -= record.answer.size();
@@ -68,6 +77,7 @@
         record.state = LedgerState::Recorded;
         ActiveRequest &active = ledger.active[submit.key];
         active.askedAt = now;
+        active.bodyHash = submit.bodyHash;
         active.sends.push_back(submit.send);
         active.write = persist(ledger, actions, submit.key, record);
         ledger.homeWrites.emplace(active.write, submit.key);
@@ -76,7 +86,8 @@
                                                .attempt = record.attempt,
                                                .first = record.first,
                                                .withdrawn = earlier,
-                                               .fenceSeen = record.fence}});
+                                               .fenceSeen = record.fence,
+                                               .send = submit.identity}});
     }
 
     /** Gives up an attempt before a byte was sent. */
@@ -172,7 +183,7 @@
                 ledger.ages.emplace_back(renewed ? place->second.recordedAt : now, key);
                 continue;
             }
-            ledger.answerBytes -= place->second.answer.size();
+            ledger.answerBytes -= LedgerDetail::storedBytes(place->second);
             ledger.records.erase(place);
         }
     }
@@ -216,10 +227,10 @@
     ledger.settings = settings;
     for (auto &[key, loaded] : records) {
         LedgerRecord &record = ensureRecord(ledger, key, now);
-        ledger.answerBytes -= record.answer.size();
+        ledger.answerBytes -= LedgerDetail::storedBytes(record);
         record = std::move(loaded);
         record.recordedAt = now;
-        ledger.answerBytes += record.answer.size();
+        ledger.answerBytes += LedgerDetail::storedBytes(record);
     }
     return ledger;
 }
@@ -245,7 +256,8 @@
         actions.emplace_back(AnswerSend{submit.send, certain ? ResultCode::RequestIdReused : ResultCode::OutcomeUnknown, {}});
         return actions;
     }
-    if (active != ledger.active.end()) {
+    // The replica may have named an earlier request with this body while sends with another one waited: their refusal is not for this send.
+    if (active != ledger.active.end() && (neverRan || active->second.bodyHash == submit.bodyHash)) {
         active->second.sends.push_back(submit.send);
         return actions;
     }
@@ -312,6 +324,9 @@
     case ReplicaVerdict::Full:
         withdraw(ledger, actions, answer.key, ledger.settings.complete ? ResultCode::LedgerFull : ResultCode::OutcomeUnknown);
         break;
+    case ReplicaVerdict::OtherDisk:
+        withdraw(ledger, actions, answer.key, codeWithoutReplica(ledger));
+        break;
     case ReplicaVerdict::NotRecorded:
         break;
     }
