Add: test of a drain given to a zone that is cut off

Cause: the restriction that a daemon without a quorum keeps was only tried by hand. The permissive change may be answered 503 or 504: the trace shows a proposal that left on a link which had just gone silent, whose outcome is truly unknown.

--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -284,6 +284,51 @@
 
 } // namespace
 
+// Guards against a zone that cannot be drained while it is cut off, and against an order that is lost with its daemon's process (P4).
+TEST_CASE("a zone that is cut off takes its own drain, keeps it over a restart, and it is accepted after the heal")
+{
+    ProcessCluster cluster;
+    openService(cluster);
+    constexpr std::size_t Inside = 4; // The voter of the third zone.
+    const std::string zone = cluster.daemons[Inside].zone;
+    const auto isDrained = [&cluster, &zone] {
+        const json::value state = cluster.status(Inside);
+        if (state.is_null()) {
+            return false;
+        }
+        const auto &zones = state.at("availabilityZones").as_array();
+        return std::any_of(zones.begin(), zones.end(), [&zone](const json::value &entry) {
+            return entry.at("availabilityZone").as_string() == zone && entry.at("state").as_string() == "drained";
+        });
+    };
+    cluster.setZoneLinks(zone, LinkMode::Silent);
+    REQUIRE(eventually([&cluster] {
+        const json::value state = cluster.status(Inside);
+        return !state.is_null() && !state.at("fresh").as_bool();
+    }));
+
+    const Reply kept = cluster.change(Inside, "PUT", "90-drain-own.json", R"({"availabilityZones": {")" + zone + R"(": {"state": "drained"}}})");
+    CHECK(kept.status == 202);
+    CHECK(json::parse(kept.body).at("name").as_string() == "KeptLocally");
+    CHECK(json::parse(kept.body).at("durable").as_bool());
+    CHECK(isDrained());
+    const std::string version = std::to_string(cluster.status(Inside).at("version").to_number<std::uint64_t>());
+    const std::vector<HttpHeader> headers{{"If-Version", version}, {"Operation-Id", "more"}, {"Operator", "test"}};
+    const Reply permissive = cluster.call(Inside, "PUT", "/v1/intent/files/91-more.json", R"({"services": {"more": {"state": "open"}}})", headers);
+    // NoQuorum, or ChangeOutcomeUnknown when the proposal left on a link that had just gone silent; never in force here.
+    CHECK_MESSAGE((permissive.status == 503 || permissive.status == 504), permissive.body);
+    const json::value now = cluster.status(Inside);
+    REQUIRE_FALSE(now.is_null());
+    CHECK(json::serialize(now.at("services")).find("\"more\"") == std::string::npos);
+
+    cluster.kill(Inside);
+    cluster.start(Inside);
+    CHECK(eventually(isDrained));
+    cluster.setZoneLinks(zone, LinkMode::Open);
+    VersionWatch watch;
+    checkFiles(cluster, watch, {"90-drain-own.json"});
+}
+
 // Guards against an accepted configuration that reverts when disks are lost one after the other (P10).
 TEST_CASE("two voters lose their disks, the second right after the repair of the first")
 {
