Fix: the default bound of a body is above the largest set of intent files

Cause: bodies were bounded to 1 MiB, a set of intent files to 3 MiB, so a large sync was refused as TooLarge; the page for callers said 4 MiB. Ruled out: a smaller bound on intent files, since 1,000 files of 3 KB have to fit. Change: the default of /http/maxBodyBytes is 4 MiB; the check in settings_test fails with the old default.

--- a/src/settings/table/settings_keys.h
+++ b/src/settings/table/settings_keys.h
@@ -13,7 +13,7 @@
 SETTING_TEXT("/http/address", httpAddress, "127.0.0.1", "IP address on which callers, workers and operators are served")
 SETTING_NUMBER("/http/port", httpPort, 8100, 1, 65535, "port", "TCP port for callers, workers and operators")
 SETTING_NUMBER("/http/requestThreads", requestThreads, 2, 1, 64, "threads", "threads that serve requests")
-SETTING_NUMBER("/http/maxBodyBytes", maxBodyBytes, 1048576, 1024, 16777216, "B", "largest accepted body")
+SETTING_NUMBER("/http/maxBodyBytes", maxBodyBytes, 4194304, 1024, 16777216, "B", "largest accepted body")
 SETTING_NUMBER("/http/maxConnections", maxConnections, 4096, 16, 65536, "connections", "connections that are open at once")
 SETTING_TEXT("/peer/address", peerAddress, "127.0.0.1", "IP address for links with other daemons")
 SETTING_NUMBER("/peer/tcpPort", peerTcpPort, 8200, 1, 65535, "port", "TCP port for links with other daemons")
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,5 +1,6 @@
 /** @file settings_test.cpp Tests of the daemon's settings. */
 
+#include "catalog/intent_type.h"
 #include "settings/settings_func.h"
 
 #include <doctest/doctest.h>
@@ -37,6 +38,8 @@
         CHECK(parseSettings(R"({"dataFolder": "data"})", settings).empty());
         CHECK(settings.httpPort == 8100);
         CHECK(isVoter(settings));
+        // Guards against a default by which a sync of the largest allowed set of intent files is refused as TooLarge.
+        CHECK(static_cast<std::size_t>(settings.maxBodyBytes) > MaxIntentTotalBytes);
 
         SUBCASE("and the settings in effect can be read back as they are")
         {
