--- a/src/core/clock_func.cpp
+++ b/src/core/clock_func.cpp
@@ -8,16 +8,26 @@
 
 namespace Filbertlanding {
 
+namespace {
+
+    /** The clock that counts the time for which the host was suspended, since leases go on meanwhile. */
+    std::int64_t bootMicroseconds()
+    {
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return static_cast<std::int64_t>(time.tv_sec) * 1'000'000 + time.tv_nsec / 1000;
+    }
+
+} // namespace
+
 TimePoint steadyNow()
 {
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count()};
+    return {bootMicroseconds() / 1000};
 }
 
 std::int64_t steadyMicroseconds()
 {
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
+    return bootMicroseconds();
 }
 
 WallTime wallNow()
--- a/src/core/clock_func.h
+++ b/src/core/clock_func.h
@@ -8,7 +8,7 @@
 
 namespace Filbertlanding {
 
-/** Returns the steady clock of this process. */
+/** Returns the steady clock of this process. It goes on while the host is suspended, as the leases of other hosts do. */
 TimePoint steadyNow();
 
 /** Returns the steady clock in microseconds, for measuring latencies; decisions use steadyNow(). */
--- a/src/daemon/apply_state.cpp
+++ b/src/daemon/apply_state.cpp
@@ -4,7 +4,7 @@
 
 #include "core/clock_func.h"
 #include "daemon/drain_restriction.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/propose_func.h"
 #include "job/job_shard_func.h"
 #include "membership/worker_registry_func.h"
--- a/src/daemon/counter_delivery.cpp
+++ b/src/daemon/counter_delivery.cpp
@@ -3,7 +3,7 @@
 #include "daemon/counter_delivery.h"
 
 #include "core/clock_func.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/peer_codec.h"
 #include "daemon/propose_func.h"
 
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -8,7 +8,7 @@
 #include "daemon/daemon_life_cycle.h"
 #include "daemon/ledger_driver.h"
 #include "daemon/peer_message_type.h"
-#include "daemon/replication_driver.h"
+#include "runtime/replication_driver.h"
 #include "daemon/request_view_type.h"
 #include "daemon/timing_metrics.h"
 #include "job/job_shard_base.h"
--- a/src/daemon/daemon_func.cpp
+++ b/src/daemon/daemon_func.cpp
@@ -10,7 +10,7 @@
 #include "daemon/key_file.h"
 #include "daemon/lease_driver.h"
 #include "daemon/ledger_path.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/peer_codec.h"
 #include "daemon/peer_service.h"
 #include "daemon/propose_func.h"
@@ -179,6 +179,48 @@
         return {};
     }
 
+    /** Membership before the first log entry: every daemon derives the same one from its settings. */
+    Membership bootstrapMembership(const Settings &settings)
+    {
+        Membership membership;
+        const auto add = [&membership](const DaemonName &daemon, bool voter) {
+            if (voter) {
+                membership.voters.push_back({daemon, FirstIncarnation});
+            } else {
+                membership.learners.push_back({daemon, 0});
+            }
+        };
+        add(settings.daemon, isVoter(settings));
+        for (const PeerSettings &peer : settings.peers) {
+            add(peer.daemon, peer.voter);
+        }
+        std::sort(membership.voters.begin(), membership.voters.end());
+        std::sort(membership.learners.begin(), membership.learners.end());
+        return membership;
+    }
+
+    ReplicationConfig replicationConfig(const Settings &settings, bool firstStart)
+    {
+        ReplicationConfig config;
+        RaftSettings &result = config.raft;
+        result.self = {settings.daemon, 0};
+        result.bootstrap = bootstrapMembership(settings);
+        result.electionTimeoutMin = {settings.electionTimeoutMinMs};
+        result.electionTimeoutMax = {settings.electionTimeoutMaxMs};
+        result.heartbeatInterval = {settings.raftHeartbeatMs};
+        result.snapshotEvery = static_cast<std::uint64_t>(settings.snapshotEvery);
+        result.seed = stableHash(settings.daemon) ^ static_cast<std::uint64_t>(wallNow().ms);
+        for (const PeerSettings &peer : settings.peers) {
+            if (peer.voter && peer.availabilityZone == settings.availabilityZone) {
+                result.zoneVoters.push_back(peer.daemon);
+            }
+        }
+        config.dataFolder = settings.dataFolder;
+        // With peers, an empty folder may be a lost disk; only the operator knows that it is not.
+        config.votesAtOnce = firstStart || settings.peers.empty();
+        return config;
+    }
+
     void startLedger(Daemon &daemon, ReplicationStart &start)
     {
         LedgerSettings settings;
@@ -252,7 +294,7 @@
     }
     startPeers(daemon);
     // The control thread must not touch the shared parts before all of them exist.
-    ReplicationStart start = daemon.replication.start(daemon.settings, options.firstStart, replicationHooks(daemon));
+    ReplicationStart start = daemon.replication.start(replicationConfig(daemon.settings, options.firstStart), replicationHooks(daemon));
     if (start.code != ResultCode::Ok) {
         return failed(start.code, "cannot open the data folder " + daemon.settings.dataFolder);
     }
--- a/src/daemon/drain_restriction.cpp
+++ b/src/daemon/drain_restriction.cpp
@@ -6,7 +6,7 @@
 #include "catalog/intent_diff.h"
 #include "core/clock_func.h"
 #include "daemon/apply_state.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/propose_func.h"
 #include "settings/settings_func.h"
 
--- a/src/daemon/intent_api.cpp
+++ b/src/daemon/intent_api.cpp
@@ -6,7 +6,7 @@
 #include "daemon/api_func.h"
 #include "daemon/drain_restriction.h"
 #include "daemon/http_service.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/propose_func.h"
 #include "job/place_type.h"
 
--- a/src/daemon/job_api.cpp
+++ b/src/daemon/job_api.cpp
@@ -3,7 +3,7 @@
 #include "core/clock_func.h"
 #include "daemon/api_func.h"
 #include "daemon/http_service.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/propose_func.h"
 
 #include <boost/json.hpp>
--- a/src/daemon/lease_driver.cpp
+++ b/src/daemon/lease_driver.cpp
@@ -5,7 +5,7 @@
 #include "catalog/assign_func.h"
 #include "core/clock_func.h"
 #include "daemon/apply_state.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/peer_codec.h"
 #include "daemon/propose_func.h"
 #include "job/job_shard_func.h"
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,7 +1,7 @@
 /** @file main.cpp The program filbertlandingd. */
 
 #include "daemon/daemon_func.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/stop_func.h"
 #include "settings/settings_func.h"
 
@@ -65,7 +65,7 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
-    startLogging(settings);
+    startLogging({settings.logLevel, settings.logFile, false, settings.logQueueLines});
     Daemon daemon(settings);
     std::promise<ResultCode> ended;
     std::atomic<bool> endedOnce{false};
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -7,7 +7,7 @@
 #include "daemon/counter_delivery.h"
 #include "daemon/lease_driver.h"
 #include "daemon/ledger_path.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/peer_codec.h"
 #include "daemon/propose_func.h"
 #include "daemon/request_service.h"
--- a/src/daemon/request_service.cpp
+++ b/src/daemon/request_service.cpp
@@ -4,7 +4,7 @@
 
 #include "core/clock_func.h"
 #include "daemon/ledger_path.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "daemon/peer_codec.h"
 #include "request/retry_decision.h"
 
--- /dev/null
+++ b/src/fleet/fleet_command.cpp
@@ -0,0 +1,29 @@
+/** @file fleet_command.cpp Encoded form of the commands. */
+
+#include "fleet/fleet_command.h"
+
+#include "core/bounded_archive.h"
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr char CommandVersion = 1; ///< First byte of every payload.
+
+} // namespace
+
+std::string encodeCommands(const std::vector<FleetCommand> &commands)
+{
+    return encodeVersioned(CommandVersion, commands);
+}
+
+std::optional<std::vector<FleetCommand>> decodeCommands(std::string_view payload)
+{
+    std::vector<FleetCommand> commands;
+    if (decodeVersioned(CommandVersion, payload, commands) != ResultCode::Ok) {
+        return std::nullopt;
+    }
+    return commands;
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/fleet_scheduler.cpp
@@ -0,0 +1,340 @@
+/** @file fleet_scheduler.cpp Start of a leadership, workers' reports, and what follows from applied commands. */
+
+#include "fleet/scheduler_detail.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr Duration SweepInterval{100}; ///< Interval of the slow matters: draining workers, pace.
+
+    /** Returns for each step the longest chain of estimates from its start to the end of the job. */
+    std::vector<Duration> chainsOf(const JobSpec &spec)
+    {
+        std::vector<Duration> chains(spec.steps.size());
+        for (std::size_t i = spec.steps.size(); i-- > 0;) {
+            chains[i] = chains[i] + spec.steps[i].estimate;
+            for (const std::uint32_t earlier : spec.steps[i].dependsOn) {
+                chains[earlier] = std::max(chains[earlier], chains[i]);
+            }
+        }
+        return chains;
+    }
+
+    double processorSeconds(const JobSpec &spec)
+    {
+        double sum = 0;
+        for (const StepSpec &step : spec.steps) {
+            sum += static_cast<double>(step.taskCount) * static_cast<double>(step.request.cpuMillis) * static_cast<double>(step.estimate.ms) / 1e6;
+        }
+        return sum;
+    }
+
+    JobView makeJobView(const FleetJob &job, TimePoint now, WallTime wall)
+    {
+        JobView view;
+        view.chainFrom = chainsOf(job.spec);
+        // The calendar may have been set since; an age outside of this range is an effect of that.
+        constexpr std::int64_t LongestAgeMs = 120'000;
+        const std::int64_t age = std::clamp<std::int64_t>(wall.ms - job.acceptedAt.ms, 0, LongestAgeMs);
+        view.acceptedAt = now - Duration{age};
+        Duration chain;
+        for (const Duration &from : view.chainFrom) {
+            chain = std::max(chain, from);
+        }
+        view.objectiveEnd = view.acceptedAt + Duration{chain.ms * job.queue.stretchPerMille / 1000} + job.queue.latencyAllowance;
+        // A small job is worth more for each processor second, since a part of its worth does not depend on its size.
+        view.worthDensity = 1.0 / std::max(0.1, processorSeconds(job.spec));
+        return view;
+    }
+
+    /** Adds the runs that the replicated state places on workers. */
+    void takeOverRuns(FleetScheduler &scheduler, const FleetJob &job, TimePoint now)
+    {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                    const TaskRecord &task = occurrence.steps[step].tasks[index];
+                    for (const ActiveRun &active : task.active) {
+                        const auto contact = scheduler.contacts.find(active.life);
+                        if (contact == scheduler.contacts.end()) {
+                            continue;
+                        }
+                        RunView view = makeRunView(job.spec.steps[step], active.run, RunPhase::Started, now);
+                        view.maySent = true;
+                        view.stopWanted = task.isDone || hasEnded(job.state);
+                        view.checkpoint = task.checkpoint;
+                        addRun(contact->second, {job.number, number, step, index}, std::move(view));
+                    }
+                }
+            }
+        }
+    }
+
+    /** Marks the runs of a task for stopping, but for those that the log has not yet. */
+    void stopRuns(FleetScheduler &scheduler, const TaskRef &ref, const TaskRecord &task, TimePoint now)
+    {
+        for (const ActiveRun &active : task.active) {
+            const auto contact = scheduler.contacts.find(active.life);
+            if (contact == scheduler.contacts.end()) {
+                continue;
+            }
+            const auto run = contact->second.runs.find(ref);
+            if (run != contact->second.runs.end() && run->second.run == active.run) {
+                run->second.stopWanted = true;
+                run->second.nextTry = now;
+                contact->second.nextRunDue = now;
+            }
+        }
+    }
+
+    void stopJob(FleetScheduler &scheduler, const FleetJob &job, TimePoint now)
+    {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                for (std::uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                    stopRuns(scheduler, {job.number, number, step, index}, occurrence.steps[step].tasks[index], now);
+                }
+            }
+        }
+    }
+
+    const TaskRecord *findTask(const FleetState &state, const TaskRef &ref)
+    {
+        const auto job = state.jobs.find(ref.job);
+        if (job == state.jobs.end()) {
+            return nullptr;
+        }
+        const auto occurrence = job->second.occurrences.find(ref.occurrence);
+        if (occurrence == job->second.occurrences.end() || ref.step >= occurrence->second.steps.size()) {
+            return nullptr;
+        }
+        const auto &tasks = occurrence->second.steps[ref.step].tasks;
+        return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+    }
+
+    void noteStart(FleetScheduler &scheduler, const StartRun &start, const FleetChange &change, TimePoint now)
+    {
+        const auto proposed = scheduler.proposedStarts.find(start.task);
+        if (proposed != scheduler.proposedStarts.end() && --proposed->second == 0) {
+            scheduler.proposedStarts.erase(proposed);
+        }
+        const auto contact = scheduler.contacts.find(start.life);
+        if (contact == scheduler.contacts.end()) {
+            return;
+        }
+        const auto run = contact->second.runs.find(start.task);
+        if (run == contact->second.runs.end() || run->second.run != start.run) {
+            return;
+        }
+        if (!change.isApplied) {
+            removeRun(contact->second, start.task);
+            scheduler.placeDue = true;
+            return;
+        }
+        run->second.phase = RunPhase::Ordered;
+        run->second.nextTry = now;
+        contact->second.nextRunDue = now;
+    }
+
+    void noteRunEnd(FleetScheduler &scheduler, const FleetState &state, const EndRun &end, TimePoint now)
+    {
+        scheduler.placeDue = true;
+        const auto contact = scheduler.contacts.find(end.life);
+        if (contact != scheduler.contacts.end()) {
+            WorkerContact &worker = contact->second;
+            const auto run = worker.runs.find(end.task);
+            if (run != worker.runs.end() && run->second.run == end.run) {
+                removeRun(worker, end.task);
+            }
+            worker.openEnds -= worker.openEnds > 0 ? 1 : 0;
+            if (worker.openEnds == 0) {
+                worker.notedThrough = worker.takenThrough;
+                worker.nextLook = now;
+            }
+            worker.recentFailures = end.end == RunEnd::Done ? 0 : worker.recentFailures + (end.end == RunEnd::Failed ? 1 : 0);
+        }
+        const TaskRecord *task = findTask(state, end.task);
+        if (task != nullptr && task->isDone) {
+            stopRuns(scheduler, end.task, *task, now);
+        }
+    }
+
+    void noteLife(FleetScheduler &scheduler, const FleetState &state, const FleetChange &change, TimePoint now)
+    {
+        const WorkerLife &life = state.lives.at(change.life);
+        scheduler.placeDue = true;
+        if (!change.isNewLife) {
+            return;
+        }
+        WorkerContact &contact = scheduler.contacts[change.life];
+        contact.life = change.life;
+        contact.earlierLeasesEnd = now;
+        for (auto &[number, earlier] : scheduler.contacts) {
+            const auto known = state.lives.find(number);
+            if (number == change.life || known == state.lives.end() || known->second.profile.worker != life.profile.worker) {
+                continue;
+            }
+            earlier.isReplaced = true;
+            contact.earlierLife = number;
+            for (const auto &[task, run] : earlier.runs) {
+                // A start that the earlier life has not shown may have reached the process that took its name.
+                if (run.maySent && !run.isSeen) {
+                    contact.strayRuns.push_back({taskName(state.jobs.at(task.job), task), run.run, false, now});
+                }
+            }
+        }
+    }
+
+} // namespace
+
+FleetScheduler startScheduler(const SchedulerSettings &settings, const FleetState &state, std::uint64_t term, TimePoint now, WallTime wall)
+{
+    FleetScheduler scheduler;
+    scheduler.settings = settings;
+    scheduler.fence = term;
+    scheduler.since = now;
+    for (const auto &[number, life] : state.lives) {
+        if (life.hasEnded) {
+            continue;
+        }
+        WorkerContact &contact = scheduler.contacts[number];
+        contact.life = number;
+        contact.earlierLeasesEnd = now + Duration{settings.taskLease.ms * 100 / SlowestClockPercent};
+        const LifeNumber latest = state.latestLife.at(life.profile.worker);
+        if (latest != number) {
+            contact.isReplaced = true;
+            scheduler.contacts[latest].earlierLife = number;
+        }
+    }
+    for (const auto &[number, job] : state.jobs) {
+        takeOverRuns(scheduler, job, now);
+        if (!hasEnded(job.state)) {
+            JobView view = makeJobView(job, now, wall);
+            view.openedOccurrences = static_cast<std::uint32_t>(job.occurrences.size());
+            scheduler.jobs[number] = std::move(view);
+        }
+    }
+    for (auto &[number, contact] : scheduler.contacts) {
+        const auto earlier = scheduler.contacts.find(contact.earlierLife);
+        if (contact.earlierLife == 0 || earlier == scheduler.contacts.end()) {
+            continue;
+        }
+        for (const auto &[task, run] : earlier->second.runs) {
+            contact.strayRuns.push_back({taskName(state.jobs.at(task.job), task), run.run, false, now});
+        }
+    }
+    return scheduler;
+}
+
+ReportOutcome takeReport(FleetScheduler &scheduler, const FleetState &state, const FleetReport &report, TimePoint now)
+{
+    const auto latest = state.latestLife.find(report.profile.worker);
+    if (latest == state.latestLife.end()) {
+        return {NoteWorker{report.profile}, false};
+    }
+    const WorkerLife &life = state.lives.at(latest->second);
+    if (report.profile.startedAtMs < life.profile.startedAtMs) {
+        return {std::nullopt, true};
+    }
+    if (report.profile.startedAtMs > life.profile.startedAtMs) {
+        return {NoteWorker{report.profile}, false};
+    }
+    const auto found = scheduler.contacts.find(life.number);
+    if (found == scheduler.contacts.end()) {
+        return {std::nullopt, true};
+    }
+    WorkerContact &contact = found->second;
+    if (report.sequence <= contact.lastSequence) {
+        return {std::nullopt, true};
+    }
+    contact.lastSequence = report.sequence;
+    contact.saidGoodbye = false;
+    if (report.clockMs) {
+        noteClock(contact, *report.clockMs, now);
+    }
+    if (report.drainRemaining) {
+        contact.leavesAt = now + *report.drainRemaining;
+    }
+    WorkerProfile profile = report.profile;
+    profile.isDraining = profile.isDraining || life.profile.isDraining;
+    if (profile == life.profile) {
+        return {};
+    }
+    return {NoteWorker{std::move(profile)}, false};
+}
+
+void takeGoodbye(FleetScheduler &scheduler, const FleetState &state, const WorkerName &worker)
+{
+    const auto latest = state.latestLife.find(worker);
+    if (latest == state.latestLife.end()) {
+        return;
+    }
+    const auto contact = scheduler.contacts.find(latest->second);
+    if (contact != scheduler.contacts.end()) {
+        contact->second.saidGoodbye = true;
+    }
+}
+
+void noteApplied(FleetScheduler &scheduler, const FleetState &state, const FleetCommand &command, const FleetChange &change, TimePoint now, WallTime wall)
+{
+    if (const auto *start = std::get_if<StartRun>(&command)) {
+        noteStart(scheduler, *start, change, now);
+    } else if (const auto *end = std::get_if<EndRun>(&command)) {
+        noteRunEnd(scheduler, state, *end, now);
+    } else if (std::holds_alternative<NoteWorker>(command)) {
+        if (change.isApplied) {
+            noteLife(scheduler, state, change, now);
+        }
+    } else if (const auto *life = std::get_if<EndWorker>(&command)) {
+        scheduler.contacts.erase(life->life);
+        scheduler.placeDue = true;
+        for (auto &[number, contact] : scheduler.contacts) {
+            contact.earlierLife = contact.earlierLife == life->life ? 0 : contact.earlierLife;
+        }
+    } else if (std::holds_alternative<SubmitFleetJob>(command) && change.isApplied && !change.jobEnded) {
+        scheduler.jobs[change.job] = makeJobView(state.jobs.at(change.job), now, wall);
+        scheduler.placeDue = true;
+    } else if (!std::holds_alternative<SubmitFleetJob>(command)) {
+        scheduler.placeDue = true;
+    }
+    if (change.jobEnded) {
+        scheduler.jobs.erase(change.job);
+        stopJob(scheduler, state.jobs.at(change.job), now);
+    }
+}
+
+SchedulerActions schedulerTick(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall)
+{
+    SchedulerActions actions;
+    const bool isSweep = now >= scheduler.nextSweep;
+    for (auto &[number, contact] : scheduler.contacts) {
+        giveUpLapsed(contact, now, wall, actions);
+        if (contact.earlierLife != 0 && !contact.earlierEndProposed && contact.isAdopted && contact.strayRuns.empty()) {
+            contact.earlierEndProposed = true;
+            actions.propose.push_back(EndWorker{contact.earlierLife});
+        }
+        if (isSweep) {
+            moveOffDraining(scheduler, state, contact, now);
+            adaptPace(scheduler, contact, now);
+        }
+        if (now >= contact.nextRunDue) {
+            sendRunOrders(scheduler, state, contact, now, actions);
+        }
+        sendLook(scheduler, state, contact, now, actions);
+    }
+    if (isSweep) {
+        scheduler.nextSweep = now + SweepInterval;
+        // Workers become usable again with time alone.
+        scheduler.placeDue = true;
+    }
+    if (scheduler.placeDue) {
+        scheduler.placeDue = false;
+        placeTasks(scheduler, state, now, wall, actions);
+    }
+    return actions;
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/fleet_scheduler_base.h
@@ -0,0 +1,70 @@
+/** @file fleet_scheduler_base.h State of the scheduler: what the leader knows beyond the replicated state. It ends with the leadership. */
+
+#pragma once
+
+#include "fleet/fleet_command.h"
+#include "fleet/fleet_state_base.h"
+#include "fleet/worker_contact.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** Settings of the scheduler, from the bounds of the installation. */
+struct SchedulerSettings {
+    Duration taskLease{4'500}; ///< Lease on everything that a worker runs.
+    Duration lookWait{2'000}; ///< Longest wait of a look for an end.
+    Duration orderTimeout{400}; ///< Time for the answer to a start, a stop, a pace, or to a look beyond its wait.
+    Duration stopTimeout{200}; ///< Longest time that a worker takes to stop a task.
+    Duration restoreTime{250}; ///< Time that a task needs to go on from saved progress.
+    std::int64_t farFactor = 2; ///< Tasks take so many times as long away from their data.
+    Duration paceDelay{100}; ///< Time until a changed pace shows.
+    Duration harmLimit{4'000}; ///< Time for which a lasting task may be held over its target by tasks in spare room.
+    Duration leaveNotice{4'500}; ///< Time for which a lasting task counts as away once it is not at work.
+};
+
+/** A job in the eyes of the scheduler. */
+struct JobView {
+    std::vector<Duration> chainFrom; ///< For each step the longest chain of estimates from its start to the end of the job.
+    TimePoint acceptedAt;
+    TimePoint objectiveEnd; ///< Served in time if it is complete by then.
+    double worthDensity = 0; ///< Weight of a processor second of the job, for the order of service.
+    std::uint32_t openedOccurrences = 0; ///< Occurrences that are open or on their way to the log.
+};
+
+/** What the scheduler asks its daemon to do. */
+struct SchedulerActions {
+    std::vector<FleetCommand> propose; ///< Commands for the log; the scheduler is told when they are applied.
+    std::vector<WorkerOrder> orders; ///< Orders to send.
+    bool isDeposed = false; ///< A worker has seen a higher fence: another leader is at work.
+};
+
+/** An order that waits for its answer. */
+struct OpenOrder {
+    OrderKind kind = OrderKind::Look;
+    LifeNumber life = 0;
+    TaskRef task; ///< Task of a start, stop or pace.
+    std::uint32_t run = 0;
+    bool isStray = false; ///< Stop of a run that the log does not place there.
+    TaskName strayTask; ///< Its task.
+    std::uint64_t notedThrough = 0; ///< Look: what it lets the worker forget.
+};
+
+/** The scheduler of one leadership. */
+struct FleetScheduler {
+    SchedulerSettings settings;
+    std::uint64_t fence = 0; ///< Term of the leadership.
+    TimePoint since; ///< Start of the leadership.
+    std::map<LifeNumber, WorkerContact> contacts; ///< Lives that have not ended.
+    std::map<JobNumber, JobView> jobs; ///< Jobs that have not ended.
+    std::map<TaskRef, unsigned> proposedStarts; ///< Tasks with a start on its way to the log, and how many.
+    std::map<std::uint64_t, OpenOrder> openOrders; ///< Orders without an answer.
+    std::uint64_t lastOrder = 0;
+    bool placeDue = true; ///< Something has changed that may let a task start.
+    TimePoint nextSweep; ///< Next pass over all contacts for slow matters.
+};
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/fleet_scheduler_func.h
@@ -0,0 +1,42 @@
+/** @file fleet_scheduler_func.h The leader's scheduler as a deterministic state machine: events in, commands and orders out. */
+
+#pragma once
+
+#include "fleet/fleet_scheduler_base.h"
+#include "fleet/fleet_state_func.h"
+
+namespace Filbertlanding {
+
+/** Starts the scheduler of a leadership from the replicated state. */
+FleetScheduler startScheduler(const SchedulerSettings &settings, const FleetState &state, std::uint64_t term, TimePoint now, WallTime wall);
+
+/** What became of a worker's report. */
+struct ReportOutcome {
+    std::optional<FleetCommand> command; ///< To be in the log before the report is answered; nothing if the report says nothing new.
+    bool isStale = false; ///< An older life, or an older report of the same life.
+};
+
+/** What a worker reports beyond its profile. */
+struct FleetReport {
+    WorkerProfile profile;
+    std::uint64_t sequence = 0; ///< Rises with each report of a life.
+    std::optional<std::int64_t> clockMs; ///< The worker's clock.
+    std::optional<Duration> drainRemaining; ///< Least time until a draining worker ends.
+};
+
+/** Takes a worker's report. */
+ReportOutcome takeReport(FleetScheduler &scheduler, const FleetState &state, const FleetReport &report, TimePoint now);
+
+/** Takes the word of a worker that it ends. */
+void takeGoodbye(FleetScheduler &scheduler, const FleetState &state, const WorkerName &worker);
+
+/** Takes a command that was applied, in the order of the log. */
+void noteApplied(FleetScheduler &scheduler, const FleetState &state, const FleetCommand &command, const FleetChange &change, TimePoint now, WallTime wall);
+
+/** Takes the answer to an order. */
+SchedulerActions takeAnswer(FleetScheduler &scheduler, const FleetState &state, std::uint64_t order, const WorkerAnswer &answer, TimePoint now, WallTime wall);
+
+/** Lets time pass: looks, orders that are due, placements. */
+SchedulerActions schedulerTick(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/fleet_state.cpp
@@ -0,0 +1,444 @@
+/** @file fleet_state.cpp Applies commands to the replicated state of the fleet. */
+
+#include "fleet/fleet_state_func.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr JobNumber ForgetEvery = 64; ///< Ended jobs are looked for once in so many submissions, since the search passes over all jobs.
+
+    FleetJob *jobOf(FleetState &state, JobNumber number)
+    {
+        const auto found = state.jobs.find(number);
+        return found == state.jobs.end() ? nullptr : &found->second;
+    }
+
+    TaskRecord *taskOf(FleetJob &job, const TaskRef &ref, StepRecord *&step)
+    {
+        const auto occurrence = job.occurrences.find(ref.occurrence);
+        if (occurrence == job.occurrences.end() || ref.step >= occurrence->second.steps.size()) {
+            return nullptr;
+        }
+        step = &occurrence->second.steps[ref.step];
+        return ref.index < step->tasks.size() ? &step->tasks[ref.index] : nullptr;
+    }
+
+    void openOccurrence(FleetJob &job, std::uint32_t number)
+    {
+        Occurrence &occurrence = job.occurrences[number];
+        for (const StepSpec &spec : job.spec.steps) {
+            occurrence.steps.emplace_back().tasks.resize(spec.taskCount);
+        }
+    }
+
+    void endJob(FleetJob &job, FleetJobState state, WallTime at, FleetChange &change)
+    {
+        job.state = state;
+        job.endedAt = at;
+        change.jobEnded = true;
+    }
+
+    const QueueConfig *queueAt(const FleetManifest &manifest, const std::string &host, const std::string &prefix)
+    {
+        for (const QueueConfig &queue : manifest.queues) {
+            if (queue.host == host && queue.pathPrefix == prefix) {
+                return &queue;
+            }
+        }
+        return nullptr;
+    }
+
+    /** Marks tasks as done: all members of a gang together, otherwise the one. */
+    void markDone(const StepSpec &spec, StepRecord &step, TaskRecord &task)
+    {
+        if (!spec.isGang) {
+            step.doneCount += task.isDone ? 0 : 1;
+            task.isDone = true;
+            return;
+        }
+        for (TaskRecord &member : step.tasks) {
+            member.isDone = true;
+        }
+        step.doneCount = static_cast<std::uint32_t>(step.tasks.size());
+    }
+
+    bool isOccurrenceDone(const FleetJob &job, const Occurrence &occurrence)
+    {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            if (occurrence.steps[i].doneCount < job.spec.steps[i].taskCount) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void completeIfDone(FleetJob &job, std::uint32_t number, WallTime at, FleetChange &change)
+    {
+        Occurrence &occurrence = job.occurrences.at(number);
+        if (occurrence.isComplete || !isOccurrenceDone(job, occurrence)) {
+            return;
+        }
+        occurrence.isComplete = true;
+        ++job.completeCount;
+        if (!hasEnded(job.state) && job.completeCount >= std::max<std::uint32_t>(1, job.spec.repeatCount)) {
+            endJob(job, FleetJobState::Completed, at, change);
+        }
+    }
+
+    /** Counts a failed run; a gang fails once for each of its runs, however many members say so. */
+    void countFailure(const StepSpec &spec, StepRecord &step, TaskRecord &task, std::uint32_t run)
+    {
+        if (!spec.isGang) {
+            ++task.failures;
+            return;
+        }
+        if (run > step.failedRun) {
+            step.failedRun = run;
+            ++step.tasks.front().failures;
+        }
+    }
+
+    void noteEnd(FleetJob &job, const TaskRef &ref, StepRecord &step, TaskRecord &task, const EndRun &end, FleetChange &change)
+    {
+        const StepSpec &spec = job.spec.steps[ref.step];
+        if (!end.checkpoint.empty()) {
+            task.checkpoint = end.checkpoint;
+            for (TaskRecord &member : step.tasks) {
+                // The members of a gang go on from the same progress.
+                member.checkpoint = spec.isGang ? end.checkpoint : member.checkpoint;
+            }
+        }
+        if (spec.isLasting || hasEnded(job.state)) {
+            return;
+        }
+        if (end.end == RunEnd::Done) {
+            markDone(spec, step, task);
+            completeIfDone(job, ref.occurrence, end.at, change);
+            return;
+        }
+        if (end.end != RunEnd::Failed) {
+            return;
+        }
+        countFailure(spec, step, task, end.run);
+        const std::uint32_t failures = spec.isGang ? step.tasks.front().failures : task.failures;
+        if (!task.isDone && failures >= job.queue.maxAttempts) {
+            endJob(job, FleetJobState::Failed, end.at, change);
+        }
+    }
+
+    FleetChange apply(FleetState &state, const PutManifest &command)
+    {
+        FleetChange change;
+        if (command.manifest.version <= state.manifest.version) {
+            return change;
+        }
+        change.isApplied = true;
+        state.manifest = command.manifest;
+        for (auto &[number, job] : state.jobs) {
+            const QueueConfig *queue = hasEnded(job.state) ? nullptr : queueAt(state.manifest, job.host, job.pathPrefix);
+            if (queue != nullptr) {
+                job.queue = *queue;
+            }
+        }
+        return change;
+    }
+
+    FleetChange apply(FleetState &state, const SetZoneDrained &command)
+    {
+        if (command.isDrained) {
+            state.drainedZones.insert(command.availabilityZone);
+        } else {
+            state.drainedZones.erase(command.availabilityZone);
+        }
+        return {.isApplied = true};
+    }
+
+    FleetChange apply(FleetState &state, const NoteWorker &command)
+    {
+        FleetChange change;
+        const WorkerProfile &profile = command.profile;
+        const auto latest = state.latestLife.find(profile.worker);
+        if (latest != state.latestLife.end()) {
+            WorkerLife &known = state.lives.at(latest->second);
+            if (profile.startedAtMs < known.profile.startedAtMs) {
+                return change;
+            }
+            if (profile.startedAtMs == known.profile.startedAtMs) {
+                // A worker that leaves does not come back in the same life; a report that says otherwise is an old one.
+                const bool wasDraining = known.profile.isDraining;
+                known.profile = profile;
+                known.profile.isDraining = profile.isDraining || wasDraining;
+                change.isApplied = true;
+                change.life = known.number;
+                return change;
+            }
+            if (known.hasEnded) {
+                state.lives.erase(latest->second);
+            }
+        }
+        const LifeNumber number = ++state.lastLife;
+        state.lives[number] = {number, profile, false};
+        state.latestLife[profile.worker] = number;
+        change.isApplied = true;
+        change.isNewLife = true;
+        change.life = number;
+        return change;
+    }
+
+    /** Drops the runs of a life from a job. */
+    void dropRuns(FleetJob &job, LifeNumber life)
+    {
+        for (auto &[number, occurrence] : job.occurrences) {
+            for (StepRecord &step : occurrence.steps) {
+                for (TaskRecord &task : step.tasks) {
+                    const auto removed = std::erase_if(task.active, [life](const ActiveRun &run) {
+                        return run.life == life;
+                    });
+                    step.activeCount -= removed > 0 && task.active.empty() ? 1 : 0;
+                }
+            }
+        }
+    }
+
+    FleetChange apply(FleetState &state, const EndWorker &command)
+    {
+        FleetChange change;
+        const auto found = state.lives.find(command.life);
+        if (found == state.lives.end() || found->second.hasEnded) {
+            return change;
+        }
+        change.isApplied = true;
+        change.life = command.life;
+        change.endedLives.push_back(command.life);
+        for (auto &[number, job] : state.jobs) {
+            dropRuns(job, command.life);
+        }
+        found->second.hasEnded = true;
+        if (state.latestLife.at(found->second.profile.worker) != command.life) {
+            state.lives.erase(found);
+        }
+        return change;
+    }
+
+    FleetChange apply(FleetState &state, const SubmitFleetJob &command)
+    {
+        FleetChange change;
+        const auto known = state.jobNumbers.find(command.id);
+        if (known != state.jobNumbers.end()) {
+            change.job = known->second;
+            return change;
+        }
+        const QueueConfig *queue = queueAt(state.manifest, command.host, command.pathPrefix);
+        if (queue == nullptr) {
+            return change;
+        }
+        change.isApplied = true;
+        change.job = ++state.lastJob;
+        FleetJob &job = state.jobs[change.job];
+        job.number = change.job;
+        job.id = command.id;
+        job.host = command.host;
+        job.pathPrefix = command.pathPrefix;
+        job.queue = *queue;
+        job.spec = command.spec;
+        job.acceptedAt = command.at;
+        state.jobNumbers[command.id] = change.job;
+        if (job.spec.repeatCount == 0) {
+            openOccurrence(job, 0);
+        }
+        if (state.cancelledUnseen.erase(command.id) > 0) {
+            endJob(job, FleetJobState::Cancelled, command.at, change);
+        }
+        if (state.lastJob % ForgetEvery == 0) {
+            forgetEndedJobs(state, command.at);
+        }
+        return change;
+    }
+
+    FleetChange apply(FleetState &state, const CancelFleetJob &command)
+    {
+        FleetChange change;
+        const auto known = state.jobNumbers.find(command.id);
+        if (known == state.jobNumbers.end()) {
+            state.cancelledUnseen[command.id] = command.at;
+            return change;
+        }
+        change.job = known->second;
+        FleetJob &job = state.jobs.at(known->second);
+        if (!hasEnded(job.state)) {
+            change.isApplied = true;
+            endJob(job, FleetJobState::Cancelled, command.at, change);
+        }
+        return change;
+    }
+
+    FleetChange apply(FleetState &state, const OpenOccurrence &command)
+    {
+        FleetChange change;
+        FleetJob *job = jobOf(state, command.job);
+        if (job == nullptr || hasEnded(job->state) || command.occurrence >= job->spec.repeatCount || job->occurrences.contains(command.occurrence)) {
+            return change;
+        }
+        openOccurrence(*job, command.occurrence);
+        change.isApplied = true;
+        change.job = command.job;
+        return change;
+    }
+
+    FleetChange apply(FleetState &state, const StartRun &command)
+    {
+        FleetChange change;
+        FleetJob *job = jobOf(state, command.task.job);
+        StepRecord *step = nullptr;
+        TaskRecord *task = job == nullptr || hasEnded(job->state) ? nullptr : taskOf(*job, command.task, step);
+        const auto life = state.lives.find(command.life);
+        if (task == nullptr || life == state.lives.end() || life->second.hasEnded) {
+            return change;
+        }
+        const bool isFree = task->active.empty() || job->spec.steps[command.task.step].mayRunCopies;
+        if (task->isDone || !isFree || command.run <= task->lastRun) {
+            return change;
+        }
+        change.isApplied = true;
+        change.job = job->number;
+        change.life = command.life;
+        step->activeCount += task->active.empty() ? 1 : 0;
+        task->active.push_back({command.run, command.life});
+        task->lastRun = command.run;
+        job->state = FleetJobState::Running;
+        return change;
+    }
+
+    FleetChange apply(FleetState &state, const EndRun &command)
+    {
+        FleetChange change;
+        FleetJob *job = jobOf(state, command.task.job);
+        StepRecord *step = nullptr;
+        TaskRecord *task = job == nullptr ? nullptr : taskOf(*job, command.task, step);
+        if (task == nullptr) {
+            return change;
+        }
+        const auto removed = std::erase_if(task->active, [&command](const ActiveRun &run) {
+            return run.run == command.run && run.life == command.life;
+        });
+        if (removed == 0) {
+            return change;
+        }
+        change.isApplied = true;
+        change.job = job->number;
+        change.life = command.life;
+        step->activeCount -= task->active.empty() ? 1 : 0;
+        noteEnd(*job, command.task, *step, *task, command, change);
+        return change;
+    }
+
+    FleetChange apply(FleetState &state, const StartWave &command)
+    {
+        if (state.waves.contains(command.wave)) {
+            return {};
+        }
+        MaintenanceWave &wave = state.waves[command.wave];
+        wave.length = command.length;
+        wave.atOnce = std::max<std::uint32_t>(1, command.atOnce);
+        for (const std::string &machine : command.machines) {
+            wave.machines[machine] = MaintenanceStage::Waiting;
+        }
+        return {.isApplied = true};
+    }
+
+    FleetChange apply(FleetState &state, const NoteWaveMachine &command)
+    {
+        const auto wave = state.waves.find(command.wave);
+        if (wave == state.waves.end() || !wave->second.machines.contains(command.machine)) {
+            return {};
+        }
+        MaintenanceStage &stage = wave->second.machines.at(command.machine);
+        const auto next = static_cast<MaintenanceStage>(std::min<std::uint8_t>(command.stage, static_cast<std::uint8_t>(MaintenanceStage::Finished)));
+        stage = std::max(stage, next);
+        return {.isApplied = true};
+    }
+
+    bool hasActiveRuns(const FleetJob &job)
+    {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (const StepRecord &step : occurrence.steps) {
+                if (step.activeCount > 0) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+} // namespace
+
+FleetChange applyFleetCommand(FleetState &state, const FleetCommand &command)
+{
+    return std::visit(
+        [&state](const auto &body) {
+            return apply(state, body);
+        },
+        command);
+}
+
+const QueueConfig *findQueue(const FleetManifest &manifest, std::string_view host, std::string_view path)
+{
+    const QueueConfig *best = nullptr;
+    for (const QueueConfig &queue : manifest.queues) {
+        const bool matches = queue.host == host && path.starts_with(queue.pathPrefix);
+        if (matches && (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+const FleetJob *findJob(const FleetState &state, const JobId &id)
+{
+    const auto found = state.jobNumbers.find(id);
+    return found == state.jobNumbers.end() ? nullptr : &state.jobs.at(found->second);
+}
+
+bool isStepOpen(const FleetJob &job, const Occurrence &occurrence, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    if (occurrence.steps[step].doneCount >= spec.taskCount) {
+        return false;
+    }
+    return std::all_of(spec.dependsOn.begin(), spec.dependsOn.end(), [&job, &occurrence](std::uint32_t earlier) {
+        return occurrence.steps[earlier].doneCount >= job.spec.steps[earlier].taskCount;
+    });
+}
+
+std::uint64_t waitingJobs(const FleetState &state, const QueueConfig &queue)
+{
+    std::uint64_t count = 0;
+    for (const auto &[number, job] : state.jobs) {
+        const bool isWaiting = job.state == FleetJobState::Queued && job.spec.repeatCount == 0;
+        count += isWaiting && job.host == queue.host && job.pathPrefix == queue.pathPrefix ? 1 : 0;
+    }
+    return count;
+}
+
+void forgetEndedJobs(FleetState &state, WallTime now)
+{
+    const auto isOld = [now](WallTime at) {
+        return now.ms - at.ms > EndedJobRetention.ms;
+    };
+    std::erase_if(state.jobs, [&state, &isOld](const auto &item) {
+        const FleetJob &job = item.second;
+        if (!hasEnded(job.state) || !isOld(job.endedAt) || hasActiveRuns(job)) {
+            return false;
+        }
+        state.jobNumbers.erase(job.id);
+        return true;
+    });
+    std::erase_if(state.cancelledUnseen, [&isOld](const auto &item) {
+        return isOld(item.second);
+    });
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/place_run.h
@@ -0,0 +1,50 @@
+/** @file place_run.h Chooses workers for the tasks of a step. */
+
+#pragma once
+
+#include "fleet/fleet_type.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** A worker that may take tasks, with what is free. */
+struct PlaceCandidate {
+    LifeNumber life = 0;
+    ServiceName service;
+    ZoneName availabilityZone;
+    std::string rack; ///< Label of its rack; empty if it has none.
+    const std::vector<std::string> *labels = nullptr; ///< All labels.
+    Resources capacity;
+    Resources used; ///< Room of all that runs or was ordered.
+    std::int64_t spareUsed = 0; ///< Processors that tasks in spare room ask for.
+    std::int64_t lastingCpu = 0; ///< Processors reserved by lasting tasks.
+    unsigned targetTasks = 0; ///< Lasting tasks with a latency target.
+    bool isPressed = false; ///< A lasting task here is near or over its target.
+    unsigned recentFailures = 0; ///< Failed runs in a row.
+};
+
+/** How many tasks of the step each worker has already. */
+using StepSpread = std::map<LifeNumber, std::uint32_t>;
+
+/** Returns whether a worker may run a task of the step at all, room aside. */
+bool isEligible(const StepSpec &step, const ServiceName &service, const PlaceCandidate &candidate);
+
+/** Returns whether a task fits beside what runs. */
+bool hasRoomFor(const StepSpec &step, const PlaceCandidate &candidate);
+
+/**
+ * Returns the index of the best candidate for one more task of a step, or nothing.
+ * @param spread Tasks of the step on each worker.
+ * @param excluded Life that may not be chosen, for a copy of a task; 0 for none.
+ */
+std::optional<std::size_t>
+choosePlace(const StepSpec &step, const ServiceName &service, const std::vector<PlaceCandidate> &candidates, const StepSpread &spread, LifeNumber excluded);
+
+/** Takes room on a candidate for a task of a step. */
+void takeRoom(PlaceCandidate &candidate, const StepSpec &step);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/scheduler_answers.cpp
@@ -0,0 +1,272 @@
+/** @file scheduler_answers.cpp What answers of workers change. */
+
+#include "fleet/scheduler_detail.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr std::size_t MostListedEnds = 500; ///< A worker lists at most so many ends, so a list of this length may leave some out.
+    constexpr Duration UnhealthyWait{1'000}; ///< Time for which nothing is placed on a worker that refuses orders.
+    constexpr Duration NoRoomWait{300}; ///< Time for which nothing is placed on a worker that has less room than it should.
+    constexpr Duration RetryStep{25}; ///< Wait after a try without an answer, for each such try.
+    constexpr unsigned MostRetrySteps = 12;
+
+    Duration waitAfter(unsigned failures)
+    {
+        return RetryStep * std::min(failures, MostRetrySteps);
+    }
+
+    void noteAlive(WorkerContact &contact, const WorkerAnswer &answer, TimePoint now)
+    {
+        contact.failuresInRow = 0;
+        contact.lastAnswer = now;
+        if (answer.clockMs) {
+            noteClock(contact, *answer.clockMs, now);
+        }
+    }
+
+    /** Takes what is true of every answer. Returns false when the answer says nothing of the order itself. */
+    bool takeCommon(WorkerContact &contact, const WorkerAnswer &answer, SchedulerActions &actions)
+    {
+        if (answer.outcome == OrderOutcome::Fenced) {
+            actions.isDeposed = true;
+            return false;
+        }
+        if (answer.outcome == OrderOutcome::OtherLife) {
+            // The address belongs to another life, so the process that had it is gone.
+            proposeLifeEnd(contact, actions);
+            return false;
+        }
+        return true;
+    }
+
+    RunView *runOf(WorkerContact &contact, const TaskRef &task, std::uint32_t run)
+    {
+        const auto found = contact.runs.find(task);
+        return found != contact.runs.end() && found->second.run == run ? &found->second : nullptr;
+    }
+
+    void addStray(WorkerContact &contact, const ListedRun &listed, TimePoint now)
+    {
+        const bool isKnown = std::any_of(contact.strayRuns.begin(), contact.strayRuns.end(), [&listed](const StrayRun &stray) {
+            return stray.task == listed.task && stray.run == listed.run;
+        });
+        if (!isKnown) {
+            contact.strayRuns.push_back({listed.task, listed.run, false, now});
+            contact.nextRunDue = now;
+        }
+    }
+
+    void takeEnds(const FleetState &state, WorkerContact &contact, const WorkerAnswer &answer, TimePoint now, WallTime wall, std::set<TaskRef> &listed, SchedulerActions &actions)
+    {
+        for (const ListedEnd &end : answer.ended) {
+            const auto task = taskOfName(state, end.task);
+            RunView *run = task ? runOf(contact, *task, end.run) : nullptr;
+            if (run != nullptr) {
+                listed.insert(*task);
+            }
+            if (end.number <= contact.takenThrough) {
+                continue;
+            }
+            contact.takenThrough = end.number;
+            if (run == nullptr) {
+                continue;
+            }
+            run->checkpoint = end.checkpoint.empty() ? run->checkpoint : end.checkpoint;
+            contact.endsSince = contact.openEnds == 0 ? now : contact.endsSince;
+            proposeEnd(contact, *task, *run, end.end, wall, actions);
+        }
+        if (contact.openEnds == 0) {
+            contact.notedThrough = contact.takenThrough;
+        }
+    }
+
+    void takeRunning(const FleetState &state, WorkerContact &contact, const WorkerAnswer &answer, TimePoint now, std::set<TaskRef> &listed)
+    {
+        for (const ListedRun &entry : answer.running) {
+            const auto task = taskOfName(state, entry.task);
+            RunView *run = task ? runOf(contact, *task, entry.run) : nullptr;
+            if (run == nullptr || run->phase == RunPhase::Proposed) {
+                addStray(contact, entry, now);
+                continue;
+            }
+            listed.insert(*task);
+            run->isSeen = true;
+            run->phase = RunPhase::Started;
+            run->checkpoint = entry.checkpoint.empty() ? run->checkpoint : entry.checkpoint;
+            run->percent = entry.percent;
+            run->measure = entry.measure;
+        }
+    }
+
+    /** Ends the runs that the worker would have to list if it had ever started them. */
+    void endUnlisted(WorkerContact &contact, bool isAdoption, const std::set<TaskRef> &listed, WallTime wall, SchedulerActions &actions)
+    {
+        for (auto &[task, run] : contact.runs) {
+            const bool isSettled = run.settledAt != 0 && run.settledAt < contact.lookNumber && !run.orderOpen;
+            // Orders of earlier leaders take no effect after a look with the new fence, so what is missing then never runs.
+            const bool isInherited = isAdoption && run.settledAt == 0 && !run.orderOpen && run.tries == 0 && run.phase == RunPhase::Started;
+            if (run.phase != RunPhase::Proposed && !run.isEnding && !listed.contains(task) && (isSettled || isInherited)) {
+                proposeEnd(contact, task, run, RunEnd::Lost, wall, actions);
+            }
+        }
+    }
+
+    void takeLook(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, const OpenOrder &open, const WorkerAnswer &answer, TimePoint now, WallTime wall, SchedulerActions &actions)
+    {
+        contact.lookOpen = false;
+        contact.nextLook = now;
+        if (!takeCommon(contact, answer, actions)) {
+            return;
+        }
+        if (answer.outcome != OrderOutcome::Done || !answer.hasLists) {
+            ++contact.failuresInRow;
+            contact.nextLook = now + waitAfter(contact.failuresInRow);
+            if (answer.outcome == OrderOutcome::Unreachable && contact.saidGoodbye) {
+                proposeLifeEnd(contact, actions);
+            }
+            return;
+        }
+        const WorkerLife &life = state.lives.at(contact.life);
+        if (answer.startedAtMs && *answer.startedAtMs != life.profile.startedAtMs) {
+            contact.isReplaced = contact.isReplaced || *answer.startedAtMs > life.profile.startedAtMs;
+            contact.nextLook = now + UnhealthyWait;
+            return;
+        }
+        const bool wasSilent = contact.failuresInRow > 0;
+        noteAlive(contact, answer, now);
+        contact.acknowledgedThrough = std::max(contact.acknowledgedThrough, open.notedThrough);
+        const bool isAdoption = !contact.isAdopted;
+        contact.isAdopted = true;
+        std::set<TaskRef> listed;
+        takeEnds(state, contact, answer, now, wall, listed, actions);
+        takeRunning(state, contact, answer, now, listed);
+        if (answer.ended.size() < MostListedEnds) {
+            endUnlisted(contact, isAdoption, listed, wall, actions);
+        }
+        scheduler.placeDue = scheduler.placeDue || isAdoption || wasSilent;
+        contact.nextRunDue = now;
+    }
+
+    /** The worker has done nothing for a start. */
+    void takeRefusedStart(WorkerContact &contact, const TaskRef &task, RunView &run, OrderOutcome outcome, TimePoint now, WallTime wall, SchedulerActions &actions)
+    {
+        contact.avoidUntil = now + (outcome == OrderOutcome::NoRoom ? NoRoomWait : UnhealthyWait);
+        if (!run.maySent) {
+            proposeEnd(contact, task, run, RunEnd::Lost, wall, actions);
+            return;
+        }
+        // An earlier try may still arrive, or has run and ended; a stop makes sure of the first, the next look tells of the second.
+        run.stopWanted = true;
+        run.phase = RunPhase::Started;
+    }
+
+    void takeStart(const FleetScheduler &scheduler, WorkerContact &contact, const TaskRef &task, RunView &run, const WorkerAnswer &answer, TimePoint now, WallTime wall, SchedulerActions &actions)
+    {
+        switch (answer.outcome) {
+        case OrderOutcome::Done:
+            noteAlive(contact, answer, now);
+            run.maySent = true;
+            run.phase = RunPhase::Started;
+            run.tries = 0;
+            run.settledAt = scheduler.lastOrder;
+            return;
+        case OrderOutcome::NoAnswer:
+            run.maySent = true;
+            ++run.tries;
+            run.nextTry = now + waitAfter(run.tries);
+            contact.avoidUntil = std::max(contact.avoidUntil, now + NoRoomWait);
+            return;
+        case OrderOutcome::Unreachable:
+            ++contact.failuresInRow;
+            contact.nextLook = now;
+            if (!run.maySent) {
+                proposeEnd(contact, task, run, RunEnd::Lost, wall, actions);
+                return;
+            }
+            ++run.tries;
+            run.nextTry = now + waitAfter(run.tries);
+            return;
+        default:
+            takeRefusedStart(contact, task, run, answer.outcome, now, wall, actions);
+            return;
+        }
+    }
+
+    void takeStop(const FleetScheduler &scheduler, WorkerContact &contact, RunView &run, const WorkerAnswer &answer, TimePoint now)
+    {
+        if (answer.outcome == OrderOutcome::Done) {
+            noteAlive(contact, answer, now);
+            run.stopAnswered = true;
+            run.tries = 0;
+            run.settledAt = scheduler.lastOrder;
+            contact.nextLook = std::min(contact.nextLook, now);
+            return;
+        }
+        ++run.tries;
+        run.nextTry = now + waitAfter(run.tries);
+    }
+
+    void takeStrayStop(WorkerContact &contact, const OpenOrder &open, const WorkerAnswer &answer, TimePoint now)
+    {
+        const auto stray = std::find_if(contact.strayRuns.begin(), contact.strayRuns.end(), [&open](const StrayRun &item) {
+            return item.task == open.strayTask && item.run == open.run;
+        });
+        if (stray == contact.strayRuns.end()) {
+            return;
+        }
+        if (answer.outcome == OrderOutcome::Done) {
+            contact.strayRuns.erase(stray);
+            return;
+        }
+        stray->orderOpen = false;
+        stray->nextTry = now + UnhealthyWait / 4;
+    }
+
+} // namespace
+
+SchedulerActions takeAnswer(FleetScheduler &scheduler, const FleetState &state, std::uint64_t order, const WorkerAnswer &answer, TimePoint now, WallTime wall)
+{
+    SchedulerActions actions;
+    const auto found = scheduler.openOrders.find(order);
+    if (found == scheduler.openOrders.end()) {
+        return actions;
+    }
+    const OpenOrder open = found->second;
+    scheduler.openOrders.erase(found);
+    const auto place = scheduler.contacts.find(open.life);
+    if (place == scheduler.contacts.end()) {
+        return actions;
+    }
+    WorkerContact &contact = place->second;
+    if (open.kind == OrderKind::Look) {
+        takeLook(scheduler, state, contact, open, answer, now, wall, actions);
+        return actions;
+    }
+    contact.nextRunDue = now;
+    if (open.isStray) {
+        takeStrayStop(contact, open, answer, now);
+    }
+    RunView *run = open.isStray ? nullptr : runOf(contact, open.task, open.run);
+    if (run != nullptr) {
+        run->orderOpen = false;
+    }
+    if (!takeCommon(contact, answer, actions) || run == nullptr) {
+        return actions;
+    }
+    if (open.kind == OrderKind::Start) {
+        takeStart(scheduler, contact, open.task, *run, answer, now, wall, actions);
+    } else if (open.kind == OrderKind::Stop) {
+        takeStop(scheduler, contact, *run, answer, now);
+    } else if (answer.outcome != OrderOutcome::Done) {
+        run->paceSent = -1;
+        run->nextTry = now + UnhealthyWait / 4;
+    }
+    return actions;
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/scheduler_detail.h
@@ -0,0 +1,48 @@
+/** @file scheduler_detail.h Functions that the parts of the scheduler share. Not for other folders. */
+
+#pragma once
+
+#include "fleet/fleet_scheduler_func.h"
+
+namespace Filbertlanding {
+
+/** Returns the view of a task that is to run: its room and what matters for orders. */
+RunView makeRunView(const StepSpec &step, std::uint32_t run, RunPhase phase, TimePoint now);
+
+/** Returns a task's name as workers know it. */
+TaskName taskName(const FleetJob &job, const TaskRef &task);
+
+/** Returns the task of a name, if its job is known. */
+std::optional<TaskRef> taskOfName(const FleetState &state, const TaskName &name);
+
+/** Makes the end of a run a command for the log. */
+void proposeEnd(WorkerContact &contact, const TaskRef &task, RunView &run, RunEnd end, WallTime wall, SchedulerActions &actions);
+
+/** Makes the end of a life a command for the log. */
+void proposeLifeEnd(WorkerContact &contact, SchedulerActions &actions);
+
+/** Adds an order and notes it as open. */
+void sendOrder(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, WorkerOrder order, OpenOrder open, SchedulerActions &actions);
+
+/** Sends a look if one is due. */
+void sendLook(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now, SchedulerActions &actions);
+
+/** Sends the starts, stops and paces of a worker that are due. */
+void sendRunOrders(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now, SchedulerActions &actions);
+
+/** Gives up the runs of a worker that does not answer, once its lease has surely ended. */
+void giveUpLapsed(WorkerContact &contact, TimePoint now, WallTime wall, SchedulerActions &actions);
+
+/** Starts tasks whose turn has come on workers with room. */
+void placeTasks(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions);
+
+/** Moves tasks off workers that drain. */
+void moveOffDraining(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now);
+
+/** Adapts the pace of tasks in spare room to the lasting tasks beside them. */
+void adaptPace(FleetScheduler &scheduler, WorkerContact &contact, TimePoint now);
+
+/** Returns whether a worker may be given new tasks. */
+bool isUsable(const FleetState &state, const WorkerContact &contact, TimePoint now);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/scheduler_orders.cpp
@@ -0,0 +1,257 @@
+/** @file scheduler_orders.cpp Orders to workers, their repetition, and the end of leases. */
+
+#include "fleet/scheduler_detail.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr Duration StrayRetry{20}; ///< Interval at which stray runs are looked at.
+    constexpr Duration PressedLookWait{500}; ///< Wait of looks at workers where tasks in spare room run beside tasks with a target.
+    constexpr Duration StuckLog{500}; ///< Time after which a lease is renewed although the log does not take the ends of the last look.
+    constexpr Duration Far{3'600'000}; ///< No order is due before something happens.
+
+    bool hasPressedTasks(const WorkerContact &contact)
+    {
+        bool hasTarget = false;
+        bool hasFilling = false;
+        for (const auto &[task, run] : contact.runs) {
+            hasTarget = hasTarget || (run.isLasting && run.latencyTarget.ms > 0);
+            hasFilling = hasFilling || run.fillsSpare;
+        }
+        return hasTarget && hasFilling;
+    }
+
+    bool needsLook(const WorkerContact &contact)
+    {
+        const bool hasRuns = std::any_of(contact.runs.begin(), contact.runs.end(), [](const auto &item) {
+            return item.second.phase != RunPhase::Proposed;
+        });
+        return !contact.isAdopted || hasRuns || contact.notedThrough > contact.acknowledgedThrough || contact.failuresInRow > 0;
+    }
+
+    /** Names a lease in an order, if the worker answers: one that does not gets no new lease, so that its end can be told. */
+    void grantLease(const FleetScheduler &scheduler, WorkerContact &contact, TimePoint now, WorkerOrder &order)
+    {
+        if (contact.failuresInRow > 0 || contact.isReplaced) {
+            return;
+        }
+        order.leaseEndMs = leaseEndAfter(contact, scheduler.settings.taskLease, now);
+        if (order.leaseEndMs) {
+            contact.leaseEndMs = std::max(contact.leaseEndMs, *order.leaseEndMs);
+        }
+    }
+
+    void sendStart(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, const TaskRef &task, RunView &run, TimePoint now, SchedulerActions &actions)
+    {
+        WorkerOrder order;
+        order.kind = OrderKind::Start;
+        grantLease(scheduler, contact, now, order);
+        if (!order.leaseEndMs && contact.leaseEndMs > 0) {
+            order.leaseEndMs = contact.leaseEndMs;
+        }
+        if (!order.leaseEndMs) {
+            return;
+        }
+        const FleetJob &job = state.jobs.at(task.job);
+        order.task = taskName(job, task);
+        order.run = run.run;
+        order.payload = job.spec.payload;
+        order.checkpoint = run.checkpoint;
+        order.timeout = scheduler.settings.orderTimeout;
+        order.usesFreshConnection = run.tries > 0;
+        run.orderOpen = true;
+        sendOrder(scheduler, state, contact, std::move(order), {.kind = OrderKind::Start, .life = contact.life, .task = task, .run = run.run}, actions);
+    }
+
+    void sendStop(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, const TaskRef &task, RunView &run, SchedulerActions &actions)
+    {
+        WorkerOrder order;
+        order.kind = OrderKind::Stop;
+        order.task = taskName(state.jobs.at(task.job), task);
+        order.run = run.run;
+        order.timeout = scheduler.settings.orderTimeout;
+        order.usesFreshConnection = run.tries > 0;
+        run.orderOpen = true;
+        sendOrder(scheduler, state, contact, std::move(order), {.kind = OrderKind::Stop, .life = contact.life, .task = task, .run = run.run}, actions);
+    }
+
+    void sendPace(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, const TaskRef &task, RunView &run, SchedulerActions &actions)
+    {
+        WorkerOrder order;
+        order.kind = OrderKind::Pace;
+        order.task = taskName(state.jobs.at(task.job), task);
+        order.run = run.run;
+        order.percent = run.pacePercent;
+        order.timeout = scheduler.settings.orderTimeout;
+        run.paceSent = run.pacePercent;
+        run.orderOpen = true;
+        sendOrder(scheduler, state, contact, std::move(order), {.kind = OrderKind::Pace, .life = contact.life, .task = task, .run = run.run}, actions);
+    }
+
+    void sendStrayStops(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now, SchedulerActions &actions)
+    {
+        for (StrayRun &stray : contact.strayRuns) {
+            if (stray.orderOpen || now < stray.nextTry) {
+                continue;
+            }
+            stray.orderOpen = true;
+            WorkerOrder order;
+            order.kind = OrderKind::Stop;
+            order.task = stray.task;
+            order.run = stray.run;
+            order.timeout = scheduler.settings.orderTimeout;
+            sendOrder(scheduler, state, contact, std::move(order), {.kind = OrderKind::Stop, .life = contact.life, .run = stray.run, .isStray = true, .strayTask = stray.task}, actions);
+        }
+    }
+
+} // namespace
+
+RunView makeRunView(const StepSpec &step, std::uint32_t run, RunPhase phase, TimePoint now)
+{
+    RunView view;
+    view.run = run;
+    view.phase = phase;
+    view.room = step.request;
+    view.since = now;
+    view.latencyTarget = step.latencyTarget;
+    view.isLasting = step.isLasting;
+    view.fillsSpare = step.fillsSpare;
+    view.isCheckpointed = step.isCheckpointed;
+    view.estimate = step.estimate;
+    if (step.fillsSpare) {
+        view.spareCpuMillis = step.request.cpuMillis;
+        view.room.cpuMillis = 0;
+    }
+    return view;
+}
+
+TaskName taskName(const FleetJob &job, const TaskRef &task)
+{
+    return {job.id, task.occurrence, task.step, task.index};
+}
+
+std::optional<TaskRef> taskOfName(const FleetState &state, const TaskName &name)
+{
+    const auto number = state.jobNumbers.find(name.job);
+    if (number == state.jobNumbers.end()) {
+        return std::nullopt;
+    }
+    return TaskRef{number->second, name.occurrence, name.step, name.index};
+}
+
+void proposeEnd(WorkerContact &contact, const TaskRef &task, RunView &run, RunEnd end, WallTime wall, SchedulerActions &actions)
+{
+    if (run.isEnding) {
+        return;
+    }
+    run.isEnding = true;
+    ++contact.openEnds;
+    actions.propose.push_back(EndRun{task, run.run, contact.life, end, run.checkpoint, wall});
+}
+
+void proposeLifeEnd(WorkerContact &contact, SchedulerActions &actions)
+{
+    if (!contact.endProposed) {
+        contact.endProposed = true;
+        actions.propose.push_back(EndWorker{contact.life});
+    }
+}
+
+void sendOrder(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, WorkerOrder order, OpenOrder open, SchedulerActions &actions)
+{
+    const WorkerProfile &profile = state.lives.at(contact.life).profile;
+    order.number = ++scheduler.lastOrder;
+    order.life = contact.life;
+    order.worker = profile.worker;
+    order.address = profile.address;
+    order.fence = scheduler.fence;
+    scheduler.openOrders[order.number] = open;
+    actions.orders.push_back(std::move(order));
+}
+
+void sendLook(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now, SchedulerActions &actions)
+{
+    const bool waitsForLog = contact.openEnds > 0 && now - contact.endsSince < StuckLog;
+    if (contact.lookOpen || contact.endProposed || contact.isReplaced || now < contact.nextLook || waitsForLog || !needsLook(contact)) {
+        return;
+    }
+    WorkerOrder order;
+    order.kind = OrderKind::Look;
+    const bool mayWait = contact.isAdopted && contact.failuresInRow == 0 && contact.openEnds == 0 && !contact.runs.empty();
+    if (mayWait) {
+        order.wait = hasPressedTasks(contact) ? std::min(PressedLookWait, scheduler.settings.lookWait) : scheduler.settings.lookWait;
+    }
+    if (!contact.runs.empty() || !contact.isAdopted) {
+        grantLease(scheduler, contact, now, order);
+    }
+    order.notedThrough = contact.notedThrough;
+    order.timeout = order.wait + scheduler.settings.orderTimeout;
+    order.usesFreshConnection = contact.failuresInRow > 0;
+    contact.lookOpen = true;
+    contact.lookNumber = scheduler.lastOrder + 1;
+    const OpenOrder open{.kind = OrderKind::Look, .life = contact.life, .notedThrough = order.notedThrough};
+    sendOrder(scheduler, state, contact, std::move(order), open, actions);
+}
+
+void sendRunOrders(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now, SchedulerActions &actions)
+{
+    contact.nextRunDue = now + Far;
+    if (contact.isReplaced) {
+        return;
+    }
+    sendStrayStops(scheduler, state, contact, now, actions);
+    if (!contact.strayRuns.empty()) {
+        contact.nextRunDue = now + StrayRetry;
+    }
+    for (auto &[task, run] : contact.runs) {
+        if (run.orderOpen || run.isEnding || run.phase == RunPhase::Proposed) {
+            continue;
+        }
+        const bool startDue = run.phase == RunPhase::Ordered && !run.stopWanted;
+        const bool stopDue = run.stopWanted && !run.stopAnswered;
+        const bool paceDue = run.phase == RunPhase::Started && !run.stopWanted && run.pacePercent != run.paceSent;
+        if (!startDue && !stopDue && !paceDue) {
+            continue;
+        }
+        if (now < run.nextTry) {
+            contact.nextRunDue = std::min(contact.nextRunDue, run.nextTry);
+            continue;
+        }
+        if (startDue) {
+            sendStart(scheduler, state, contact, task, run, now, actions);
+        } else if (stopDue) {
+            sendStop(scheduler, state, contact, task, run, actions);
+        } else {
+            sendPace(scheduler, state, contact, task, run, actions);
+        }
+    }
+}
+
+void giveUpLapsed(WorkerContact &contact, TimePoint now, WallTime wall, SchedulerActions &actions)
+{
+    const bool isSilent = contact.failuresInRow > 0 || contact.isReplaced;
+    if (!isSilent || contact.runs.empty() || now < certainLapse(contact)) {
+        return;
+    }
+    for (auto &[task, run] : contact.runs) {
+        if (run.phase != RunPhase::Proposed) {
+            proposeEnd(contact, task, run, RunEnd::Lost, wall, actions);
+        }
+    }
+}
+
+bool isUsable(const FleetState &state, const WorkerContact &contact, TimePoint now)
+{
+    const auto life = state.lives.find(contact.life);
+    if (life == state.lives.end() || life->second.hasEnded || life->second.profile.isDraining) {
+        return false;
+    }
+    const bool answers = contact.isAdopted && contact.failuresInRow == 0 && contact.clock.has_value();
+    const bool isGone = contact.saidGoodbye || contact.isReplaced || contact.endProposed;
+    return answers && !isGone && contact.strayRuns.empty() && now >= contact.avoidUntil && !state.drainedZones.contains(life->second.profile.availabilityZone);
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/scheduler_place.cpp
@@ -0,0 +1,199 @@
+/** @file scheduler_place.cpp Starts the tasks whose turn has come. */
+
+#include "fleet/place_run.h"
+#include "fleet/scheduler_detail.h"
+#include "fleet/service_order.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr std::size_t MostStartsAtOnce = 256; ///< Starts of one pass; the next pass goes on, so that one large job does not hold up the loop.
+    constexpr std::int64_t PressedPercent = 85; ///< A lasting task with a tail above this share of its target takes no further load beside it.
+
+    PlaceCandidate makeCandidate(const WorkerLife &life, const WorkerContact &contact)
+    {
+        PlaceCandidate candidate;
+        candidate.life = life.number;
+        candidate.service = life.profile.service;
+        candidate.availabilityZone = life.profile.availabilityZone;
+        candidate.rack = life.profile.rack;
+        candidate.labels = &life.profile.labels;
+        candidate.capacity = life.profile.capacity;
+        candidate.used = contact.used;
+        candidate.spareUsed = contact.spareUsed;
+        candidate.recentFailures = contact.recentFailures;
+        for (const auto &[task, run] : contact.runs) {
+            candidate.lastingCpu += run.isLasting ? run.room.cpuMillis : 0;
+            if (run.isLasting && run.latencyTarget.ms > 0) {
+                ++candidate.targetTasks;
+                candidate.isPressed = candidate.isPressed || run.measure * 100 > run.latencyTarget.ms * PressedPercent;
+            }
+        }
+        return candidate;
+    }
+
+    std::vector<PlaceCandidate> usableWorkers(const FleetScheduler &scheduler, const FleetState &state, TimePoint now)
+    {
+        std::vector<PlaceCandidate> candidates;
+        for (const auto &[number, contact] : scheduler.contacts) {
+            if (isUsable(state, contact, now)) {
+                candidates.push_back(makeCandidate(state.lives.at(number), contact));
+            }
+        }
+        return candidates;
+    }
+
+    bool isPending(const FleetScheduler &scheduler, const TaskRef &ref, const TaskRecord &task)
+    {
+        return !task.isDone && task.active.empty() && !scheduler.proposedStarts.contains(ref);
+    }
+
+    void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, const JobView &view, std::vector<ReadyStep> &ready)
+    {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            if (occurrence.isComplete) {
+                continue;
+            }
+            for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+                const StepRecord &record = occurrence.steps[i];
+                const StepSpec &spec = job.spec.steps[i];
+                if (record.doneCount + record.activeCount >= spec.taskCount || !isStepOpen(job, occurrence, i)) {
+                    continue;
+                }
+                ReadyStep step{.job = job.number, .occurrence = number, .step = i, .priority = job.queue.priority};
+                for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+                    step.pending += isPending(scheduler, {job.number, number, i, index}, record.tasks[index]) ? 1 : 0;
+                }
+                if (step.pending == 0) {
+                    continue;
+                }
+                step.isLasting = spec.isLasting;
+                step.fillsSpare = spec.fillsSpare;
+                step.acceptedAt = view.acceptedAt;
+                step.objectiveEnd = view.objectiveEnd;
+                step.remainingChain = view.chainFrom[i];
+                step.worthDensity = view.worthDensity;
+                ready.push_back(step);
+            }
+        }
+    }
+
+    StepSpread spreadOf(const FleetScheduler &scheduler, const ReadyStep &step)
+    {
+        StepSpread spread;
+        for (const auto &[number, contact] : scheduler.contacts) {
+            const auto first = contact.runs.lower_bound({step.job, step.occurrence, step.step, 0});
+            const auto last = contact.runs.lower_bound({step.job, step.occurrence, step.step + 1, 0});
+            const auto count = std::distance(first, last);
+            if (count > 0) {
+                spread[number] = static_cast<std::uint32_t>(count);
+            }
+        }
+        return spread;
+    }
+
+    void proposeStart(FleetScheduler &scheduler, const StepSpec &spec, const TaskRef &ref, const TaskRecord &task, std::uint32_t run, LifeNumber life, TimePoint now, SchedulerActions &actions)
+    {
+        RunView view = makeRunView(spec, run, RunPhase::Proposed, now);
+        view.checkpoint = task.checkpoint;
+        addRun(scheduler.contacts.at(life), ref, std::move(view));
+        ++scheduler.proposedStarts[ref];
+        actions.propose.push_back(StartRun{ref, run, life});
+    }
+
+    /** Places single tasks as far as room goes. */
+    void placeSingles(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, std::vector<PlaceCandidate> &candidates, TimePoint now, SchedulerActions &actions)
+    {
+        const StepSpec &spec = job.spec.steps[step.step];
+        const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
+        StepSpread spread = spec.maxPerWorker > 0 || spec.isLasting ? spreadOf(scheduler, step) : StepSpread();
+        for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+            const TaskRef ref{step.job, step.occurrence, step.step, index};
+            const TaskRecord &task = record.tasks[index];
+            if (!isPending(scheduler, ref, task)) {
+                continue;
+            }
+            const auto place = choosePlace(spec, job.queue.service, candidates, spread, 0);
+            if (!place) {
+                return;
+            }
+            PlaceCandidate &candidate = candidates[*place];
+            takeRoom(candidate, spec);
+            ++spread[candidate.life];
+            proposeStart(scheduler, spec, ref, task, task.lastRun + 1, candidate.life, now, actions);
+        }
+    }
+
+    /** Places all members of a gang, or none. */
+    void placeGang(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, std::vector<PlaceCandidate> &candidates, TimePoint now, SchedulerActions &actions)
+    {
+        const StepSpec &spec = job.spec.steps[step.step];
+        const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
+        if (step.pending < spec.taskCount) {
+            // Members of an earlier run have not ended yet.
+            return;
+        }
+        std::vector<PlaceCandidate> trial = candidates;
+        StepSpread spread;
+        std::vector<LifeNumber> places;
+        std::uint32_t run = 0;
+        for (const TaskRecord &task : record.tasks) {
+            const auto place = choosePlace(spec, job.queue.service, trial, spread, 0);
+            if (!place) {
+                return;
+            }
+            takeRoom(trial[*place], spec);
+            ++spread[trial[*place].life];
+            places.push_back(trial[*place].life);
+            run = std::max(run, task.lastRun + 1);
+        }
+        candidates = std::move(trial);
+        for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+            const TaskRef ref{step.job, step.occurrence, step.step, index};
+            proposeStart(scheduler, spec, ref, record.tasks[index], run, places[index], now, actions);
+        }
+    }
+
+    /** Opens the occurrences that are due. */
+    void openDue(JobView &view, const FleetJob &job, WallTime wall, SchedulerActions &actions)
+    {
+        while (view.openedOccurrences < job.spec.repeatCount && wall.ms >= job.spec.startAt.ms + job.spec.interval.ms * view.openedOccurrences) {
+            actions.propose.push_back(OpenOccurrence{job.number, view.openedOccurrences});
+            ++view.openedOccurrences;
+        }
+    }
+
+} // namespace
+
+void placeTasks(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions)
+{
+    std::vector<ReadyStep> ready;
+    for (auto &[number, view] : scheduler.jobs) {
+        const FleetJob &job = state.jobs.at(number);
+        openDue(view, job, wall, actions);
+        addReadySteps(scheduler, job, view, ready);
+    }
+    if (ready.empty()) {
+        return;
+    }
+    std::vector<PlaceCandidate> candidates = usableWorkers(scheduler, state, now);
+    sortByService(ready, now);
+    const std::size_t before = actions.propose.size();
+    for (const ReadyStep &step : ready) {
+        if (actions.propose.size() - before >= MostStartsAtOnce) {
+            scheduler.placeDue = true;
+            return;
+        }
+        const FleetJob &job = state.jobs.at(step.job);
+        if (job.spec.steps[step.step].isGang) {
+            placeGang(scheduler, job, step, candidates, now, actions);
+        } else {
+            placeSingles(scheduler, job, step, candidates, now, actions);
+        }
+    }
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/service_order.h
@@ -0,0 +1,39 @@
+/** @file service_order.h Order in which steps with tasks to start are served when not all of them fit. */
+
+#pragma once
+
+#include "fleet/fleet_state_base.h"
+
+#include <vector>
+
+namespace Filbertlanding {
+
+/** A step whose turn has come, with tasks that do not run. */
+struct ReadyStep {
+    JobNumber job = 0;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t pending = 0; ///< Tasks without a run.
+    std::int64_t priority = 0; ///< Of its queue; 0 goes first.
+    bool isLasting = false;
+    bool fillsSpare = false;
+    TimePoint acceptedAt;
+    TimePoint objectiveEnd; ///< Latest end with which the job is served in time.
+    Duration remainingChain; ///< Longest chain of work from this step to the end of the job.
+    double worthDensity = 0; ///< Worth of the job for each processor second that it still needs.
+};
+
+/** How a step stands with its objective. */
+enum class Prospect : std::uint8_t {
+    InTime, ///< Can still be served in time.
+    Late, ///< Will be late, and is worth less.
+    TooLate, ///< Is worth nothing to its caller any more, but was accepted.
+};
+
+/** Returns what a step that starts now can still reach. */
+Prospect prospectOf(const ReadyStep &step, TimePoint now);
+
+/** Sorts steps into the order of service. */
+void sortByService(std::vector<ReadyStep> &steps, TimePoint now);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/fleet_calls.cpp
@@ -0,0 +1,290 @@
+/** @file fleet_calls.cpp Calls of callers, workers and operators that the leader answers. */
+
+#include "core/clock_func.h"
+#include "fleetd/fleet_core.h"
+#include "runtime/log_func.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr Duration RetrySoon{1'000}; ///< When a caller should come back after a refusal that ends with the next election.
+
+    CallAnswer answerOf(ResultCode code, std::string message = {})
+    {
+        CallAnswer answer;
+        answer.code = code;
+        answer.message = std::move(message);
+        return answer;
+    }
+
+    CallAnswer notNow(ResultCode code, std::string message)
+    {
+        CallAnswer answer = answerOf(code, std::move(message));
+        answer.retryAfter = RetrySoon;
+        return answer;
+    }
+
+    /** Returns whether two documents say the same, however they are written. */
+    bool isSameDocument(const FleetManifest &left, const FleetManifest &right)
+    {
+        return left.document == right.document;
+    }
+
+} // namespace
+
+void FleetCore::handleCaller(const CallerCall &call, CallerDone done)
+{
+    if (!this->isLeading()) {
+        done(RelayOutcome::NotLeader, {});
+        return;
+    }
+    if (this->state.manifest.version == 0) {
+        done(RelayOutcome::Answered, notNow(ResultCode::NoQuorum, "there is no configuration yet"));
+        return;
+    }
+    const QueueConfig *queue = findQueue(this->state.manifest, call.host, call.path);
+    if (queue == nullptr) {
+        done(RelayOutcome::Answered, answerOf(ResultCode::ServiceUnknown, "no queue has this host and path"));
+        return;
+    }
+    const JobId id = call.path.substr(queue->pathPrefix.size());
+    if (call.code != ResultCode::Ok) {
+        done(RelayOutcome::Answered, answerOf(call.code, call.message));
+        return;
+    }
+    if (id.empty() && call.verb == CallerVerb::Show) {
+        CallAnswer answer;
+        answer.waiting = waitingJobs(this->state, *queue);
+        done(RelayOutcome::Answered, std::move(answer));
+        return;
+    }
+    switch (call.verb) {
+    case CallerVerb::Submit:
+        this->submitJob(call, *queue, id, std::move(done));
+        return;
+    case CallerVerb::Show:
+        done(RelayOutcome::Answered, this->showJob(id));
+        return;
+    case CallerVerb::Cancel:
+        this->cancelJob(id, std::move(done));
+        return;
+    }
+}
+
+void FleetCore::submitJob(const CallerCall &call, const QueueConfig &queue, const JobId &id, CallerDone done)
+{
+    constexpr std::size_t LongestId = 64;
+    if (id.empty() || id.size() > LongestId || id.find_first_of("/. ") != std::string::npos) {
+        done(RelayOutcome::Answered, answerOf(ResultCode::BadRequest, "the path does not end with the id of a job"));
+        return;
+    }
+    if (findJob(this->state, id) != nullptr) {
+        done(RelayOutcome::Answered, answerOf(ResultCode::Ok));
+        return;
+    }
+    SubmitFleetJob command{id, queue.host, queue.pathPrefix, wallNow(), call.spec};
+    this->propose(std::move(command), [this, id, done = std::move(done)](bool applied) {
+        if (!applied) {
+            done(RelayOutcome::Unknown, {});
+            return;
+        }
+        const bool isAccepted = findJob(this->state, id) != nullptr;
+        this->counters.jobsAccepted += isAccepted ? 1 : 0;
+        done(RelayOutcome::Answered, isAccepted ? answerOf(ResultCode::Ok) : answerOf(ResultCode::ServiceUnknown, "the queue was removed"));
+    });
+    this->flush();
+}
+
+void FleetCore::cancelJob(const JobId &id, CallerDone done)
+{
+    const FleetJob *job = findJob(this->state, id);
+    if (job != nullptr && hasEnded(job->state)) {
+        done(RelayOutcome::Answered, answerOf(ResultCode::Ok));
+        return;
+    }
+    this->propose(CancelFleetJob{id, wallNow()}, [isKnown = job != nullptr, done = std::move(done)](bool applied) {
+        if (!applied) {
+            done(RelayOutcome::Unknown, {});
+            return;
+        }
+        done(RelayOutcome::Answered, answerOf(isKnown ? ResultCode::Ok : ResultCode::JobUnknown));
+    });
+    this->flush();
+}
+
+CallAnswer FleetCore::showJob(const JobId &id) const
+{
+    const FleetJob *job = findJob(this->state, id);
+    if (job == nullptr) {
+        return answerOf(ResultCode::JobUnknown);
+    }
+    CallAnswer answer;
+    answer.state = job->state;
+    return answer;
+}
+
+std::string FleetCore::controlAddressOf(const DaemonName &daemon) const
+{
+    const auto own = splitAddress(this->settings.listenControl);
+    return daemon + ":" + std::to_string(own ? own->second : 0);
+}
+
+void FleetCore::handleControl(const HttpRequest &request, HttpRespond respond)
+{
+    const auto reply = [this, respond = std::move(respond)](const CallAnswer &answer) {
+        respond(this->edge.writeAnswer(answer));
+    };
+    const ControlCall call = this->edge.readControlCall(request);
+    if (const auto *bad = std::get_if<MalformedCall>(&call)) {
+        logLine(LogArea::Intent, LogLevel::Info, "call_malformed", {{"method", request.method}, {"target", request.target}, {"code", resultCodeRow(bad->code).name}, {"message", bad->message}});
+        reply(answerOf(bad->code, bad->message));
+        return;
+    }
+    if (this->isLeading()) {
+        this->answerControl(call, reply);
+        return;
+    }
+    const bool knowsOther = !this->status.leader.empty() && this->status.leader != this->settings.address;
+    if (!knowsOther || this->isStopping) {
+        reply(notNow(ResultCode::NoQuorum, "no leader is known"));
+        return;
+    }
+    CallAnswer answer = answerOf(ResultCode::NotLeader);
+    answer.redirect = this->controlAddressOf(this->status.leader);
+    answer.path = request.target;
+    reply(answer);
+}
+
+void FleetCore::answerControl(const ControlCall &call, std::function<void(CallAnswer)> done)
+{
+    if (const auto *report = std::get_if<ReportCall>(&call)) {
+        this->handleReport(*report, std::move(done));
+    } else if (const auto *goodbye = std::get_if<GoodbyeCall>(&call)) {
+        takeGoodbye(*this->scheduler, this->state, goodbye->worker);
+        logLine(LogArea::Worker, LogLevel::Info, "worker_goodbye", {{"worker", goodbye->worker}});
+        done(answerOf(ResultCode::Ok));
+    } else if (const auto *manifest = std::get_if<PutManifestCall>(&call)) {
+        this->putManifest(*manifest, std::move(done));
+    } else if (std::holds_alternative<ReadManifestCall>(call)) {
+        this->readManifest(std::move(done));
+    } else if (const auto *zone = std::get_if<DrainZoneCall>(&call)) {
+        const auto &zones = this->settings.availabilityZones;
+        if (!zones.empty() && std::find(zones.begin(), zones.end(), zone->availabilityZone) == zones.end()) {
+            done(answerOf(ResultCode::NotFound, "there is no availability zone " + zone->availabilityZone));
+            return;
+        }
+        this->proposeAndAnswer(SetZoneDrained{zone->availabilityZone, zone->isDrained}, std::move(done));
+    } else if (const auto *wave = std::get_if<StartWaveCall>(&call)) {
+        this->proposeAndAnswer(wave->wave, std::move(done));
+    } else if (const auto *read = std::get_if<ReadWaveCall>(&call)) {
+        const auto found = this->state.waves.find(read->wave);
+        if (found == this->state.waves.end()) {
+            done(answerOf(ResultCode::NotFound, "there is no such wave"));
+            return;
+        }
+        CallAnswer answer;
+        answer.isWaveComplete = std::all_of(found->second.machines.begin(), found->second.machines.end(), [](const auto &item) {
+            return item.second == MaintenanceStage::Finished;
+        });
+        done(std::move(answer));
+    }
+}
+
+void FleetCore::proposeAndAnswer(FleetCommand command, std::function<void(CallAnswer)> done)
+{
+    this->propose(std::move(command), [done = std::move(done)](bool applied) {
+        // The change may still come into force, so the answer must not be a refusal.
+        done(applied ? answerOf(ResultCode::Ok) : notNow(ResultCode::ChangeOutcomeUnknown, "the lead was lost"));
+    });
+    this->flush();
+}
+
+void FleetCore::handleReport(const ReportCall &call, std::function<void(CallAnswer)> done)
+{
+    const ReportOutcome outcome = takeReport(*this->scheduler, this->state, call.report, steadyNow());
+    CallAnswer answer;
+    answer.reportTo = this->controlAddressOf(this->settings.address);
+    if (!outcome.command) {
+        done(std::move(answer));
+        return;
+    }
+    this->propose(*outcome.command, [answer = std::move(answer), done = std::move(done)](bool applied) {
+        done(applied ? answer : notNow(ResultCode::NotLeader, "the lead was lost"));
+    });
+    this->flush();
+}
+
+void FleetCore::putManifest(const PutManifestCall &call, std::function<void(CallAnswer)> done)
+{
+    const FleetManifest &held = this->state.manifest;
+    if (call.manifest.version < held.version) {
+        logLine(LogArea::Intent, LogLevel::Info, "manifest_overtaken", {{"version", call.manifest.version}, {"held", held.version}});
+        done(answerOf(ResultCode::Ok));
+        return;
+    }
+    if (call.manifest.version == held.version) {
+        const bool isResend = isSameDocument(call.manifest, held);
+        logLine(LogArea::Intent, LogLevel::Info, "manifest_again", {{"version", held.version}, {"isSame", isResend}});
+        done(isResend ? answerOf(ResultCode::Ok) : answerOf(ResultCode::VersionConflict, "this version has other content"));
+        return;
+    }
+    this->propose(PutManifest{call.manifest}, [this, sent = call.manifest, done = std::move(done)](bool applied) {
+        if (!applied) {
+            done(notNow(ResultCode::ChangeOutcomeUnknown, "the lead was lost"));
+            return;
+        }
+        // Of two manifests with the same version that came at the same time, one is in force and the other is not.
+        const bool isOther = this->state.manifest.version == sent.version && !isSameDocument(this->state.manifest, sent);
+        done(isOther ? answerOf(ResultCode::VersionConflict, "this version has other content") : answerOf(ResultCode::Ok));
+    });
+    this->flush();
+}
+
+void FleetCore::readManifest(std::function<void(CallAnswer)> done)
+{
+    this->replication.read([this, done = std::move(done)](ReadReady ready) {
+        boost::asio::post(this->io, [this, ready, done] {
+            const auto answer = [this, done] {
+                if (this->state.manifest.version == 0) {
+                    done(notNow(ResultCode::NoQuorum, "there is no configuration yet"));
+                    return;
+                }
+                CallAnswer result;
+                result.document = this->state.manifest.document;
+                done(std::move(result));
+            };
+            if (ready.code != ResultCode::Ok) {
+                done(notNow(ready.code, "a majority of voters is unreachable"));
+            } else if (this->appliedIndex >= ready.index) {
+                answer();
+            } else {
+                this->readers.emplace(ready.index, answer);
+            }
+        });
+    });
+}
+
+std::string FleetCore::metrics() const
+{
+    std::string text;
+    const auto add = [&text](std::string_view name, std::uint64_t value) {
+        text.append(name).append(" ").append(std::to_string(value)).append("\n");
+    };
+    add("filbertlanding_jobs_accepted_total", this->counters.jobsAccepted);
+    add("filbertlanding_orders_sent_total", this->counters.ordersSent);
+    add("filbertlanding_orders_unanswered_total", this->counters.ordersUnanswered);
+    add("filbertlanding_entries_applied_total", this->counters.entriesApplied);
+    add("filbertlanding_leaderships_total", this->counters.leaderships);
+    add("filbertlanding_is_leading", this->isLeading() ? 1 : 0);
+    add("filbertlanding_term", this->status.term);
+    add("filbertlanding_jobs_open", this->scheduler ? this->scheduler->jobs.size() : 0);
+    add("filbertlanding_workers_known", this->scheduler ? this->scheduler->contacts.size() : 0);
+    return text;
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/fleet_core.cpp
@@ -0,0 +1,441 @@
+/** @file fleet_core.cpp Replication, the lead, and the way from scheduler actions to log entries and orders. */
+
+#include "fleetd/fleet_core.h"
+
+#include "core/clock_func.h"
+#include "core/random.h"
+#include "replication/raft_func.h"
+#include "runtime/log_func.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::chrono::milliseconds TickInterval{20}; ///< Bound on the delay of orders that are due by time alone.
+    constexpr std::size_t MostEntriesInFlight = 2; ///< One entry syncs while the next one is on its way; more would only make entries smaller.
+    constexpr std::int64_t LongestTaskLeaseMs = 4'500; ///< Long enough for a new leader to take over, short enough to start the tasks of a lost worker elsewhere soon.
+
+    std::string ipOf(const std::string &contact)
+    {
+        const auto parts = splitAddress(contact);
+        return parts ? parts->first : std::string();
+    }
+
+    RaftSettings raftSettings(const FleetDaemonSettings &settings)
+    {
+        RaftSettings raft;
+        raft.self.daemon = settings.address;
+        for (const std::string &contact : settings.contacts) {
+            const std::string address = ipOf(contact);
+            raft.bootstrap.voters.push_back({address, FirstIncarnation});
+            raft.contacts.push_back(address);
+        }
+        std::sort(raft.bootstrap.voters.begin(), raft.bootstrap.voters.end());
+        raft.electionTimeoutMin = {settings.electionTimeoutMinMs};
+        raft.electionTimeoutMax = {settings.electionTimeoutMaxMs};
+        raft.heartbeatInterval = {settings.raftHeartbeatMs};
+        raft.snapshotEvery = static_cast<std::uint64_t>(settings.snapshotEvery);
+        raft.admitsNewVoters = true;
+        raft.minVoters = static_cast<std::size_t>(2 * settings.toleratedHosts + 1);
+        raft.seed = stableHash(settings.address) ^ static_cast<std::uint64_t>(wallNow().ms);
+        return raft;
+    }
+
+    SchedulerSettings schedulerSettings(const FleetDaemonSettings &settings)
+    {
+        SchedulerSettings result;
+        result.taskLease = {std::min(settings.longestLeaseMs, LongestTaskLeaseMs)};
+        result.lookWait = std::min(result.lookWait, result.taskLease / 2);
+        result.stopTimeout = {settings.stopTimeoutMs};
+        result.restoreTime = {settings.restoreMs};
+        result.farFactor = settings.farFactor;
+        result.paceDelay = {settings.paceDelayMs};
+        result.harmLimit = {settings.harmLimitMs};
+        return result;
+    }
+
+    HttpClientSettings clientSettings(asio::io_context &loop)
+    {
+        HttpClientSettings settings;
+        settings.loop = &loop;
+        settings.connectTimeout = {400};
+        settings.silentTimeout = {4'000};
+        settings.maxConnectionsPerTarget = 8;
+        settings.tcpUserTimeout = {2'000};
+        return settings;
+    }
+
+} // namespace
+
+FleetCore::FleetCore(asio::io_context &loop, const FleetDaemonSettings &daemonSettings, const FleetEdge &fleetEdge, NetworkCounters &networkCounters)
+    : io(loop)
+    , settings(daemonSettings)
+    , edge(fleetEdge)
+    , client(clientSettings(loop), networkCounters)
+    , tickTimer(loop)
+{
+}
+
+FleetCore::~FleetCore()
+{
+    this->stop();
+}
+
+ResultCode FleetCore::start(PeerLinks &links)
+{
+    this->peers = &links;
+    ReplicationHooks hooks;
+    hooks.send = [this](const DaemonName &to, const RaftMessage &message) {
+        this->peers->sendOneWay(to, static_cast<std::uint8_t>(FleetMessageKind::Replication), encodeFleetMessage(message));
+    };
+    hooks.install = [this](Snapshot snapshot) {
+        asio::post(this->io, [this, moved = std::move(snapshot)]() mutable {
+            this->onInstalled(std::move(moved));
+        });
+    };
+    hooks.apply = [this](std::vector<LogEntry> entries) {
+        asio::post(this->io, [this, moved = std::move(entries)]() mutable {
+            this->onApplied(std::move(moved));
+        });
+    };
+    hooks.statusChanged = [this](ReplicationStatus next) {
+        asio::post(this->io, [this, moved = std::move(next)]() mutable {
+            this->onStatus(std::move(moved));
+        });
+    };
+    hooks.snapshotWanted = [this](std::uint64_t) {
+        asio::post(this->io, [this] {
+            this->replication.snapshotTaken(this->appliedIndex, encodeFleetState(this->state));
+        });
+    };
+    hooks.synced = [](std::int64_t) {};
+    hooks.failed = [this](ResultCode code) {
+        asio::post(this->io, [this, code] {
+            logLine(LogArea::Replication, LogLevel::Error, "disk_failed", {{"code", resultCodeRow(code).name}});
+            this->failed(code);
+        });
+    };
+    ReplicationConfig config;
+    config.raft = raftSettings(this->settings);
+    config.dataFolder = this->settings.dataFolder;
+    config.votesAtOnce = this->settings.firstStart;
+    config.syncsCommitIndex = false;
+    const ReplicationStart started = this->replication.start(std::move(config), std::move(hooks));
+    logLine(LogArea::Replication,
+            LogLevel::Info,
+            "data_folder_opened",
+            {{"code", resultCodeRow(started.code).name}, {"incarnation", started.incarnation}, {"isNew", started.isNew}, {"setAside", started.setAside}});
+    return started.code;
+}
+
+void FleetCore::receiveReplication(std::string payload)
+{
+    auto message = decodeFleetMessage<RaftMessage>(payload);
+    if (!message) {
+        logLine(LogArea::Replication, LogLevel::Warn, "message_malformed", {{"bytes", payload.size()}});
+        return;
+    }
+    this->replication.receive(std::move(*message));
+}
+
+LeaderInfo FleetCore::leaderInfo() const
+{
+    LeaderInfo info;
+    info.leader = this->status.leader;
+    info.isSelf = this->isLeading();
+    for (const VoterId &voter : this->status.membership.voters) {
+        info.voters.push_back(voter.daemon);
+    }
+    return info;
+}
+
+bool FleetCore::isLeading() const
+{
+    return this->scheduler.has_value() && !this->isStopping && steadyNow() < this->replication.leaseEnd();
+}
+
+void FleetCore::onApplied(std::vector<LogEntry> entries)
+{
+    for (const LogEntry &entry : entries) {
+        this->applyEntry(entry);
+    }
+    this->beginLeadIfReady();
+    while (!this->readers.empty() && this->readers.begin()->first <= this->appliedIndex) {
+        const auto reader = std::move(this->readers.begin()->second);
+        this->readers.erase(this->readers.begin());
+        reader();
+    }
+    this->runScheduler();
+}
+
+void FleetCore::applyEntry(const LogEntry &entry)
+{
+    this->appliedIndex = entry.index;
+    this->appliedTerm = entry.term;
+    ++this->counters.entriesApplied;
+    if (entry.kind != EntryKind::Command) {
+        return;
+    }
+    const auto commands = decodeCommands(entry.payload);
+    if (!commands) {
+        logLine(LogArea::Replication, LogLevel::Error, "entry_malformed", {{"index", entry.index}});
+        this->failed(ResultCode::DataDamaged);
+        return;
+    }
+    const TimePoint now = steadyNow();
+    const WallTime wall = wallNow();
+    for (const FleetCommand &command : *commands) {
+        const FleetChange change = applyFleetCommand(this->state, command);
+        if (this->scheduler) {
+            noteApplied(*this->scheduler, this->state, command, change, now, wall);
+            this->logChange(command, change);
+        }
+    }
+    if (this->scheduler && entry.term == this->scheduler->fence && !this->inFlight.empty()) {
+        const Batch batch = std::move(this->inFlight.front());
+        this->inFlight.pop_front();
+        for (const auto &waiter : batch.waiters) {
+            waiter(true);
+        }
+    }
+}
+
+void FleetCore::onInstalled(Snapshot snapshot)
+{
+    const ResultCode code = decodeFleetState(snapshot.state, this->state);
+    logLine(LogArea::Replication, LogLevel::Info, "snapshot_installed", {{"index", snapshot.index}, {"code", resultCodeRow(code).name}});
+    if (code != ResultCode::Ok) {
+        this->failed(code);
+        return;
+    }
+    this->appliedIndex = snapshot.index;
+    this->appliedTerm = snapshot.term;
+}
+
+void FleetCore::onStatus(ReplicationStatus next)
+{
+    const bool roleChanged = next.role != this->status.role || next.term != this->status.term || next.leader != this->status.leader;
+    const bool membersChanged = next.membership != this->status.membership;
+    this->status = std::move(next);
+    if (roleChanged) {
+        logLine(LogArea::Replication,
+                LogLevel::Info,
+                "role_changed",
+                {{"role", roleName(this->status.role)}, {"term", this->status.term}, {"leader", this->status.leader}, {"commitIndex", this->status.commitIndex}});
+    }
+    if (membersChanged) {
+        std::vector<PeerAddress> addresses;
+        const auto add = [this, &addresses](const DaemonName &daemon) {
+            addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
+        };
+        for (const auto *list : {&this->status.membership.voters, &this->status.membership.joining, &this->status.membership.learners}) {
+            for (const VoterId &id : *list) {
+                add(id.daemon);
+            }
+        }
+        for (const std::string &contact : this->settings.contacts) {
+            add(ipOf(contact));
+        }
+        this->peers->setPeers(std::move(addresses));
+        logLine(LogArea::Replication, LogLevel::Info, "membership_changed", {{"voters", this->status.membership.voters.size()}, {"joining", this->status.membership.joining.size()}});
+    }
+    if (this->scheduler && (this->status.role != RaftRole::Leader || this->status.term != this->scheduler->fence)) {
+        this->endLead("term is over");
+    }
+    this->beginLeadIfReady();
+}
+
+void FleetCore::beginLeadIfReady()
+{
+    // The empty entry of the term is applied after everything that earlier leaders have accepted.
+    const bool isReady = this->status.role == RaftRole::Leader && this->appliedTerm == this->status.term;
+    if (this->scheduler || !isReady || this->isStopping) {
+        return;
+    }
+    this->scheduler = startScheduler(schedulerSettings(this->settings), this->state, this->status.term, steadyNow(), wallNow());
+    ++this->counters.leaderships;
+    logLine(LogArea::Replication,
+            LogLevel::Info,
+            "lead_begins",
+            {{"term", this->status.term}, {"index", this->appliedIndex}, {"jobs", this->scheduler->jobs.size()}, {"workers", this->scheduler->contacts.size()}});
+    this->armTick();
+    this->runScheduler();
+}
+
+void FleetCore::endLead(std::string_view reason)
+{
+    logLine(LogArea::Replication, LogLevel::Info, "lead_ends", {{"term", this->scheduler->fence}, {"reason", reason}, {"openProposals", this->inFlight.size()}});
+    this->scheduler.reset();
+    this->tickTimer.cancel();
+    this->outbox.clear();
+    std::vector<std::function<void(bool)>> waiters = std::exchange(this->outboxWaiters, {});
+    for (Batch &batch : this->inFlight) {
+        std::move(batch.waiters.begin(), batch.waiters.end(), std::back_inserter(waiters));
+    }
+    this->inFlight.clear();
+    for (const auto &waiter : waiters) {
+        waiter(false);
+    }
+}
+
+void FleetCore::propose(FleetCommand command, std::function<void(bool)> done)
+{
+    this->outbox.push_back(std::move(command));
+    if (done) {
+        this->outboxWaiters.push_back(std::move(done));
+    }
+}
+
+void FleetCore::flush()
+{
+    if (!this->scheduler || this->outbox.empty() || this->inFlight.size() >= MostEntriesInFlight) {
+        return;
+    }
+    this->inFlight.push_back({std::exchange(this->outboxWaiters, {})});
+    this->replication.propose(encodeCommands(std::exchange(this->outbox, {})), [this, term = this->scheduler->fence](ProposedEntry entry) {
+        if (entry.code == ResultCode::Ok && entry.term == term) {
+            return;
+        }
+        asio::post(this->io, [this, term] {
+            if (this->scheduler && this->scheduler->fence == term) {
+                this->endLead("proposal refused");
+            }
+        });
+    });
+}
+
+void FleetCore::carryOut(SchedulerActions actions)
+{
+    if (actions.isDeposed) {
+        logLine(LogArea::Worker, LogLevel::Warn, "fenced", {{"term", this->status.term}});
+        this->endLead("a worker has seen a higher fence");
+        return;
+    }
+    for (FleetCommand &command : actions.propose) {
+        this->propose(std::move(command));
+    }
+    for (WorkerOrder &order : actions.orders) {
+        this->sendOrder(std::move(order));
+    }
+}
+
+void FleetCore::sendOrder(WorkerOrder order)
+{
+    const auto target = splitAddress(order.address);
+    if (!target) {
+        logLine(LogArea::Worker, LogLevel::Warn, "bad_worker_address", {{"worker", order.worker}, {"address", order.address}});
+        return;
+    }
+    ++this->counters.ordersSent;
+    HttpRequest request = this->edge.writeOrder(order);
+    const HttpSendOptions options{order.timeout, order.usesFreshConnection};
+    const HttpAddress address{target->first, target->second};
+    this->client.send(address, std::move(request), options, [this, sent = std::move(order)](HttpExchange exchange) {
+        if (!this->scheduler || this->scheduler->fence != sent.fence) {
+            return;
+        }
+        const WorkerAnswer answer = this->edge.readOrderAnswer(sent, exchange);
+        if (answer.outcome != OrderOutcome::Done) {
+            this->counters.ordersUnanswered += answer.outcome == OrderOutcome::NoAnswer ? 1 : 0;
+            logLine(LogArea::Worker,
+                    LogLevel::Info,
+                    "order_not_done",
+                    {{"worker", sent.worker},
+                     {"kind", static_cast<int>(sent.kind)},
+                     {"outcome", static_cast<int>(answer.outcome)},
+                     {"job", sent.task.job},
+                     {"step", sent.task.step},
+                     {"index", sent.task.index},
+                     {"run", sent.run},
+                     {"term", sent.fence}});
+        }
+        this->carryOut(takeAnswer(*this->scheduler, this->state, sent.number, answer, steadyNow(), wallNow()));
+        this->runScheduler();
+    });
+}
+
+void FleetCore::runScheduler()
+{
+    if (!this->scheduler) {
+        return;
+    }
+    if (!this->isStopping) {
+        this->carryOut(schedulerTick(*this->scheduler, this->state, steadyNow(), wallNow()));
+    }
+    this->flush();
+}
+
+void FleetCore::armTick()
+{
+    this->tickTimer.expires_after(TickInterval);
+    this->tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error || !this->scheduler) {
+            return;
+        }
+        this->runScheduler();
+        if (this->scheduler) {
+            this->armTick();
+        }
+    });
+}
+
+void FleetCore::stop()
+{
+    if (this->isStopping) {
+        return;
+    }
+    this->isStopping = true;
+    if (this->scheduler) {
+        this->endLead("the process stops");
+    }
+    this->replication.stop();
+    this->client.stop();
+}
+
+void FleetCore::logChange(const FleetCommand &command, const FleetChange &change) const
+{
+    if (const auto *start = std::get_if<StartRun>(&command)) {
+        logLine(LogArea::Place,
+                LogLevel::Info,
+                "run_placed",
+                {{"job", change.isApplied ? this->state.jobs.at(start->task.job).id : std::string()},
+                 {"step", start->task.step},
+                 {"index", start->task.index},
+                 {"run", start->run},
+                 {"life", start->life},
+                 {"applied", change.isApplied},
+                 {"index", this->appliedIndex}});
+    } else if (const auto *end = std::get_if<EndRun>(&command)) {
+        if (end->end != RunEnd::Done && change.isApplied) {
+            logLine(LogArea::Job,
+                    LogLevel::Info,
+                    "run_ended",
+                    {{"job", this->state.jobs.at(end->task.job).id}, {"step", end->task.step}, {"index", end->task.index}, {"run", end->run}, {"life", end->life}, {"end", static_cast<int>(end->end)}});
+        }
+    } else if (std::holds_alternative<SubmitFleetJob>(command)) {
+        logLine(LogArea::Job, LogLevel::Info, "job_submitted", {{"job", std::get<SubmitFleetJob>(command).id}, {"applied", change.isApplied}, {"logIndex", this->appliedIndex}});
+    } else if (const auto *worker = std::get_if<NoteWorker>(&command)) {
+        logLine(LogArea::Worker,
+                LogLevel::Info,
+                "worker_noted",
+                {{"worker", worker->profile.worker}, {"life", change.life}, {"startedAt", worker->profile.startedAtMs}, {"draining", worker->profile.isDraining}, {"zone", worker->profile.availabilityZone}});
+    } else if (std::holds_alternative<EndWorker>(command)) {
+        logLine(LogArea::Worker, LogLevel::Info, "worker_ended", {{"life", change.life}});
+    } else if (const auto *manifest = std::get_if<PutManifest>(&command)) {
+        logLine(LogArea::Intent, LogLevel::Info, "manifest_applied", {{"version", manifest->manifest.version}, {"inForce", change.isApplied}});
+    } else if (const auto *zone = std::get_if<SetZoneDrained>(&command)) {
+        logLine(LogArea::Intent, LogLevel::Info, "zone_drained", {{"zone", zone->availabilityZone}, {"drained", zone->isDrained}});
+    }
+    if (change.jobEnded) {
+        const FleetJob &job = this->state.jobs.at(change.job);
+        logLine(LogArea::Job, LogLevel::Info, "job_ended", {{"job", job.id}, {"state", static_cast<int>(job.state)}, {"afterMs", job.endedAt.ms - job.acceptedAt.ms}});
+    }
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/fleet_core.h
@@ -0,0 +1,137 @@
+/**
+ * @file fleet_core.h A daemon with a disk: replicates the state of the fleet and, as the leader, schedules and answers calls.
+ * Everything but the replication thread runs on the event loop of the daemon.
+ */
+
+#pragma once
+
+#include "fleet/fleet_scheduler_func.h"
+#include "fleetd/fleet_edge.h"
+#include "fleetd/fleet_message.h"
+#include "network/http_client.h"
+#include "network/http_server.h"
+#include "network/peer_link.h"
+#include "runtime/replication_driver.h"
+#include "settings/fleet_settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** Takes the outcome of a caller's call. */
+using CallerDone = std::function<void(RelayOutcome outcome, CallAnswer answer)>;
+
+/** Counters of a core daemon, for its metrics. */
+struct FleetCoreCounters {
+    std::uint64_t jobsAccepted = 0;
+    std::uint64_t jobsRefused = 0;
+    std::uint64_t jobsEnded = 0;
+    std::uint64_t runsStarted = 0;
+    std::uint64_t runsEnded = 0;
+    std::uint64_t runsLost = 0;
+    std::uint64_t ordersSent = 0;
+    std::uint64_t ordersUnanswered = 0;
+    std::uint64_t entriesApplied = 0;
+    std::uint64_t leaderships = 0;
+};
+
+/** The replicated state, the scheduler of the leader, and the calls that it answers. */
+class FleetCore
+{
+public:
+    FleetCore(boost::asio::io_context &loop, const FleetDaemonSettings &daemonSettings, const FleetEdge &fleetEdge, NetworkCounters &networkCounters);
+    FleetCore(const FleetCore &) = delete;
+    FleetCore &operator=(const FleetCore &) = delete;
+    ~FleetCore();
+
+    /** Opens the data folder and starts to replicate. Peer links must be set before. */
+    ResultCode start(PeerLinks &links);
+
+    /** Hands over a message of another replica. */
+    void receiveReplication(std::string payload);
+
+    /** Returns what this daemon knows of the leader. */
+    LeaderInfo leaderInfo() const;
+
+    /** Handles a caller's call; the outcome is NotLeader unless this daemon leads. */
+    void handleCaller(const CallerCall &call, CallerDone done);
+
+    /** Handles a call of a worker or an operator. */
+    void handleControl(const HttpRequest &request, HttpRespond respond);
+
+    /** Gives up the lead and stops. */
+    void stop();
+
+    /** Returns the metrics as text. */
+    std::string metrics() const;
+
+    /** Called when the process has to end, with the reason. */
+    std::function<void(ResultCode)> failed;
+
+private:
+    /** A control call that waits for its commands to be applied. */
+    struct Waiter {
+        std::function<void(bool applied)> done; ///< Told true once all is in force, false when this daemon has lost the lead.
+    };
+
+    /** Commands that were proposed together, with those who wait for them. */
+    struct Batch {
+        std::vector<std::function<void(bool)>> waiters;
+    };
+
+    void onApplied(std::vector<LogEntry> entries);
+    void applyEntry(const LogEntry &entry);
+    void onInstalled(Snapshot snapshot);
+    void onStatus(ReplicationStatus next);
+    void beginLeadIfReady();
+    void endLead(std::string_view reason);
+    void propose(FleetCommand command, std::function<void(bool)> done = {});
+    void flush();
+    void carryOut(SchedulerActions actions);
+    void sendOrder(WorkerOrder order);
+    void runScheduler();
+    void armTick();
+    void logChange(const FleetCommand &command, const FleetChange &change) const;
+
+    void submitJob(const CallerCall &call, const QueueConfig &queue, const JobId &id, CallerDone done);
+    void cancelJob(const JobId &id, CallerDone done);
+    CallAnswer showJob(const JobId &id) const;
+
+    void answerControl(const ControlCall &call, std::function<void(CallAnswer)> done);
+    void handleReport(const ReportCall &call, std::function<void(CallAnswer)> done);
+    void putManifest(const PutManifestCall &call, std::function<void(CallAnswer)> done);
+    void readManifest(std::function<void(CallAnswer)> done);
+    void proposeAndAnswer(FleetCommand command, std::function<void(CallAnswer)> done);
+    std::string controlAddressOf(const DaemonName &daemon) const;
+    bool isLeading() const;
+
+    boost::asio::io_context &io;
+    const FleetDaemonSettings &settings;
+    const FleetEdge &edge;
+    HttpClient client;
+    PeerLinks *peers = nullptr;
+    ReplicationDriver replication;
+    ReplicationStatus status;
+    FleetState state;
+    std::uint64_t appliedIndex = 0;
+    std::uint64_t appliedTerm = 0;
+    std::optional<FleetScheduler> scheduler; ///< Only while this daemon leads and has applied everything of earlier leaders.
+    std::vector<FleetCommand> outbox; ///< Commands for the next entry.
+    std::vector<std::function<void(bool)>> outboxWaiters; ///< Who waits for them.
+    std::deque<Batch> inFlight; ///< Entries that were proposed and not applied, in order.
+    std::multimap<std::uint64_t, std::function<void()>> readers; ///< Reads that wait for an index to be applied.
+    boost::asio::steady_timer tickTimer;
+    FleetCoreCounters counters;
+    bool isStopping = false;
+};
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/fleet_daemon.cpp
@@ -0,0 +1,317 @@
+/** @file fleet_daemon.cpp Wires listeners, links, relay and core together. */
+
+#include "fleetd/fleet_daemon.h"
+
+#include "core/clock_func.h"
+#include "runtime/log_func.h"
+
+#include <csignal>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr Duration ReadyLimit{1'500}; ///< A relay is ready while the leader has confirmed itself within this time.
+    constexpr std::chrono::milliseconds ReloadInterval{2'000}; ///< The settings may change without a signal.
+    constexpr std::size_t MaxCallerBytes = std::size_t{1024} * 1024; ///< Largest body of a caller.
+    constexpr std::size_t MaxControlBytes = std::size_t{4} * 1024 * 1024; ///< Largest body of a worker or an operator.
+    constexpr Duration StopMargin{1'500}; ///< The process ends by itself so long before it would be killed.
+
+    std::vector<std::string> addressesOf(const std::vector<std::string> &contacts)
+    {
+        std::vector<std::string> addresses;
+        for (const std::string &contact : contacts) {
+            if (const auto parts = splitAddress(contact)) {
+                addresses.push_back(parts->first);
+            }
+        }
+        return addresses;
+    }
+
+    PeerLinkSettings linkSettings(const FleetDaemonSettings &settings, boost::asio::io_context &loop)
+    {
+        PeerLinkSettings link;
+        link.self = settings.address;
+        link.address = settings.address;
+        link.port = static_cast<std::uint16_t>(settings.peerPort);
+        link.key = settings.peerKey;
+        link.loop = &loop;
+        link.acceptsUnlisted = true;
+        link.connectTimeout = {700};
+        link.heartbeatInterval = {400};
+        link.silentTimeout = {1'300};
+        link.backoffMin = {50};
+        link.backoffMax = {400};
+        return link;
+    }
+
+    RelayedAnswer relayedAnswer(RelayOutcome outcome, HttpResponse &&response)
+    {
+        RelayedAnswer answer;
+        answer.outcome = outcome;
+        answer.status = response.status;
+        answer.body = std::move(response.body);
+        for (HttpHeader &header : response.headers) {
+            answer.headers.emplace_back(std::move(header.name), std::move(header.value));
+        }
+        return answer;
+    }
+
+} // namespace
+
+FleetDaemon::FleetDaemon(FleetDaemonSettings checked, FleetEdge fleetEdge, SettingsReload settingsReload)
+    : settings(std::move(checked))
+    , edge(std::move(fleetEdge))
+    , readSettings(std::move(settingsReload))
+    , signals(this->io)
+    , reloadTimer(this->io)
+    , stopTimer(this->io)
+    , finder(this->io, static_cast<std::uint16_t>(this->settings.peerPort))
+    , relay(this->io, this->edge)
+{
+}
+
+FleetDaemon::~FleetDaemon() = default;
+
+ResultCode FleetDaemon::run()
+{
+    this->peers = std::make_unique<PeerLinks>(
+        linkSettings(this->settings, this->io),
+        [this](const DaemonName &peer, std::uint8_t kind, std::string payload, PeerReply reply) {
+            this->onPeerMessage(peer, kind, std::move(payload), std::move(reply));
+        },
+        this->network);
+    this->peers->setLinkHook([](const DaemonName &peer, bool open) {
+        logLine(LogArea::Peer, LogLevel::Info, open ? "link_opened" : "link_closed", {{"peer", peer}});
+    });
+    if (const std::error_code error = this->peers->start()) {
+        logLine(LogArea::Peer, LogLevel::Error, "listen_failed", {{"port", this->settings.peerPort}, {"error", error.message()}});
+        return ResultCode::BadAddress;
+    }
+    this->peers->setPeers({});
+    if (!this->settings.dataFolder.empty()) {
+        this->core = std::make_unique<FleetCore>(this->io, this->settings, this->edge, this->network);
+        this->core->failed = [this](ResultCode code) {
+            this->end(code);
+        };
+    }
+    this->relay.start(*this->peers, this->finder);
+    this->finder.found = [this] {
+        this->relay.onLeaderFound();
+    };
+    if (this->core == nullptr) {
+        this->finder.start(*this->peers, addressesOf(this->settings.contacts));
+    } else {
+        std::vector<PeerAddress> addresses;
+        for (const std::string &address : addressesOf(this->settings.contacts)) {
+            addresses.push_back({address, address, static_cast<std::uint16_t>(this->settings.peerPort)});
+        }
+        this->peers->setPeers(std::move(addresses));
+        const ResultCode code = this->core->start(*this->peers);
+        if (code != ResultCode::Ok) {
+            return code;
+        }
+    }
+    const ResultCode listening = this->startListeners();
+    if (listening != ResultCode::Ok) {
+        return listening;
+    }
+    this->armSignals();
+    this->armReload();
+    logLine(LogArea::Daemon, LogLevel::Info, "started", {{"daemon", this->settings.daemon}, {"address", this->settings.address}, {"voter", this->core != nullptr}});
+    this->io.run();
+    return this->result;
+}
+
+std::error_code FleetDaemon::listen(const std::string &endpoint, HttpHandler handler, std::size_t maxBodyBytes)
+{
+    const auto parts = splitAddress(endpoint);
+    if (!parts) {
+        return {};
+    }
+    HttpServerSettings server;
+    server.loop = &this->io;
+    server.address = parts->first;
+    server.port = parts->second;
+    server.maxBodyBytes = maxBodyBytes;
+    server.maxConnections = 3'500;
+    this->servers.push_back(std::make_unique<HttpServer>(server, std::move(handler), this->network));
+    const std::error_code error = this->servers.back()->start();
+    if (error) {
+        logLine(LogArea::Daemon, LogLevel::Error, "listen_failed", {{"endpoint", endpoint}, {"error", error.message()}});
+    }
+    return error;
+}
+
+ResultCode FleetDaemon::startListeners()
+{
+    const auto callers = [this](HttpRequest &&request, HttpRespond respond) {
+        this->relay.handle(std::move(request), std::move(respond));
+    };
+    const auto readiness = [this](HttpRequest &&, HttpRespond respond) {
+        this->answerReadiness(std::move(respond));
+    };
+    const auto control = [this](HttpRequest &&request, HttpRespond respond) {
+        this->core->handleControl(request, std::move(respond));
+    };
+    const auto metricsHandler = [this](HttpRequest &&, HttpRespond respond) {
+        respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics()});
+    };
+    const bool failed = (this->core == nullptr && this->listen(this->settings.listenCallers, callers, MaxCallerBytes))
+        || this->listen(this->settings.listenReadiness, readiness, MaxCallerBytes)
+        || (this->core != nullptr && this->listen(this->settings.listenControl, control, MaxControlBytes))
+        || this->listen(this->settings.listenMetrics, metricsHandler, MaxCallerBytes);
+    return failed ? ResultCode::BadAddress : ResultCode::Ok;
+}
+
+void FleetDaemon::onPeerMessage(const DaemonName &peer, std::uint8_t kind, std::string payload, PeerReply reply)
+{
+    switch (static_cast<FleetMessageKind>(kind)) {
+    case FleetMessageKind::Replication:
+        if (this->core != nullptr) {
+            this->core->receiveReplication(std::move(payload));
+        }
+        return;
+    case FleetMessageKind::FindLeader:
+        if (reply) {
+            reply(encodeFleetMessage(this->core != nullptr ? this->core->leaderInfo() : LeaderInfo()));
+        }
+        return;
+    case FleetMessageKind::RelayedCall:
+        if (reply) {
+            this->onRelayedCall(payload, std::move(reply));
+        }
+        return;
+    }
+    logLine(LogArea::Peer, LogLevel::Warn, "message_unknown", {{"peer", peer}, {"kind", static_cast<int>(kind)}});
+}
+
+void FleetDaemon::onRelayedCall(const std::string &payload, PeerReply reply)
+{
+    auto call = decodeFleetMessage<RelayedCall>(payload);
+    if (!call || this->core == nullptr) {
+        reply(encodeFleetMessage(RelayedAnswer()));
+        return;
+    }
+    HttpRequest request;
+    request.method = std::move(call->method);
+    request.target = std::move(call->target);
+    request.body = std::move(call->body);
+    for (auto &[name, value] : call->headers) {
+        request.headers.push_back({std::move(name), std::move(value)});
+    }
+    this->core->handleCaller(this->edge.readCallerCall(request), [this, reply = std::move(reply)](RelayOutcome outcome, const CallAnswer &answer) {
+        HttpResponse response = outcome == RelayOutcome::Answered ? this->edge.writeAnswer(answer) : HttpResponse();
+        reply(encodeFleetMessage(relayedAnswer(outcome, std::move(response))));
+    });
+}
+
+bool FleetDaemon::isReady() const
+{
+    if (this->isStopping) {
+        return false;
+    }
+    return this->core != nullptr || (!this->finder.leader().empty() && steadyNow() - this->finder.confirmedAt() < ReadyLimit);
+}
+
+void FleetDaemon::answerReadiness(HttpRespond respond) const
+{
+    respond({this->isReady() ? 200U : 503U, {}, ""});
+}
+
+std::string FleetDaemon::metrics() const
+{
+    if (this->core != nullptr) {
+        return this->core->metrics();
+    }
+    const CallerRelayCounters &count = this->relay.counters();
+    std::string text;
+    text += "filbertlanding_calls_received_total " + std::to_string(count.received) + "\n";
+    text += "filbertlanding_calls_answered_total " + std::to_string(count.answered) + "\n";
+    text += "filbertlanding_calls_refused_total " + std::to_string(count.refused) + "\n";
+    text += "filbertlanding_calls_unknown_total " + std::to_string(count.unknown) + "\n";
+    return text;
+}
+
+void FleetDaemon::armSignals()
+{
+    boost::system::error_code ignored;
+    this->signals.clear(ignored);
+    this->signals.add(SIGTERM, ignored);
+    this->signals.add(SIGINT, ignored);
+    this->signals.add(SIGHUP, ignored);
+    this->signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            this->reload();
+        } else {
+            this->beginStop();
+        }
+        this->armSignals();
+    });
+}
+
+void FleetDaemon::armReload()
+{
+    this->reloadTimer.expires_after(ReloadInterval);
+    this->reloadTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->reload();
+            this->armReload();
+        }
+    });
+}
+
+void FleetDaemon::reload()
+{
+    const auto next = this->readSettings ? this->readSettings() : std::nullopt;
+    if (!next) {
+        return;
+    }
+    logLine(LogArea::Daemon, LogLevel::Info, "settings_reloaded", {{"contacts", next->contacts.size()}});
+    this->settings.contacts = next->contacts;
+    if (this->core == nullptr) {
+        this->finder.addContacts(addressesOf(this->settings.contacts));
+    }
+}
+
+void FleetDaemon::beginStop()
+{
+    if (this->isStopping) {
+        return;
+    }
+    this->isStopping = true;
+    logLine(LogArea::Daemon, LogLevel::Info, "stopping", {{"graceMs", this->settings.stopGraceMs}});
+    if (this->core != nullptr) {
+        this->end(ResultCode::Ok);
+        return;
+    }
+    // The balancer sends new connections until it has seen the readiness turn false twice.
+    const Duration grace{this->settings.stopGraceMs - StopMargin.ms};
+    this->stopTimer.expires_after(std::chrono::milliseconds(grace.ms / 2));
+    this->stopTimer.async_wait([this, grace](const boost::system::error_code &) {
+        for (const auto &server : this->servers) {
+            server->stopAccepting([] {});
+        }
+        this->stopTimer.expires_after(std::chrono::milliseconds(grace.ms / 2));
+        this->stopTimer.async_wait([this](const boost::system::error_code &) {
+            this->end(ResultCode::Ok);
+        });
+    });
+}
+
+void FleetDaemon::end(ResultCode code)
+{
+    this->result = code;
+    logLine(LogArea::Daemon, LogLevel::Info, "ended", {{"code", resultCodeRow(code).name}});
+    this->finder.stop();
+    this->reloadTimer.cancel();
+    if (this->core != nullptr) {
+        this->core->stop();
+    }
+    this->io.stop();
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/fleet_daemon.h
@@ -0,0 +1,71 @@
+/** @file fleet_daemon.h A fleet daemon: relay, core or both, on one event loop. */
+
+#pragma once
+
+#include "fleetd/caller_relay.h"
+#include "fleetd/fleet_core.h"
+#include "fleetd/fleet_edge.h"
+#include "fleetd/leader_finder.h"
+#include "network/http_server.h"
+#include "network/network_counters.h"
+#include "network/peer_link.h"
+#include "settings/fleet_settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** Reads the settings again; nothing when they are unchanged or invalid. */
+using SettingsReload = std::function<std::optional<FleetDaemonSettings>()>;
+
+/** The daemon. run() returns when the process is to end. */
+class FleetDaemon
+{
+public:
+    FleetDaemon(FleetDaemonSettings checked, FleetEdge fleetEdge, SettingsReload settingsReload);
+    FleetDaemon(const FleetDaemon &) = delete;
+    FleetDaemon &operator=(const FleetDaemon &) = delete;
+    ~FleetDaemon();
+
+    /** Runs until SIGTERM, SIGINT or a failure that cannot be mended. Returns the reason. */
+    ResultCode run();
+
+private:
+    ResultCode startListeners();
+    std::error_code listen(const std::string &endpoint, HttpHandler handler, std::size_t maxBodyBytes);
+    void onPeerMessage(const DaemonName &peer, std::uint8_t kind, std::string payload, PeerReply reply);
+    void onRelayedCall(const std::string &payload, PeerReply reply);
+    void answerReadiness(HttpRespond respond) const;
+    bool isReady() const;
+    std::string metrics() const;
+    void armSignals();
+    void armReload();
+    void reload();
+    void beginStop();
+    void end(ResultCode code);
+
+    FleetDaemonSettings settings;
+    FleetEdge edge;
+    SettingsReload readSettings;
+    boost::asio::io_context io{1};
+    NetworkCounters network;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer reloadTimer;
+    boost::asio::steady_timer stopTimer;
+    std::unique_ptr<FleetCore> core; ///< Only with a disk.
+    LeaderFinder finder;
+    CallerRelay relay;
+    std::unique_ptr<PeerLinks> peers;
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    bool isStopping = false;
+    ResultCode result = ResultCode::Ok;
+};
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/fleet_message.cpp
@@ -0,0 +1,36 @@
+/** @file fleet_message.cpp Encoded form of the messages between fleet daemons. */
+
+#include "fleetd/fleet_message.h"
+
+#include "core/bounded_archive.h"
+#include "replication/raft_type.h"
+
+namespace Filbertlanding {
+
+template<class Message>
+std::string encodeFleetMessage(const Message &message)
+{
+    return encodeBounded(message);
+}
+
+template<class Message>
+std::optional<Message> decodeFleetMessage(std::string_view bytes)
+{
+    Message message;
+    if (!decodeBounded(bytes, message)) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+#define FLEET_MESSAGE(Type) \
+    template std::string encodeFleetMessage<Type>(const Type &); \
+    template std::optional<Type> decodeFleetMessage<Type>(std::string_view);
+
+FLEET_MESSAGE(LeaderInfo)
+FLEET_MESSAGE(RelayedCall)
+FLEET_MESSAGE(RelayedAnswer)
+FLEET_MESSAGE(RaftMessage)
+#undef FLEET_MESSAGE
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/leader_finder.cpp
@@ -0,0 +1,137 @@
+/** @file leader_finder.cpp Keeps a relaying daemon informed of who leads. */
+
+#include "fleetd/leader_finder.h"
+
+#include "core/clock_func.h"
+#include "runtime/log_func.h"
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr std::chrono::milliseconds ConfirmInterval{500}; ///< The leader is asked so often whether it still leads.
+    constexpr std::chrono::milliseconds SearchInterval{150}; ///< All daemons are asked so often while no leader is known.
+    constexpr Duration AskTimeout{600}; ///< Time for an answer.
+
+} // namespace
+
+LeaderFinder::LeaderFinder(boost::asio::io_context &loop, std::uint16_t port)
+    : io(loop)
+    , peerPort(port)
+    , timer(loop)
+{
+}
+
+void LeaderFinder::start(PeerLinks &links, const std::vector<std::string> &addresses)
+{
+    this->peers = &links;
+    this->addContacts(addresses);
+    this->armTimer();
+}
+
+void LeaderFinder::addContacts(const std::vector<std::string> &addresses)
+{
+    this->contacts = {addresses.begin(), addresses.end()};
+    this->refreshPeers();
+}
+
+void LeaderFinder::refreshPeers()
+{
+    std::set<DaemonName> all = this->contacts;
+    all.insert(this->voters.begin(), this->voters.end());
+    std::vector<PeerAddress> addresses;
+    for (const DaemonName &daemon : all) {
+        addresses.push_back({daemon, daemon, this->peerPort});
+    }
+    this->peers->setPeers(std::move(addresses));
+}
+
+void LeaderFinder::armTimer()
+{
+    this->timer.expires_after(this->current.empty() ? SearchInterval : ConfirmInterval);
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        this->ask();
+        this->armTimer();
+    });
+}
+
+void LeaderFinder::ask()
+{
+    if (!this->current.empty()) {
+        this->askOne(this->current);
+        return;
+    }
+    std::set<DaemonName> all = this->contacts;
+    all.insert(this->voters.begin(), this->voters.end());
+    for (const DaemonName &daemon : all) {
+        this->askOne(daemon);
+    }
+}
+
+void LeaderFinder::askOne(const DaemonName &daemon)
+{
+    this->peers->sendRequest(daemon, static_cast<std::uint8_t>(FleetMessageKind::FindLeader), {}, AskTimeout, [this, daemon](PeerAnswer answer) {
+        const auto info = answer.code == ResultCode::Ok ? decodeFleetMessage<LeaderInfo>(answer.payload) : std::nullopt;
+        if (info) {
+            this->onInfo(daemon, *info);
+        } else if (daemon == this->current) {
+            this->doubt(daemon);
+        }
+    });
+}
+
+void LeaderFinder::onInfo(const DaemonName &daemon, const LeaderInfo &info)
+{
+    if (!info.isSelf) {
+        if (daemon == this->current) {
+            this->doubt(daemon);
+        }
+        // A follower may know a daemon that no contact has named.
+        if (this->current.empty() && !info.leader.empty() && info.leader != daemon && !this->contacts.contains(info.leader) && this->voters.insert(info.leader).second) {
+            this->refreshPeers();
+        }
+        return;
+    }
+    const std::set<DaemonName> named(info.voters.begin(), info.voters.end());
+    if (named != this->voters) {
+        this->voters = named;
+        this->refreshPeers();
+    }
+    this->confirmed = steadyNow();
+    if (this->current != daemon) {
+        this->current = daemon;
+        logLine(LogArea::Peer, LogLevel::Info, "leader_found", {{"leader", daemon}});
+        this->found();
+    }
+}
+
+void LeaderFinder::doubt(const DaemonName &daemon)
+{
+    if (this->current != daemon) {
+        return;
+    }
+    logLine(LogArea::Peer, LogLevel::Info, "leader_lost", {{"leader", daemon}});
+    this->current.clear();
+    this->ask();
+    this->armTimer();
+}
+
+const DaemonName &LeaderFinder::leader() const
+{
+    return this->current;
+}
+
+TimePoint LeaderFinder::confirmedAt() const
+{
+    return this->confirmed;
+}
+
+void LeaderFinder::stop()
+{
+    this->timer.cancel();
+}
+
+} // namespace Filbertlanding
--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -97,6 +97,8 @@
             : settings(clientSettings)
             , counters(networkCounters)
             , silentHook(hook)
+            , ownIo(clientSettings.loop == nullptr ? std::make_unique<net::io_context>(1) : nullptr)
+            , io(clientSettings.loop == nullptr ? *this->ownIo : *clientSettings.loop)
             , work(net::make_work_guard(this->io))
         {
         }
@@ -105,8 +107,7 @@
         void cancel(std::uint64_t number);
         void shutDown();
 
-        net::io_context io{1};
-        std::thread thread;
+        std::thread thread; ///< Runs the own loop; not started on a loop of the owner.
 
     private:
         void dispatch(Target &target, const CallPointer &call);
@@ -132,6 +133,12 @@
         const HttpClientSettings &settings;
         NetworkCounters &counters;
         const std::function<void(const HttpAddress &)> &silentHook;
+        std::unique_ptr<net::io_context> ownIo; ///< Empty on a loop of the owner.
+
+    public:
+        net::io_context &io;
+
+    private:
         std::optional<net::executor_work_guard<net::io_context::executor_type>> work;
         std::map<HttpAddress, Target> targets;
         std::unordered_map<std::uint64_t, CallPointer> calls;
@@ -486,8 +493,12 @@
         : settings(clientSettings)
         , counters(networkCounters)
     {
-        for (unsigned i = 0; i < std::max(1U, this->settings.threads); ++i) {
+        const unsigned count = this->settings.loop != nullptr ? 1U : std::max(1U, this->settings.threads);
+        for (unsigned i = 0; i < count; ++i) {
             this->loops.push_back(std::make_unique<ClientLoop>(this->settings, this->counters, this->silentHook));
+            if (this->settings.loop != nullptr) {
+                continue;
+            }
             this->loops.back()->thread = std::thread([loop = this->loops.back().get()] {
                 loop->io.run();
             });
@@ -550,6 +561,10 @@
     if (state.stopped.exchange(true)) {
         return;
     }
+    if (state.settings.loop != nullptr) {
+        state.loops.front()->shutDown();
+        return;
+    }
     for (const auto &loop : state.loops) {
         net::post(loop->io, [target = loop.get()] {
             target->shutDown();
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -28,7 +28,14 @@
 
     /** One event loop with its thread and the connections that live on it. */
     struct ServerLoop {
-        net::io_context io{1}; ///< Event loop; run by one thread only.
+        explicit ServerLoop(net::io_context *ownersLoop)
+            : ownIo(ownersLoop == nullptr ? std::make_unique<net::io_context>(1) : nullptr)
+            , io(ownersLoop == nullptr ? *this->ownIo : *ownersLoop)
+        {
+        }
+
+        std::unique_ptr<net::io_context> ownIo; ///< Empty on a loop of the owner.
+        net::io_context &io; ///< Event loop; run by one thread only.
         std::unordered_set<ConnectionPointer> connections; ///< Open connections; touched on the thread only.
         bool stopping = false; ///< Set by stop(); touched on the thread only.
         std::optional<net::executor_work_guard<net::io_context::executor_type>> work; ///< Keeps the loop running.
@@ -81,6 +88,9 @@
         loop->work.emplace(loop->io.get_executor());
     }
     this->accept();
+    if (this->shared.settings.loop != nullptr) {
+        return;
+    }
     for (const auto &loop : this->loops) {
         loop->thread = std::thread([target = loop.get()] {
             target->io.run();
@@ -223,6 +233,9 @@
             target->work.reset();
         });
     }
+    if (this->shared.settings.loop != nullptr) {
+        return;
+    }
     for (const auto &loop : this->loops) {
         loop->thread.join();
     }
@@ -249,9 +262,9 @@
     if (state.running || !state.loops.empty()) {
         return ResultCode::Internal;
     }
-    const unsigned count = std::max(1U, state.shared.settings.threads);
+    const unsigned count = state.shared.settings.loop != nullptr ? 1U : std::max(1U, state.shared.settings.threads);
     for (unsigned i = 0; i < count; ++i) {
-        state.loops.push_back(std::make_unique<ServerLoop>());
+        state.loops.push_back(std::make_unique<ServerLoop>(state.shared.settings.loop));
     }
     if (const std::error_code error = state.listen()) {
         return error;
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -12,6 +12,10 @@
 #include <string>
 #include <system_error>
 
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
 namespace Filbertlanding {
 
 /** Settings of the HTTP server. */
@@ -19,6 +23,7 @@
     std::string address = "127.0.0.1"; ///< IP number to listen on.
     std::uint16_t port = 0; ///< TCP port; 0 takes a free one.
     unsigned threads = 2; ///< Request threads, each with its own event loop.
+    boost::asio::io_context *loop = nullptr; ///< Event loop of the owner to run on instead of threads of the server; all calls are then made on it.
     std::size_t maxConnections = 4096; ///< Connections beyond this number are closed at once.
     std::size_t maxHeaderBytes = std::size_t{16} * 1024; ///< Largest request line and headers together.
     std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< Largest body.
--- a/src/network/peer_link.cpp
+++ b/src/network/peer_link.cpp
@@ -63,6 +63,8 @@
         , handler(std::move(peerHandler))
         , counters(networkCounters)
         , random{stableHash(this->settings.self)}
+        , ownIo(this->settings.loop == nullptr ? std::make_unique<net::io_context>(1) : nullptr)
+        , io(this->settings.loop == nullptr ? *this->ownIo : *this->settings.loop)
     {
     }
 
@@ -88,11 +90,12 @@
     StreamPointer sendStream(const DaemonName &peer, ResultCode &code) const; ///< From any thread.
     void setSendStream(const DaemonName &peer, const StreamPointer &stream); ///< From any thread.
 
-    net::io_context io{1}; ///< Declared first, so that everything that uses it is destroyed earlier.
     PeerLinkSettings settings;
     PeerHandler handler;
     NetworkCounters &counters;
     Random random; ///< Spreads the tries of several daemons.
+    std::unique_ptr<net::io_context> ownIo; ///< Empty on a loop of the owner. Declared before everything that uses it, so that it is destroyed later.
+    net::io_context &io;
     std::function<void(const DaemonName &, bool)> linkHook;
     std::function<void(const DaemonName &, ResultCode)> refusalHook;
     std::optional<net::executor_work_guard<net::io_context::executor_type>> work;
@@ -161,7 +164,7 @@
     FrameStreamHooks hooks;
     const auto wasOpen = std::make_shared<bool>(false);
     hooks.isKnownPeer = [this](const DaemonName &name) {
-        return this->peers.contains(name);
+        return this->settings.acceptsUnlisted || this->peers.contains(name);
     };
     hooks.received = [this, self](Frame &&frame) {
         if (const StreamPointer stream = self->lock()) {
@@ -179,8 +182,12 @@
             return;
         }
         const StreamPointer stream = self->lock();
-        const PeerPointer peer = this->peers.at(stream->peer());
         ++this->counters.peerLinksAccepted;
+        const auto found = this->peers.find(stream->peer());
+        if (found == this->peers.end()) {
+            return;
+        }
+        const PeerPointer peer = found->second;
         // The peer opened a new connection, so it has given up the one before.
         const StreamPointer earlier = std::exchange(peer->accepted, stream);
         if (earlier != nullptr) {
@@ -460,7 +467,14 @@
 
 void PeerLinks::Core::stop()
 {
-    if (this->stopped.exchange(true) || !this->thread.joinable()) {
+    if (this->stopped.exchange(true)) {
+        return;
+    }
+    if (this->settings.loop != nullptr) {
+        this->shutDown();
+        return;
+    }
+    if (!this->thread.joinable()) {
         return;
     }
     net::post(this->io, [this] {
@@ -505,6 +519,9 @@
     state.acceptTimer.emplace(state.io);
     state.work.emplace(state.io.get_executor());
     state.accept();
+    if (state.settings.loop != nullptr) {
+        return {};
+    }
     state.thread = std::thread([&state] {
         state.io.run();
     });
--- a/src/network/peer_link.h
+++ b/src/network/peer_link.h
@@ -15,6 +15,10 @@
 #include <system_error>
 #include <vector>
 
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
 namespace Filbertlanding {
 
 /** One configured peer. */
@@ -38,6 +42,8 @@
     Duration silentTimeout{3'500}; ///< Time without a received byte after which a link is replaced.
     Duration backoffMin{100}; ///< Wait before the first new try to connect; doubles with each failure, with random variation.
     Duration backoffMax{3'000}; ///< Longest wait before a new try.
+    bool acceptsUnlisted = false; ///< Also daemons that are no configured peers may open links, if they have the key; they get answers on them.
+    boost::asio::io_context *loop = nullptr; ///< Event loop of the owner to run on instead of an own thread; all calls are then made on it.
 };
 
 /** Outcome of a request to a peer. */
--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -54,6 +54,10 @@
     commitUpTo(state, persisted.hardState.commit);
     resetElection(state, now);
     state.requestDue = now;
+    if (state.term > 0) {
+        // A restarted voter may have answered a round just before, on which the leader's lease rests.
+        state.leaderContact = now;
+    }
     return result;
 }
 
@@ -67,6 +71,9 @@
     } else {
         electionTick(state, actions, now);
     }
+    if (state.role != RaftRole::Leader) {
+        askToJoin(state, actions, now);
+    }
     finishActions(state, actions);
     return actions;
 }
@@ -111,7 +118,7 @@
         }
         void operator()(const JoinRequest &body) const
         {
-            receiveJoin(this->state, this->message, body);
+            receiveJoin(this->state, this->actions, this->message, body);
             maintainMembership(this->state, this->actions, this->now);
         }
         void operator()(const FetchRequest &body) const
--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -29,8 +29,31 @@
         });
     }
 
+    /** Notes the newest round that a quorum has answered. */
+    void takeAnsweredRounds(RaftState &state)
+    {
+        const auto isAnswered = [&state](std::uint64_t round) {
+            return isQuorum(state, [&state, round](const VoterId &voter) {
+                const auto found = state.progress.find(voter);
+                return voter == state.settings.self || (found != state.progress.end() && found->second.ackedRound >= round);
+            });
+        };
+        while (!state.openRounds.empty() && isAnswered(state.openRounds.front().round)) {
+            state.answeredRoundStart = state.openRounds.front().startedAt;
+            state.openRounds.pop_front();
+        }
+    }
+
 } // namespace
 
+TimePoint leaderLeaseEnd(const RaftState &state)
+{
+    if (state.role != RaftRole::Leader || !state.answeredRoundStart) {
+        return {};
+    }
+    return *state.answeredRoundStart + state.settings.electionTimeoutMin - MaxClockDriftMargin;
+}
+
 void sendAppend(RaftState &state, RaftActions &actions, const VoterId &to, RaftProgress &progress)
 {
     if (progress.next <= state.baseIndex) {
@@ -56,6 +79,8 @@
 void startRound(RaftState &state, RaftActions &actions, TimePoint now)
 {
     ++state.round;
+    state.openRounds.push_back({state.round, now});
+    takeAnsweredRounds(state);
     state.heartbeatDue = now + state.settings.heartbeatInterval;
     for (auto &[id, progress] : state.progress) {
         sendAppend(state, actions, id, progress);
@@ -166,6 +191,7 @@
     }
     found->second.lastAnswer = now;
     found->second.ackedRound = std::max(found->second.ackedRound, round);
+    takeAnsweredRounds(state);
     return &found->second;
 }
 
--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -34,6 +34,18 @@
     Membership membership;
 };
 
+/** A replica that asked to join. */
+struct RaftJoiner {
+    std::uint64_t incarnation = 0;
+    bool hasDisk = false;
+};
+
+/** A quorum round and its start, for the leader's lease. */
+struct RaftRound {
+    std::uint64_t round = 0;
+    TimePoint startedAt;
+};
+
 /** State of one replica; changed only by the functions of raft_func.h. */
 struct RaftState {
     RaftSettings settings;
@@ -60,9 +72,11 @@
     Snapshot incoming; ///< Snapshot in transfer to this replica.
 
     std::map<VoterId, RaftProgress> progress; ///< Leader: all other replicas.
-    std::map<DaemonName, std::uint64_t> joinWaiting; ///< Leader: new incarnations that wait for their membership change.
+    std::map<DaemonName, RaftJoiner> joinWaiting; ///< Leader: new incarnations that wait for their membership change.
     std::uint64_t termStart = 0; ///< Leader: index of the empty entry of its term.
     std::uint64_t round = 0; ///< Leader: last quorum round started.
+    std::deque<RaftRound> openRounds; ///< Leader: rounds that no quorum has answered, in order.
+    std::optional<TimePoint> answeredRoundStart; ///< Leader: start of the newest round that a quorum has answered.
     TimePoint heartbeatDue;
     std::vector<RaftPendingRead> reads;
     TimePoint leaderSince; ///< Leader: start of its term; running leases count from here.
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -41,6 +41,8 @@
         state.leader = state.settings.self;
         state.leaderSince = now;
         state.progress.clear();
+        state.openRounds.clear();
+        state.answeredRoundStart.reset();
         state.joinWaiting.clear();
         state.reads.clear();
         membershipChanged(state, now);
--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -49,6 +49,12 @@
 /** Returns the daemon that leads the current term, or an empty name. */
 DaemonName leaderName(const RaftState &state);
 
+/**
+ * Returns until when no other leader can have been elected: voters that answered a round elect nobody for the shortest election timeout
+ * after its start. The epoch of the clock for a replica that does not lead or has no answered round.
+ */
+TimePoint leaderLeaseEnd(const RaftState &state);
+
 /** Returns the index of the last entry of the log. */
 std::uint64_t lastLogIndex(const RaftState &state);
 
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -103,7 +103,9 @@
 
 /** Sends JoinRequest or FetchRequest when no leader is heard. */
 void learnerTick(RaftState &state, RaftActions &actions, TimePoint now);
-void receiveJoin(RaftState &state, const RaftMessage &message, const JoinRequest &request);
+/** Asks the voters for a place in the membership: a replica that none lists, or, where voters are removed when silent, one without a leader. */
+void askToJoin(RaftState &state, RaftActions &actions, TimePoint now);
+void receiveJoin(RaftState &state, RaftActions &actions, const RaftMessage &message, const JoinRequest &request);
 /** Lets the leader take the next step of replacing a lost identity. */
 void maintainMembership(RaftState &state, RaftActions &actions, TimePoint now);
 void receiveFetch(RaftState &state, RaftActions &actions, const RaftMessage &message, const FetchRequest &request);
--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -57,13 +57,16 @@
     }
 
     /** Returns the membership with a new incarnation taken in, or nothing when there is nothing to do. */
-    std::optional<Membership> withJoiner(const Membership &membership, const VoterId &joiner)
+    std::optional<Membership> withJoiner(const RaftState &state, const VoterId &joiner, bool hasDisk)
     {
+        const Membership &membership = currentMembership(state);
         const auto newest = newestIncarnation(membership, joiner.daemon);
-        if (!newest || *newest >= joiner.incarnation) {
+        const bool isNewVoter = !newest && hasDisk && state.settings.admitsNewVoters;
+        if (!isNewVoter && (!newest || *newest >= joiner.incarnation)) {
             return std::nullopt;
         }
-        const bool isVoterDisk = findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
+        const bool isVoterDisk =
+            isNewVoter || findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
         Membership next = membership;
         eraseDaemon(next.learners, joiner.daemon);
         eraseDaemon(next.joining, joiner.daemon);
@@ -71,6 +74,32 @@
         return next;
     }
 
+    /** Returns a voter that has been silent for so long that it may be removed, or nullptr. */
+    const VoterId *silentVoter(const RaftState &state, TimePoint now)
+    {
+        for (const auto &voter : currentMembership(state).voters) {
+            const auto found = state.progress.find(voter);
+            if (found != state.progress.end() && now - found->second.lastAnswer >= state.settings.voterSilence) {
+                return &voter;
+            }
+        }
+        return nullptr;
+    }
+
+    /** Returns the membership without a silent voter, if enough voters remain; for a joining voter that takes its place the bound is one lower. */
+    std::optional<Membership> withoutSilentVoter(const RaftState &state, bool isReplaced, TimePoint now)
+    {
+        const Membership &membership = currentMembership(state);
+        const std::size_t needed = state.settings.minVoters + (isReplaced ? 0 : 1);
+        const VoterId *silent = silentVoter(state, now);
+        if (!state.settings.admitsNewVoters || silent == nullptr || membership.voters.size() < std::max<std::size_t>(needed, 2)) {
+            return std::nullopt;
+        }
+        Membership next = membership;
+        std::erase(next.voters, VoterId(*silent));
+        return next;
+    }
+
     /** Returns the membership after the next step for a joining identity, or nothing when it is too early. */
     std::optional<Membership> withReplacement(const RaftState &state, const VoterId &joiner, TimePoint now)
     {
@@ -87,6 +116,9 @@
             std::erase(next.voters, VoterId(*lost));
             return next;
         }
+        if (auto smaller = withoutSilentVoter(state, true, now)) {
+            return smaller;
+        }
         eraseDaemon(next.joining, joiner.daemon);
         next.voters.push_back(joiner);
         return next;
@@ -185,18 +217,22 @@
     return result;
 }
 
-void receiveJoin(RaftState &state, const RaftMessage &message, const JoinRequest &request)
+void receiveJoin(RaftState &state, RaftActions &actions, const RaftMessage &message, const JoinRequest &request)
 {
     if (state.role != RaftRole::Leader) {
+        // A new daemon knows only a few others, none of which need be the leader.
+        if (state.settings.admitsNewVoters && state.leader && state.leader->daemon != message.from.daemon) {
+            actions.send.push_back({state.leader->daemon, {message.from, {state.leader->daemon, 0}, message.term, message.body}});
+        }
         return;
     }
     const Membership &membership = currentMembership(state);
     const DaemonName &daemon = message.from.daemon;
     const bool needsDisk = findDaemon(membership.voters, daemon) != nullptr || findDaemon(membership.joining, daemon) != nullptr;
-    if ((needsDisk && !request.hasDisk) || !withJoiner(membership, message.from)) {
+    if ((needsDisk && !request.hasDisk) || !withJoiner(state, message.from, request.hasDisk)) {
         return;
     }
-    state.joinWaiting[daemon] = message.from.incarnation;
+    state.joinWaiting[daemon] = {message.from.incarnation, request.hasDisk};
 }
 
 void maintainMembership(RaftState &state, RaftActions &actions, TimePoint now)
@@ -206,7 +242,7 @@
     }
     while (!state.joinWaiting.empty()) {
         const auto first = state.joinWaiting.begin();
-        const auto next = withJoiner(currentMembership(state), {first->first, first->second});
+        const auto next = withJoiner(state, {first->first, first->second.incarnation}, first->second.hasDisk);
         state.joinWaiting.erase(first);
         if (next) {
             appendMembership(state, actions, *next, now);
@@ -220,6 +256,9 @@
             return;
         }
     }
+    if (const auto next = withoutSilentVoter(state, false, now)) {
+        appendMembership(state, actions, *next, now);
+    }
 }
 
 bool isZoneVoter(const RaftState &state, const VoterId &id)
@@ -239,6 +278,22 @@
     sendTo(state, actions, {voter, 0}, state.term, request);
 }
 
+/** Sends a join request to every voter that this replica knows of. */
+void sendJoinRequests(RaftState &state, RaftActions &actions)
+{
+    std::set<DaemonName> names;
+    for (const auto *list : {&currentMembership(state).voters, &currentMembership(state).joining}) {
+        for (const auto &id : *list) {
+            names.insert(id.daemon);
+        }
+    }
+    names.insert(state.settings.contacts.begin(), state.settings.contacts.end());
+    names.erase(state.settings.self.daemon);
+    for (const auto &name : names) {
+        sendTo(state, actions, {name, 0}, state.term, JoinRequest{state.settings.hasDisk});
+    }
+}
+
 void learnerTick(RaftState &state, RaftActions &actions, TimePoint now)
 {
     const bool hasLeader = state.leaderContact && now - *state.leaderContact < state.settings.electionTimeoutMax;
@@ -248,20 +303,20 @@
     state.leader.reset();
     state.requestDue = now + state.settings.heartbeatInterval * 2;
     sendFetch(state, actions);
-    const Membership &membership = currentMembership(state);
-    if (isMember(membership, state.settings.self)) {
-        return;
-    }
-    std::set<DaemonName> names;
-    for (const auto *list : {&membership.voters, &membership.joining}) {
-        for (const auto &id : *list) {
-            names.insert(id.daemon);
-        }
+    if (!isMember(currentMembership(state), state.settings.self)) {
+        sendJoinRequests(state, actions);
     }
-    names.erase(state.settings.self.daemon);
-    for (const auto &name : names) {
-        sendTo(state, actions, {name, 0}, state.term, JoinRequest{state.settings.hasDisk});
+}
+
+void askToJoin(RaftState &state, RaftActions &actions, TimePoint now)
+{
+    const bool mayBeRemoved = state.settings.admitsNewVoters && state.settings.hasDisk && state.role != RaftRole::Learner;
+    const bool hasLeader = state.leaderContact && now - *state.leaderContact < state.settings.electionTimeoutMax;
+    if (!mayBeRemoved || hasLeader || now < state.requestDue) {
+        return;
     }
+    state.requestDue = now + state.settings.electionTimeoutMax;
+    sendJoinRequests(state, actions);
 }
 
 void receiveFetch(RaftState &state, RaftActions &actions, const RaftMessage &message, const FetchRequest &request)
--- a/src/daemon/log_func.cpp
+++ b/src/runtime/log_func.cpp
@@ -1,6 +1,6 @@
 /** @file log_func.cpp Structured log of the daemon. */
 
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 
 #include "core/name_table.h"
 
@@ -63,13 +63,14 @@
         return loggers[static_cast<std::size_t>(area)];
     }
 
-    log4cxx::AppenderPtr makeWriter(const Settings &settings)
+    log4cxx::AppenderPtr makeWriter(const LogSettings &settings)
     {
         const auto layout = std::make_shared<log4cxx::PatternLayout>(R"({"time":"%d{yyyy-MM-ddTHH:mm:ss.SSSZ}","level":"%p","area":"%c",%m}%n)");
-        if (settings.logFile.empty()) {
-            return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        if (settings.file.empty()) {
+            const auto stream = settings.toStandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr();
+            return std::make_shared<log4cxx::ConsoleAppender>(layout, stream);
         }
-        return std::make_shared<log4cxx::FileAppender>(layout, settings.logFile, true);
+        return std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
     }
 
     void appendNumber(std::string &line, double number)
@@ -97,16 +98,16 @@
 
 } // namespace
 
-void startLogging(const Settings &settings)
+void startLogging(const LogSettings &settings)
 {
     const auto queue = std::make_shared<log4cxx::AsyncAppender>();
-    queue->setBufferSize(static_cast<int>(settings.logQueueLines));
+    queue->setBufferSize(static_cast<int>(settings.queueLines));
     queue->setBlocking(false);
     queue->addAppender(makeWriter(settings));
     const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(queue);
-    setLogLevel(settings.logLevel);
+    setLogLevel(settings.level);
 }
 
 void stopLogging()
--- a/src/daemon/log_func.h
+++ b/src/runtime/log_func.h
@@ -2,8 +2,6 @@
 
 #pragma once
 
-#include "settings/settings_type.h"
-
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -18,6 +16,14 @@
 /** Severity of a line. */
 enum class LogLevel { Trace, Debug, Info, Warn, Error };
 
+/** Where the log goes. */
+struct LogSettings {
+    std::string level = "info"; ///< Lowest level that is written.
+    std::string file; ///< File; when empty, a stream of the process.
+    bool toStandardOutput = false; ///< Without a file: standard output instead of standard error.
+    std::int64_t queueLines = 8192; ///< Lines that wait for the writer before further ones are dropped and counted.
+};
+
 /** One named value of a line. Text is only read during the call. */
 struct LogField {
     std::string_view name; ///< Key in the JSON object.
@@ -60,7 +66,7 @@
  * Starts the log. Lines wait in a bounded queue for a writer thread; when the queue is full, lines are dropped
  * and the writer notes how many.
  */
-void startLogging(const Settings &settings);
+void startLogging(const LogSettings &settings);
 
 /** Writes what waits and closes the file. */
 void stopLogging();
--- a/src/daemon/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -1,12 +1,10 @@
 /** @file replication_driver.cpp Runs the replicated log on a thread of its own. */
 
-#include "daemon/replication_driver.h"
+#include "runtime/replication_driver.h"
 
 #include "core/clock_func.h"
-#include "core/random.h"
-#include "daemon/log_func.h"
+#include "runtime/log_func.h"
 #include "replication/raft_func.h"
-#include "settings/settings_func.h"
 #include "storage/data_folder.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -14,6 +12,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <thread>
 #include <unordered_map>
 
@@ -25,45 +24,6 @@
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Well below the shortest heartbeat interval, so that elections and heartbeats are on time.
 
-    /** Membership before the first log entry: every daemon derives the same one from its settings. */
-    Membership bootstrapMembership(const Settings &settings)
-    {
-        Membership membership;
-        const auto add = [&membership](const DaemonName &daemon, bool voter) {
-            if (voter) {
-                membership.voters.push_back({daemon, FirstIncarnation});
-            } else {
-                membership.learners.push_back({daemon, 0});
-            }
-        };
-        add(settings.daemon, isVoter(settings));
-        for (const PeerSettings &peer : settings.peers) {
-            add(peer.daemon, peer.voter);
-        }
-        std::sort(membership.voters.begin(), membership.voters.end());
-        std::sort(membership.learners.begin(), membership.learners.end());
-        return membership;
-    }
-
-    RaftSettings raftSettings(const Settings &settings, std::uint64_t incarnation)
-    {
-        RaftSettings result;
-        result.self = {settings.daemon, incarnation};
-        result.hasDisk = isVoter(settings);
-        result.bootstrap = bootstrapMembership(settings);
-        result.electionTimeoutMin = {settings.electionTimeoutMinMs};
-        result.electionTimeoutMax = {settings.electionTimeoutMaxMs};
-        result.heartbeatInterval = {settings.raftHeartbeatMs};
-        result.snapshotEvery = static_cast<std::uint64_t>(settings.snapshotEvery);
-        result.seed = stableHash(settings.daemon) ^ static_cast<std::uint64_t>(wallNow().ms);
-        for (const PeerSettings &peer : settings.peers) {
-            if (peer.voter && peer.availabilityZone == settings.availabilityZone) {
-                result.zoneVoters.push_back(peer.daemon);
-            }
-        }
-        return result;
-    }
-
 } // namespace
 
 struct ReplicationDriver::Core {
@@ -75,6 +35,9 @@
     DataFolder folder;
     bool hasDisk = false;
     bool diskFailed = false;
+    bool syncsCommitIndex = true;
+    HardState syncedVote; ///< Hard state that was last synced.
+    std::atomic<std::int64_t> leaseEndMs{0}; ///< End of the leader's lease, for other threads.
     RaftState raft;
     std::uint64_t lastToken = 0;
     std::unordered_map<std::uint64_t, std::function<void(ReadReady)>> reads;
@@ -84,11 +47,15 @@
     /** Carries out actions in their order: disk first, then messages, then the state machine. */
     void carryOut(RaftActions actions)
     {
+        const bool sendsFirst = this->mayOverlap(actions);
+        if (sendsFirst) {
+            this->sendAll(actions);
+        }
         if (this->hasDisk && !this->persist(actions)) {
             return;
         }
-        for (const RaftEnvelope &envelope : actions.send) {
-            this->hooks.send(envelope.to, envelope.message);
+        if (!sendsFirst) {
+            this->sendAll(actions);
         }
         if (actions.installSnapshot) {
             this->hooks.install(std::move(*actions.installSnapshot));
@@ -99,19 +66,55 @@
         for (const ReadReady &ready : actions.reads) {
             this->finishRead(ready);
         }
+        this->leaseEndMs = leaderLeaseEnd(this->raft).ms;
         this->reportStatus();
     }
 
+    /**
+     * Returns whether a leader may send its new entries while it syncs them. Its own copy counts towards a majority only once an answer
+     * is handled, and this thread handles none before the sync has ended; term and vote of the messages must be on the disk already.
+     */
+    bool mayOverlap(const RaftActions &actions) const
+    {
+        const bool hasNewVote = actions.persistHardState && !isSameVote(*actions.persistHardState, this->syncedVote);
+        return this->raft.role == RaftRole::Leader && !hasNewVote && !actions.truncateFrom && !actions.persistSnapshot && actions.apply.empty();
+    }
+
+    static bool isSameVote(const HardState &left, const HardState &right)
+    {
+        return left.term == right.term && left.votedFor == right.votedFor;
+    }
+
+    void sendAll(const RaftActions &actions) const
+    {
+        for (const RaftEnvelope &envelope : actions.send) {
+            this->hooks.send(envelope.to, envelope.message);
+        }
+    }
+
+    /** Returns whether the actions ask for nothing but a newer commit index, which the next record brings along. */
+    bool isCommitOnly(const RaftActions &actions) const
+    {
+        const bool writesMore = actions.persistSnapshot || actions.truncateFrom || !actions.append.empty();
+        return !this->syncsCommitIndex && !writesMore && actions.persistHardState && isSameVote(*actions.persistHardState, this->syncedVote);
+    }
+
     /** Returns false when the disk has failed: nothing may be acknowledged from then on. */
     bool persist(const RaftActions &actions)
     {
         if (this->diskFailed) {
             return false;
         }
+        if (this->isCommitOnly(actions)) {
+            return true;
+        }
         const bool writes = actions.persistHardState || actions.persistSnapshot || actions.truncateFrom || !actions.append.empty();
         const std::int64_t startedUs = steadyMicroseconds();
         const ResultCode code = persistActions(this->folder, actions);
         if (code == ResultCode::Ok) {
+            if (actions.persistHardState) {
+                this->syncedVote = *actions.persistHardState;
+            }
             if (writes) {
                 this->hooks.synced(steadyMicroseconds() - startedUs);
             }
@@ -185,18 +188,17 @@
     this->stop();
 }
 
-ReplicationStart ReplicationDriver::start(const Settings &settings, bool firstStart, ReplicationHooks hooks)
+ReplicationStart ReplicationDriver::start(ReplicationConfig config, ReplicationHooks hooks)
 {
     Core &state = *this->core;
     state.hooks = std::move(hooks);
-    state.hasDisk = isVoter(settings);
+    state.hasDisk = !config.dataFolder.empty();
+    state.syncsCommitIndex = config.syncsCommitIndex;
     ReplicationStart result;
     PersistedState persisted;
     if (state.hasDisk) {
-        // With peers, an empty folder may be a lost disk; only the operator knows that it is not.
-        const bool votesAtOnce = firstStart || settings.peers.empty();
-        const auto newIncarnation = votesAtOnce ? FirstIncarnation : static_cast<std::uint64_t>(wallNow().ms);
-        state.folder = openDataFolder(systemFiles(), settings.dataFolder, newIncarnation);
+        const auto newIncarnation = config.votesAtOnce ? FirstIncarnation : static_cast<std::uint64_t>(wallNow().ms);
+        state.folder = openDataFolder(systemFiles(), config.dataFolder, newIncarnation);
         result.code = state.folder.code;
         result.incarnation = state.folder.incarnation;
         result.isNew = state.folder.isNew;
@@ -208,7 +210,10 @@
         result.ledgerRecords = std::move(state.folder.ledgerRecords);
         result.ledger = std::move(state.folder.ledger);
     }
-    RaftStart started = raftStart(raftSettings(settings, result.incarnation), std::move(persisted), steadyNow());
+    state.syncedVote = persisted.hardState;
+    config.raft.self.incarnation = result.incarnation;
+    config.raft.hasDisk = state.hasDisk;
+    RaftStart started = raftStart(std::move(config.raft), std::move(persisted), steadyNow());
     result.code = started.code;
     if (result.code != ResultCode::Ok) {
         return result;
@@ -232,6 +237,11 @@
     this->core->thread.join();
 }
 
+TimePoint ReplicationDriver::leaseEnd() const
+{
+    return {this->core->leaseEndMs.load()};
+}
+
 void ReplicationDriver::propose(std::string payload, std::function<void(ProposedEntry)> done)
 {
     asio::post(this->core->context, [state = this->core.get(), payload = std::move(payload), done = std::move(done)]() mutable {
--- a/src/daemon/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "replication/raft_type.h"
-#include "settings/settings_type.h"
 #include "storage/journal.h"
 
 #include <functional>
@@ -15,6 +14,14 @@
 
 constexpr std::uint64_t FirstIncarnation = 1; ///< Incarnation of every data folder at the first start of an installation.
 
+/** How a replica runs. */
+struct ReplicationConfig {
+    RaftSettings raft; ///< Settings of the replica; the incarnation of its identity comes from the data folder.
+    std::string dataFolder; ///< Folder of a voter; empty without a disk.
+    bool votesAtOnce = false; ///< An empty data folder has lost nothing, because the installation starts for the first time.
+    bool syncsCommitIndex = true; ///< Syncs a commit index that came without entries, so that a restarted voter without a quorum knows it.
+};
+
 /** State of the replicated log, for decisions and the status page. */
 struct ReplicationStatus {
     RaftRole role = RaftRole::Follower; ///< Role of this replica.
@@ -67,13 +74,15 @@
 
     /**
      * Opens the data folder and starts the thread. The hooks are called from then on.
-     * @param firstStart The installation starts for the first time, so that an empty data folder has lost nothing and may vote at once.
      */
-    ReplicationStart start(const Settings &settings, bool firstStart, ReplicationHooks hooks);
+    ReplicationStart start(ReplicationConfig config, ReplicationHooks hooks);
 
     /** Ends the thread. */
     void stop();
 
+    /** Returns until when no other leader can have been elected; the epoch of the clock when this replica does not lead. */
+    TimePoint leaseEnd() const;
+
     /** Proposes an entry; the callback runs on the replication thread before the entry is applied. */
     void propose(std::string payload, std::function<void(ProposedEntry)> done);
 
--- a/src/settings/settings_func.cpp
+++ b/src/settings/settings_func.cpp
@@ -2,72 +2,17 @@
 
 #include "settings/settings_func.h"
 
-#include <boost/asio/ip/address.hpp>
-#include <boost/json.hpp>
-
-#include <set>
+#include "settings/settings_reader.h"
 
 namespace Filbertlanding {
 
 namespace {
 
     namespace json = boost::json;
-
-    using Errors = std::vector<SettingsError>;
+    using namespace SettingsReader;
 
     constexpr std::size_t MaxPeers = 64; ///< More daemons than an installation has, so that a wrong file is found early.
 
-    void addError(Errors &errors, ResultCode code, std::string pointer, std::string message)
-    {
-        errors.push_back({code, std::move(pointer), std::move(message)});
-    }
-
-    /** Returns the value at a JSON pointer, or nullptr when a part of the path is missing. */
-    const json::value *valueAt(const json::value &root, std::string_view pointer)
-    {
-        boost::system::error_code ignored;
-        return root.find_pointer(pointer, ignored);
-    }
-
-    void readText(const json::value &root, std::string_view pointer, std::string &member, Errors &errors)
-    {
-        const json::value *value = valueAt(root, pointer);
-        if (value == nullptr) {
-            return;
-        }
-        if (!value->is_string()) {
-            addError(errors, ResultCode::BadFieldType, std::string(pointer), "expected a text");
-            return;
-        }
-        member = std::string(value->as_string());
-    }
-
-    void readNumber(const json::value &root, std::string_view pointer, std::int64_t &member, std::int64_t lowest, std::int64_t highest, Errors &errors)
-    {
-        const json::value *value = valueAt(root, pointer);
-        if (value == nullptr) {
-            return;
-        }
-        if (!value->is_int64()) {
-            addError(errors, ResultCode::BadFieldType, std::string(pointer), "expected a whole number");
-            return;
-        }
-        const std::int64_t number = value->as_int64();
-        if (number < lowest || number > highest) {
-            addError(
-                errors, ResultCode::OutOfRange, std::string(pointer), "expected a number from " + std::to_string(lowest) + " to " + std::to_string(highest));
-            return;
-        }
-        member = number;
-    }
-
-    bool parsesAsAddress(const std::string &text)
-    {
-        boost::system::error_code error;
-        boost::asio::ip::make_address(text, error);
-        return !error;
-    }
-
     void checkAddress(const std::string &text, std::string pointer, Errors &errors)
     {
         if (!parsesAsAddress(text)) {
@@ -75,36 +20,6 @@
         }
     }
 
-    /** Pointers of all keys that may occur, with the objects above them. */
-    std::set<std::string, std::less<>> knownPointers()
-    {
-        std::set<std::string, std::less<>> known{"/peers"};
-        for (const auto &row : settingsRows()) {
-            std::string pointer(row.pointer);
-            while (!pointer.empty()) {
-                known.insert(pointer);
-                pointer.resize(pointer.rfind('/'));
-            }
-        }
-        return known;
-    }
-
-    /** Reports every key that is not in the table. Lists are checked by their own readers. */
-    void findUnknownKeys(const json::value &value, const std::string &pointer, const std::set<std::string, std::less<>> &known, Errors &errors)
-    {
-        if (!value.is_object()) {
-            return;
-        }
-        for (const auto &member : value.as_object()) {
-            const std::string path = pointer + "/" + std::string(member.key());
-            if (!known.contains(path)) {
-                addError(errors, ResultCode::UnknownField, path, "this key is not known");
-                continue;
-            }
-            findUnknownKeys(member.value(), path, known, errors);
-        }
-    }
-
     /** Reports every object of the table that has another type, for example "http": 5. */
     void findWrongObjects(const json::value &root, Errors &errors)
     {
@@ -283,7 +198,9 @@
         addError(errors, ResultCode::BadFieldType, "", "expected an object");
         return errors;
     }
-    findUnknownKeys(root, "", knownPointers(), errors);
+    auto known = pointersOf(settingsRows());
+    known.insert("/peers");
+    findUnknownKeys(root, "", known, errors);
     findWrongObjects(root, errors);
 #define SETTING_TEXT(pointer, member, fallback, sentence) readText(root, pointer, settings.member, errors);
 #define SETTING_NUMBER(pointer, member, fallback, lowest, highest, unit, sentence) readNumber(root, pointer, settings.member, lowest, highest, errors);
