Change: learn which images press on which, place and pace by it; no order after the leader's lease

A trace of 34,000 tails showed that the tail depends on the pair of images: one image in spare room presses on three of five lasting images and leaves the others alone.

Change: least squares for each pair of images from the tails that looks bring; placement keeps expected tails under 0.85 of the target and puts lasting tasks of one image together; the pace falls first for the images that are to blame. The scheduler does nothing once the leader's lease has ended; a restarted voter holds its vote back for the shortest election timeout.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -306,9 +306,12 @@
     }
 }
 
-SchedulerActions schedulerTick(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall)
+SchedulerActions schedulerTick(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, TimePoint leaderLeaseEnd)
 {
     SchedulerActions actions;
+    if (now >= leaderLeaseEnd) {
+        return actions;
+    }
     const bool isSweep = now >= scheduler.nextSweep;
     for (auto &[number, contact] : scheduler.contacts) {
         giveUpLapsed(contact, now, wall, actions);
@@ -318,7 +321,7 @@
         }
         if (isSweep) {
             moveOffDraining(scheduler, state, contact, now);
-            adaptPace(scheduler, contact, now);
+            adaptPace(scheduler, state, contact, now);
         }
         if (now >= contact.nextRunDue) {
             sendRunOrders(scheduler, state, contact, now, actions);
@@ -327,6 +330,7 @@
     }
     if (isSweep) {
         scheduler.nextSweep = now + SweepInterval;
+        refitInterference(scheduler.interference, now);
         // Workers become usable again with time alone.
         scheduler.placeDue = true;
     }
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -4,6 +4,7 @@
 
 #include "fleet/fleet_command.h"
 #include "fleet/fleet_state_base.h"
+#include "fleet/pair_interference.h"
 #include "fleet/worker_contact.h"
 
 #include <map>
@@ -62,6 +63,7 @@
     std::map<JobNumber, JobView> jobs; ///< Jobs that have not ended.
     std::map<TaskRef, unsigned> proposedStarts; ///< Tasks with a start on its way to the log, and how many.
     std::map<std::uint64_t, OpenOrder> openOrders; ///< Orders without an answer.
+    PairInterference interference; ///< Learned from the tails that looks bring.
     std::uint64_t lastOrder = 0;
     bool placeDue = true; ///< Something has changed that may let a task start.
     TimePoint nextSweep; ///< Next pass over all contacts for slow matters.
--- a/src/fleet/fleet_scheduler_func.h
+++ b/src/fleet/fleet_scheduler_func.h
@@ -36,7 +36,11 @@
 /** Takes the answer to an order. */
 SchedulerActions takeAnswer(FleetScheduler &scheduler, const FleetState &state, std::uint64_t order, const WorkerAnswer &answer, TimePoint now, WallTime wall);
 
-/** Lets time pass: looks, orders that are due, placements. */
-SchedulerActions schedulerTick(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall);
+/**
+ * Lets time pass: looks, orders that are due, placements.
+ * @param leaderLeaseEnd Until when no other leader can have been elected. From then on nothing is done: the next leader counts the leases
+ *        of workers from its own election, so none may be granted after that.
+ */
+SchedulerActions schedulerTick(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, TimePoint leaderLeaseEnd);
 
 } // namespace Filbertlanding
--- a/src/fleet/pace_control.cpp
+++ b/src/fleet/pace_control.cpp
@@ -1,8 +1,9 @@
 /**
- * @file pace_control.cpp Multiplicative decrease and additive increase of the pace.
+ * @file pace_control.cpp Decrease by half of what presses, increase step by step.
  *
- * Load: lasting tasks whose load swings within seconds, beside long tasks that press on them by an amount that only the tail shows.
- * A tail over its target costs more than a slow task in spare room, so the pace falls at once and rises slowly.
+ * Load: lasting tasks whose load swings within seconds, beside long tasks that press on them by amounts that differ by pair. A tail over
+ * its target costs more than a slow task in spare room, but most tasks beside it have no part in it. So only those with a part are
+ * slowed at first; if the tail stays high, all are stopped for a while, well before the limit.
  */
 
 #include "fleet/pace_control.h"
@@ -13,28 +14,29 @@
 
 namespace {
 
-    constexpr std::int64_t LowestPace = 5; ///< Below it nothing would be won for the lasting tasks.
-    constexpr std::int64_t RaiseBelowPercent = 75; ///< The pace rises while every tail is below this share of its target.
-    constexpr std::int64_t PaceStep = 15; ///< Rise of the pace at a time.
+    constexpr double RaiseBelow = 0.8; ///< The pace rises while every tail is below this share of its target.
+    constexpr std::int64_t PaceStep = 25; ///< Rise of the pace at a time.
+    constexpr std::int64_t LowestPace = 10; ///< A task below it does too little to be worth its pressure, and is halted.
+    constexpr double LeastBlame = 0.15; ///< Tasks with a smaller part are not slowed at first.
 
 } // namespace
 
-std::int64_t nextPace(std::int64_t pacePercent, const std::vector<TailSample> &samples)
+std::int64_t nextPace(const PaceInput &input)
 {
-    std::int64_t worstPercent = 0;
-    for (const TailSample &sample : samples) {
-        worstPercent = std::max(worstPercent, sample.tail.ms * 100 / std::max<std::int64_t>(1, sample.target.ms));
+    if (input.worstTail < RaiseBelow) {
+        return std::min<std::int64_t>(100, input.pacePercent + PaceStep);
     }
-    if (worstPercent >= 200) {
-        return LowestPace;
+    if (input.worstTail <= 1.0) {
+        return input.pacePercent;
     }
-    if (worstPercent >= 100) {
-        return std::max(LowestPace, pacePercent / 2);
+    if (input.overFor * 2 >= input.harmLimit) {
+        return 0;
     }
-    if (worstPercent < RaiseBelowPercent) {
-        return std::min<std::int64_t>(100, pacePercent + PaceStep);
+    if (input.blame < LeastBlame && input.overFor * 4 < input.harmLimit) {
+        return input.pacePercent;
     }
-    return pacePercent;
+    const std::int64_t slower = input.pacePercent / (input.worstTail > 1.5 ? 4 : 2);
+    return slower < LowestPace ? 0 : slower;
 }
 
 } // namespace Filbertlanding
--- a/src/fleet/pace_control.h
+++ b/src/fleet/pace_control.h
@@ -5,21 +5,19 @@
 #include "core/clock_type.h"
 
 #include <cstdint>
-#include <vector>
 
 namespace Filbertlanding {
 
-/** Tail of a lasting task and its target. */
-struct TailSample {
-    Duration tail;
-    Duration target;
+/** What matters for the pace of one task in spare room. */
+struct PaceInput {
+    std::int64_t pacePercent = 100; ///< Its present pace.
+    double worstTail = 0; ///< Highest tail beside it, as a share of the target.
+    double blame = 0; ///< Its part in what presses on the tasks that are over their targets, from 0 to 1.
+    Duration overFor; ///< Longest time for which a task beside it is over its target.
+    Duration harmLimit; ///< Time for which that may last at most.
 };
 
-/**
- * Returns the pace that tasks in spare room may work at.
- * @param pacePercent Their present pace.
- * @param samples Tails of the lasting tasks beside them; a tail of 0 is not known yet.
- */
-std::int64_t nextPace(std::int64_t pacePercent, const std::vector<TailSample> &samples);
+/** Returns the pace that the task may work at from now on. */
+std::int64_t nextPace(const PaceInput &input);
 
 } // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/pair_interference.cpp
@@ -0,0 +1,132 @@
+/** @file pair_interference.cpp Least squares for pairs of images. */
+
+#include "fleet/pair_interference.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr double PriorBase = 0.45; ///< Tail of an undisturbed task before anything was seen.
+    constexpr double PriorSlope = 1.0; ///< Between a pair that does not interfere and one that does.
+    constexpr double PriorWeight = 0.15; ///< Weight of the prior slope, in samples with all processors used.
+    constexpr double PriorBaseWeight = 2.0; ///< Weight of the prior base, in samples.
+    constexpr double LargestTail = 3.0; ///< Tails above are cut: once a task is overloaded, its tail says nothing of the slope.
+    constexpr Duration FitInterval{500};
+    constexpr Duration HalfLife{20'000}; ///< The disturbance changes with the loads of a pair.
+    constexpr int FitSweeps = 12; ///< Coordinate descent starts from the previous fit, so few sweeps suffice.
+    constexpr std::size_t MostImages = 64; ///< Images beyond are treated as unknown.
+
+    std::size_t inputOf(TailModel &model, const std::string &image)
+    {
+        const auto found = std::find(model.images.begin(), model.images.end(), image);
+        if (found != model.images.end()) {
+            return static_cast<std::size_t>(found - model.images.begin()) + 1;
+        }
+        model.images.push_back(image);
+        for (auto &row : model.products) {
+            row.push_back(0);
+        }
+        model.products.emplace_back(model.images.size() + 1, 0.0);
+        model.targets.push_back(0);
+        model.slopes.push_back(PriorSlope);
+        return model.images.size();
+    }
+
+    TailModel &modelOf(PairInterference &model, const std::string &image)
+    {
+        const auto [place, isNew] = model.models.try_emplace(image);
+        if (isNew) {
+            place->second.products = {{0.0}};
+            place->second.targets = {0.0};
+            place->second.slopes = {PriorBase};
+        }
+        return place->second;
+    }
+
+    void decay(TailModel &model, double factor)
+    {
+        for (auto &row : model.products) {
+            for (double &value : row) {
+                value *= factor;
+            }
+        }
+        for (double &value : model.targets) {
+            value *= factor;
+        }
+    }
+
+    /** Minimises the weighted squared error plus the pull of the prior, one slope after the other, none below 0. */
+    void fit(TailModel &model)
+    {
+        for (int sweep = 0; sweep < FitSweeps; ++sweep) {
+            for (std::size_t i = 0; i < model.slopes.size(); ++i) {
+                const double prior = i == 0 ? PriorBase : PriorSlope;
+                const double weight = i == 0 ? PriorBaseWeight : PriorWeight;
+                double rest = model.targets[i] + weight * prior;
+                for (std::size_t j = 0; j < model.slopes.size(); ++j) {
+                    rest -= j == i ? 0.0 : model.products[i][j] * model.slopes[j];
+                }
+                model.slopes[i] = std::max(0.0, rest / (model.products[i][i] + weight));
+            }
+        }
+    }
+
+} // namespace
+
+void observeTail(PairInterference &model, const std::string &lastingImage, double tailShare, const SpareShares &shares)
+{
+    TailModel &tails = modelOf(model, lastingImage);
+    std::vector<std::pair<std::size_t, double>> inputs{{0, 1.0}};
+    for (const auto &[image, share] : shares) {
+        if (share > 0 && (tails.images.size() < MostImages || std::find(tails.images.begin(), tails.images.end(), image) != tails.images.end())) {
+            inputs.emplace_back(inputOf(tails, image), share);
+        }
+    }
+    const double tail = std::min(tailShare, LargestTail);
+    for (const auto &[i, left] : inputs) {
+        tails.targets[i] += left * tail;
+        for (const auto &[j, right] : inputs) {
+            tails.products[i][j] += left * right;
+        }
+    }
+}
+
+void refitInterference(PairInterference &model, TimePoint now)
+{
+    if (now - model.fittedAt < FitInterval) {
+        return;
+    }
+    const Duration passed = std::min(now - model.fittedAt, HalfLife);
+    model.fittedAt = now;
+    const double factor = std::exp2(-static_cast<double>(passed.ms) / static_cast<double>(HalfLife.ms));
+    for (auto &[image, tails] : model.models) {
+        decay(tails, factor);
+        fit(tails);
+    }
+}
+
+double slopeOf(const PairInterference &model, const std::string &lastingImage, const std::string &spareImage)
+{
+    const auto found = model.models.find(lastingImage);
+    if (found == model.models.end()) {
+        return PriorSlope;
+    }
+    const TailModel &tails = found->second;
+    const auto image = std::find(tails.images.begin(), tails.images.end(), spareImage);
+    return image == tails.images.end() ? PriorSlope : tails.slopes[static_cast<std::size_t>(image - tails.images.begin()) + 1];
+}
+
+double expectedTail(const PairInterference &model, const std::string &lastingImage, const SpareShares &shares)
+{
+    const auto found = model.models.find(lastingImage);
+    double tail = found == model.models.end() ? PriorBase : found->second.slopes.front();
+    for (const auto &[image, share] : shares) {
+        tail += slopeOf(model, lastingImage, image) * share;
+    }
+    return tail;
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/pair_interference.h
@@ -0,0 +1,48 @@
+/**
+ * @file pair_interference.h How much tasks in spare room press on lasting tasks, learned for each pair of images.
+ *
+ * The tail of a lasting task, as a share of its target, is modelled as a base and, for each image in spare room beside it, a slope times
+ * the share of the worker's processors that this image uses. Slopes are fitted by regularised least squares without negative slopes, over
+ * samples whose weight decays.
+ */
+
+#pragma once
+
+#include "core/clock_type.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** Share of a worker's processors by image of the tasks in spare room. */
+using SpareShares = std::map<std::string, double>;
+
+/** What is known of one image of lasting tasks. */
+struct TailModel {
+    std::vector<std::string> images; ///< Images in spare room that were seen beside it; the order of the slopes.
+    std::vector<std::vector<double>> products; ///< Decayed sums of products of the inputs; input 0 is the constant 1.
+    std::vector<double> targets; ///< Decayed sums of inputs times tails.
+    std::vector<double> slopes; ///< Base, then a slope for each image.
+};
+
+/** The model of all lasting images. */
+struct PairInterference {
+    std::map<std::string, TailModel> models;
+    TimePoint fittedAt;
+};
+
+/** Takes one observation: the tail of a lasting task as a share of its target, beside tasks in spare room. */
+void observeTail(PairInterference &model, const std::string &lastingImage, double tailShare, const SpareShares &shares);
+
+/** Lets old observations count less and fits the slopes anew, if it is time. */
+void refitInterference(PairInterference &model, TimePoint now);
+
+/** Returns the expected tail of a lasting image as a share of its target. */
+double expectedTail(const PairInterference &model, const std::string &lastingImage, const SpareShares &shares);
+
+/** Returns how much the expected tail rises for each share of the processors that an image uses. */
+double slopeOf(const PairInterference &model, const std::string &lastingImage, const std::string &spareImage);
+
+} // namespace Filbertlanding
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -15,6 +15,12 @@
 
     /** Share of the processors that lasting tasks reserve on which tasks in spare room may count. */
     constexpr std::int64_t LastingIdlePercent = 50;
+    constexpr double HighestTail = 0.85; ///< No task that presses on a lasting one is added above this share of the target.
+    constexpr double NegligibleRise = 0.02; ///< A smaller rise of a tail is no reason against a place.
+    constexpr double FarScore = 4.0; ///< Being away from the data weighs more than any packing.
+    constexpr double PressureScore = 4.0; ///< A lasting task over its target loses four times its share.
+    constexpr double SameStepScore = 0.6; ///< For each task of the same step that is there already.
+    constexpr double StrangeImageScore = 0.5; ///< For each other image of lasting tasks on the worker.
 
     bool hasLabel(const PlaceCandidate &candidate, const std::string &label)
     {
@@ -28,27 +34,60 @@
         return candidate.capacity.cpuMillis - candidate.used.cpuMillis + idleLasting - candidate.spareUsed;
     }
 
-    /** Lower is better. */
-    double scoreOf(const StepSpec &step, const PlaceCandidate &candidate, std::uint32_t alreadyThere)
+    /** Share of a worker's processors that a task asks for. */
+    double shareOf(const StepSpec &step, const PlaceCandidate &candidate)
     {
+        return static_cast<double>(step.request.cpuMillis) / std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
+    }
+
+    /** Returns how much the tails of the lasting tasks on a worker rise through one more task in spare room; nothing if one would be too high. */
+    std::optional<double> pressureOf(const PlaceQuery &query, const PlaceCandidate &candidate)
+    {
+        const double share = shareOf(query.step, candidate);
+        double sum = 0;
+        for (const auto &[image, count] : candidate.targetImages) {
+            const double rise = slopeOf(query.interference, image, query.step.image) * share;
+            const bool isHarmful = rise > NegligibleRise;
+            if (isHarmful && expectedTail(query.interference, image, candidate.spareShares) + rise > HighestTail) {
+                return std::nullopt;
+            }
+            sum += rise * count;
+        }
+        return sum;
+    }
+
+    /** Returns how well a lasting task fits the images beside it: workers with few images are easy to keep free of what presses on them. */
+    double strangeImages(const StepSpec &step, const PlaceCandidate &candidate)
+    {
+        double strange = 0;
+        for (const auto &[image, count] : candidate.targetImages) {
+            strange += image == step.image ? 0.0 : 1.0;
+        }
+        const bool isNew = !candidate.targetImages.empty() && !candidate.targetImages.contains(step.image);
+        return strange + (isNew ? 1.0 : 0.0);
+    }
+
+    /** Lower is better; nothing if the task must not run there. */
+    std::optional<double> scoreOf(const PlaceQuery &query, const PlaceCandidate &candidate, std::uint32_t alreadyThere)
+    {
+        const StepSpec &step = query.step;
         const double capacity = std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
         const double freeCpu = static_cast<double>(candidate.capacity.cpuMillis - candidate.used.cpuMillis) / capacity;
-        double score = 0;
-        if (!step.dataRack.empty() && step.dataRack != candidate.rack) {
-            score += 4;
-        }
-        score += candidate.recentFailures * 1.0;
+        double score = !step.dataRack.empty() && step.dataRack != candidate.rack ? FarScore : 0.0;
+        score += candidate.recentFailures;
         if (step.fillsSpare) {
-            score -= static_cast<double>(spareLeft(candidate)) / capacity;
-            score += candidate.targetTasks * 0.05;
-        } else if (step.isLasting) {
-            // A host or rack that is lost should take few tasks of the same step with it.
-            score += alreadyThere * 2.0 - freeCpu;
-        } else {
-            score += freeCpu;
-            score += candidate.isPressed ? 0.5 : 0;
+            const auto pressure = pressureOf(query, candidate);
+            if (!pressure) {
+                return std::nullopt;
+            }
+            return score + *pressure * PressureScore - static_cast<double>(spareLeft(candidate)) / capacity;
+        }
+        if (step.isLasting) {
+            // A host that is lost should take few tasks of the same step with it.
+            score += alreadyThere * SameStepScore + strangeImages(step, candidate) * StrangeImageScore - freeCpu;
+            return score + expectedTail(query.interference, step.image, candidate.spareShares);
         }
-        return score;
+        return score + freeCpu;
     }
 
 } // namespace
@@ -67,28 +106,27 @@
     if (!step.fillsSpare) {
         return step.request.cpuMillis <= free.cpuMillis;
     }
-    return !candidate.isPressed && step.request.cpuMillis <= spareLeft(candidate);
+    return step.request.cpuMillis <= spareLeft(candidate);
 }
 
-std::optional<std::size_t>
-choosePlace(const StepSpec &step, const ServiceName &service, const std::vector<PlaceCandidate> &candidates, const StepSpread &spread, LifeNumber excluded)
+std::optional<std::size_t> choosePlace(const PlaceQuery &query, const std::vector<PlaceCandidate> &candidates)
 {
     std::optional<std::size_t> best;
     double bestScore = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlaceCandidate &candidate = candidates[i];
-        if (candidate.life == excluded || !isEligible(step, service, candidate) || !hasRoomFor(step, candidate)) {
+        if (candidate.life == query.excluded || !isEligible(query.step, query.service, candidate) || !hasRoomFor(query.step, candidate)) {
             continue;
         }
-        const auto there = spread.find(candidate.life);
-        const std::uint32_t count = there == spread.end() ? 0 : there->second;
-        if (step.maxPerWorker > 0 && count >= step.maxPerWorker) {
+        const auto there = query.spread.find(candidate.life);
+        const std::uint32_t count = there == query.spread.end() ? 0 : there->second;
+        if (query.step.maxPerWorker > 0 && count >= query.step.maxPerWorker) {
             continue;
         }
-        const double score = scoreOf(step, candidate, count);
-        if (!best || score < bestScore) {
+        const auto score = scoreOf(query, candidate, count);
+        if (score && (!best || *score < bestScore)) {
             best = i;
-            bestScore = score;
+            bestScore = *score;
         }
     }
     return best;
@@ -100,11 +138,14 @@
     candidate.used.accelerators += step.request.accelerators;
     if (step.fillsSpare) {
         candidate.spareUsed += step.request.cpuMillis;
+        candidate.spareShares[step.image] += shareOf(step, candidate);
         return;
     }
     candidate.used.cpuMillis += step.request.cpuMillis;
     candidate.lastingCpu += step.isLasting ? step.request.cpuMillis : 0;
-    candidate.targetTasks += step.isLasting && step.latencyTarget.ms > 0 ? 1 : 0;
+    if (step.isLasting && step.latencyTarget.ms > 0) {
+        ++candidate.targetImages[step.image];
+    }
 }
 
 } // namespace Filbertlanding
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fleet/fleet_type.h"
+#include "fleet/pair_interference.h"
 
 #include <map>
 #include <optional>
@@ -22,8 +23,9 @@
     Resources used; ///< Room of all that runs or was ordered.
     std::int64_t spareUsed = 0; ///< Processors that tasks in spare room ask for.
     std::int64_t lastingCpu = 0; ///< Processors reserved by lasting tasks.
-    unsigned targetTasks = 0; ///< Lasting tasks with a latency target.
-    bool isPressed = false; ///< A lasting task here is near or over its target.
+    std::map<std::string, unsigned> targetImages; ///< Lasting tasks with a latency target, by image.
+    SpareShares spareShares; ///< Share of the processors that tasks in spare room ask for, by image.
+    bool isPressed = false; ///< A lasting task here is over its target.
     unsigned recentFailures = 0; ///< Failed runs in a row.
 };
 
@@ -36,13 +38,17 @@
 /** Returns whether a task fits beside what runs. */
 bool hasRoomFor(const StepSpec &step, const PlaceCandidate &candidate);
 
-/**
- * Returns the index of the best candidate for one more task of a step, or nothing.
- * @param spread Tasks of the step on each worker.
- * @param excluded Life that may not be chosen, for a copy of a task; 0 for none.
- */
-std::optional<std::size_t>
-choosePlace(const StepSpec &step, const ServiceName &service, const std::vector<PlaceCandidate> &candidates, const StepSpread &spread, LifeNumber excluded);
+/** What a choice is made for. */
+struct PlaceQuery {
+    const StepSpec &step;
+    const ServiceName &service;
+    const StepSpread &spread; ///< Tasks of the step on each worker.
+    const PairInterference &interference;
+    LifeNumber excluded = 0; ///< Life that may not be chosen, for a copy of a task; 0 for none.
+};
+
+/** Returns the index of the best candidate for one more task of a step, or nothing. */
+std::optional<std::size_t> choosePlace(const PlaceQuery &query, const std::vector<PlaceCandidate> &candidates);
 
 /** Takes room on a candidate for a task of a step. */
 void takeRoom(PlaceCandidate &candidate, const StepSpec &step);
--- a/src/fleet/scheduler_answers.cpp
+++ b/src/fleet/scheduler_answers.cpp
@@ -85,6 +85,16 @@
         }
     }
 
+    /** Notes since when lasting tasks are over their targets. */
+    void noteTails(WorkerContact &contact, TimePoint now)
+    {
+        contact.hasNewTails = true;
+        for (auto &[task, run] : contact.runs) {
+            const bool isOver = run.latencyTarget.ms > 0 && run.measure > run.latencyTarget.ms;
+            run.overTargetSince = isOver ? run.overTargetSince.value_or(now) : std::optional<TimePoint>();
+        }
+    }
+
     void takeRunning(const FleetState &state, WorkerContact &contact, const WorkerAnswer &answer, TimePoint now, std::set<TaskRef> &listed)
     {
         for (const ListedRun &entry : answer.running) {
@@ -101,6 +111,7 @@
             run->percent = entry.percent;
             run->measure = entry.measure;
         }
+        noteTails(contact, now);
     }
 
     /** Ends the runs that the worker would have to list if it had ever started them. */
--- a/src/fleet/scheduler_care.cpp
+++ b/src/fleet/scheduler_care.cpp
@@ -3,12 +3,14 @@
 #include "fleet/pace_control.h"
 #include "fleet/scheduler_detail.h"
 
+#include <algorithm>
+
 namespace Filbertlanding {
 
 namespace {
 
     constexpr Duration LeaveMargin{400}; ///< Time before the end of a draining worker by which a task must have saved its progress.
-    constexpr Duration PaceInterval{600}; ///< Time until a changed pace shows in the tails, which cover half a second.
+    constexpr Duration PaceInterval{450}; ///< Time until a changed pace shows in the tails, which cover half a second.
 
 } // namespace
 
@@ -34,30 +36,88 @@
     }
 }
 
-void adaptPace(FleetScheduler &scheduler, WorkerContact &contact, TimePoint now)
-{
-    if (now - contact.paceChecked < PaceInterval + scheduler.settings.paceDelay) {
-        return;
+namespace {
+
+    /** What presses on whom on one worker. */
+    struct WorkerPressure {
+        SpareShares shares; ///< Processors in use by images in spare room.
+        double worstTail = 0;
+        Duration overFor;
+        std::map<std::string, double> blame; ///< Part of each image in what presses on tasks over their targets.
+    };
+
+    SpareShares sharesInUse(const WorkerContact &contact, const Resources &capacity)
+    {
+        SpareShares shares;
+        for (const auto &[task, run] : contact.runs) {
+            if (run.fillsSpare && run.phase == RunPhase::Started) {
+                shares[run.image] += static_cast<double>(run.measure) / std::max<double>(1, static_cast<double>(capacity.cpuMillis));
+            }
+        }
+        return shares;
     }
-    std::vector<TailSample> samples;
-    std::int64_t pace = 100;
-    bool hasFilling = false;
-    for (const auto &[task, run] : contact.runs) {
-        if (run.isLasting && run.latencyTarget.ms > 0) {
-            samples.push_back({Duration{run.measure}, run.latencyTarget});
+
+    /** Learns from the tails of one look. */
+    void learnTails(FleetScheduler &scheduler, const WorkerContact &contact, const SpareShares &shares)
+    {
+        constexpr std::int64_t AtWorkPercent = 100;
+        for (const auto &[task, run] : contact.runs) {
+            if (run.isLasting && run.latencyTarget.ms > 0 && run.measure > 0 && run.percent >= AtWorkPercent) {
+                observeTail(scheduler.interference, run.image, static_cast<double>(run.measure) / static_cast<double>(run.latencyTarget.ms), shares);
+            }
         }
-        if (run.fillsSpare && run.phase == RunPhase::Started) {
-            hasFilling = true;
-            pace = std::min(pace, run.pacePercent);
+    }
+
+    WorkerPressure pressureOn(const FleetScheduler &scheduler, const WorkerContact &contact, SpareShares shares, TimePoint now)
+    {
+        WorkerPressure pressure;
+        pressure.shares = std::move(shares);
+        for (const auto &[task, run] : contact.runs) {
+            if (!run.isLasting || run.latencyTarget.ms == 0) {
+                continue;
+            }
+            pressure.worstTail = std::max(pressure.worstTail, static_cast<double>(run.measure) / static_cast<double>(run.latencyTarget.ms));
+            if (!run.overTargetSince) {
+                continue;
+            }
+            pressure.overFor = std::max(pressure.overFor, now - *run.overTargetSince);
+            double total = 0;
+            for (const auto &[image, share] : pressure.shares) {
+                total += slopeOf(scheduler.interference, run.image, image) * share;
+            }
+            for (const auto &[image, share] : pressure.shares) {
+                const double part = total > 0 ? slopeOf(scheduler.interference, run.image, image) * share / total : 1.0;
+                pressure.blame[image] = std::max(pressure.blame[image], part);
+            }
         }
+        return pressure;
     }
-    if (!hasFilling) {
+
+} // namespace
+
+void adaptPace(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now)
+{
+    const auto life = state.lives.find(contact.life);
+    if (!contact.hasNewTails || life == state.lives.end() || now - contact.paceChecked < PaceInterval + scheduler.settings.paceDelay) {
         return;
     }
-    const std::int64_t next = samples.empty() ? 100 : nextPace(pace, samples);
+    contact.hasNewTails = false;
     contact.paceChecked = now;
+    const SpareShares shares = sharesInUse(contact, life->second.profile.capacity);
+    learnTails(scheduler, contact, shares);
+    const WorkerPressure pressure = pressureOn(scheduler, contact, shares, now);
     for (auto &[task, run] : contact.runs) {
-        if (run.fillsSpare && run.phase == RunPhase::Started && run.pacePercent != next) {
+        if (!run.fillsSpare || run.phase != RunPhase::Started) {
+            continue;
+        }
+        const auto blame = pressure.blame.find(run.image);
+        const PaceInput input{.pacePercent = run.pacePercent,
+                              .worstTail = pressure.worstTail,
+                              .blame = blame == pressure.blame.end() ? 0.0 : blame->second,
+                              .overFor = pressure.overFor,
+                              .harmLimit = scheduler.settings.harmLimit};
+        const std::int64_t next = nextPace(input);
+        if (next != run.pacePercent) {
             run.pacePercent = next;
             run.nextTry = now;
             contact.nextRunDue = now;
--- a/src/fleet/scheduler_orders.cpp
+++ b/src/fleet/scheduler_orders.cpp
@@ -116,6 +116,7 @@
     view.phase = phase;
     view.room = step.request;
     view.since = now;
+    view.image = step.image;
     view.latencyTarget = step.latencyTarget;
     view.isLasting = step.isLasting;
     view.fillsSpare = step.fillsSpare;
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -11,7 +11,6 @@
 namespace {
 
     constexpr std::size_t MostStartsAtOnce = 256; ///< Starts of one pass; the next pass goes on, so that one large job does not hold up the loop.
-    constexpr std::int64_t PressedPercent = 85; ///< A lasting task with a tail above this share of its target takes no further load beside it.
 
     PlaceCandidate makeCandidate(const WorkerLife &life, const WorkerContact &contact)
     {
@@ -25,11 +24,18 @@
         candidate.used = contact.used;
         candidate.spareUsed = contact.spareUsed;
         candidate.recentFailures = contact.recentFailures;
+        const double capacity = std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
         for (const auto &[task, run] : contact.runs) {
-            candidate.lastingCpu += run.isLasting ? run.room.cpuMillis : 0;
-            if (run.isLasting && run.latencyTarget.ms > 0) {
-                ++candidate.targetTasks;
-                candidate.isPressed = candidate.isPressed || run.measure * 100 > run.latencyTarget.ms * PressedPercent;
+            if (run.fillsSpare) {
+                candidate.spareShares[run.image] += static_cast<double>(run.spareCpuMillis) / capacity;
+            }
+            if (!run.isLasting) {
+                continue;
+            }
+            candidate.lastingCpu += run.room.cpuMillis;
+            if (run.latencyTarget.ms > 0) {
+                ++candidate.targetImages[run.image];
+                candidate.isPressed = candidate.isPressed || run.measure > run.latencyTarget.ms;
             }
         }
         return candidate;
@@ -116,7 +122,7 @@
             if (!isPending(scheduler, ref, task)) {
                 continue;
             }
-            const auto place = choosePlace(spec, job.queue.service, candidates, spread, 0);
+            const auto place = choosePlace({spec, job.queue.service, spread, scheduler.interference}, candidates);
             if (!place) {
                 return;
             }
@@ -141,7 +147,7 @@
         std::vector<LifeNumber> places;
         std::uint32_t run = 0;
         for (const TaskRecord &task : record.tasks) {
-            const auto place = choosePlace(spec, job.queue.service, trial, spread, 0);
+            const auto place = choosePlace({spec, job.queue.service, spread, scheduler.interference}, trial);
             if (!place) {
                 return;
             }
--- a/src/fleet/worker_contact.h
+++ b/src/fleet/worker_contact.h
@@ -42,7 +42,9 @@
     std::int64_t measure = 0; ///< As last listed.
     std::int64_t pacePercent = 100; ///< Share of the speed that it may work at.
     std::int64_t paceSent = 100; ///< Share that the worker was last told.
+    std::string image; ///< Of its step.
     Duration latencyTarget; ///< Of its step.
+    std::optional<TimePoint> overTargetSince; ///< Since when looks show it over its target.
     bool isLasting = false;
     bool fillsSpare = false;
     bool isCheckpointed = false;
@@ -93,7 +95,8 @@
     LifeNumber earlierLife = 0; ///< Life that this one follows, until its end is in the log; 0 if none.
     bool earlierEndProposed = false;
     bool endProposed = false; ///< The end of this life is being written to the log.
-    TimePoint paceChecked; ///< When the pace was last changed.
+    TimePoint paceChecked; ///< When the pace was last looked at.
+    bool hasNewTails = false; ///< A look has come since then.
     unsigned recentFailures = 0; ///< Failed runs since the last one that was done.
 };
 
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -41,6 +41,7 @@
         raft.electionTimeoutMax = {settings.electionTimeoutMaxMs};
         raft.heartbeatInterval = {settings.raftHeartbeatMs};
         raft.snapshotEvery = static_cast<std::uint64_t>(settings.snapshotEvery);
+        raft.guardsLeaderLease = true;
         raft.admitsNewVoters = true;
         raft.minVoters = static_cast<std::size_t>(2 * settings.toleratedHosts + 1);
         raft.seed = stableHash(settings.address) ^ static_cast<std::uint64_t>(wallNow().ms);
@@ -366,7 +367,7 @@
         return;
     }
     if (!this->isStopping) {
-        this->carryOut(schedulerTick(*this->scheduler, this->state, steadyNow(), wallNow()));
+        this->carryOut(schedulerTick(*this->scheduler, this->state, steadyNow(), wallNow(), this->replication.leaseEnd()));
     }
     this->flush();
 }
--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -54,7 +54,7 @@
     commitUpTo(state, persisted.hardState.commit);
     resetElection(state, now);
     state.requestDue = now;
-    if (state.term > 0) {
+    if (state.settings.guardsLeaderLease && state.term > 0) {
         // A restarted voter may have answered a round just before, on which the leader's lease rests.
         state.leaderContact = now;
     }
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -313,6 +313,7 @@
     std::uint64_t seed = 0; ///< Seed of the election timeouts.
     std::vector<DaemonName> zoneVoters; ///< Voters of the own availability zone, for FetchRequest.
     std::vector<DaemonName> contacts; ///< Daemons that may know the leader, for a replica whose membership is out of date.
+    bool guardsLeaderLease = false; ///< A restarted voter elects nobody for the shortest election timeout, so that leaderLeaseEnd holds also then.
     bool admitsNewVoters = false; ///< A daemon with a disk that no membership names may join and becomes a voter; otherwise the bootstrap names all voters.
     std::size_t minVoters = 3; ///< Voters that are kept even if some are silent; only with admitsNewVoters.
     Duration voterSilence{4000}; ///< Silence after which a voter beyond minVoters, or one that a joining voter can replace, is removed.
