Change: lasting tasks of like sensitivity share workers, and tails of the moment count for placement

Cause: at Tallinn 250 tasks in spare room waited while 1,100 processors were idle: five of nine images press on three of five lasting images, and one sensitive task on a worker closes it for them. The learned slopes show two groups of lasting images (trace). Of the tails over target 38% stood where the model expected over 0.7 of the target; the load of a lasting task swings over 10 s.

Ruled out: a higher limit on the expected tail (more over target), a common pace.

Change: a lasting task goes where it makes the worker least more sensitive, and joins its own image; a task in spare room takes sensitive workers first if it does not press there; the tail that the last look showed counts beside the expected one. Calls whose leader is gone are answered as unknown after 1 s instead of 3 s.

--- a/src/fleet/pair_interference.cpp
+++ b/src/fleet/pair_interference.cpp
@@ -83,6 +83,7 @@
     for (const auto &[image, share] : shares) {
         if (share > 0 && (tails.images.size() < MostImages || std::find(tails.images.begin(), tails.images.end(), image) != tails.images.end())) {
             inputs.emplace_back(inputOf(tails, image), share);
+            model.spareImages.insert(image);
         }
     }
     const double tail = std::min(tailShare, LargestTail);
--- a/src/fleet/pair_interference.h
+++ b/src/fleet/pair_interference.h
@@ -11,6 +11,7 @@
 #include "core/clock_type.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
 /** The model of all lasting images. */
 struct PairInterference {
     std::map<std::string, TailModel> models;
+    std::set<std::string> spareImages; ///< All images in spare room that were seen.
     TimePoint fittedAt;
 };
 
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -19,8 +19,11 @@
     constexpr double NegligibleRise = 0.02; ///< A smaller rise of a tail is no reason against a place.
     constexpr double FarScore = 4.0; ///< Being away from the data weighs more than any packing.
     constexpr double PressureScore = 4.0; ///< A lasting task over its target loses four times its share.
-    constexpr double SameStepScore = 0.6; ///< For each task of the same step that is there already.
-    constexpr double StrangeImageScore = 0.5; ///< For each other image of lasting tasks on the worker.
+    constexpr double SameStepScore = 0.3; ///< A host that is lost should take few tasks of the same step with it.
+    constexpr double StrangeImageScore = 1.0; ///< For each other image of lasting tasks on the worker.
+    constexpr double SameImageScore = 1.0; ///< For a worker that has the image already.
+    constexpr double SensitivityScore = 1.0; ///< For each unit by which a worker becomes more sensitive.
+    constexpr double SparingScore = 0.25; ///< For each unit of a worker's sensitivity, when a task leaves the others alone.
 
     bool hasLabel(const WorkerRoom &candidate, const std::string &label)
     {
@@ -45,26 +48,61 @@
     {
         const double share = shareOf(query.step, candidate);
         double sum = 0;
-        for (const auto &[image, count] : candidate.targetImages) {
+        for (const auto &[image, tasks] : candidate.targetImages) {
             const double rise = slopeOf(query.interference, image, query.step.image) * share;
             const bool isHarmful = rise > NegligibleRise;
-            if (isHarmful && expectedTail(query.interference, image, candidate.spareShares) + rise > HighestTail) {
+            // The load of a lasting task swings more slowly than looks come, so a high tail stays for a while.
+            const double tail = std::max(tasks.worstTail, expectedTail(query.interference, image, candidate.spareShares));
+            if (isHarmful && tail + rise > HighestTail) {
                 return std::nullopt;
             }
-            sum += rise * count;
+            sum += rise * tasks.count;
         }
         return sum;
     }
 
-    /** Returns how well a lasting task fits the images beside it: workers with few images are easy to keep free of what presses on them. */
-    double strangeImages(const StepSpec &step, const WorkerRoom &candidate)
+    /** Returns the highest slope with which an image in spare room presses on a worker's lasting tasks. */
+    double workerSlope(const WorkerQuery &query, const WorkerRoom &candidate, const std::string &spareImage)
     {
-        double strange = 0;
-        for (const auto &[image, count] : candidate.targetImages) {
-            strange += image == step.image ? 0.0 : 1.0;
+        double slope = 0;
+        for (const auto &[image, tasks] : candidate.targetImages) {
+            slope = std::max(slope, slopeOf(query.interference, image, spareImage));
         }
-        const bool isNew = !candidate.targetImages.empty() && !candidate.targetImages.contains(step.image);
-        return strange + (isNew ? 1.0 : 0.0);
+        return slope;
+    }
+
+    /** Returns how sensitive a worker is on the whole: the mean of the highest slopes over all images in spare room. */
+    double sensitivityOf(const WorkerQuery &query, const WorkerRoom &candidate)
+    {
+        const auto &spareImages = query.interference.spareImages;
+        double sum = 0;
+        for (const std::string &image : spareImages) {
+            sum += workerSlope(query, candidate, image);
+        }
+        return spareImages.empty() ? 0.0 : sum / static_cast<double>(spareImages.size());
+    }
+
+    /** Returns how much more sensitive a worker becomes through one more lasting task. */
+    double addedSensitivity(const WorkerQuery &query, const WorkerRoom &candidate)
+    {
+        const auto &spareImages = query.interference.spareImages;
+        double sum = 0;
+        for (const std::string &image : spareImages) {
+            sum += std::max(0.0, slopeOf(query.interference, query.step.image, image) - workerSlope(query, candidate, image));
+        }
+        return spareImages.empty() ? 0.0 : sum / static_cast<double>(spareImages.size());
+    }
+
+    /** Returns the score of a worker for a lasting task: workers with few images, all alike, leave the others to what presses on these. */
+    double lastingScore(const WorkerQuery &query, const WorkerRoom &candidate, std::uint32_t alreadyThere)
+    {
+        double score = alreadyThere * SameStepScore + addedSensitivity(query, candidate) * SensitivityScore;
+        for (const auto &[image, tasks] : candidate.targetImages) {
+            score += image == query.step.image ? 0.0 : StrangeImageScore;
+        }
+        // Among like workers the fuller one, so that the next image finds empty ones.
+        score += candidate.targetImages.contains(query.step.image) ? -SameImageScore : 0.0;
+        return score + expectedTail(query.interference, query.step.image, candidate.spareShares);
     }
 
     /** Lower is better; nothing if the task must not run there. */
@@ -80,12 +118,11 @@
             if (!pressure) {
                 return std::nullopt;
             }
-            return score + *pressure * PressureScore - static_cast<double>(spareLeft(candidate)) / capacity;
+            // Sensitive workers first, as long as the task does not press on them: the others are left for those that do.
+            return score + *pressure * PressureScore - sensitivityOf(query, candidate) * SparingScore - static_cast<double>(spareLeft(candidate)) / capacity;
         }
         if (step.isLasting) {
-            // A host that is lost should take few tasks of the same step with it.
-            score += alreadyThere * SameStepScore + strangeImages(step, candidate) * StrangeImageScore - freeCpu;
-            return score + expectedTail(query.interference, step.image, candidate.spareShares);
+            return score + lastingScore(query, candidate, alreadyThere) - freeCpu;
         }
         return score + freeCpu;
     }
@@ -144,7 +181,7 @@
     candidate.used.cpuMillis += step.request.cpuMillis;
     candidate.lastingCpu += step.isLasting ? step.request.cpuMillis : 0;
     if (step.isLasting && step.latencyTarget.ms > 0) {
-        ++candidate.targetImages[step.image];
+        ++candidate.targetImages[step.image].count;
     }
 }
 
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -12,6 +12,12 @@
 
 namespace Filbertlanding {
 
+/** Lasting tasks with a latency target that are of one image. */
+struct TargetTasks {
+    unsigned count = 0;
+    double worstTail = 0; ///< Highest tail that the last look showed, as a share of the target.
+};
+
 /** A worker that may take tasks, with what is free. */
 struct WorkerRoom {
     LifeNumber life = 0;
@@ -23,9 +29,8 @@
     Resources used; ///< Room of all that runs or was ordered.
     std::int64_t spareUsed = 0; ///< Processors that tasks in spare room ask for.
     std::int64_t lastingCpu = 0; ///< Processors reserved by lasting tasks.
-    std::map<std::string, unsigned> targetImages; ///< Lasting tasks with a latency target, by image.
+    std::map<std::string, TargetTasks> targetImages; ///< Lasting tasks with a latency target, by image.
     SpareShares spareShares; ///< Share of the processors that tasks in spare room ask for, by image.
-    bool isPressed = false; ///< A lasting task here is over its target.
     unsigned recentFailures = 0; ///< Failed runs in a row.
 };
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -34,8 +34,9 @@
             }
             candidate.lastingCpu += run.room.cpuMillis;
             if (run.latencyTarget.ms > 0) {
-                ++candidate.targetImages[run.image];
-                candidate.isPressed = candidate.isPressed || run.measure > run.latencyTarget.ms;
+                TargetTasks &tasks = candidate.targetImages[run.image];
+                ++tasks.count;
+                tasks.worstTail = std::max(tasks.worstTail, static_cast<double>(run.measure) / static_cast<double>(run.latencyTarget.ms));
             }
         }
         return candidate;
--- a/src/fleetd/caller_relay.cpp
+++ b/src/fleetd/caller_relay.cpp
@@ -14,11 +14,11 @@
 namespace {
 
     constexpr Duration LongestWait{400}; ///< A caller learns by then that nobody can take its call, and can try elsewhere.
-    constexpr Duration PassTimeout{900}; ///< Time for the leader's answer before the call is passed on again.
+    constexpr Duration PassTimeout{600}; ///< Time for the leader's answer before the call is passed on again.
+    constexpr Duration UnknownLimit{1'000}; ///< A caller learns by then that the outcome is unknown; it sends the call again under the same id.
     constexpr Duration RetryAfterRefusal{1'000}; ///< An election has ended by then.
     constexpr std::chrono::milliseconds ExpireInterval{50};
     constexpr std::size_t MostWaiting = 2'000; ///< Calls that wait for a leader; further ones are refused at once.
-    constexpr Duration DefaultTimeLimit{3'000}; ///< Time of a call that states none.
 
     /** Headers that say more than the transport; the others stay here, which keeps messages between zones small. */
     bool isRelayed(std::string_view name)
@@ -72,7 +72,7 @@
     const auto call = std::make_shared<Call>();
     call->receivedAt = steadyNow();
     call->refuseAt = call->receivedAt + LongestWait;
-    call->giveUpAt = call->receivedAt + DefaultTimeLimit;
+    call->giveUpAt = call->receivedAt + UnknownLimit;
     call->respond = std::move(respond);
     call->payload = encodeFleetMessage(relayedCall(std::move(request)));
     this->pass(call);
