--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -2,8 +2,8 @@
  * @file service_order.cpp Order of service under overload.
  *
  * Load: short urgent jobs and wide long ones share the workers, and bursts bring more than fits. Jobs that can still be served in time
- * go before those that will be late, since a late result is worth a fraction. Among the former the least slack goes first, as long as
- * nothing is lost by it; among the latter the oldest, so that no job waits for ever.
+ * go before lasting tasks, and these before jobs that will be late, since a late result is worth a fraction. Among jobs in time those with
+ * less slack go first, and of about the same slack the smaller ones, which earn more for a processor second.
  */
 
 #include "fleet/service_order.h"
@@ -20,14 +20,22 @@
     /** Slack is compared in classes of this length, so that jobs of about the same slack are ordered by their worth. */
     constexpr std::int64_t SlackClassMs = 400;
 
-    std::tuple<int, int, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
+    /** Rank of a step: lasting tasks earn less for a processor second than short jobs in time, and more than late ones. */
+    int rankOf(const ReadyStep &step, Prospect prospect)
+    {
+        constexpr int LastingRank = 1;
+        if (step.isLasting) {
+            return LastingRank;
+        }
+        return prospect == Prospect::InTime ? 0 : LastingRank + static_cast<int>(prospect);
+    }
+
+    std::tuple<int, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
     {
         const Prospect prospect = prospectOf(step, now);
         const std::int64_t slack = (step.objectiveEnd - now - step.remainingChain).ms;
-        // Lasting tasks earn from the moment at which they work, and everything else is planned around them.
-        const int kind = step.isLasting ? 0 : 1;
-        const std::int64_t slackClass = prospect == Prospect::InTime ? slack / SlackClassMs : 0;
-        return {kind, static_cast<int>(prospect), slackClass, -step.worthDensity, step.acceptedAt.ms, step.job, step.step};
+        const std::int64_t slackClass = prospect == Prospect::InTime && !step.isLasting ? slack / SlackClassMs : 0;
+        return {rankOf(step, prospect), slackClass, -step.worthDensity, step.acceptedAt.ms, step.job, step.step};
     }
 
 } // namespace
