Change: placement works on a table of slopes, and remembers what found no place in a pass

Cause: on the grown ATRA deployment a leader that took over with hundreds of waiting tasks used up its processor (0.4 of a core): each waiting task compared names of images for each of 350 workers.

Ruled out: the log (500 entries a second were accepted meanwhile), the membership (all six voters were in).

Change: slopes are looked up once in a pass; of tasks of the same kind, those that ask for at least as much as one that found no place are not tried again in the pass.

--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -43,17 +43,22 @@
         return static_cast<double>(step.request.cpuMillis) / std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
     }
 
+    /** Slope of a spare image against lasting tasks; one that was never seen has the slope of an unknown pair. */
+    double slopeAt(const WorkerQuery &query, const std::vector<double> &slopes, const std::optional<std::size_t> &spare, const std::string &lastingImage)
+    {
+        return spare ? slopes[*spare] : slopeOf(query.interference, lastingImage, query.step.image);
+    }
+
     /** Returns how much the tails of the lasting tasks on a worker rise through one more task in spare room; nothing if one would be too high. */
-    std::optional<double> pressureOf(const WorkerQuery &query, const WorkerRoom &candidate)
+    std::optional<double> pressureOf(const WorkerQuery &query, const std::optional<std::size_t> &spare, const WorkerRoom &candidate)
     {
         const double share = shareOf(query.step, candidate);
         double sum = 0;
         for (const auto &[image, tasks] : candidate.targetImages) {
-            const double rise = slopeOf(query.interference, image, query.step.image) * share;
+            const double rise = slopeAt(query, *tasks.slopes, spare, image) * share;
             const bool isHarmful = rise > NegligibleRise;
             // The load of a lasting task swings more slowly than looks come, so a high tail stays for a while.
-            const double tail = std::max(tasks.worstTail, expectedTail(query.interference, image, candidate.spareShares));
-            if (isHarmful && tail + rise > HighestTail) {
+            if (isHarmful && (tasks.worstTail + rise > HighestTail || expectedTail(query.interference, image, candidate.spareShares) + rise > HighestTail)) {
                 return std::nullopt;
             }
             sum += rise * tasks.count;
@@ -61,36 +66,19 @@
         return sum;
     }
 
-    /** Returns the highest slope with which an image in spare room presses on a worker's lasting tasks. */
-    double workerSlope(const WorkerQuery &query, const WorkerRoom &candidate, const std::string &spareImage)
-    {
-        double slope = 0;
-        for (const auto &[image, tasks] : candidate.targetImages) {
-            slope = std::max(slope, slopeOf(query.interference, image, spareImage));
-        }
-        return slope;
-    }
-
-    /** Returns how sensitive a worker is on the whole: the mean of the highest slopes over all images in spare room. */
-    double sensitivityOf(const WorkerQuery &query, const WorkerRoom &candidate)
-    {
-        const auto &spareImages = query.interference.spareImages;
-        double sum = 0;
-        for (const std::string &image : spareImages) {
-            sum += workerSlope(query, candidate, image);
-        }
-        return spareImages.empty() ? 0.0 : sum / static_cast<double>(spareImages.size());
-    }
-
     /** Returns how much more sensitive a worker becomes through one more lasting task. */
     double addedSensitivity(const WorkerQuery &query, const WorkerRoom &candidate)
     {
-        const auto &spareImages = query.interference.spareImages;
+        const std::vector<double> &own = slopesOf(query.slopes, query.step.image);
         double sum = 0;
-        for (const std::string &image : spareImages) {
-            sum += std::max(0.0, slopeOf(query.interference, query.step.image, image) - workerSlope(query, candidate, image));
+        for (std::size_t i = 0; i < own.size(); ++i) {
+            double present = 0;
+            for (const auto &[image, tasks] : candidate.targetImages) {
+                present = std::max(present, (*tasks.slopes)[i]);
+            }
+            sum += std::max(0.0, own[i] - present);
         }
-        return spareImages.empty() ? 0.0 : sum / static_cast<double>(spareImages.size());
+        return own.empty() ? 0.0 : sum / static_cast<double>(own.size());
     }
 
     /** Returns the score of a worker for a lasting task: workers with few images, all alike, leave the others to what presses on these. */
@@ -106,7 +94,7 @@
     }
 
     /** Lower is better; nothing if the task must not run there. */
-    std::optional<double> scoreOf(const WorkerQuery &query, const WorkerRoom &candidate, std::uint32_t alreadyThere)
+    std::optional<double> scoreOf(const WorkerQuery &query, const std::optional<std::size_t> &spare, const WorkerRoom &candidate, std::uint32_t alreadyThere)
     {
         const StepSpec &step = query.step;
         const double capacity = std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
@@ -114,12 +102,12 @@
         double score = !step.dataRack.empty() && step.dataRack != candidate.rack ? FarScore : 0.0;
         score += candidate.recentFailures;
         if (step.fillsSpare) {
-            const auto pressure = pressureOf(query, candidate);
+            const auto pressure = pressureOf(query, spare, candidate);
             if (!pressure) {
                 return std::nullopt;
             }
             // Sensitive workers first, as long as the task does not press on them: the others are left for those that do.
-            return score + *pressure * PressureScore - sensitivityOf(query, candidate) * SparingScore - static_cast<double>(spareLeft(candidate)) / capacity;
+            return score + *pressure * PressureScore - candidate.sensitivity * SparingScore - static_cast<double>(spareLeft(candidate)) / capacity;
         }
         if (step.isLasting) {
             return score + lastingScore(query, candidate, alreadyThere) - freeCpu;
@@ -129,6 +117,52 @@
 
 } // namespace
 
+SlopeTable makeSlopeTable(const PairInterference &interference)
+{
+    SlopeTable table;
+    table.spareImages.assign(interference.spareImages.begin(), interference.spareImages.end());
+    const auto rowOf = [&](const std::string &lastingImage) {
+        std::vector<double> row;
+        for (const std::string &spareImage : table.spareImages) {
+            row.push_back(slopeOf(interference, lastingImage, spareImage));
+        }
+        return row;
+    };
+    for (const auto &[image, model] : interference.models) {
+        table.byLastingImage[image] = rowOf(image);
+    }
+    table.unknown = rowOf({});
+    return table;
+}
+
+const std::vector<double> &slopesOf(const SlopeTable &table, const std::string &lastingImage)
+{
+    const auto found = table.byLastingImage.find(lastingImage);
+    return found == table.byLastingImage.end() ? table.unknown : found->second;
+}
+
+std::optional<std::size_t> spareIndexOf(const SlopeTable &table, const std::string &spareImage)
+{
+    const auto found = std::lower_bound(table.spareImages.begin(), table.spareImages.end(), spareImage);
+    if (found == table.spareImages.end() || *found != spareImage) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - table.spareImages.begin());
+}
+
+void noteSensitivity(WorkerRoom &candidate, const SlopeTable &table)
+{
+    double sum = 0;
+    for (std::size_t i = 0; i < table.spareImages.size(); ++i) {
+        double highest = 0;
+        for (const auto &[image, tasks] : candidate.targetImages) {
+            highest = std::max(highest, (*tasks.slopes)[i]);
+        }
+        sum += highest;
+    }
+    candidate.sensitivity = table.spareImages.empty() ? 0.0 : sum / static_cast<double>(table.spareImages.size());
+}
+
 bool isEligible(const StepSpec &step, const ServiceName &service, const WorkerRoom &candidate)
 {
     return candidate.service == service && (step.requiredLabel.empty() || hasLabel(candidate, step.requiredLabel));
@@ -148,6 +182,7 @@
 
 std::optional<std::size_t> chooseWorker(const WorkerQuery &query, const std::vector<WorkerRoom> &candidates)
 {
+    const auto spare = spareIndexOf(query.slopes, query.step.image);
     std::optional<std::size_t> best;
     double bestScore = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -160,7 +195,7 @@
         if (query.step.maxPerWorker > 0 && count >= query.step.maxPerWorker) {
             continue;
         }
-        const auto score = scoreOf(query, candidate, count);
+        const auto score = scoreOf(query, spare, candidate, count);
         if (score && (!best || *score < bestScore)) {
             best = i;
             bestScore = *score;
@@ -169,7 +204,7 @@
     return best;
 }
 
-void takeRoom(WorkerRoom &candidate, const StepSpec &step)
+void takeRoom(WorkerRoom &candidate, const StepSpec &step, const SlopeTable &table)
 {
     candidate.used.memoryMb += step.request.memoryMb;
     candidate.used.accelerators += step.request.accelerators;
@@ -181,7 +216,10 @@
     candidate.used.cpuMillis += step.request.cpuMillis;
     candidate.lastingCpu += step.isLasting ? step.request.cpuMillis : 0;
     if (step.isLasting && step.latencyTarget.ms > 0) {
-        ++candidate.targetImages[step.image].count;
+        TargetTasks &tasks = candidate.targetImages[step.image];
+        ++tasks.count;
+        tasks.slopes = &slopesOf(table, step.image);
+        noteSensitivity(candidate, table);
     }
 }
 
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -16,8 +16,25 @@
 struct TargetTasks {
     unsigned count = 0;
     double worstTail = 0; ///< Highest tail that the last look showed, as a share of the target.
+    const std::vector<double> *slopes = nullptr; ///< By spare image, in the order of SlopeTable::spareImages.
 };
 
+/** The slopes of all pairs of images, for one pass of placements. */
+struct SlopeTable {
+    std::vector<std::string> spareImages;
+    std::map<std::string, std::vector<double>> byLastingImage;
+    std::vector<double> unknown; ///< For a lasting image that was never seen.
+};
+
+/** Returns the slopes as learned so far. */
+SlopeTable makeSlopeTable(const PairInterference &interference);
+
+/** Returns the slopes of a lasting image. */
+const std::vector<double> &slopesOf(const SlopeTable &table, const std::string &lastingImage);
+
+/** Returns the place of a spare image in the table; nothing if it was never seen. */
+std::optional<std::size_t> spareIndexOf(const SlopeTable &table, const std::string &spareImage);
+
 /** A worker that may take tasks, with what is free. */
 struct WorkerRoom {
     LifeNumber life = 0;
@@ -31,6 +48,7 @@
     std::int64_t lastingCpu = 0; ///< Processors reserved by lasting tasks.
     std::map<std::string, TargetTasks> targetImages; ///< Lasting tasks with a latency target, by image.
     SpareShares spareShares; ///< Share of the processors that tasks in spare room ask for, by image.
+    double sensitivity = 0; ///< Mean over all spare images of the highest slope with which they press here.
     unsigned recentFailures = 0; ///< Failed runs in a row.
 };
 
@@ -49,13 +67,17 @@
     const ServiceName &service;
     const StepSpread &spread; ///< Tasks of the step on each worker.
     const PairInterference &interference;
+    const SlopeTable &slopes;
     LifeNumber excluded = 0; ///< Life that may not be chosen, for a copy of a task; 0 for none.
 };
 
 /** Returns the index of the best candidate for one more task of a step, or nothing. */
 std::optional<std::size_t> chooseWorker(const WorkerQuery &query, const std::vector<WorkerRoom> &candidates);
 
+/** Computes the sensitivity of a worker from its lasting tasks. */
+void noteSensitivity(WorkerRoom &candidate, const SlopeTable &table);
+
 /** Takes room on a candidate for a task of a step. */
-void takeRoom(WorkerRoom &candidate, const StepSpec &step);
+void takeRoom(WorkerRoom &candidate, const StepSpec &step, const SlopeTable &table);
 
 } // namespace Filbertlanding
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -5,6 +5,7 @@
 #include "fleet/service_order.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Filbertlanding {
 
@@ -12,7 +13,7 @@
 
     constexpr std::size_t MostStartsAtOnce = 256; ///< Starts of one pass; the next pass goes on, so that one large job does not hold up the loop.
 
-    WorkerRoom makeCandidate(const WorkerLife &life, const WorkerContact &contact)
+    WorkerRoom makeCandidate(const WorkerLife &life, const WorkerContact &contact, const SlopeTable &slopes)
     {
         WorkerRoom candidate;
         candidate.life = life.number;
@@ -36,23 +37,62 @@
             if (run.latencyTarget.ms > 0) {
                 TargetTasks &tasks = candidate.targetImages[run.image];
                 ++tasks.count;
+                tasks.slopes = &slopesOf(slopes, run.image);
                 tasks.worstTail = std::max(tasks.worstTail, static_cast<double>(run.measure) / static_cast<double>(run.latencyTarget.ms));
             }
         }
+        noteSensitivity(candidate, slopes);
         return candidate;
     }
 
-    std::vector<WorkerRoom> usableWorkers(const FleetScheduler &scheduler, const FleetState &state, TimePoint now)
+    std::vector<WorkerRoom> usableWorkers(const FleetScheduler &scheduler, const FleetState &state, const SlopeTable &slopes, TimePoint now)
     {
         std::vector<WorkerRoom> candidates;
         for (const auto &[number, contact] : scheduler.contacts) {
             if (isUsable(state, contact, now)) {
-                candidates.push_back(makeCandidate(state.lives.at(number), contact));
+                candidates.push_back(makeCandidate(state.lives.at(number), contact, slopes));
             }
         }
         return candidates;
     }
 
+    /** Tasks that found no place in this pass: what asks for as much or more of the same kind finds none either. */
+    class Misses
+    {
+    public:
+        bool isHopeless(const StepSpec &step, const ServiceName &service) const
+        {
+            const auto found = this->smallest.find(keyOf(step, service));
+            return found != this->smallest.end() && step.request.cpuMillis >= found->second.cpuMillis && step.request.memoryMb >= found->second.memoryMb
+                && step.request.accelerators >= found->second.accelerators;
+        }
+
+        void note(const StepSpec &step, const ServiceName &service)
+        {
+            // A limit for each worker may be the reason, which says nothing of other steps.
+            if (step.maxPerWorker == 0 && !this->isHopeless(step, service)) {
+                this->smallest[keyOf(step, service)] = step.request;
+            }
+        }
+
+    private:
+        using Key = std::tuple<ServiceName, std::string, std::string, bool>;
+
+        static Key keyOf(const StepSpec &step, const ServiceName &service)
+        {
+            return {service, step.requiredLabel, step.fillsSpare ? step.image : std::string(), step.fillsSpare};
+        }
+
+        std::map<Key, Resources> smallest;
+    };
+
+    /** What one pass works on. */
+    struct PlacementPass {
+        SlopeTable slopes;
+        std::vector<WorkerRoom> candidates;
+        Misses misses;
+    };
+
     bool isPending(const FleetScheduler &scheduler, const TaskRef &ref, const TaskRecord &task)
     {
         return !task.isDone && task.active.empty() && !scheduler.proposedStarts.contains(ref);
@@ -112,7 +152,7 @@
     }
 
     /** Places single tasks as far as room goes. */
-    void placeSingles(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, std::vector<WorkerRoom> &candidates, TimePoint now, SchedulerActions &actions)
+    void placeSingles(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
@@ -123,19 +163,20 @@
             if (!isPending(scheduler, ref, task)) {
                 continue;
             }
-            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.interference}, candidates);
+            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.interference, pass.slopes}, pass.candidates);
             if (!place) {
+                pass.misses.note(spec, job.queue.service);
                 return;
             }
-            WorkerRoom &candidate = candidates[*place];
-            takeRoom(candidate, spec);
+            WorkerRoom &candidate = pass.candidates[*place];
+            takeRoom(candidate, spec, pass.slopes);
             ++spread[candidate.life];
             proposeStart(scheduler, spec, ref, task, task.lastRun + 1, candidate.life, now, actions);
         }
     }
 
     /** Places all members of a gang, or none. */
-    void placeGang(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, std::vector<WorkerRoom> &candidates, TimePoint now, SchedulerActions &actions)
+    void placeGang(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
@@ -143,21 +184,21 @@
             // Members of an earlier run have not ended yet.
             return;
         }
-        std::vector<WorkerRoom> trial = candidates;
+        std::vector<WorkerRoom> trial = pass.candidates;
         StepSpread spread;
         std::vector<LifeNumber> places;
         std::uint32_t run = 0;
         for (const TaskRecord &task : record.tasks) {
-            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.interference}, trial);
+            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.interference, pass.slopes}, trial);
             if (!place) {
                 return;
             }
-            takeRoom(trial[*place], spec);
+            takeRoom(trial[*place], spec, pass.slopes);
             ++spread[trial[*place].life];
             places.push_back(trial[*place].life);
             run = std::max(run, task.lastRun + 1);
         }
-        candidates = std::move(trial);
+        pass.candidates = std::move(trial);
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
             proposeStart(scheduler, spec, ref, record.tasks[index], run, places[index], now, actions);
@@ -186,7 +227,9 @@
     if (ready.empty()) {
         return;
     }
-    std::vector<WorkerRoom> candidates = usableWorkers(scheduler, state, now);
+    PlacementPass pass;
+    pass.slopes = makeSlopeTable(scheduler.interference);
+    pass.candidates = usableWorkers(scheduler, state, pass.slopes, now);
     sortByService(ready, now);
     const std::size_t before = actions.propose.size();
     for (const ReadyStep &step : ready) {
@@ -195,10 +238,14 @@
             return;
         }
         const FleetJob &job = state.jobs.at(step.job);
-        if (job.spec.steps[step.step].isGang) {
-            placeGang(scheduler, job, step, candidates, now, actions);
+        const StepSpec &spec = job.spec.steps[step.step];
+        if (pass.misses.isHopeless(spec, job.queue.service)) {
+            continue;
+        }
+        if (spec.isGang) {
+            placeGang(scheduler, job, step, pass, now, actions);
         } else {
-            placeSingles(scheduler, job, step, candidates, now, actions);
+            placeSingles(scheduler, job, step, pass, now, actions);
         }
     }
 }
