Add: metrics with histograms, a bound on log lines, pages for on-call engineers and settings; tests of the adapter

Ruled out: keeping the process up with a failed disk (later syncs prove nothing about earlier pages).

Change: an event writes 200 lines a second at most and counts the rest; histograms of calls, first starts, jobs and commits; the process waits 2 s before it ends for its disk; tests of what the adapter reads and writes, with changed bodies; a test compares the events with docs/OPERATIONS.md and the settings with docs/fleet-settings.md.

--- a/src/fleetd/caller_relay.cpp
+++ b/src/fleetd/caller_relay.cpp
@@ -106,6 +106,7 @@
     auto relayed = answer.code == ResultCode::Ok ? decodeFleetMessage<RelayedAnswer>(answer.payload) : std::nullopt;
     if (relayed && relayed->outcome == RelayOutcome::Answered) {
         ++this->count.answered;
+        this->count.callTime.record(steadyNow() - call->receivedAt);
         call->respond(responseOf(std::move(*relayed)));
         return;
     }
@@ -176,6 +177,7 @@
             LogLevel::Info,
             "call_given_up",
             {{"code", resultCodeRow(answer.code).name}, {"waitedMs", (steadyNow() - call->receivedAt).ms}, {"maySent", call->maySent}});
+    this->count.callTime.record(steadyNow() - call->receivedAt);
     call->respond(this->edge.writeAnswer(answer));
 }
 
--- a/src/fleetd/caller_relay.h
+++ b/src/fleetd/caller_relay.h
@@ -6,6 +6,7 @@
 #include "fleetd/leader_finder.h"
 #include "network/http_server.h"
 #include "network/peer_link.h"
+#include "runtime/histogram.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +22,7 @@
     std::uint64_t answered = 0;
     std::uint64_t refused = 0; ///< Not run: no leader was found in time.
     std::uint64_t unknown = 0; ///< Passed on, without an answer in time.
+    Histogram callTime; ///< From a call's arrival to its answer.
 };
 
 /** Relay of one daemon. A call is known to the leader by the id of its job, so passing it on twice does no harm. */
--- a/src/fleetd/fleet_calls.cpp
+++ b/src/fleetd/fleet_calls.cpp
@@ -272,18 +272,18 @@
 std::string FleetCore::metrics() const
 {
     std::string text;
-    const auto add = [&text](std::string_view name, std::uint64_t value) {
-        text.append(name).append(" ").append(std::to_string(value)).append("\n");
-    };
-    add("filbertlanding_jobs_accepted_total", this->counters.jobsAccepted);
-    add("filbertlanding_orders_sent_total", this->counters.ordersSent);
-    add("filbertlanding_orders_unanswered_total", this->counters.ordersUnanswered);
-    add("filbertlanding_entries_applied_total", this->counters.entriesApplied);
-    add("filbertlanding_leaderships_total", this->counters.leaderships);
-    add("filbertlanding_is_leading", this->isLeading() ? 1 : 0);
-    add("filbertlanding_term", this->status.term);
-    add("filbertlanding_jobs_open", this->scheduler ? this->scheduler->jobs.size() : 0);
-    add("filbertlanding_workers_known", this->scheduler ? this->scheduler->contacts.size() : 0);
+    appendMetric(text, "filbertlanding_jobs_accepted_total", this->counters.jobsAccepted);
+    appendMetric(text, "filbertlanding_orders_sent_total", this->counters.ordersSent);
+    appendMetric(text, "filbertlanding_orders_unanswered_total", this->counters.ordersUnanswered);
+    appendMetric(text, "filbertlanding_entries_applied_total", this->counters.entriesApplied);
+    appendMetric(text, "filbertlanding_leaderships_total", this->counters.leaderships);
+    appendMetric(text, "filbertlanding_is_leading", this->isLeading() ? 1 : 0);
+    appendMetric(text, "filbertlanding_term", this->status.term);
+    appendMetric(text, "filbertlanding_jobs_open", this->scheduler ? this->scheduler->jobs.size() : 0);
+    appendMetric(text, "filbertlanding_workers_known", this->scheduler ? this->scheduler->contacts.size() : 0);
+    this->counters.firstStart.appendText(text, "filbertlanding_first_start_seconds");
+    this->counters.jobTime.appendText(text, "filbertlanding_job_seconds");
+    this->counters.commitTime.appendText(text, "filbertlanding_commit_seconds");
     return text;
 }
 
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -192,8 +192,12 @@
     const TimePoint now = steadyNow();
     const WallTime wall = wallNow();
     for (const FleetCommand &command : *commands) {
+        const auto *start = std::get_if<StartRun>(&command);
+        const auto job = start == nullptr ? this->state.jobs.end() : this->state.jobs.find(start->task.job);
+        const bool wasQueued = job != this->state.jobs.end() && job->second.state == FleetJobState::Queued;
         const FleetChange change = applyFleetCommand(this->state, command);
         if (this->scheduler) {
+            this->countChange(command, change, wasQueued);
             noteApplied(*this->scheduler, this->state, command, change, now, wall);
             this->logChange(command, change);
         }
@@ -201,6 +205,7 @@
     if (this->scheduler && entry.term == this->scheduler->fence && !this->inFlight.empty()) {
         const Batch batch = std::move(this->inFlight.front());
         this->inFlight.pop_front();
+        this->counters.commitTime.record(now - batch.proposedAt);
         for (const auto &waiter : batch.waiters) {
             waiter(true);
         }
@@ -298,7 +303,7 @@
     if (!this->scheduler || this->outbox.empty() || this->inFlight.size() >= MostEntriesInFlight) {
         return;
     }
-    this->inFlight.push_back({std::exchange(this->outboxWaiters, {})});
+    this->inFlight.push_back({std::exchange(this->outboxWaiters, {}), steadyNow()});
     this->replication.propose(encodeCommands(std::exchange(this->outbox, {})), [this, term = this->scheduler->fence](ProposedEntry entry) {
         if (entry.code == ResultCode::Ok && entry.term == term) {
             return;
@@ -399,6 +404,22 @@
     this->client.stop();
 }
 
+void FleetCore::countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued)
+{
+    if (!change.isApplied) {
+        return;
+    }
+    const auto age = [this, &change] {
+        return Duration{wallNow().ms - this->state.jobs.at(change.job).acceptedAt.ms};
+    };
+    if (std::holds_alternative<StartRun>(command) && wasQueued) {
+        this->counters.firstStart.record(age());
+    }
+    if (change.jobEnded) {
+        this->counters.jobTime.record(age());
+    }
+}
+
 void FleetCore::logChange(const FleetCommand &command, const FleetChange &change) const
 {
     if (const auto *start = std::get_if<StartRun>(&command)) {
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -11,6 +11,7 @@
 #include "network/http_client.h"
 #include "network/http_server.h"
 #include "network/peer_link.h"
+#include "runtime/histogram.h"
 #include "runtime/replication_driver.h"
 #include "settings/fleet_settings.h"
 
@@ -33,15 +34,13 @@
 /** Counters of a core daemon, for its metrics. */
 struct FleetCoreCounters {
     std::uint64_t jobsAccepted = 0;
-    std::uint64_t jobsRefused = 0;
-    std::uint64_t jobsEnded = 0;
-    std::uint64_t runsStarted = 0;
-    std::uint64_t runsEnded = 0;
-    std::uint64_t runsLost = 0;
     std::uint64_t ordersSent = 0;
     std::uint64_t ordersUnanswered = 0;
     std::uint64_t entriesApplied = 0;
     std::uint64_t leaderships = 0;
+    Histogram firstStart; ///< From acceptance to the first start.
+    Histogram jobTime; ///< From acceptance to the end.
+    Histogram commitTime; ///< From proposal to application.
 };
 
 /** The replicated state, the scheduler of the leader, and the calls that it answers. */
@@ -78,14 +77,10 @@
     std::function<void(ResultCode)> failed;
 
 private:
-    /** A control call that waits for its commands to be applied. */
-    struct Waiter {
-        std::function<void(bool applied)> done; ///< Told true once all is in force, false when this daemon has lost the lead.
-    };
-
     /** Commands that were proposed together, with those who wait for them. */
     struct Batch {
         std::vector<std::function<void(bool)>> waiters;
+        TimePoint proposedAt;
     };
 
     void onApplied(std::vector<LogEntry> entries);
@@ -101,6 +96,7 @@
     void runScheduler();
     void armTick();
     void logChange(const FleetCommand &command, const FleetChange &change) const;
+    void countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued);
 
     void submitJob(const CallerCall &call, const QueueConfig &queue, const JobId &id, CallerDone done);
     void cancelJob(const JobId &id, CallerDone done);
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -15,6 +15,7 @@
     constexpr std::chrono::milliseconds ReloadInterval{2'000}; ///< The settings may change without a signal.
     constexpr std::size_t MaxCallerBytes = std::size_t{1024} * 1024; ///< Largest body of a caller.
     constexpr std::size_t MaxControlBytes = std::size_t{4} * 1024 * 1024; ///< Largest body of a worker or an operator.
+    constexpr std::chrono::milliseconds FailedDiskPause{2'000}; ///< Time between the failure of the disk and the end of the process.
     constexpr Duration StopMargin{1'500}; ///< The process ends by itself so long before it would be killed.
 
     std::vector<std::string> addressesOf(const std::vector<std::string> &contacts)
@@ -92,7 +93,7 @@
     if (!this->settings.dataFolder.empty()) {
         this->core = std::make_unique<FleetCore>(this->io, this->settings, this->edge, this->network);
         this->core->failed = [this](ResultCode code) {
-            this->end(code);
+            this->onCoreFailed(code);
         };
     }
     this->relay.start(*this->peers, this->finder);
@@ -226,10 +227,11 @@
     }
     const CallerRelayCounters &count = this->relay.counters();
     std::string text;
-    text += "filbertlanding_calls_received_total " + std::to_string(count.received) + "\n";
-    text += "filbertlanding_calls_answered_total " + std::to_string(count.answered) + "\n";
-    text += "filbertlanding_calls_refused_total " + std::to_string(count.refused) + "\n";
-    text += "filbertlanding_calls_unknown_total " + std::to_string(count.unknown) + "\n";
+    appendMetric(text, "filbertlanding_calls_received_total", count.received);
+    appendMetric(text, "filbertlanding_calls_answered_total", count.answered);
+    appendMetric(text, "filbertlanding_calls_refused_total", count.refused);
+    appendMetric(text, "filbertlanding_calls_unknown_total", count.unknown);
+    count.callTime.appendText(text, "filbertlanding_call_seconds");
     return text;
 }
 
@@ -302,6 +304,20 @@
     });
 }
 
+void FleetDaemon::onCoreFailed(ResultCode code)
+{
+    if (this->isStopping) {
+        return;
+    }
+    this->isStopping = true;
+    this->core->stop();
+    // A disk that refuses writes often does so for seconds; ending at once would start the process again and again meanwhile.
+    this->stopTimer.expires_after(FailedDiskPause);
+    this->stopTimer.async_wait([this, code](const boost::system::error_code &) {
+        this->end(code);
+    });
+}
+
 void FleetDaemon::end(ResultCode code)
 {
     this->result = code;
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -49,6 +49,7 @@
     void armReload();
     void reload();
     void beginStop();
+    void onCoreFailed(ResultCode code);
     void end(ResultCode code);
 
     FleetDaemonSettings settings;
--- a/src/runtime/log_func.cpp
+++ b/src/runtime/log_func.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/log_func.h"
 
+#include "core/clock_func.h"
 #include "core/name_table.h"
 
 #include <boost/json.hpp>
@@ -13,8 +14,11 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <map>
+#include <mutex>
 
 namespace Filbertlanding {
 
@@ -96,6 +100,52 @@
         }
     }
 
+    /** Bound on the lines of each event, so that a burst of one kind leaves room for the others and the volume stays bounded. */
+    class LineBudget
+    {
+    public:
+        void setLimit(std::int64_t linesPerEvent)
+        {
+            const std::lock_guard lock(this->mutex);
+            this->limit = linesPerEvent;
+            this->events.clear();
+        }
+
+        /** Returns whether a line may be written, and how many lines of the event were left out in the second before. */
+        std::pair<bool, std::int64_t> take(std::string_view event)
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->limit == 0) {
+                return {true, 0};
+            }
+            Count &count = this->events[std::string(event)];
+            const std::int64_t second = steadyNow().ms / 1000;
+            std::int64_t leftOut = 0;
+            if (count.second != second) {
+                leftOut = std::max<std::int64_t>(0, count.lines - this->limit);
+                count = {second, 0};
+            }
+            ++count.lines;
+            return {count.lines <= this->limit, leftOut};
+        }
+
+    private:
+        struct Count {
+            std::int64_t second = 0;
+            std::int64_t lines = 0;
+        };
+
+        std::mutex mutex;
+        std::int64_t limit = 0;
+        std::map<std::string, Count> events;
+    };
+
+    LineBudget &lineBudget()
+    {
+        static LineBudget budget;
+        return budget;
+    }
+
 } // namespace
 
 void startLogging(const LogSettings &settings)
@@ -107,6 +157,7 @@
     const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(queue);
+    lineBudget().setLimit(settings.linesPerEvent);
     setLogLevel(settings.level);
 }
 
@@ -135,6 +186,13 @@
     if (!isLogged(area, level)) {
         return;
     }
+    const auto [mayWrite, leftOut] = lineBudget().take(event);
+    if (leftOut > 0) {
+        logLine(LogArea::Daemon, LogLevel::Warn, "lines_left_out", {{"of", event}, {"lines", leftOut}});
+    }
+    if (!mayWrite) {
+        return;
+    }
     std::string line = "\"event\":\"";
     line += event;
     line += '"';
--- a/src/runtime/log_func.h
+++ b/src/runtime/log_func.h
@@ -21,6 +21,7 @@
     std::string level = "info"; ///< Lowest level that is written.
     std::string file; ///< File; when empty, a stream of the process.
     bool toStandardOutput = false; ///< Without a file: standard output instead of standard error.
+    std::int64_t linesPerEvent = 0; ///< Lines of one event a second; further ones are counted and reported. 0 for no bound.
     std::int64_t queueLines = 8192; ///< Lines that wait for the writer before further ones are dropped and counted.
 };
 
--- a/src/settings/table/fleet_settings_keys.h
+++ b/src/settings/table/fleet_settings_keys.h
@@ -22,6 +22,7 @@
 SETTING_NUMBER("/peer/port", peerPort, 8200, 1, 65535, "port", "TCP port for links between daemons, the same on all hosts")
 SETTING_TEXT("/peer/key", peerKey, "", "key that all daemons share; an installation without one states a word that is no secret")
 SETTING_TEXT("/log/level", logLevel, "info", "lowest level that is written: trace, debug, info, warn, error")
+SETTING_NUMBER("/log/linesPerEvent", logLinesPerEvent, 200, 0, 1000000, "lines", "lines of one event a second; further ones are counted and reported; 0 for no bound")
 SETTING_NUMBER("/log/queueLines", logQueueLines, 4096, 64, 1000000, "lines", "lines that wait for the log writer before further ones are dropped and counted")
 SETTING_NUMBER("/raft/electionTimeoutMinMs", electionTimeoutMinMs, 700, 100, 60000, "ms", "shortest election timeout")
 SETTING_NUMBER("/raft/electionTimeoutMaxMs", electionTimeoutMaxMs, 1300, 200, 120000, "ms", "longest election timeout")
--- /dev/null
+++ b/tests/platform_edge_test.cpp
@@ -0,0 +1,293 @@
+/** @file platform_edge_test.cpp The adapter of the users' platform: what it reads and writes, and that no body harms it. */
+
+#include "platform/platform_edge.h"
+
+#include "core/random.h"
+#include "test_seed.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+using namespace Filbertlanding;
+
+namespace {
+
+const std::string Manifest =
+    R"({"version":7,"routes":[{"name":"r1","host":"A.example","pathPrefix":"/q/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":250,)"
+    R"("priority":0,"service":"s1","maxAttempts":2,"stretch":1.5}],"services":[{"name":"s1","admissionCheck":true}],"limits":{}})";
+
+const std::string Report =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,)"
+    R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"clockMs":482113,"seq":4,"born":1700000000000})";
+
+const std::string Submission =
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimatedMs":900,"dataRack":"r1-3"},)"
+    R"({"count":2,"cpu":2000,"memMb":1024,"estimatedMs":7000,"dependsOn":[0],"checkpointed":true}]})";
+
+HttpRequest request(const std::string &method, const std::string &target, const std::string &body = {})
+{
+    return {method, target, {{"Host", "A.Example:80"}}, body, {}};
+}
+
+ControlCall control(const std::string &method, const std::string &target, const std::string &body = {})
+{
+    return readPlatformControl(request(method, target, body));
+}
+
+bool isRefused(const ControlCall &call)
+{
+    return std::holds_alternative<MalformedCall>(call);
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+HttpExchange answered(unsigned status, const std::string &body)
+{
+    return {ResultCode::Ok, true, {status, {}, body}};
+}
+
+/** Returns a body with a few bytes changed, dropped or doubled. */
+std::string mutated(std::string body, Random &random)
+{
+    for (std::uint64_t i = 0; i <= random.below(4) && !body.empty(); ++i) {
+        const std::size_t place = random.below(body.size());
+        switch (random.below(4)) {
+        case 0:
+            body[place] = static_cast<char>(random.below(256));
+            break;
+        case 1:
+            body.erase(place, 1 + random.below(8));
+            break;
+        case 2:
+            body.insert(place, body.substr(place, random.below(40)));
+            break;
+        default:
+            body.resize(place);
+            break;
+        }
+    }
+    return body;
+}
+
+} // namespace
+
+TEST_CASE("Calls of clients")
+{
+    SUBCASE("a submission is read with its steps")
+    {
+        const CallerCall call = readPlatformCaller(request("POST", "/q/5c0e7a21d94b36f8?x=1", Submission));
+        CHECK(call.code == ResultCode::Ok);
+        CHECK(call.verb == CallerVerb::Submit);
+        CHECK(call.host == "a.example");
+        CHECK(call.path == "/q/5c0e7a21d94b36f8");
+        REQUIRE(call.spec.steps.size() == 2);
+        CHECK(call.spec.steps[0].taskCount == 4);
+        CHECK(call.spec.steps[0].dataRack == "r1-3");
+        CHECK(call.spec.steps[1].dependsOn == std::vector<std::uint32_t>{0});
+        CHECK(call.spec.steps[1].isCheckpointed);
+    }
+
+    SUBCASE("what cannot be read is refused with a sentence")
+    {
+        for (const std::string &body : {std::string(),
+                                        std::string("[]"),
+                                        replaced(Submission, "\"count\":4", "\"count\":0"),
+                                        replaced(Submission, "\"count\":4", "\"count\":\"4\""),
+                                        replaced(Submission, "\"dependsOn\":[0]", "\"dependsOn\":[1]"),
+                                        std::string(R"({"spec":"x","steps":[]})")}) {
+            const CallerCall call = readPlatformCaller(request("POST", "/q/1", body));
+            CHECK(call.code == ResultCode::BadRequest);
+            CHECK(!call.message.empty());
+        }
+        CHECK(readPlatformCaller(request("PATCH", "/q/1")).code == ResultCode::MethodNotAllowed);
+    }
+}
+
+TEST_CASE("Calls of operators")
+{
+    SUBCASE("a manifest is read and kept as sent")
+    {
+        const ControlCall call = control("PUT", "/config", Manifest);
+        const auto *put = std::get_if<PutManifestCall>(&call);
+        REQUIRE(put != nullptr);
+        CHECK(put->manifest.version == 7);
+        CHECK(put->manifest.document == Manifest);
+        CHECK(put->manifest.queues.at(0).host == "a.example");
+        CHECK(put->manifest.queues.at(0).stretchPerMille == 1500);
+        CHECK(put->manifest.services.at(0).workersCheckRoom);
+    }
+
+    SUBCASE("an invalid manifest is refused")
+    {
+        CHECK(isRefused(control("PUT", "/config", Manifest.substr(0, 200))));
+        CHECK(isRefused(control("PUT", "/config", replaced(Manifest, "\"service\":\"s1\"", "\"service\":\"s2\""))));
+        CHECK(isRefused(control("PUT", "/config", replaced(Manifest, "\"timeoutMs\":3000", "\"timeoutMs\":0"))));
+        CHECK(isRefused(control("PUT", "/config", replaced(Manifest, "\"version\":7,", ""))));
+        const std::size_t begin = Manifest.find("{\"name\":\"r1\"");
+        const std::string route = Manifest.substr(begin, Manifest.find("}],\"services\"") + 1 - begin);
+        CHECK(isRefused(control("PUT", "/config", replaced(Manifest, route, route + "," + route))));
+    }
+
+    SUBCASE("zones and waves")
+    {
+        const ControlCall drain = control("POST", "/evacuate/z1");
+        CHECK(std::get<DrainZoneCall>(drain).isDrained);
+        CHECK(!std::get<DrainZoneCall>(control("DELETE", "/evacuate/z1")).isDrained);
+        const ControlCall wave = control("POST", "/wave-start", R"({"wave":1,"machines":["m-1","m-2"],"durationS":20,"cap":1})");
+        CHECK(std::get<StartWaveCall>(wave).wave.machines.size() == 2);
+        CHECK(std::get<StartWaveCall>(wave).wave.length.ms == 20'000);
+        CHECK(std::get<ReadWaveCall>(control("GET", "/wave-get/1")).wave == 1);
+        CHECK(isRefused(control("GET", "/wave-get/x")));
+        CHECK(isRefused(control("GET", "/unknown")));
+    }
+}
+
+TEST_CASE("Reports of workers")
+{
+    SUBCASE("a report is read")
+    {
+        const ControlCall call = control("PUT", "/instances/i-1", Report);
+        const auto *report = std::get_if<ReportCall>(&call);
+        REQUIRE(report != nullptr);
+        CHECK(report->report.profile.worker == "i-1");
+        CHECK(report->report.profile.startedAtMs == 1'700'000'000'000);
+        CHECK(report->report.profile.rack == "r1-3");
+        CHECK(report->report.sequence == 4);
+        CHECK(!report->report.profile.isDraining);
+    }
+
+    SUBCASE("a report of another writer names no worker")
+    {
+        for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{{"\"state\":\"ready\"", "\"state\":\"paused\""},
+                                                                                       {"\"cpu\":16000", "\"cpu\":\"many\""},
+                                                                                       {"\"labels\":[\"a\",\"r1-3\"]", "\"labels\":7"},
+                                                                                       {"\"born\":1700000000000", "\"born\":1.5"},
+                                                                                       {",\"seq\":4", ""}}) {
+            CHECK_MESSAGE(isRefused(control("PUT", "/instances/i-1", replaced(Report, from, to))), from);
+        }
+    }
+}
+
+TEST_CASE("Orders to workers and their answers")
+{
+    WorkerOrder order;
+    order.kind = OrderKind::Start;
+    order.worker = "i-1";
+    order.fence = 7;
+    order.task = {"5c0e7a21d94b36f8", 0, 1, 17};
+    order.run = 2;
+    order.payload = "text";
+    order.checkpoint = "0b";
+    order.leaseEndMs = 486'000;
+
+    SUBCASE("a start has the form of the platform")
+    {
+        const HttpRequest sent = writePlatformOrder(order);
+        CHECK(sent.target == "/run-start");
+        CHECK(headerValue(sent.headers, "X-Expected-Instance") == "i-1");
+        CHECK(sent.body.find(R"("task":"5c0e7a21d94b36f8.0.1.17")") != std::string::npos);
+        CHECK(sent.body.find(R"("lastCheckpoint":"0b")") != std::string::npos);
+    }
+
+    SUBCASE("statuses and reasons become outcomes")
+    {
+        CHECK(readPlatformOrderAnswer(order, answered(200, R"({"clockMs":5})")).outcome == OrderOutcome::Done);
+        CHECK(readPlatformOrderAnswer(order, answered(409, R"({"clockMs":5,"reason":"room"})")).outcome == OrderOutcome::NoRoom);
+        CHECK(readPlatformOrderAnswer(order, answered(409, R"({"clockMs":5,"reason":"fence"})")).outcome == OrderOutcome::Fenced);
+        CHECK(readPlatformOrderAnswer(order, answered(421, "")).outcome == OrderOutcome::OtherLife);
+        CHECK(readPlatformOrderAnswer(order, answered(503, "")).outcome == OrderOutcome::Unhealthy);
+        CHECK(readPlatformOrderAnswer(order, {ResultCode::ConnectFailed, false, {}}).outcome == OrderOutcome::Unreachable);
+        CHECK(readPlatformOrderAnswer(order, {ResultCode::OutcomeUnknown, true, {}}).outcome == OrderOutcome::NoAnswer);
+    }
+
+    SUBCASE("a look brings both lists")
+    {
+        order.kind = OrderKind::Look;
+        const WorkerAnswer answer = readPlatformOrderAnswer(
+            order, answered(200, R"({"clockMs":9,"born":3,"running":[["ab.0.1.17",2,"0b",41,12]],"endedRuns":[[58,"ab.0.1.9",1,"done",""]]})"));
+        REQUIRE(answer.hasLists);
+        CHECK(answer.running.at(0).task == TaskName{"ab", 0, 1, 17});
+        CHECK(answer.running.at(0).measure == 12);
+        CHECK(answer.ended.at(0).end == RunEnd::Done);
+        CHECK(answer.startedAtMs == 3);
+    }
+
+    SUBCASE("lists that cannot be read count as no answer")
+    {
+        order.kind = OrderKind::Look;
+        CHECK(readPlatformOrderAnswer(order, answered(200, R"({"clockMs":9,"running":[["ab.0.1"]],"endedRuns":[]})")).outcome == OrderOutcome::NoAnswer);
+    }
+}
+
+TEST_CASE("Answers")
+{
+    CallAnswer answer;
+    answer.state = FleetJobState::Running;
+    CHECK(writePlatformAnswer(answer).body == R"({"state":"running"})");
+    answer = {};
+    answer.code = ResultCode::JobUnknown;
+    CHECK(writePlatformAnswer(answer).status == 410);
+    answer = {};
+    answer.code = ResultCode::NoQuorum;
+    answer.retryAfter = {1'200};
+    CHECK(writePlatformAnswer(answer).status == 503);
+    CHECK(headerValue(writePlatformAnswer(answer).headers, "Retry-After") == "2");
+    answer = {};
+    answer.code = ResultCode::NotLeader;
+    answer.redirect = "10.0.0.1:80";
+    answer.path = "/config";
+    CHECK(writePlatformAnswer(answer).status == 307);
+    CHECK(headerValue(writePlatformAnswer(answer).headers, "Location") == "http://10.0.0.1:80/config");
+}
+
+TEST_CASE("No body harms the adapter")
+{
+    // Guards against a body that crashes the daemon or is taken for something that it does not say.
+    const bool held = rc::check("bodies with changed, dropped and doubled bytes", [] {
+        Random random{*rc::gen::inRange<std::uint64_t>(1, 1'000'000'000)};
+        static_cast<void>(control("PUT", "/config", mutated(Manifest, random)));
+        static_cast<void>(control("PUT", "/instances/i-1", mutated(Report, random)));
+        const CallerCall call = readPlatformCaller(request("POST", "/q/1", mutated(Submission, random)));
+        for (std::size_t i = 0; call.code == ResultCode::Ok && i < call.spec.steps.size(); ++i) {
+            RC_ASSERT(call.spec.steps[i].taskCount > 0U);
+            for (const std::uint32_t earlier : call.spec.steps[i].dependsOn) {
+                RC_ASSERT(earlier < i);
+            }
+        }
+        WorkerOrder look;
+        const std::string lists = R"({"clockMs":9,"born":3,"running":[["ab.0.1.17",2,"0b",41]],"endedRuns":[[58,"ab.0.1.9",1,"done",""]]})";
+        static_cast<void>(readPlatformOrderAnswer(look, answered(200, mutated(lists, random))));
+    });
+    CHECK(held);
+}
+
+TEST_CASE("The page for on-call engineers names every event of the fleet daemon")
+{
+    std::ifstream page(FILBERTLANDING_SOURCE_DIR "/docs/OPERATIONS.md");
+    std::stringstream text;
+    text << page.rdbuf();
+    const std::regex event(R"re(LogLevel::\w+,\s*"([a-z_]+)")re");
+    for (const std::string file : {"src/fleetd/fleet_core.cpp",
+                                   "src/fleetd/fleet_calls.cpp",
+                                   "src/fleetd/fleet_daemon.cpp",
+                                   "src/fleetd/caller_relay.cpp",
+                                   "src/fleetd/leader_finder.cpp",
+                                   "platform/main.cpp"}) {
+        std::ifstream source(std::string(FILBERTLANDING_SOURCE_DIR) + "/" + file);
+        std::stringstream code;
+        code << source.rdbuf();
+        const std::string all = code.str();
+        REQUIRE(!all.empty());
+        for (std::sregex_iterator match(all.begin(), all.end(), event), end; match != end; ++match) {
+            CHECK_MESSAGE(text.str().find("`" + (*match)[1].str() + "`") != std::string::npos, (*match)[1].str());
+        }
+    }
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,6 +1,7 @@
 /** @file settings_test.cpp Tests of the daemon's settings. */
 
 #include "catalog/intent_type.h"
+#include "settings/fleet_settings.h"
 #include "settings/settings_func.h"
 
 #include <doctest/doctest.h>
@@ -28,6 +29,20 @@
     return false;
 }
 
+/** Checks that a page has the row of every setting. */
+void checkPage(const std::string &path, const std::vector<SettingsRow> &rows)
+{
+    std::ifstream page(path);
+    std::stringstream text;
+    text << page.rdbuf();
+    for (const auto &row : rows) {
+        std::ostringstream line;
+        line << "| `" << row.pointer << "` | " << (row.fallback.empty() ? "-" : row.fallback) << " | " << row.range << " | "
+             << (row.unit.empty() ? "-" : row.unit) << " | " << row.sentence << " |\n";
+        CHECK_MESSAGE(text.str().find(line.str()) != std::string::npos, line.str());
+    }
+}
+
 } // namespace
 
 TEST_CASE("Settings of a daemon")
@@ -79,14 +94,42 @@
 
     SUBCASE("the page for users lists every key with default, range and unit")
     {
-        std::ifstream page(FILBERTLANDING_SOURCE_DIR "/docs/settings.md");
-        std::stringstream text;
-        text << page.rdbuf();
-        for (const auto &row : settingsRows()) {
-            std::ostringstream line;
-            line << "| `" << row.pointer << "` | " << (row.fallback.empty() ? "-" : row.fallback) << " | " << row.range << " | "
-                 << (row.unit.empty() ? "-" : row.unit) << " | " << row.sentence << " |\n";
-            CHECK_MESSAGE(text.str().find(line.str()) != std::string::npos, line.str());
-        }
+        checkPage(FILBERTLANDING_SOURCE_DIR "/docs/settings.md", settingsRows());
+    }
+}
+
+TEST_CASE("Settings of a fleet daemon")
+{
+    FleetDaemonSettings settings;
+    const auto errorsIn = [&settings](const std::string &text) {
+        return parseFleetSettings(text, settings);
+    };
+
+    SUBCASE("a key is required, everything else has a default")
+    {
+        CHECK(hasError(errorsIn("{}"), ResultCode::MissingField, "/peer/key"));
+        CHECK(errorsIn(R"({"peer": {"key": "k"}})").empty());
+        CHECK(settings.peerPort == 8200);
+    }
+
+    SUBCASE("a bound that is a fraction is rounded up")
+    {
+        CHECK(errorsIn(R"({"peer": {"key": "k"}, "task": {"farFactor": 2.5}})").empty());
+        CHECK(settings.farFactor == 3);
+    }
+
+    SUBCASE("mistakes are named")
+    {
+        CHECK(hasError(errorsIn(R"({"peer": {"key": "k"}, "firstStart": 1})"), ResultCode::BadFieldType, "/firstStart"));
+        CHECK(hasError(errorsIn(R"({"peer": {"key": "k"}, "contacts": "x"})"), ResultCode::BadFieldType, "/contacts"));
+        CHECK(hasError(errorsIn(R"({"peer": {"key": "k"}, "contacts": ["x"]})"), ResultCode::BadAddress, "/contacts"));
+        CHECK(hasError(errorsIn(R"({"peer": {"key": "k"}, "listen": {"control": "1.2.3.4"}})"), ResultCode::BadAddress, "/listen/control"));
+        CHECK(hasError(errorsIn(R"({"peer": {"key": "k", "prot": 1}})"), ResultCode::UnknownField, "/peer/prot"));
+        CHECK(hasError(errorsIn("{"), ResultCode::BadJson, ""));
+    }
+
+    SUBCASE("the page for users lists every key with default, range and unit")
+    {
+        checkPage(FILBERTLANDING_SOURCE_DIR "/docs/fleet-settings.md", fleetSettingsRows());
     }
 }
