--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -78,8 +78,8 @@
 {
     this->peers = std::make_unique<PeerLinks>(
         linkSettings(this->settings, this->io),
-        [this](const DaemonName &peer, std::uint8_t kind, std::string payload, PeerReply reply) {
-            this->onPeerMessage(peer, kind, std::move(payload), std::move(reply));
+        [this](const DaemonName &peer, std::uint8_t kind, const std::string &payload, PeerReply reply) {
+            this->onPeerMessage(peer, kind, payload, std::move(reply));
         },
         this->network);
     this->peers->setLinkHook([](const DaemonName &peer, bool open) {
@@ -167,7 +167,7 @@
     return failed ? ResultCode::BadAddress : ResultCode::Ok;
 }
 
-void FleetDaemon::onPeerMessage(const DaemonName &peer, std::uint8_t kind, std::string payload, PeerReply reply)
+void FleetDaemon::onPeerMessage(const DaemonName &peer, std::uint8_t kind, const std::string &payload, PeerReply reply)
 {
     switch (static_cast<FleetMessageKind>(kind)) {
     case FleetMessageKind::Replication:
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -40,7 +40,7 @@
 private:
     ResultCode startListeners();
     std::error_code listen(const std::string &endpoint, HttpHandler handler, std::size_t maxBodyBytes);
-    void onPeerMessage(const DaemonName &peer, std::uint8_t kind, std::string payload, PeerReply reply);
+    void onPeerMessage(const DaemonName &peer, std::uint8_t kind, const std::string &payload, PeerReply reply);
     void onRelayedCall(const std::string &payload, PeerReply reply);
     void answerReadiness(const HttpRespond &respond) const;
     bool isReady() const;
