Change: the priority of the queue decides among jobs of about the same slack; test of the order of service

Cause: the priority of a queue was read and not used; the order of service had no test of its own; one log line had two fields of the same name. Ruled out: priority before slack (a job of a lower priority would miss its objective for one that has time). Change: priority after the class of slack; logIndex in run_placed; an unused setting removed.

--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -24,7 +24,6 @@
     std::int64_t farFactor = 2; ///< Tasks take so many times as long away from their data.
     Duration paceDelay{100}; ///< Time until a changed pace shows.
     Duration harmLimit{4'000}; ///< Time for which a lasting task may be held over its target by tasks in spare room.
-    Duration leaveNotice{4'500}; ///< Time for which a lasting task counts as away once it is not at work.
 };
 
 /** A job in the eyes of the scheduler. */
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -3,7 +3,8 @@
  *
  * Load: short urgent jobs and wide long ones share the workers, and bursts bring more than fits. Jobs that can still be served in time
  * go before lasting tasks, and these before jobs that will be late, since a late result is worth a fraction. Among jobs in time those with
- * less slack go first, and of about the same slack the smaller ones, which earn more for a processor second.
+ * less slack go first; of about the same slack the priority of the queue decides, then the smaller job, which earns more for a processor
+ * second.
  */
 
 #include "fleet/service_order.h"
@@ -30,12 +31,12 @@
         return prospect == Prospect::InTime ? 0 : LastingRank + static_cast<int>(prospect);
     }
 
-    std::tuple<int, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
+    std::tuple<int, std::int64_t, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
     {
         const Prospect prospect = prospectOf(step, now);
         const std::int64_t slack = (step.objectiveEnd - now - step.remainingChain).ms;
         const std::int64_t slackClass = prospect == Prospect::InTime && !step.isLasting ? slack / SlackClassMs : 0;
-        return {rankOf(step, prospect), slackClass, -step.worthDensity, step.acceptedAt.ms, step.job, step.step};
+        return {rankOf(step, prospect), slackClass, step.priority, -step.worthDensity, step.acceptedAt.ms, step.job, step.step};
     }
 
 } // namespace
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -458,7 +458,7 @@
                  {"run", start->run},
                  {"life", start->life},
                  {"applied", change.isApplied},
-                 {"index", this->appliedIndex}});
+                 {"logIndex", this->appliedIndex}});
     } else if (const auto *end = std::get_if<EndRun>(&command)) {
         if (end->end != RunEnd::Done && change.isApplied) {
             logLine(LogArea::Job,
--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fakes/fleet_world.h"
 #include "fleet/pair_interference.h"
+#include "fleet/service_order.h"
 #include "test_seed.h"
 
 #include <doctest/doctest.h>
@@ -328,6 +329,38 @@
     CHECK(inTime >= 72);
 }
 
+TEST_CASE("Who is served first when not everything fits")
+{
+    // Guards the order of service of service_order.cpp: short jobs in time, lasting tasks, late jobs, jobs that nobody waits for.
+    const TimePoint now{100'000};
+    const auto stepOf = [now](JobNumber job, Duration age, Duration objective, Duration chain) {
+        ReadyStep step;
+        step.job = job;
+        step.acceptedAt = now - age;
+        step.objectiveEnd = step.acceptedAt + objective;
+        step.remainingChain = chain;
+        step.worthDensity = 0.1;
+        return step;
+    };
+    ReadyStep lasting = stepOf(1, {5'000}, {3'000}, {400});
+    lasting.isLasting = true;
+    const ReadyStep relaxed = stepOf(2, {0}, {9'000}, {1'000});
+    const ReadyStep urgent = stepOf(3, {1'000}, {2'500}, {1'000});
+    const ReadyStep late = stepOf(4, {3'000}, {2'500}, {1'000});
+    const ReadyStep hopeless = stepOf(5, {30'000}, {2'500}, {1'000});
+    ReadyStep small = stepOf(6, {0}, {9'100}, {1'000});
+    small.worthDensity = 1.0;
+    std::vector<ReadyStep> steps{hopeless, late, lasting, relaxed, urgent, small};
+    sortByService(steps, now);
+    std::vector<JobNumber> order;
+    for (const ReadyStep &step : steps) {
+        order.push_back(step.job);
+    }
+    CHECK(order == std::vector<JobNumber>{3, 6, 2, 1, 4, 5});
+    CHECK(prospectOf(late, now) == Prospect::Late);
+    CHECK(prospectOf(hopeless, now) == Prospect::TooLate);
+}
+
 TEST_CASE("Slopes of pairs are told apart")
 {
     PairInterference model;
