--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -353,6 +353,7 @@
     std::vector<ReadyStep> steps{hopeless, late, lasting, relaxed, urgent, small};
     sortByService(steps, now);
     std::vector<JobNumber> order;
+    order.reserve(steps.size());
     for (const ReadyStep &step : steps) {
         order.push_back(step.job);
     }
