Fix: runs are judged by like runs and by their worker, not by the stated time; learned run times order service; late lists and answers end no run

Progress was timed by the arrival of lists, and a worker whose answers came after 400 ms got no lease until its runs lapsed. Ruled out: a longer factor alone; it would leave tasks on slow workers where stated times are right. Change: run times are learned by queue and image, as a line in the stated time with its error (run_time); what runs of the step show counts more; progress is timed by the worker's clock; a run is slow if it is far from like runs on other workers, or all on its worker is; a move must pay, three times a task at most and never more than half of a step at once. Chains, objective and density follow the same model. Every other look after a failure waits four times as long for its answer.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -12,43 +12,14 @@
     constexpr std::int64_t WorkersPerPlacementMs = 100; ///< A placement visits all workers, so on a large fleet it waits for what comes within some ms.
     constexpr Duration FullTickInterval{20}; ///< Bound on the delay of orders that are due by time alone; a look at all workers costs too much for each answer.
 
-    /** Returns for each step the longest chain of estimates from its start to the end of the job. */
-    std::vector<Duration> chainsOf(const JobSpec &spec)
-    {
-        std::vector<Duration> chains(spec.steps.size());
-        for (std::size_t i = spec.steps.size(); i-- > 0;) {
-            chains[i] = chains[i] + spec.steps[i].estimate;
-            for (const std::uint32_t earlier : spec.steps[i].dependsOn) {
-                chains[earlier] = std::max(chains[earlier], chains[i]);
-            }
-        }
-        return chains;
-    }
-
-    double processorSeconds(const JobSpec &spec)
-    {
-        double sum = 0;
-        for (const StepSpec &step : spec.steps) {
-            sum += static_cast<double>(step.taskCount) * static_cast<double>(step.request.cpuMillis) * static_cast<double>(step.estimate.ms) / 1e6;
-        }
-        return sum;
-    }
-
-    JobView makeJobView(const FleetJob &job, TimePoint now, WallTime wall)
+    JobView makeJobView(const FleetScheduler &scheduler, const FleetJob &job, TimePoint now, WallTime wall)
     {
         JobView view;
-        view.chainFrom = chainsOf(job.spec);
         // The calendar may have been set since; an age outside of this range is an effect of that.
         constexpr std::int64_t LongestAgeMs = 120'000;
         const std::int64_t age = std::clamp<std::int64_t>(wall.ms - job.acceptedAt.ms, 0, LongestAgeMs);
         view.acceptedAt = now - Duration{age};
-        Duration chain;
-        for (const Duration &from : view.chainFrom) {
-            chain = std::max(chain, from);
-        }
-        view.objectiveEnd = view.acceptedAt + Duration{chain.ms * job.queue.stretchPerMille / 1000} + job.queue.latencyAllowance;
-        // A small job is worth more for each processor second, since a part of its worth does not depend on its size.
-        view.worthDensity = 1.0 / std::max(0.1, processorSeconds(job.spec));
+        refreshJobView(scheduler, job, view);
         return view;
     }
 
@@ -271,7 +242,7 @@
     for (const auto &[number, job] : state.jobs) {
         takeOverRuns(scheduler, job, now);
         if (!hasEnded(job.state)) {
-            JobView view = makeJobView(job, now, wall);
+            JobView view = makeJobView(scheduler, job, now, wall);
             view.openedOccurrences = static_cast<std::uint32_t>(job.occurrences.size());
             scheduler.jobs[number] = std::move(view);
         }
@@ -357,14 +328,13 @@
             }
         }
     } else if (std::holds_alternative<SubmitFleetJob>(command) && change.isApplied && !change.jobEnded) {
-        scheduler.jobs[change.job] = makeJobView(state.jobs.at(change.job), now, wall);
+        scheduler.jobs[change.job] = makeJobView(scheduler, state.jobs.at(change.job), now, wall);
         scheduler.placeDue = true;
     } else if (!std::holds_alternative<SubmitFleetJob>(command)) {
         scheduler.placeDue = true;
     }
     if (change.jobEnded) {
-        scheduler.failedOn.erase(scheduler.failedOn.lower_bound({change.job, 0, 0, 0}), scheduler.failedOn.lower_bound({change.job + 1, 0, 0, 0}));
-        scheduler.jobs.erase(change.job);
+        forgetJob(scheduler, change.job);
         stopJob(scheduler, state.jobs.at(change.job), now);
     }
 }
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -6,6 +6,7 @@
 #include "fleet/fleet_state_base.h"
 #include "fleet/pair_interference.h"
 #include "fleet/place_run.h"
+#include "fleet/run_time.h"
 #include "fleet/worker_contact.h"
 
 #include <map>
@@ -29,9 +30,17 @@
     Duration harmLimit{4'000}; ///< Time for which a lasting task may be held over its target by tasks in spare room.
 };
 
+/** What runs of one step have shown of its run time, in all occurrences of its job. */
+struct StepEvidence {
+    RunTimeEvidence total;
+    std::map<LifeNumber, RunTimeEvidence> byWorker; ///< The part of each worker, to judge it by the others.
+};
+
 /** A job in the eyes of the scheduler. */
 struct JobView {
-    std::vector<Duration> chainFrom; ///< For each step the longest chain of estimates from its start to the end of the job.
+    std::vector<Duration> chainFrom; ///< For each step the longest chain of expected run times from its start to the end of the job.
+    std::map<std::uint32_t, StepEvidence> evidence; ///< By step.
+    bool isStale = true; ///< There is more evidence than chains, objective and density were computed with.
     TimePoint acceptedAt;
     TimePoint objectiveEnd; ///< Served in time if it is complete by then.
     double worthDensity = 0; ///< Weight of a processor second of the job, for the order of service.
@@ -66,6 +75,9 @@
     std::map<TaskRef, LifeNumber> failedOn; ///< Where the latest run of a task failed, to try it elsewhere.
     std::map<TaskRef, unsigned> proposedStarts; ///< Tasks with a start on its way to the log, and how many.
     std::map<std::uint64_t, OpenOrder> openOrders; ///< Orders without an answer.
+    RunTimeModel runTimes; ///< Learned from runs that are done.
+    std::map<TaskRef, unsigned> moves; ///< How often a task was moved for its progress.
+    std::set<TaskRef> tasksOnMove; ///< Tasks that were stopped for their progress and have not been placed anew.
     PairInterference interference; ///< Learned from the tails that looks bring.
     std::shared_ptr<const SlopeTable> slopes; ///< Slopes that the rooms were computed with; empty before the first placement.
     std::map<LifeNumber, WorkerRoom> rooms; ///< What placements know of the workers; brought up to date when they are used.
--- a/src/fleet/run_progress.h
+++ b/src/fleet/run_progress.h
@@ -1,31 +1,60 @@
-/** @file run_progress.h Tells from the progress of a run whether its worker is at fault. */
+/**
+ * @file run_progress.h Tells from the progress of a run whether it would be done sooner elsewhere.
+ *
+ * Progress is timed by the worker's own clock, so a list that is late on its way does not make a run look slow.
+ */
 
 #pragma once
 
 #include "core/clock_type.h"
+#include "fleet/run_time.h"
 
 #include <cstdint>
 #include <optional>
 
 namespace Filbertlanding {
 
-/** Progress of one run as looks show it. */
+/** Progress of one run as the worker lists it. */
 struct RunProgress {
-    std::optional<TimePoint> firstAt; ///< First look that listed it.
+    std::optional<std::int64_t> firstClockMs; ///< Worker's clock when the run was first seen.
     std::int64_t firstPercent = 0;
-    TimePoint changedAt; ///< Last look that showed more progress than the one before.
+    std::int64_t lastClockMs = 0; ///< Worker's clock when the run was last seen.
+    std::int64_t changedClockMs = 0; ///< Worker's clock when it first showed its present percent.
     std::int64_t percent = 0;
+    double workMs = 0; ///< Time since it was first seen, each part weighted by the share of its full speed that it was given.
 };
 
-/** Notes what a look shows. */
-void noteProgress(RunProgress &progress, std::int64_t percent, TimePoint now);
+/** Notes what a list shows. The share is what the run was given of the processors that it asks for, from 0 to 1. */
+void noteProgress(RunProgress &progress, std::int64_t percent, std::int64_t clockMs, double speedShare);
+
+/** Run time that progress shows. */
+struct ShownRunTime {
+    double ms = 0; ///< Of the whole task at full speed.
+    double gainedPercent = 0; ///< Progress that it rests on.
+};
+
+/** Returns what progress shows of the run time; nothing if it has been seen for too short a time. */
+std::optional<ShownRunTime> shownRunTime(const RunProgress &progress);
+
+/** Returns the run time of a task that is done, from its progress and the worker's clock at its end; nothing if it is too uncertain. */
+std::optional<Duration> finishedRunTime(const RunProgress &progress, std::int64_t endClockMs);
+
+/** How much slower than expected the runs of one worker are: the mean of logarithms, and its weight as the inverse of the variance. */
+struct WorkerSlowness {
+    double weight = 0;
+    double sum = 0;
+};
+
+/** Adds what one run shows. */
+void addSlowness(WorkerSlowness &slowness, const ShownRunTime &shown, const RunTimeBelief &belief);
 
 /** What matters for the judgement of a run. */
 struct ProgressInput {
     RunProgress progress;
-    Duration expected; ///< Time that the whole task should take where it runs.
+    RunTimeBelief belief; ///< Run time where it runs, from other runs of its step on other workers and from earlier steps.
+    WorkerSlowness worker; ///< Of all runs on its worker.
     bool isPaced = false; ///< It does not run at full speed by our own order.
-    double usedShare = 1.0; ///< Processors that it gets, as a share of what it asks for.
+    bool isCheckpointed = false; ///< It goes on elsewhere from its saved progress.
     Duration moveCost; ///< Time until it would run again elsewhere.
 };
 
@@ -33,9 +62,9 @@
 enum class ProgressVerdict : std::uint8_t {
     Fine,
     Standing, ///< It does not move at all.
-    Slow, ///< It would be done sooner if it began anew elsewhere.
+    Slow, ///< Its worker is at fault, and it would be done sooner if it began anew elsewhere.
 };
 
-ProgressVerdict judgeProgress(const ProgressInput &input, TimePoint now);
+ProgressVerdict judgeProgress(const ProgressInput &input);
 
 } // namespace Filbertlanding
--- a/src/fleet/scheduler_answers.cpp
+++ b/src/fleet/scheduler_answers.cpp
@@ -13,7 +13,7 @@
     constexpr Duration UnhealthyWait{1'000}; ///< Time for which nothing is placed on a worker that refuses orders.
     constexpr Duration NoRoomWait{300}; ///< Time for which nothing is placed on a worker that has less room than it should.
     constexpr Duration RetryStep{20}; ///< Wait before a try is repeated; it doubles with each try without an answer.
-    constexpr Duration LongestRetry{1'500}; ///< A worker that comes back is found within this time.
+    constexpr Duration LongestRetry{500}; ///< A worker that comes back is found within this time.
     constexpr unsigned MostDoublings = 7;
     constexpr Duration LongestAnswerTime{3'000}; ///< Answers that come later are not waited for, so none shows a clock that is older by more.
 
@@ -100,6 +100,9 @@
                 continue;
             }
             run->checkpoint = end.checkpoint.empty() ? run->checkpoint : end.checkpoint;
+            if (end.end == RunEnd::Done && answer.clockMs) {
+                learnFromDoneRun(scheduler, state, contact, *task, *run, *answer.clockMs);
+            }
             contact.endsSince = contact.openEnds == 0 ? now : contact.endsSince;
             proposeEnd(contact, *task, *run, end.end, wall, actions);
         }
@@ -134,7 +137,8 @@
         }
     }
 
-    void takeRunning(const FleetState &state, WorkerContact &contact, const WorkerAnswer &answer, TimePoint now, std::set<TaskRef> &listed)
+    void takeRunning(
+        FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, const WorkerAnswer &answer, TimePoint now, std::set<TaskRef> &listed)
     {
         for (const ListedRun &entry : answer.running) {
             const auto task = taskOfName(state, entry.task);
@@ -148,10 +152,10 @@
             run->phase = RunPhase::Started;
             run->checkpoint = entry.checkpoint.empty() ? run->checkpoint : entry.checkpoint;
             run->percent = entry.percent;
-            if (!run->isLasting) {
-                noteProgress(run->progress, entry.percent, now);
-            }
             run->measure = entry.measure;
+            if (!run->isLasting && answer.clockMs) {
+                noteRunProgress(scheduler, contact, *task, *run, entry.percent, *answer.clockMs);
+            }
         }
     }
 
@@ -206,9 +210,9 @@
         contact.answeredLook = contact.lookNumber;
         std::set<TaskRef> listed;
         takeEnds(scheduler, state, contact, answer, now, wall, listed, actions);
-        takeRunning(state, contact, answer, now, listed);
+        takeRunning(scheduler, state, contact, answer, now, listed);
         noteTails(scheduler, life.profile.capacity, contact, listed, now);
-        watchProgress(scheduler, contact, now);
+        watchProgress(scheduler, state, contact, now);
         if (answer.ended.size() < MostListedEnds) {
             endUnlisted(contact, isAdoption, listed, wall, actions);
         }
@@ -245,6 +249,9 @@
             noteAlive(contact, answer, now);
             run.maySent = true;
             run.phase = RunPhase::Started;
+            if (answer.clockMs && run.tries == 0 && run.checkpoint.empty()) {
+                noteProgress(run.progress, 0, *answer.clockMs, 1.0);
+            }
             run.tries = 0;
             run.settledAt = scheduler.lastOrder;
             return;
--- a/src/fleet/scheduler_care.cpp
+++ b/src/fleet/scheduler_care.cpp
@@ -4,6 +4,7 @@
 #include "fleet/scheduler_detail.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Filbertlanding {
 
@@ -12,10 +13,26 @@
     constexpr Duration LeaveMargin{400}; ///< Time before the end of a draining worker by which a task must have saved its progress.
     constexpr Duration MoveMargin{100}; ///< Orders and the log entry of a new start.
     constexpr Duration BadWorkerWait{1'500}; ///< Time for which nothing is placed on a worker with standing or slow tasks.
+    constexpr unsigned MostMoves = 3; ///< Times that a task is moved for its progress.
     constexpr Duration PaceInterval{450}; ///< Time until a changed pace shows in the tails, which cover half a second.
 
 } // namespace
 
+namespace {
+
+    /** Returns the run time that is expected of a run, by what runs of its step on other workers show. */
+    RunTimeBelief
+    beliefOnWorker(const FleetScheduler &scheduler, const FleetState &state, const WorkerContact &contact, const TaskRef &task, const RunView &run)
+    {
+        RunTimeBelief belief = expectedTaskTime(scheduler, state.jobs.at(task.job), task.step, contact.life);
+        if (run.isFar) {
+            belief.mean += std::log(static_cast<double>(std::max<std::int64_t>(1, scheduler.settings.farFactor)));
+        }
+        return belief;
+    }
+
+} // namespace
+
 void moveOffDraining(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now)
 {
     const auto life = state.lives.find(contact.life);
@@ -38,33 +55,77 @@
     }
 }
 
-void watchProgress(FleetScheduler &scheduler, WorkerContact &contact, TimePoint now)
+namespace {
+
+    /** Returns what the runs on a worker show of its speed. The tasks of one step say little more than one of them, since they are alike. */
+    WorkerSlowness slownessOf(const FleetScheduler &scheduler, const FleetState &state, const WorkerContact &contact)
+    {
+        WorkerSlowness slowness = contact.endedSlowness;
+        const TaskRef *previous = nullptr;
+        for (const auto &[task, run] : contact.runs) {
+            const bool isAlike = previous != nullptr && previous->job == task.job && previous->step == task.step;
+            const bool isWatched = !run.isLasting && run.phase == RunPhase::Started && !run.isEnding;
+            const auto shown = isWatched && !isAlike ? shownRunTime(run.progress) : std::nullopt;
+            if (shown) {
+                previous = &task;
+                addSlowness(slowness, *shown, beliefOnWorker(scheduler, state, contact, task, run));
+            }
+        }
+        return slowness;
+    }
+
+    /** Returns whether one more task of a step may be moved now: a bounded number of times each, and never most of a step at once. */
+    bool mayMove(const FleetScheduler &scheduler, const FleetState &state, const TaskRef &task)
+    {
+        const auto moved = scheduler.moves.find(task);
+        if (moved != scheduler.moves.end() && moved->second >= MostMoves) {
+            return false;
+        }
+        const auto first = scheduler.tasksOnMove.lower_bound({task.job, task.occurrence, task.step, 0});
+        const auto last = scheduler.tasksOnMove.lower_bound({task.job, task.occurrence, task.step + 1, 0});
+        const std::uint32_t taskCount = state.jobs.at(task.job).spec.steps[task.step].taskCount;
+        return std::distance(first, last) < static_cast<std::ptrdiff_t>(std::max<std::uint32_t>(1, taskCount / 2));
+    }
+
+    /** Has a task run elsewhere, as a copy where that is allowed. */
+    void moveRun(FleetScheduler &scheduler, WorkerContact &contact, const TaskRef &task, RunView &run, TimePoint now)
+    {
+        if (run.mayRunCopies) {
+            run.copyWanted = true;
+            scheduler.wantedCopies[task] = contact.life;
+            scheduler.placeDue = true;
+            return;
+        }
+        ++scheduler.moves[task];
+        scheduler.tasksOnMove.insert(task);
+        run.stopWanted = true;
+        run.nextTry = now;
+        contact.nextRunDue = now;
+    }
+
+} // namespace
+
+void watchProgress(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now)
 {
+    const WorkerSlowness slowness = slownessOf(scheduler, state, contact);
     for (auto &[task, run] : contact.runs) {
         if (run.isLasting || run.phase != RunPhase::Started || run.stopWanted || run.copyWanted || run.isEnding) {
             continue;
         }
-        const std::int64_t asked = std::max<std::int64_t>(1, run.fillsSpare ? run.spareCpuMillis : run.room.cpuMillis);
         ProgressInput input;
         input.progress = run.progress;
-        input.expected = run.estimate * (run.isFar ? scheduler.settings.farFactor : 1);
+        input.belief = beliefOnWorker(scheduler, state, contact, task, run);
+        input.worker = slowness;
         input.isPaced = run.paceSent < 100 || run.pacePercent < 100;
-        input.usedShare = run.fillsSpare ? std::min(1.0, static_cast<double>(run.measure) / static_cast<double>(asked)) : 1.0;
+        input.isCheckpointed = run.isCheckpointed;
         input.moveCost = scheduler.settings.stopTimeout + (run.isCheckpointed ? scheduler.settings.restoreTime : MoveMargin);
-        const ProgressVerdict verdict = judgeProgress(input, now);
-        if (verdict == ProgressVerdict::Fine) {
+        if (judgeProgress(input) == ProgressVerdict::Fine) {
             continue;
         }
         contact.avoidUntil = std::max(contact.avoidUntil, now + BadWorkerWait);
-        if (run.mayRunCopies) {
-            run.copyWanted = true;
-            scheduler.wantedCopies[task] = contact.life;
-            scheduler.placeDue = true;
-            continue;
+        if (mayMove(scheduler, state, task)) {
+            moveRun(scheduler, contact, task, run, now);
         }
-        run.stopWanted = true;
-        run.nextTry = now;
-        contact.nextRunDue = now;
     }
 }
 
--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -9,6 +9,21 @@
 /** Returns the view of a task that is to run: its room and what matters for orders. */
 RunView makeRunView(const StepSpec &step, std::uint32_t run, RunPhase phase, TimePoint now);
 
+/** Computes chains, objective and density of a job from what is known of its run times. */
+void refreshJobView(const FleetScheduler &scheduler, const FleetJob &job, JobView &view);
+
+/** Returns the run time that is expected of a task of a step, by the runs on all workers but one; 0 leaves none out. */
+RunTimeBelief expectedTaskTime(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step, LifeNumber without);
+
+/** Notes what a worker lists of a run's progress. */
+void noteRunProgress(FleetScheduler &scheduler, WorkerContact &contact, const TaskRef &task, RunView &run, std::int64_t percent, std::int64_t clockMs);
+
+/** Learns from a run that is done. */
+void learnFromDoneRun(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, const TaskRef &task, RunView &run, std::int64_t clockMs);
+
+/** Forgets what is known of the tasks of a job. */
+void forgetJob(FleetScheduler &scheduler, JobNumber job);
+
 /** Returns a task's name as workers know it. */
 TaskName taskName(const FleetJob &job, const TaskRef &task);
 
@@ -43,7 +58,7 @@
 void moveOffDraining(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now);
 
 /** Has tasks that stand or are slow run elsewhere, and keeps further ones off the worker. */
-void watchProgress(FleetScheduler &scheduler, WorkerContact &contact, TimePoint now);
+void watchProgress(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now);
 
 /** Adapts the pace of tasks in spare room to the lasting tasks beside them. */
 void adaptPace(FleetScheduler &scheduler, WorkerContact &contact, TimePoint now);
--- a/src/fleet/scheduler_orders.cpp
+++ b/src/fleet/scheduler_orders.cpp
@@ -21,12 +21,22 @@
         Duration wait = scheduler.settings.lookWait;
         const Duration targetWait = std::max(TargetLookWait, WaitForEachWorker * static_cast<std::int64_t>(scheduler.contacts.size()));
         for (const auto &[task, run] : contact.runs) {
-            const Duration limit = run.isLasting && run.latencyTarget.ms > 0 ? targetWait : std::max(targetWait, run.estimate / 3);
+            const Duration limit = run.isLasting && run.latencyTarget.ms > 0 ? targetWait : std::max(targetWait, run.expectedTime / 3);
             wait = std::min(wait, run.isLasting && run.latencyTarget.ms == 0 ? wait : limit);
         }
         return wait;
     }
 
+    /**
+     * Returns the time for the answer to a look beyond its wait. Every other try after a failure waits longer, since a worker that is slow to
+     * answer still works; the tries between find one that was cut off as soon as it is back.
+     */
+    Duration answerTime(const FleetScheduler &scheduler, const WorkerContact &contact)
+    {
+        constexpr std::int64_t PatientFactor = 4;
+        return scheduler.settings.orderTimeout * (contact.failuresInRow % 2 == 1 ? PatientFactor : 1);
+    }
+
     bool needsLook(const WorkerContact &contact)
     {
         const bool hasRuns = std::any_of(contact.runs.begin(), contact.runs.end(), [](const auto &item) {
@@ -129,7 +139,7 @@
     view.fillsSpare = step.fillsSpare;
     view.isCheckpointed = step.isCheckpointed;
     view.mayRunCopies = step.mayRunCopies;
-    view.estimate = step.estimate;
+    view.expectedTime = step.estimate;
     if (step.fillsSpare) {
         view.spareCpuMillis = step.request.cpuMillis;
         view.room.cpuMillis = 0;
@@ -207,7 +217,7 @@
     // Ends are numbered anew in each life, so another life under the same name must not be told what this one may forget.
     const bool hasNews = contact.notedThrough > contact.acknowledgedThrough;
     order.notedThrough = hasNews && contact.isLifeSure ? contact.notedThrough : 0;
-    order.timeout = order.wait + scheduler.settings.orderTimeout;
+    order.timeout = order.wait + answerTime(scheduler, contact);
     order.usesFreshConnection = contact.failuresInRow > 0;
     contact.lookOpen = true;
     contact.lookNumber = scheduler.lastOrder + 1;
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -116,8 +116,11 @@
         return !task.isDone && task.active.empty() && !scheduler.proposedStarts.contains(ref);
     }
 
-    void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, const JobView &view, std::vector<ReadyStep> &ready)
+    void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, std::vector<ReadyStep> &ready)
     {
+        if (view.isStale) {
+            refreshJobView(scheduler, job, view);
+        }
         for (const auto &[number, occurrence] : job.occurrences) {
             if (occurrence.isComplete) {
                 continue;
@@ -162,6 +165,12 @@
         return spread;
     }
 
+    /** Returns the run time that is expected of the tasks of a step near their data. */
+    Duration stepTime(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step)
+    {
+        return runTimeAt(expectedTaskTime(scheduler, job, step, 0), 0);
+    }
+
     void proposeStart(FleetScheduler &scheduler,
                       const StepSpec &spec,
                       const TaskRef &ref,
@@ -169,6 +178,7 @@
                       std::uint32_t run,
                       LifeNumber life,
                       const std::string &rack,
+                      Duration expectedTime,
                       TimePoint now,
                       SchedulerActions &actions)
     {
@@ -176,6 +186,8 @@
         RunView view = makeRunView(spec, run, RunPhase::Proposed, now);
         view.checkpoint = task.checkpoint;
         view.isFar = isFar;
+        view.expectedTime = expectedTime * (isFar ? scheduler.settings.farFactor : 1);
+        scheduler.tasksOnMove.erase(ref);
         addRun(scheduler.contacts.at(life), ref, std::move(view));
         ++scheduler.proposedStarts[ref];
         actions.propose.push_back(StartRun{ref, run, life});
@@ -213,7 +225,7 @@
             if (place) {
                 WorkerRoom &room = *pass.candidates[*place];
                 takeRoom(room, spec, pass.slopes);
-                proposeStart(scheduler, spec, ref, task, task.lastRun + 1, room.life, room.rack, now, actions);
+                proposeStart(scheduler, spec, ref, task, task.lastRun + 1, room.life, room.rack, stepTime(scheduler, job, ref.step), now, actions);
             }
         }
     }
@@ -223,6 +235,7 @@
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
+        const Duration expected = stepTime(scheduler, job, step.step);
         StepSpread spread = spec.maxPerWorker > 0 || spec.isLasting ? spreadOf(scheduler, step) : StepSpread();
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
@@ -239,7 +252,7 @@
             WorkerRoom &candidate = *pass.candidates[*place];
             takeRoom(candidate, spec, pass.slopes);
             ++spread[candidate.life];
-            proposeStart(scheduler, spec, ref, task, task.lastRun + 1, candidate.life, candidate.rack, now, actions);
+            proposeStart(scheduler, spec, ref, task, task.lastRun + 1, candidate.life, candidate.rack, expected, now, actions);
         }
     }
 
@@ -274,12 +287,13 @@
             places.emplace_back(room.life, room.rack);
             run = std::max(run, task.lastRun + 1);
         }
+        const Duration expected = stepTime(scheduler, job, step.step);
         for (std::size_t i = 0; i < rooms.size(); ++i) {
             *pass.candidates[i] = std::move(rooms[i]);
         }
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
-            proposeStart(scheduler, spec, ref, record.tasks[index], run, places[index].first, places[index].second, now, actions);
+            proposeStart(scheduler, spec, ref, record.tasks[index], run, places[index].first, places[index].second, expected, now, actions);
         }
     }
 
--- /dev/null
+++ b/src/fleet/scheduler_run_times.cpp
@@ -0,0 +1,144 @@
+/** @file scheduler_run_times.cpp What runs show of run times, and what follows for jobs. */
+
+#include "fleet/scheduler_detail.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr std::int64_t MeasureWindowMs = 500; ///< Processor use is listed for such a span; before that it shows less than is used.
+    constexpr double SlownessHalfLifeMs = 2'000; ///< A worker is slow for seconds.
+
+    RunTimeKey keyOf(const FleetJob &job)
+    {
+        return {job.host, job.pathPrefix};
+    }
+
+    /** Factor by which a run takes longer than near its data. */
+    double farFactorOf(const FleetScheduler &scheduler, const RunView &run)
+    {
+        return run.isFar ? static_cast<double>(std::max<std::int64_t>(1, scheduler.settings.farFactor)) : 1.0;
+    }
+
+    double processorSeconds(const JobSpec &spec, const std::vector<Duration> &times)
+    {
+        double sum = 0;
+        for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+            const StepSpec &step = spec.steps[i];
+            sum += static_cast<double>(step.taskCount) * static_cast<double>(step.request.cpuMillis) * static_cast<double>(times[i].ms) / 1e6;
+        }
+        return sum;
+    }
+
+    /** Puts what a run shows now in place of what it showed before. */
+    void replaceEvidence(JobView &view, LifeNumber life, const TaskRef &task, RunView &run, const RunTimeEvidence &evidence)
+    {
+        StepEvidence &step = view.evidence[task.step];
+        for (RunTimeEvidence *sums : {&step.total, &step.byWorker[life]}) {
+            sums->weight = std::max(0.0, sums->weight + evidence.weight - run.evidence.weight);
+            sums->sum += evidence.sum - run.evidence.sum;
+        }
+        run.evidence = evidence;
+        view.isStale = true;
+    }
+
+    void weightDown(WorkerContact &contact, std::int64_t clockMs)
+    {
+        const double passed = std::max(0.0, static_cast<double>(clockMs - contact.slownessClockMs));
+        const double factor = std::exp2(-passed / SlownessHalfLifeMs);
+        contact.slownessClockMs = std::max(contact.slownessClockMs, clockMs);
+        contact.endedSlowness.weight *= factor;
+        contact.endedSlowness.sum *= factor;
+    }
+
+} // namespace
+
+RunTimeBelief expectedTaskTime(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step, LifeNumber without)
+{
+    const RunTimeBelief prior = expectedRunTime(scheduler.runTimes, keyOf(job), job.spec.steps[step]);
+    const auto view = scheduler.jobs.find(job.number);
+    if (view == scheduler.jobs.end()) {
+        return prior;
+    }
+    const auto evidence = view->second.evidence.find(step);
+    if (evidence == view->second.evidence.end()) {
+        return prior;
+    }
+    RunTimeEvidence others = evidence->second.total;
+    const auto own = evidence->second.byWorker.find(without);
+    if (own != evidence->second.byWorker.end()) {
+        others.weight = std::max(0.0, others.weight - own->second.weight);
+        others.sum -= own->second.sum;
+    }
+    constexpr double LeastWeight = 0.01; // What is left of differences of sums.
+    return others.weight < LeastWeight ? prior : withEvidence(prior, others);
+}
+
+void refreshJobView(const FleetScheduler &scheduler, const FleetJob &job, JobView &view)
+{
+    const JobSpec &spec = job.spec;
+    std::vector<Duration> times(spec.steps.size());
+    for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
+        RunTimeBelief belief = expectedRunTime(scheduler.runTimes, keyOf(job), spec.steps[i]);
+        const auto evidence = view.evidence.find(i);
+        belief = evidence == view.evidence.end() ? belief : withEvidence(belief, evidence->second.total);
+        times[i] = runTimeAt(belief, 0);
+    }
+    view.chainFrom.assign(spec.steps.size(), Duration());
+    Duration chain;
+    for (std::size_t i = spec.steps.size(); i-- > 0;) {
+        view.chainFrom[i] = view.chainFrom[i] + times[i];
+        chain = std::max(chain, view.chainFrom[i]);
+        for (const std::uint32_t earlier : spec.steps[i].dependsOn) {
+            view.chainFrom[earlier] = std::max(view.chainFrom[earlier], view.chainFrom[i]);
+        }
+    }
+    view.objectiveEnd = view.acceptedAt + Duration{chain.ms * job.queue.stretchPerMille / 1000} + job.queue.latencyAllowance;
+    // A small job is worth more for each processor second, since a part of its worth does not depend on its size.
+    view.worthDensity = 1.0 / std::max(0.1, processorSeconds(spec, times));
+    view.isStale = false;
+}
+
+void noteRunProgress(FleetScheduler &scheduler, WorkerContact &contact, const TaskRef &task, RunView &run, std::int64_t percent, std::int64_t clockMs)
+{
+    const bool isMeasured = run.fillsSpare && run.progress.firstClockMs && clockMs - *run.progress.firstClockMs >= MeasureWindowMs;
+    const double asked = static_cast<double>(std::max<std::int64_t>(1, run.spareCpuMillis));
+    noteProgress(run.progress, percent, clockMs, isMeasured ? static_cast<double>(run.measure) / asked : 1.0);
+    const auto shown = shownRunTime(run.progress);
+    const auto view = scheduler.jobs.find(task.job);
+    if (shown && view != scheduler.jobs.end()) {
+        replaceEvidence(view->second, contact.life, task, run, evidenceOf(shown->ms / farFactorOf(scheduler, run), shown->gainedPercent));
+    }
+}
+
+void learnFromDoneRun(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, const TaskRef &task, RunView &run, std::int64_t clockMs)
+{
+    const auto view = scheduler.jobs.find(task.job);
+    const auto taken = run.isLasting ? std::nullopt : finishedRunTime(run.progress, clockMs);
+    if (!taken || view == scheduler.jobs.end()) {
+        return;
+    }
+    constexpr double WholePercent = 100.0;
+    const FleetJob &job = state.jobs.at(task.job);
+    const StepSpec &step = job.spec.steps[task.step];
+    const double nearMs = static_cast<double>(taken->ms) / farFactorOf(scheduler, run);
+    weightDown(contact, clockMs);
+    addSlowness(contact.endedSlowness, {nearMs, WholePercent}, expectedTaskTime(scheduler, job, task.step, contact.life));
+    replaceEvidence(view->second, contact.life, task, run, evidenceOf(nearMs, WholePercent));
+    learnRunTime(scheduler.runTimes, keyOf(job), step, Duration{static_cast<std::int64_t>(nearMs)}, 1.0 / std::max<std::uint32_t>(1, step.taskCount));
+}
+
+void forgetJob(FleetScheduler &scheduler, JobNumber job)
+{
+    const TaskRef first{job, 0, 0, 0};
+    const TaskRef last{job + 1, 0, 0, 0};
+    scheduler.failedOn.erase(scheduler.failedOn.lower_bound(first), scheduler.failedOn.lower_bound(last));
+    scheduler.moves.erase(scheduler.moves.lower_bound(first), scheduler.moves.lower_bound(last));
+    scheduler.tasksOnMove.erase(scheduler.tasksOnMove.lower_bound(first), scheduler.tasksOnMove.lower_bound(last));
+    scheduler.jobs.erase(job);
+}
+
+} // namespace Filbertlanding
--- a/src/fleet/worker_contact.h
+++ b/src/fleet/worker_contact.h
@@ -57,7 +57,8 @@
     bool isLasting = false;
     bool fillsSpare = false;
     bool isCheckpointed = false;
-    Duration estimate; ///< Of its step.
+    Duration expectedTime; ///< Run time that is expected of it where it runs.
+    RunTimeEvidence evidence; ///< What it has added to the evidence of its step.
 };
 
 /** The worker's clock at a moment of ours. */
@@ -121,6 +122,8 @@
     bool hasNewTails = false; ///< A look has come since then.
     SpareShares sharesInUse; ///< Processors in use by images in spare room, as the last look showed.
     unsigned recentFailures = 0; ///< Failed runs since the last one that was done.
+    WorkerSlowness endedSlowness; ///< What runs that are done have shown of its speed; counts less with time.
+    std::int64_t slownessClockMs = 0; ///< Worker's clock when that was last weighted down.
     bool isRoomStale = true; ///< What placements know of it is older than its runs.
     bool isTouched = false; ///< Something has happened since the last tick that may make an order due.
 };
