Fix: a lease that an order for an earlier life gave to the next one counts before its runs are given up

Cause: an order that was on its way when its worker began a new life under the same name reaches the new one, with a lease named on the clock of the old one; workers cut it to the longest lease, 10 s. The leader counted only the leases that it names to the new life, gave its runs up after less, and began them elsewhere while they ran on (TWICE). Model workers cut leases as real ones do.

--- a/fakes/fleet_world.cpp
+++ b/fakes/fleet_world.cpp
@@ -253,7 +253,7 @@
     const auto finish = [this, number = order.number, term = order.term, answered](const WorkerAnswer &answer) {
         const auto leader = this->leaders.find(term);
         if (!std::exchange(*answered, true) && leader != this->leaders.end()) {
-            this->carryOut(takeAnswer(leader->second->scheduler, this->state, number, answer, this->now, this->wall()), term);
+            this->carryOut(takeAnswer(leader->second->scheduler, this->stateOf(*leader->second), number, answer, this->now, this->wall()), term);
         }
     };
     this->at(this->now + order.timeout, [finish] {
@@ -402,6 +402,7 @@
     auto kept = std::move(old->second);
     const std::uint64_t term = this->lastTerm;
     kept->isReachable = false;
+    kept->isolatedState = this->state;
     kept->leaseEnd = this->now + lease;
     this->changeLeader(gap);
     this->leaders[term] = std::move(kept);
@@ -412,6 +413,11 @@
     return this->leaders.at(this->lastTerm)->scheduler;
 }
 
+const FleetState &FleetWorld::stateOf(const Leader &leader) const
+{
+    return leader.isolatedState ? *leader.isolatedState : this->state;
+}
+
 void FleetWorld::tickLeaders()
 {
     std::vector<std::uint64_t> terms;
@@ -423,7 +429,7 @@
         if (leader.isReachable) {
             leader.leaseEnd = this->now + LeaderLease;
         }
-        this->carryOut(schedulerTick(leader.scheduler, this->state, this->now, this->wall(), leader.leaseEnd), term);
+        this->carryOut(schedulerTick(leader.scheduler, this->stateOf(leader), this->now, this->wall(), leader.leaseEnd), term);
     }
 }
 
--- a/fakes/fleet_world.h
+++ b/fakes/fleet_world.h
@@ -102,6 +102,7 @@
         FleetScheduler scheduler;
         TimePoint leaseEnd;
         bool isReachable = true; ///< Its commands reach the log.
+        std::optional<FleetState> isolatedState; ///< What it had applied when it was isolated; nothing later reaches it.
     };
 
     void at(TimePoint when, std::function<void()> action);
@@ -114,6 +115,7 @@
     void deliver(const WorkerOrder &order);
     void arrive(const WorkerOrder &order, bool isLost, std::int64_t life, const std::function<void(const WorkerAnswer &)> &finish);
     void waitForEnd(const WorkerOrder &look, std::int64_t life, TimePoint until, const std::function<void(const WorkerAnswer &)> &respond);
+    const FleetState &stateOf(const Leader &leader) const;
     void tickLeaders();
     void onStarted(const WorkerName &worker, const TaskName &task, std::uint32_t run);
     void onEnded(const WorkerName &worker, const TaskName &task, std::uint32_t run, RunEnd end);
--- a/fakes/model_worker.cpp
+++ b/fakes/model_worker.cpp
@@ -11,6 +11,7 @@
 
     constexpr double UndisturbedTail = 0.4; ///< Tail of an undisturbed lasting task, as a share of its target.
     constexpr double LastingUse = 0.42; ///< Share of their processors that lasting tasks use.
+    constexpr std::int64_t LongestLeaseMs = 10'000; ///< Longer leases are cut to this.
     constexpr double FailsAfterMs = 100; ///< Work after which a task fails on a worker that fails everything.
     constexpr double CheckpointMs = 1000; ///< Progress is saved with each so much work.
 
@@ -67,6 +68,11 @@
     return this->tailOf(run) > run.task.latencyTarget.ms;
 }
 
+void ModelWorker::extendLease(std::int64_t endMs)
+{
+    this->leaseEndMs = std::max(this->leaseEndMs, std::min(endMs, this->clockMs() + LongestLeaseMs));
+}
+
 WorkerAnswer ModelWorker::start(const WorkerOrder &order, const ModelTask &task)
 {
     WorkerAnswer answer;
@@ -76,7 +82,7 @@
             answer.outcome = OrderOutcome::TooLate;
             return answer;
         }
-        this->leaseEndMs = std::max(this->leaseEndMs, *order.leaseEndMs);
+        this->extendLease(*order.leaseEndMs);
     }
     const auto present = this->running.find(order.task);
     if (present != this->running.end() && present->second.run == order.run) {
@@ -135,7 +141,7 @@
         break;
     }
     if (order.leaseEndMs) {
-        this->leaseEndMs = std::max(this->leaseEndMs, *order.leaseEndMs);
+        this->extendLease(*order.leaseEndMs);
     }
     std::erase_if(this->ends, [this, &order](const ListedEnd &end) {
         const bool isNoted = end.number <= order.notedThrough;
--- a/fakes/model_worker.h
+++ b/fakes/model_worker.h
@@ -77,6 +77,7 @@
 
 private:
     WorkerAnswer start(const WorkerOrder &order, const ModelTask &task);
+    void extendLease(std::int64_t endMs);
     void end(const TaskName &name, RunEnd how);
     bool fits(const ModelTask &task) const;
     std::int64_t tailOf(const ModelRun &run) const;
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -233,7 +233,7 @@
         }
         WorkerContact &contact = scheduler.contacts[number];
         contact.life = number;
-        contact.earlierLeasesEnd = now + Duration{settings.taskLease.ms * 100 / SlowestClockPercent};
+        contact.earlierLeasesEnd = now + longestOnOurClock(settings.taskLease);
         const LifeNumber latest = state.latestLife.at(life.profile.worker);
         if (latest != number) {
             contact.isReplaced = true;
--- a/src/fleet/fleet_snapshot.cpp
+++ b/src/fleet/fleet_snapshot.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr char SnapshotVersion = 1; ///< First byte of every snapshot.
+    constexpr char SnapshotVersion = 2; ///< First byte of every snapshot.
 
     /** What a snapshot holds; the tables by name are made anew from it. */
     struct StoredState {
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -180,7 +180,7 @@
             }
         }
         const LifeNumber number = ++state.lastLife;
-        state.lives[number] = {number, profile, false};
+        state.lives[number] = {number, profile, false, latest != state.latestLife.end()};
         state.latestLife[profile.worker] = number;
         change.isApplied = true;
         change.isNewLife = true;
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -92,11 +92,12 @@
     LifeNumber number = 0;
     WorkerProfile profile;
     bool hasEnded = false; ///< Nothing runs there any more.
+    bool hasPredecessor = false; ///< The worker's name was known before, so orders that were meant for an earlier life may reach this one.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(this->number, this->profile, this->hasEnded);
+        archive(this->number, this->profile, this->hasEnded, this->hasPredecessor);
     }
 };
 
--- a/src/fleet/scheduler_answers.cpp
+++ b/src/fleet/scheduler_answers.cpp
@@ -211,6 +211,10 @@
         noteAlive(contact, answer, now);
         contact.acknowledgedThrough = std::max(contact.acknowledgedThrough, open.notedThrough);
         const bool isAdoption = !contact.isAdopted;
+        if (isAdoption && life.hasPredecessor) {
+            // An order for an earlier life may have come before, with a lease named on another clock; workers cut such a lease to the longest one.
+            contact.earlierLeasesEnd = std::max(contact.earlierLeasesEnd, now + longestOnOurClock(scheduler.settings.longestLease));
+        }
         contact.isAdopted = true;
         contact.isLifeSure = true;
         contact.answeredLook = contact.lookNumber;
--- a/src/fleet/worker_contact.h
+++ b/src/fleet/worker_contact.h
@@ -132,6 +132,12 @@
     bool isTouched = false; ///< Something has happened since the last tick that may make an order due.
 };
 
+/** Returns the time that a lease of this length may last on our clock, since a worker's clock may be slow. */
+constexpr Duration longestOnOurClock(Duration lease)
+{
+    return lease * 100 / SlowestClockPercent;
+}
+
 /** Returns the fence of the next order: it rises with the term of the leader, with each life of the worker, and with the contact's epoch. */
 std::uint64_t fenceOf(std::uint64_t term, const WorkerContact &contact);
 
--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -453,6 +453,32 @@
         CHECK_MESSAGE(world.violations.empty(), firstOf(world.violations));
     }
 
+    SUBCASE("or to hold a lease that was named on the clock of the life before, and be given up while it runs on")
+    {
+        FleetWorld world(randomSettings(412184905));
+        playRandomFaults(world);
+        CHECK_MESSAGE(world.violations.empty(), firstOf(world.violations));
+    }
+
+    SUBCASE("or given up early, although the lease was named on the clock of the life before")
+    {
+        // The leader counts the leases that it names on the clock of a life, but a look for the life before has given a longer one.
+        // The leader gives its orders each 20 ms, so at one of these moments starts are on their way.
+        for (std::int64_t offset = 0; offset <= 40; offset += 5) {
+            FleetWorld world({});
+            world.run({20'000});
+            world.submit("first", oneStepJob(150, SmallTask, {300}));
+            world.run({offset});
+            world.crash("w0", true);
+            world.run({1'000});
+            world.submit("second", lastingJob(36, "watch"));
+            world.run({1'000});
+            world.cut("w0", true);
+            world.run({20'000});
+            CHECK_MESSAGE(world.violations.empty(), "offset " << offset << ": " << firstOf(world.violations));
+        }
+    }
+
     SUBCASE("whatever the seed")
     {
         for (std::uint64_t seed = 1; seed <= 40; ++seed) {
