Fix: an error in one handler ends neither a daemon nor its lead for good; fences do not fall within a term

A daemon that gave up the lead within its term did not lead again before the next term, and would have begun with lower fences than it had used, which workers refuse. Change: runLoop ends the failed handler only; the scheduler, which may be amid a change, is dropped and started anew from the replicated state after 200 ms, with order numbers and so fences above the earlier ones. A command that can't be applied still ends the process, since the replica's state may be half changed. Ruled out: going on with the same scheduler; its contacts may not fit the log.

--- a/fakes/fleet_world.cpp
+++ b/fakes/fleet_world.cpp
@@ -384,7 +384,7 @@
     this->at(this->now + gap, [this, term] {
         if (term == this->lastTerm) {
             auto leader = std::make_unique<Leader>();
-            leader->scheduler = startScheduler(this->settings.scheduler, this->state, term, this->now, this->wall());
+            leader->scheduler = startScheduler(this->settings.scheduler, this->state, term, 0, this->now, this->wall());
             this->leaders[term] = std::move(leader);
         }
     });
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -221,11 +221,13 @@
 
 } // namespace
 
-FleetScheduler startScheduler(const SchedulerSettings &settings, const FleetState &state, std::uint64_t term, TimePoint now, WallTime wall)
+FleetScheduler
+startScheduler(const SchedulerSettings &settings, const FleetState &state, std::uint64_t term, std::uint64_t lastOrder, TimePoint now, WallTime wall)
 {
     FleetScheduler scheduler;
     scheduler.settings = settings;
     scheduler.term = term;
+    scheduler.lastOrder = lastOrder;
     scheduler.since = now;
     for (const auto &[number, life] : state.lives) {
         if (life.hasEnded) {
@@ -233,6 +235,7 @@
         }
         WorkerContact &contact = scheduler.contacts[number];
         contact.life = number;
+        contact.fenceEpoch = lastOrder;
         contact.earlierLeasesEnd = now + longestOnOurClock(settings.taskLease);
         const LifeNumber latest = state.latestLife.at(life.profile.worker);
         if (latest != number) {
--- a/src/fleet/fleet_scheduler_func.h
+++ b/src/fleet/fleet_scheduler_func.h
@@ -7,8 +7,12 @@
 
 namespace Filbertlanding {
 
-/** Starts the scheduler of a leadership from the replicated state. */
-FleetScheduler startScheduler(const SchedulerSettings &settings, const FleetState &state, std::uint64_t term, TimePoint now, WallTime wall);
+/**
+ * Starts the scheduler of a leadership from the replicated state.
+ * @param lastOrder Number of the last order that this daemon has given in the term, if it led in it before; fences must not fall within a term.
+ */
+FleetScheduler
+startScheduler(const SchedulerSettings &settings, const FleetState &state, std::uint64_t term, std::uint64_t lastOrder, TimePoint now, WallTime wall);
 
 /** What became of a worker's report. */
 struct ReportOutcome {
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -19,6 +19,7 @@
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Bound on the delay of orders that are due by time alone.
     constexpr std::chrono::milliseconds GatherInterval{4}; ///< Answers of so long are worked on together, since each pass visits all workers.
+    constexpr std::chrono::milliseconds LeadPause{200}; ///< A daemon that has given up the lead and still leads the log waits so long.
     constexpr std::size_t MostEntriesInFlight = 2; ///< One entry syncs while the next one is on its way; more would only make entries smaller.
     /** Long enough for all schedulers to be down for some seconds and a new leader to take over, short enough to start the tasks of a lost worker elsewhere. */
     constexpr std::int64_t LongestTaskLeaseMs = 7'000;
@@ -194,29 +195,49 @@
         this->failed(ResultCode::DataDamaged);
         return;
     }
-    const TimePoint now = steadyNow();
-    const WallTime wall = wallNow();
     for (const FleetCommand &command : *commands) {
-        const auto *start = std::get_if<StartRun>(&command);
-        const auto job = start == nullptr ? this->state.jobs.end() : this->state.jobs.find(start->task.job);
-        const bool wasQueued = job != this->state.jobs.end() && job->second.state == FleetJobState::Queued;
-        const FleetChange change = applyFleetCommand(this->state, command);
-        if (this->scheduler) {
-            this->countChange(command, change, wasQueued);
-            noteApplied(*this->scheduler, this->state, command, change, now, wall);
-            this->logChange(command, change);
+        if (!this->applyCommand(command)) {
+            return;
         }
     }
     if (this->scheduler && entry.term == this->scheduler->term && !this->inFlight.empty()) {
         const Batch batch = std::move(this->inFlight.front());
         this->inFlight.pop_front();
-        this->counters.commitTime.record(now - batch.proposedAt);
+        this->counters.commitTime.record(steadyNow() - batch.proposedAt);
         for (const auto &waiter : batch.waiters) {
             waiter(true);
         }
     }
 }
 
+bool FleetCore::applyCommand(const FleetCommand &command)
+{
+    const auto *start = std::get_if<StartRun>(&command);
+    const auto job = start == nullptr ? this->state.jobs.end() : this->state.jobs.find(start->task.job);
+    const bool wasQueued = job != this->state.jobs.end() && job->second.state == FleetJobState::Queued;
+    FleetChange change;
+    try {
+        change = applyFleetCommand(this->state, command);
+    } catch (const std::exception &error) {
+        // The state may be half changed, so this replica can't go on with it.
+        logLine(LogArea::Replication, LogLevel::Error, "command_failed", {{"index", this->appliedIndex}, {"error", error.what()}});
+        this->failed(ResultCode::DataDamaged);
+        return false;
+    }
+    if (!this->scheduler) {
+        return true;
+    }
+    this->countChange(command, change, wasQueued);
+    this->logChange(command, change);
+    try {
+        noteApplied(*this->scheduler, this->state, command, change, steadyNow(), wallNow());
+    } catch (const std::exception &error) {
+        logLine(LogArea::Replication, LogLevel::Error, "scheduler_failed", {{"index", this->appliedIndex}, {"error", error.what()}});
+        this->dropLead("the scheduler failed");
+    }
+    return true;
+}
+
 void FleetCore::onInstalled(Snapshot snapshot)
 {
     const ResultCode code = decodeFleetState(snapshot.state, this->state);
@@ -273,7 +294,9 @@
     if (this->scheduler || !isReady || this->isStopping) {
         return;
     }
-    this->scheduler = startScheduler(schedulerSettings(this->settings), this->state, this->status.term, steadyNow(), wallNow());
+    this->ordersOfTerm = this->status.term == this->ordersTerm ? this->ordersOfTerm : 0;
+    this->ordersTerm = this->status.term;
+    this->scheduler = startScheduler(schedulerSettings(this->settings), this->state, this->status.term, this->ordersOfTerm, steadyNow(), wallNow());
     ++this->counters.leaderships;
     logLine(
         LogArea::Replication,
@@ -287,8 +310,8 @@
 void FleetCore::endLead(std::string_view reason)
 {
     logLine(LogArea::Replication, LogLevel::Info, "lead_ends", {{"term", this->scheduler->term}, {"reason", reason}, {"openProposals", this->inFlight.size()}});
+    this->ordersOfTerm = this->scheduler->lastOrder;
     this->scheduler.reset();
-    this->tickTimer.cancel();
     this->outbox.clear();
     std::vector<std::function<void(bool)>> waiters = std::exchange(this->outboxWaiters, {});
     for (Batch &batch : this->inFlight) {
@@ -298,6 +321,12 @@
     for (const auto &waiter : waiters) {
         waiter(false);
     }
+    this->tickTimer.expires_after(LeadPause);
+    this->tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->beginLeadIfReady();
+        }
+    });
 }
 
 void FleetCore::propose(FleetCommand command, std::function<void(bool)> done)
@@ -418,6 +447,13 @@
     this->waitForTick();
 }
 
+void FleetCore::dropLead(std::string_view reason)
+{
+    if (this->scheduler) {
+        this->endLead(reason);
+    }
+}
+
 void FleetCore::stop()
 {
     if (this->isStopping) {
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -67,6 +67,9 @@
     /** Handles a call of a worker or an operator. */
     void handleControl(const HttpRequest &request, HttpRespond respond);
 
+    /** Gives up what the scheduler knows, after an error in its work; a new one starts from the replicated state. */
+    void dropLead(std::string_view reason);
+
     /** Gives up the lead and stops. */
     void stop();
 
@@ -85,6 +88,7 @@
 
     void onApplied(const std::vector<LogEntry> &entries);
     void applyEntry(const LogEntry &entry);
+    bool applyCommand(const FleetCommand &command);
     void onInstalled(Snapshot snapshot);
     void onStatus(ReplicationStatus next);
     void beginLeadIfReady();
@@ -122,6 +126,8 @@
     FleetState state;
     std::uint64_t appliedIndex = 0;
     std::uint64_t appliedTerm = 0;
+    std::uint64_t ordersTerm = 0; ///< Term of the last lead.
+    std::uint64_t ordersOfTerm = 0; ///< Orders given in that term.
     std::optional<FleetScheduler> scheduler; ///< Only while this daemon leads and has applied everything of earlier leaders.
     std::vector<FleetCommand> outbox; ///< Commands for the next entry.
     std::vector<std::function<void(bool)>> outboxWaiters; ///< Who waits for them.
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -4,6 +4,7 @@
 
 #include "core/clock_func.h"
 #include "runtime/log_func.h"
+#include "runtime/run_loop.h"
 
 #include <csignal>
 
@@ -122,7 +123,13 @@
     this->armReload();
     logLine(
         LogArea::Daemon, LogLevel::Info, "started", {{"daemon", this->settings.daemon}, {"address", this->settings.address}, {"voter", this->core != nullptr}});
-    this->io.run();
+    runLoop(this->io, [this](std::string_view error) {
+        logLine(LogArea::Daemon, LogLevel::Error, "handler_failed", {{"error", error}});
+        if (this->core != nullptr) {
+            // The scheduler may be amid a change; the replicated state is not, since what can't be applied ends the process.
+            this->core->dropLead("a handler failed");
+        }
+    });
     return this->result;
 }
 
--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -203,6 +203,25 @@
     CHECK(world.outcomes.at("long").state == FleetJobState::Completed);
 }
 
+TEST_CASE("Fences do not fall when a daemon begins to lead again within its term")
+{
+    // Guards against a lead that workers refuse for ever, because an earlier lead of the same term has used higher fences.
+    FleetWorld world({});
+    world.run({100});
+    constexpr std::uint64_t Term = 9;
+    const TimePoint forever{1'000'000'000};
+    FleetScheduler first = startScheduler({}, world.state, Term, 0, world.now, {0});
+    const SchedulerActions before = schedulerTick(first, world.state, world.now, {0}, forever);
+    REQUIRE(!before.orders.empty());
+    FleetScheduler second = startScheduler({}, world.state, Term, first.lastOrder, world.now, {0});
+    const SchedulerActions after = schedulerTick(second, world.state, world.now, {0}, forever);
+    REQUIRE(!after.orders.empty());
+    for (const WorkerOrder &order : before.orders) {
+        CHECK(order.fence < after.orders.front().fence);
+    }
+    CHECK(after.orders.front().number > before.orders.back().number);
+}
+
 TEST_CASE("A new leader takes over what runs")
 {
     FleetWorld world({});
