Change: what a leader has learned survives its leadership

Cause: run times, pairs of images and their errors ended with each takeover and were learned again on the heaviest seconds. Change: LearnedModel with its encoded form, the command KeepLearned, FleetState::learned. Damaged or inconsistent models are dropped and learned anew; nothing learned is needed for safety. Tails keep the variance of what is expected of them. Test: 'What a leader has learned survives its leadership'; a new leader started from the priors before.

--- a/src/fleet/fleet_command.h
+++ b/src/fleet/fleet_command.h
@@ -152,8 +152,29 @@
     }
 };
 
-using FleetCommand = std::
-    variant<PutManifest, SetZoneDrained, NoteWorker, EndWorker, SubmitFleetJob, CancelFleetJob, OpenOccurrence, StartRun, EndRun, StartWave, NoteWaveMachine>;
+/** Keeps what the leader has learned, for the next one. */
+struct KeepLearned {
+    std::string model; ///< Encoded LearnedModel.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->model);
+    }
+};
+
+using FleetCommand = std::variant<PutManifest,
+                                  SetZoneDrained,
+                                  NoteWorker,
+                                  EndWorker,
+                                  SubmitFleetJob,
+                                  CancelFleetJob,
+                                  OpenOccurrence,
+                                  StartRun,
+                                  EndRun,
+                                  StartWave,
+                                  NoteWaveMachine,
+                                  KeepLearned>;
 
 /** Returns the payload of a log entry with these commands. */
 std::string encodeCommands(const std::vector<FleetCommand> &commands);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    constexpr Duration KeepInterval{5'000}; ///< A new leader knows all but the last seconds; more often would only cost log bytes.
+    constexpr std::size_t MostKeptBytes = 262'144; ///< A larger model is not kept in the log, and learned anew by the next leader.
     constexpr Duration SweepInterval{100}; ///< Interval of the slow matters: draining workers, pace.
     constexpr std::int64_t WorkersPerPlacementMs = 100; ///< A placement visits all workers, so on a large fleet it waits for what comes within some ms.
     constexpr Duration FullTickInterval{20}; ///< Bound on the delay of orders that are due by time alone; a look at all workers costs too much for each answer.
@@ -229,6 +231,8 @@
     scheduler.term = term;
     scheduler.lastOrder = lastOrder;
     scheduler.since = now;
+    scheduler.learned = decodeLearned(state.learned, now);
+    scheduler.nextKeep = now + KeepInterval;
     for (const auto &[number, life] : state.lives) {
         if (life.hasEnded) {
             continue;
@@ -334,7 +338,7 @@
     } else if (std::holds_alternative<SubmitFleetJob>(command) && change.isApplied && !change.jobEnded) {
         scheduler.jobs[change.job] = makeJobView(scheduler, state.jobs.at(change.job), now, wall);
         scheduler.placeDue = true;
-    } else if (!std::holds_alternative<SubmitFleetJob>(command)) {
+    } else if (!std::holds_alternative<SubmitFleetJob>(command) && !std::holds_alternative<KeepLearned>(command)) {
         scheduler.placeDue = true;
     }
     if (change.jobEnded) {
@@ -367,6 +371,16 @@
         return contacts;
     }
 
+    /** Keeps what was learned for the next leader. */
+    void keepLearned(FleetScheduler &scheduler, const FleetState &state, TimePoint now, SchedulerActions &actions)
+    {
+        scheduler.nextKeep = now + KeepInterval;
+        std::string model = encodeLearned(scheduler.learned);
+        if (model.size() <= MostKeptBytes && model != state.learned) {
+            actions.propose.push_back(KeepLearned{std::move(model)});
+        }
+    }
+
     /** Lets time pass for one worker. */
     void tickContact(FleetScheduler &scheduler, const FleetState &state, WorkerContact &contact, TimePoint now, WallTime wall, SchedulerActions &actions)
     {
@@ -399,7 +413,10 @@
             moveOffDraining(scheduler, state, contact, now);
             adaptPace(scheduler, contact, now);
         }
-        refitInterference(scheduler.interference, now);
+        refitInterference(scheduler.learned.interference, now);
+        if (now >= scheduler.nextKeep) {
+            keepLearned(scheduler, state, now, actions);
+        }
         // Workers become usable again with time alone.
         scheduler.placeDue = true;
     }
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -4,9 +4,8 @@
 
 #include "fleet/fleet_command.h"
 #include "fleet/fleet_state_base.h"
-#include "fleet/pair_interference.h"
+#include "fleet/learned_model.h"
 #include "fleet/place_run.h"
-#include "fleet/run_time.h"
 #include "fleet/worker_contact.h"
 
 #include <map>
@@ -77,10 +76,10 @@
     std::map<TaskRef, LifeNumber> failedOn; ///< Where the latest run of a task failed, to try it elsewhere.
     std::map<TaskRef, unsigned> proposedStarts; ///< Tasks with a start on its way to the log, and how many.
     std::map<std::uint64_t, OpenOrder> openOrders; ///< Orders without an answer.
-    RunTimeModel runTimes; ///< Learned from runs that are done.
+    LearnedModel learned; ///< Run times and how images press on each other.
+    TimePoint nextKeep; ///< When what was learned is next kept in the log.
     std::map<TaskRef, unsigned> moves; ///< How often a task was moved for its progress.
     std::set<TaskRef> tasksOnMove; ///< Tasks that were stopped for their progress and have not been placed anew.
-    PairInterference interference; ///< Learned from the tails that looks bring.
     std::shared_ptr<const SlopeTable> slopes; ///< Slopes that the rooms were computed with; empty before the first placement.
     std::map<LifeNumber, WorkerRoom> rooms; ///< What placements know of the workers; brought up to date when they are used.
     std::map<TaskRef, LifeNumber> wantedCopies; ///< Tasks that should run once more elsewhere, and where they run now.
--- a/src/fleet/fleet_snapshot.cpp
+++ b/src/fleet/fleet_snapshot.cpp
@@ -17,13 +17,15 @@
         std::map<JobNumber, FleetJob> jobs;
         std::map<JobId, WallTime> cancelledUnseen;
         std::map<std::uint64_t, MaintenanceWave> waves;
+        std::string learned;
         JobNumber lastJob = 0;
         LifeNumber lastLife = 0;
 
         template<class Archive>
         void serialize(Archive &archive)
         {
-            archive(this->manifest, this->drainedZones, this->lives, this->jobs, this->cancelledUnseen, this->waves, this->lastJob, this->lastLife);
+            archive(
+                this->manifest, this->drainedZones, this->lives, this->jobs, this->cancelledUnseen, this->waves, this->learned, this->lastJob, this->lastLife);
         }
     };
 
@@ -38,6 +40,7 @@
     stored.jobs = state.jobs;
     stored.cancelledUnseen = state.cancelledUnseen;
     stored.waves = state.waves;
+    stored.learned = state.learned;
     stored.lastJob = state.lastJob;
     stored.lastLife = state.lastLife;
     return encodeVersioned(SnapshotVersion, stored);
@@ -57,6 +60,7 @@
     next.jobs = std::move(stored.jobs);
     next.cancelledUnseen = std::move(stored.cancelledUnseen);
     next.waves = std::move(stored.waves);
+    next.learned = std::move(stored.learned);
     next.lastJob = stored.lastJob;
     next.lastLife = stored.lastLife;
     for (const auto &[number, life] : next.lives) {
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -373,6 +373,14 @@
         return false;
     }
 
+    FleetChange apply(FleetState &state, const KeepLearned &command)
+    {
+        FleetChange change;
+        state.learned = command.model;
+        change.isApplied = true;
+        return change;
+    }
+
 } // namespace
 
 FleetChange applyFleetCommand(FleetState &state, const FleetCommand &command)
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -132,6 +132,7 @@
     std::map<JobId, JobNumber> jobNumbers;
     std::map<JobId, WallTime> cancelledUnseen; ///< Cancelled before they arrived, so that a late copy of the submission does not run.
     std::map<std::uint64_t, MaintenanceWave> waves;
+    std::string learned; ///< What the last leader had learned, encoded; empty before the first time.
     JobNumber lastJob = 0;
     LifeNumber lastLife = 0;
 };
--- a/src/fleet/pair_interference.cpp
+++ b/src/fleet/pair_interference.cpp
@@ -13,6 +13,8 @@
     constexpr double PriorSlope = 1.0; ///< Between a pair that does not interfere and one that does.
     constexpr double PriorWeight = 0.15; ///< Weight of the prior slope, in samples with all processors used.
     constexpr double PriorBaseWeight = 2.0; ///< Weight of the prior base, in samples.
+    constexpr double PriorVariance = 0.03; ///< Of tails around what is expected of them, before anything was seen.
+    constexpr double PriorVarianceWeight = 20.0; ///< Weight of it, in samples.
     constexpr double LargestTail = 3.0; ///< Tails above are cut: once a task is overloaded, its tail says nothing of the slope.
     constexpr Duration FitInterval{500};
     constexpr Duration HalfLife{20'000}; ///< The disturbance changes with the loads of a pair.
@@ -56,6 +58,8 @@
         for (double &value : model.targets) {
             value *= factor;
         }
+        model.errorWeight *= factor;
+        model.squaredErrors *= factor;
     }
 
     /** Minimises the weighted squared error plus the pull of the prior, one slope after the other, none below 0. */
@@ -87,6 +91,12 @@
         }
     }
     const double tail = std::min(tailShare, LargestTail);
+    double error = tail;
+    for (const auto &[i, input] : inputs) {
+        error -= tails.slopes[i] * input;
+    }
+    tails.errorWeight += 1.0;
+    tails.squaredErrors += error * error;
     for (const auto &[i, left] : inputs) {
         tails.targets[i] += left * tail;
         for (const auto &[j, right] : inputs) {
@@ -130,4 +140,13 @@
     return tail;
 }
 
+double chanceOverTarget(const PairInterference &model, const std::string &lastingImage, double expectedTailShare)
+{
+    const auto found = model.models.find(lastingImage);
+    const double weight = found == model.models.end() ? 0.0 : found->second.errorWeight;
+    const double errors = found == model.models.end() ? 0.0 : found->second.squaredErrors;
+    const double variance = (errors + PriorVariance * PriorVarianceWeight) / (weight + PriorVarianceWeight);
+    return 0.5 * std::erfc((1.0 - expectedTailShare) / std::sqrt(2.0 * variance));
+}
+
 } // namespace Filbertlanding
--- a/src/fleet/pair_interference.h
+++ b/src/fleet/pair_interference.h
@@ -26,6 +26,14 @@
     std::vector<std::vector<double>> products; ///< Decayed sums of products of the inputs; input 0 is the constant 1.
     std::vector<double> targets; ///< Decayed sums of inputs times tails.
     std::vector<double> slopes; ///< Base, then a slope for each image.
+    double errorWeight = 0; ///< Decayed weight of the observations.
+    double squaredErrors = 0; ///< Decayed sum of squared errors of what was expected of them.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->images, this->products, this->targets, this->slopes, this->errorWeight, this->squaredErrors);
+    }
 };
 
 /** The model of all lasting images. */
@@ -33,6 +41,12 @@
     std::map<std::string, TailModel> models;
     std::set<std::string> spareImages; ///< All images in spare room that were seen.
     TimePoint fittedAt;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->models); // The images are in the models; points in time say nothing on another daemon's clock.
+    }
 };
 
 /** Takes one observation: the tail of a lasting task as a share of its target, beside tasks in spare room. */
@@ -44,6 +58,9 @@
 /** Returns the expected tail of a lasting image as a share of its target. */
 double expectedTail(const PairInterference &model, const std::string &lastingImage, const SpareShares &shares);
 
+/** Returns the chance that a lasting image is over its target at an expected tail, as its load swings around the mean. */
+double chanceOverTarget(const PairInterference &model, const std::string &lastingImage, double expectedTailShare);
+
 /** Returns how much the expected tail rises for each share of the processors that an image uses. */
 double slopeOf(const PairInterference &model, const std::string &lastingImage, const std::string &spareImage);
 
--- a/src/fleet/scheduler_answers.cpp
+++ b/src/fleet/scheduler_answers.cpp
@@ -134,7 +134,7 @@
             const RunView &run = contact.runs.at(task);
             if (run.isLasting && run.latencyTarget.ms > 0 && run.measure > 0 && run.percent >= AtWorkPercent) {
                 const double tailShare = static_cast<double>(run.measure) / static_cast<double>(run.latencyTarget.ms);
-                observeTail(scheduler.interference, run.image, tailShare, contact.sharesInUse);
+                observeTail(scheduler.learned.interference, run.image, tailShare, contact.sharesInUse);
             }
         }
         for (auto &[task, run] : contact.runs) {
--- a/src/fleet/scheduler_care.cpp
+++ b/src/fleet/scheduler_care.cpp
@@ -152,10 +152,10 @@
             pressure.overFor = std::max(pressure.overFor, now - *run.overTargetSince);
             double total = 0;
             for (const auto &[image, share] : contact.sharesInUse) {
-                total += slopeOf(scheduler.interference, run.image, image) * share;
+                total += slopeOf(scheduler.learned.interference, run.image, image) * share;
             }
             for (const auto &[image, share] : contact.sharesInUse) {
-                const double part = total > 0 ? slopeOf(scheduler.interference, run.image, image) * share / total : 1.0;
+                const double part = total > 0 ? slopeOf(scheduler.learned.interference, run.image, image) * share / total : 1.0;
                 pressure.blame[image] = std::max(pressure.blame[image], part);
             }
         }
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -48,10 +48,10 @@
     /** Takes the slopes as learned since the last time; all rooms depend on them. */
     void refreshSlopes(FleetScheduler &scheduler)
     {
-        if (scheduler.slopes != nullptr && scheduler.slopes->fittedAt == scheduler.interference.fittedAt) {
+        if (scheduler.slopes != nullptr && scheduler.slopes->fittedAt == scheduler.learned.interference.fittedAt) {
             return;
         }
-        scheduler.slopes = std::make_shared<const SlopeTable>(makeSlopeTable(scheduler.interference));
+        scheduler.slopes = std::make_shared<const SlopeTable>(makeSlopeTable(scheduler.learned.interference));
         scheduler.rooms.clear();
     }
 
@@ -221,7 +221,7 @@
             const StepSpec &spec = job.spec.steps[ref.step];
             const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
             const StepSpread spread = spreadOf(scheduler, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
-            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.interference, pass.slopes, life}, pass.candidates);
+            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.learned.interference, pass.slopes, life}, pass.candidates);
             if (place) {
                 WorkerRoom &room = *pass.candidates[*place];
                 takeRoom(room, spec, pass.slopes);
@@ -244,7 +244,7 @@
                 continue;
             }
             const auto place =
-                chooseWorker({spec, job.queue.service, spread, scheduler.interference, pass.slopes, failedLife(scheduler, ref)}, pass.candidates);
+                chooseWorker({spec, job.queue.service, spread, scheduler.learned.interference, pass.slopes, failedLife(scheduler, ref)}, pass.candidates);
             if (!place) {
                 pass.misses.note(spec, job.queue.service);
                 return;
@@ -277,7 +277,7 @@
         std::vector<std::pair<LifeNumber, std::string>> places;
         std::uint32_t run = 0;
         for (const TaskRecord &task : record.tasks) {
-            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.interference, pass.slopes}, trial);
+            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.learned.interference, pass.slopes}, trial);
             if (!place) {
                 return;
             }
--- a/src/fleet/scheduler_run_times.cpp
+++ b/src/fleet/scheduler_run_times.cpp
@@ -58,7 +58,7 @@
 
 RunTimeBelief expectedTaskTime(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step, LifeNumber without)
 {
-    const RunTimeBelief prior = expectedRunTime(scheduler.runTimes, keyOf(job), job.spec.steps[step]);
+    const RunTimeBelief prior = expectedRunTime(scheduler.learned.runTimes, keyOf(job), job.spec.steps[step]);
     const auto view = scheduler.jobs.find(job.number);
     if (view == scheduler.jobs.end()) {
         return prior;
@@ -82,7 +82,7 @@
     const JobSpec &spec = job.spec;
     std::vector<Duration> times(spec.steps.size());
     for (std::uint32_t i = 0; i < spec.steps.size(); ++i) {
-        RunTimeBelief belief = expectedRunTime(scheduler.runTimes, keyOf(job), spec.steps[i]);
+        RunTimeBelief belief = expectedRunTime(scheduler.learned.runTimes, keyOf(job), spec.steps[i]);
         const auto evidence = view.evidence.find(i);
         belief = evidence == view.evidence.end() ? belief : withEvidence(belief, evidence->second.total);
         times[i] = runTimeAt(belief, 0);
@@ -128,7 +128,7 @@
     weightDown(contact, clockMs);
     addSlowness(contact.endedSlowness, {nearMs, WholePercent}, expectedTaskTime(scheduler, job, task.step, contact.life));
     replaceEvidence(view->second, contact.life, task, run, evidenceOf(nearMs, WholePercent));
-    learnRunTime(scheduler.runTimes, keyOf(job), step, Duration{static_cast<std::int64_t>(nearMs)}, 1.0 / std::max<std::uint32_t>(1, step.taskCount));
+    learnRunTime(scheduler.learned.runTimes, keyOf(job), step, Duration{static_cast<std::int64_t>(nearMs)}, 1.0 / std::max<std::uint32_t>(1, step.taskCount));
 }
 
 void forgetJob(FleetScheduler &scheduler, JobNumber job)
--- a/tests/fleet_run_time_test.cpp
+++ b/tests/fleet_run_time_test.cpp
@@ -248,6 +248,56 @@
     CHECK(world.violations.empty());
 }
 
+TEST_CASE("What a leader has learned survives its leadership")
+{
+    // Guards against learning run times and pairs of images anew after each takeover, on the heaviest seconds.
+    FleetWorldSettings settings;
+    settings.pressure[{"quiet", "heavy"}] = 6.0;
+    FleetWorld world(settings);
+    world.run({100});
+    JobSpec lasting = oneStepJob(60, {6'000, 8'000, 0}, {400});
+    lasting.steps.front().isLasting = true;
+    lasting.steps.front().image = "quiet";
+    lasting.steps.front().latencyTarget = {20};
+    world.submit("lasting", lasting);
+    world.run({2'000});
+    for (int i = 0; i < 40; ++i) {
+        JobSpec filling = oneStepJob(4, {3'500, 4'000, 0}, {3'000});
+        filling.steps.front().fillsSpare = true;
+        filling.steps.front().image = "heavy";
+        // They take a third of what is stated.
+        world.submit("heavy" + std::to_string(i), filling, 1.0 / 3.0);
+        world.run({500});
+    }
+    const LearnedModel before = world.leaderScheduler().learned;
+    REQUIRE(slopeOf(before.interference, "quiet", "heavy") > 2.0);
+
+    SUBCASE("a new leader knows slopes and run times at once")
+    {
+        world.changeLeader({1'000});
+        world.run({1'100});
+        const LearnedModel &after = world.leaderScheduler().learned;
+        CHECK(slopeOf(after.interference, "quiet", "heavy") > 2.0);
+        StepSpec step = statedStep({3'000}, "heavy");
+        CHECK(runTimeAt(expectedRunTime(after.runTimes, Surveys, step), 0).ms < 2'000);
+    }
+
+    SUBCASE("a damaged model is learned anew")
+    {
+        const std::string bytes = encodeLearned(before);
+        for (std::size_t length = 0; length < bytes.size(); length += 7) {
+            CHECK(decodeLearned(bytes.substr(0, length), world.now).interference.models.empty());
+        }
+        Random random{testSeed()};
+        for (int i = 0; i < 2'000; ++i) {
+            std::string damaged = bytes;
+            damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
+            const LearnedModel model = decodeLearned(damaged, world.now);
+            CHECK(expectedTail(model.interference, "quiet", {{"heavy", 0.5}}) >= -1e300);
+        }
+    }
+}
+
 TEST_CASE("A worker that is slow to answer for a while keeps its running work")
 {
     // Guards against tasks that are stopped or begun anew because their lists are late, although they run as well as the others.
