Add: open jobs have a bound in memory; beyond it a job is refused at once, with a spread Retry-After

A copy of a job that is on its way to the log is not refused, since 'not accepted' might not be true.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -1,5 +1,6 @@
 /** @file fleet_scheduler.cpp Start of a leadership, workers' reports, and what follows from applied commands. */
 
+#include "fleet/job_admission.h"
 #include "fleet/scheduler_detail.h"
 
 #include <algorithm>
@@ -14,15 +15,18 @@
     constexpr std::int64_t WorkersPerPlacementMs = 100; ///< A placement visits all workers, so on a large fleet it waits for what comes within some ms.
     constexpr Duration FullTickInterval{20}; ///< Bound on the delay of orders that are due by time alone; a look at all workers costs too much for each answer.
 
-    JobView makeJobView(const FleetScheduler &scheduler, const FleetJob &job, TimePoint now, WallTime wall)
+    /** Adds a job that has not ended. */
+    JobView &addJob(FleetScheduler &scheduler, const FleetJob &job, TimePoint now, WallTime wall)
     {
         JobView view;
         // The calendar may have been set since; an age outside of this range is an effect of that.
         constexpr std::int64_t LongestAgeMs = 120'000;
         const std::int64_t age = std::clamp<std::int64_t>(wall.ms - job.acceptedAt.ms, 0, LongestAgeMs);
         view.acceptedAt = now - Duration{age};
+        view.bytes = memoryOf(job.spec);
         refreshJobView(scheduler, job, view);
-        return view;
+        scheduler.openBytes += view.bytes;
+        return scheduler.jobs[job.number] = std::move(view);
     }
 
     /** Adds the runs that the replicated state places on workers. */
@@ -250,9 +254,7 @@
     for (const auto &[number, job] : state.jobs) {
         takeOverRuns(scheduler, job, now);
         if (!hasEnded(job.state)) {
-            JobView view = makeJobView(scheduler, job, now, wall);
-            view.openedOccurrences = static_cast<std::uint32_t>(job.occurrences.size());
-            scheduler.jobs[number] = std::move(view);
+            addJob(scheduler, job, now, wall).openedOccurrences = static_cast<std::uint32_t>(job.occurrences.size());
         }
     }
     for (auto &[number, contact] : scheduler.contacts) {
@@ -336,7 +338,7 @@
             }
         }
     } else if (std::holds_alternative<SubmitFleetJob>(command) && change.isApplied && !change.jobEnded) {
-        scheduler.jobs[change.job] = makeJobView(scheduler, state.jobs.at(change.job), now, wall);
+        addJob(scheduler, state.jobs.at(change.job), now, wall);
         scheduler.placeDue = true;
     } else if (!std::holds_alternative<SubmitFleetJob>(command) && !std::holds_alternative<KeepLearned>(command)) {
         scheduler.placeDue = true;
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -43,6 +43,7 @@
     TimePoint acceptedAt;
     TimePoint objectiveEnd; ///< Served in time if it is complete by then.
     double worthDensity = 0; ///< Weight of a processor second of the job, for the order of service.
+    std::size_t bytes = 0; ///< Memory that it takes.
     std::uint32_t openedOccurrences = 0; ///< Occurrences that are open or on their way to the log.
 };
 
@@ -73,6 +74,7 @@
     TimePoint since; ///< Start of the leadership.
     std::map<LifeNumber, WorkerContact> contacts; ///< Lives that have not ended.
     std::map<JobNumber, JobView> jobs; ///< Jobs that have not ended.
+    std::size_t openBytes = 0; ///< Memory of these jobs.
     std::map<TaskRef, LifeNumber> failedOn; ///< Where the latest run of a task failed, to try it elsewhere.
     std::map<TaskRef, unsigned> proposedStarts; ///< Tasks with a start on its way to the log, and how many.
     std::map<std::uint64_t, OpenOrder> openOrders; ///< Orders without an answer.
--- a/src/fleet/scheduler_run_times.cpp
+++ b/src/fleet/scheduler_run_times.cpp
@@ -138,7 +138,11 @@
     scheduler.failedOn.erase(scheduler.failedOn.lower_bound(first), scheduler.failedOn.lower_bound(last));
     scheduler.moves.erase(scheduler.moves.lower_bound(first), scheduler.moves.lower_bound(last));
     scheduler.tasksOnMove.erase(scheduler.tasksOnMove.lower_bound(first), scheduler.tasksOnMove.lower_bound(last));
-    scheduler.jobs.erase(job);
+    const auto view = scheduler.jobs.find(job);
+    if (view != scheduler.jobs.end()) {
+        scheduler.openBytes -= view->second.bytes;
+        scheduler.jobs.erase(view);
+    }
 }
 
 } // namespace Filbertlanding
--- a/src/fleetd/fleet_calls.cpp
+++ b/src/fleetd/fleet_calls.cpp
@@ -1,6 +1,7 @@
 /** @file fleet_calls.cpp Calls of callers, workers and operators that the leader answers. */
 
 #include "core/clock_func.h"
+#include "fleet/job_admission.h"
 #include "fleetd/fleet_core.h"
 #include "runtime/log_func.h"
 
@@ -87,8 +88,24 @@
         done(RelayOutcome::Answered, answerOf(ResultCode::Ok));
         return;
     }
+    constexpr std::size_t BytesPerMegabyte = 1'048'576;
+    const AdmissionInput room{
+        this->scheduler->openBytes + this->pendingBytes, memoryOf(call.spec), static_cast<std::size_t>(this->settings.openJobsMegabytes) * BytesPerMegabyte};
+    // An earlier copy may be on its way to the log, so "not accepted" would not be true.
+    if (!this->pendingJobs.contains(id) && !mayAdmit(room)) {
+        ++this->counters.jobsRefused;
+        logLine(LogArea::Job, LogLevel::Info, "job_refused", {{"job", id}, {"openBytes", room.openBytes}, {"jobBytes", room.jobBytes}});
+        CallAnswer answer = answerOf(ResultCode::QueueFull, "there is no room for further jobs; this one was not accepted");
+        answer.retryAfter = returnAfterRefusal(id);
+        done(RelayOutcome::Answered, std::move(answer));
+        return;
+    }
+    this->pendingJobs.insert(id);
+    this->pendingBytes += room.jobBytes;
     SubmitFleetJob command{id, queue.host, queue.pathPrefix, wallNow(), call.spec};
-    this->propose(std::move(command), [this, id, done = std::move(done)](bool applied) {
+    this->propose(std::move(command), [this, id, bytes = room.jobBytes, done = std::move(done)](bool applied) {
+        this->pendingJobs.erase(this->pendingJobs.find(id));
+        this->pendingBytes -= bytes;
         if (!applied) {
             done(RelayOutcome::Unknown, {});
             return;
@@ -276,6 +293,8 @@
 {
     std::string text;
     appendMetric(text, "filbertlanding_jobs_accepted_total", this->counters.jobsAccepted);
+    appendMetric(text, "filbertlanding_jobs_refused_total", this->counters.jobsRefused);
+    appendMetric(text, "filbertlanding_jobs_open_bytes", this->scheduler ? this->scheduler->openBytes : 0);
     appendMetric(text, "filbertlanding_orders_sent_total", this->counters.ordersSent);
     appendMetric(text, "filbertlanding_orders_unanswered_total", this->counters.ordersUnanswered);
     appendMetric(text, "filbertlanding_entries_applied_total", this->counters.entriesApplied);
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
 /** Counters of a core daemon, for its metrics. */
 struct FleetCoreCounters {
     std::uint64_t jobsAccepted = 0;
+    std::uint64_t jobsRefused = 0; ///< For want of room for open jobs.
     std::uint64_t ordersSent = 0;
     std::uint64_t ordersUnanswered = 0;
     std::uint64_t entriesApplied = 0;
@@ -129,6 +131,8 @@
     std::uint64_t ordersTerm = 0; ///< Term of the last lead.
     std::uint64_t ordersOfTerm = 0; ///< Orders given in that term.
     std::optional<FleetScheduler> scheduler; ///< Only while this daemon leads and has applied everything of earlier leaders.
+    std::multiset<JobId> pendingJobs; ///< Jobs on their way to the log.
+    std::size_t pendingBytes = 0; ///< Their memory.
     std::vector<FleetCommand> outbox; ///< Commands for the next entry.
     std::vector<std::function<void(bool)>> outboxWaiters; ///< Who waits for them.
     std::deque<Batch> inFlight; ///< Entries that were proposed and not applied, in order.
