--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -2,7 +2,8 @@
  * @file place_run.cpp Placement of single tasks by score.
  *
  * Load: lasting tasks reserve most of the processors but use less than half of them; short tasks need reserved room at once; wide long
- * tasks fill what is left and press on the lasting ones. So short tasks are packed, lasting tasks and tasks in spare room are spread.
+ * tasks fill what is left and press on the lasting ones. So short tasks are packed, lasting tasks and tasks in spare room are spread. An image
+ * in spare room that presses on almost all lasting ones finds no quiet place at all; its tasks may do some harm once their time runs out.
  */
 
 #include "fleet/place_run.h"
@@ -16,6 +17,8 @@
     /** Share of the processors that lasting tasks reserve on which tasks in spare room may count. */
     constexpr std::int64_t LastingIdlePercent = 50;
     constexpr double HighestTail = 0.54; ///< No task that presses on a lasting one is added above this share of the target.
+    constexpr double HarmWeight = 4.0; ///< A lasting task over its target loses so many times what it is worth at work.
+    constexpr double LargestHarm = 0.5; ///< Harm that a task whose time runs out may do, as a share of its own processors.
     constexpr double NegligibleRise = 0.02; ///< A smaller rise of a tail is no reason against a place.
     constexpr double FarScore = 4.0; ///< Being away from the data weighs more than any packing.
     constexpr double PressureScore = 4.0; ///< A lasting task over its target loses four times its share.
@@ -49,14 +52,37 @@
         return spare ? slopes[*spare] : slopeOf(query.interference, lastingImage, query.step.image);
     }
 
+    /**
+     * Returns whether a task in spare room does more harm than it is worth. Both are counted in processors: those that it asks for, and those of
+     * the lasting tasks that it sends over their targets.
+     */
+    bool isHarmTooLarge(const WorkerQuery &query, const std::optional<std::size_t> &spare, const WorkerRoom &candidate)
+    {
+        const double share = shareOf(query.step, candidate);
+        double harmedMillis = 0;
+        for (const auto &[image, tasks] : candidate.targetImages) {
+            const double rise = slopeAt(query, *tasks.slopes, spare, image) * share;
+            if (tasks.worstTail + rise > 1.0) {
+                return true;
+            }
+            const double before = expectedTail(query.interference, image, candidate.spareShares);
+            const double chance = chanceOverTarget(query.interference, image, before + rise) - chanceOverTarget(query.interference, image, before);
+            harmedMillis += HarmWeight * chance * static_cast<double>(tasks.cpuMillis);
+        }
+        return harmedMillis > LargestHarm * static_cast<double>(query.step.request.cpuMillis);
+    }
+
     /** Returns how much the tails of the lasting tasks on a worker rise through one more task in spare room; nothing if one would be too high. */
     std::optional<double> pressureOf(const WorkerQuery &query, const std::optional<std::size_t> &spare, const WorkerRoom &candidate)
     {
         const double share = shareOf(query.step, candidate);
+        if (query.mayHarm && isHarmTooLarge(query, spare, candidate)) {
+            return std::nullopt;
+        }
         double sum = 0;
         for (const auto &[image, tasks] : candidate.targetImages) {
             const double rise = slopeAt(query, *tasks.slopes, spare, image) * share;
-            const bool isHarmful = rise > NegligibleRise;
+            const bool isHarmful = rise > NegligibleRise && !query.mayHarm;
             // The load of a lasting task swings more slowly than looks come, so a high tail stays for a while.
             if (isHarmful && (tasks.worstTail + rise > HighestTail || expectedTail(query.interference, image, candidate.spareShares) + rise > HighestTail)) {
                 return std::nullopt;
@@ -219,6 +245,7 @@
     if (step.isLasting && step.latencyTarget.ms > 0) {
         TargetTasks &tasks = candidate.targetImages[step.image];
         ++tasks.count;
+        tasks.cpuMillis += step.request.cpuMillis;
         tasks.slopes = &slopesOf(table, step.image);
         noteSensitivity(candidate, table);
     }
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -15,6 +15,7 @@
 /** Lasting tasks with a latency target that are of one image. */
 struct TargetTasks {
     unsigned count = 0;
+    std::int64_t cpuMillis = 0; ///< Processors that they reserve.
     double worstTail = 0; ///< Highest tail that the last look showed, as a share of the target.
     const std::vector<double> *slopes = nullptr; ///< By spare image, in the order of SlopeTable::spareImages.
 };
@@ -69,6 +70,7 @@
     const StepSpread &spread; ///< Tasks of the step on each worker.
     const PairInterference &interference;
     const SlopeTable &slopes;
+    bool mayHarm = false; ///< The step's time runs out, so its tasks in spare room may press on lasting ones as far as they are worth it.
     LifeNumber excluded = 0; ///< Life that may not be chosen, for a copy of a task; 0 for none.
 };
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -38,6 +38,7 @@
             if (run.latencyTarget.ms > 0) {
                 TargetTasks &tasks = room.targetImages[run.image];
                 ++tasks.count;
+                tasks.cpuMillis += run.room.cpuMillis;
                 tasks.slopes = &slopesOf(slopes, run.image);
                 tasks.worstTail = std::max(tasks.worstTail, static_cast<double>(run.measure) / static_cast<double>(run.latencyTarget.ms));
             }
@@ -78,27 +79,27 @@
     class Misses
     {
     public:
-        bool isHopeless(const StepSpec &step, const ServiceName &service) const
+        bool isHopeless(const StepSpec &step, const ServiceName &service, bool mayHarm) const
         {
-            const auto found = this->smallest.find(keyOf(step, service));
+            const auto found = this->smallest.find(keyOf(step, service, mayHarm));
             return found != this->smallest.end() && step.request.cpuMillis >= found->second.cpuMillis && step.request.memoryMb >= found->second.memoryMb
                 && step.request.accelerators >= found->second.accelerators;
         }
 
-        void note(const StepSpec &step, const ServiceName &service)
+        void note(const StepSpec &step, const ServiceName &service, bool mayHarm)
         {
             // A limit for each worker may be the reason, which says nothing of other steps.
-            if (step.maxPerWorker == 0 && !this->isHopeless(step, service)) {
-                this->smallest[keyOf(step, service)] = step.request;
+            if (step.maxPerWorker == 0 && !this->isHopeless(step, service, mayHarm)) {
+                this->smallest[keyOf(step, service, mayHarm)] = step.request;
             }
         }
 
     private:
-        using Key = std::tuple<ServiceName, std::string, std::string, bool>;
+        using Key = std::tuple<ServiceName, std::string, std::string, bool, bool>;
 
-        static Key keyOf(const StepSpec &step, const ServiceName &service)
+        static Key keyOf(const StepSpec &step, const ServiceName &service, bool mayHarm)
         {
-            return {service, step.requiredLabel, step.fillsSpare ? step.image : std::string(), step.fillsSpare};
+            return {service, step.requiredLabel, step.fillsSpare ? step.image : std::string(), step.fillsSpare, mayHarm};
         }
 
         std::map<Key, Resources> smallest;
@@ -221,7 +222,13 @@
             const StepSpec &spec = job.spec.steps[ref.step];
             const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
             const StepSpread spread = spreadOf(scheduler, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
-            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.learned.interference, pass.slopes, life}, pass.candidates);
+            const auto place = chooseWorker({.step = spec,
+                                             .service = job.queue.service,
+                                             .spread = spread,
+                                             .interference = scheduler.learned.interference,
+                                             .slopes = pass.slopes,
+                                             .excluded = life},
+                                            pass.candidates);
             if (place) {
                 WorkerRoom &room = *pass.candidates[*place];
                 takeRoom(room, spec, pass.slopes);
@@ -236,6 +243,7 @@
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
         const Duration expected = stepTime(scheduler, job, step.step);
+        const bool mayHarm = spec.fillsSpare && isTimeRunningOut(step, now);
         StepSpread spread = spec.maxPerWorker > 0 || spec.isLasting ? spreadOf(scheduler, step) : StepSpread();
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
@@ -243,10 +251,16 @@
             if (!isPending(scheduler, ref, task)) {
                 continue;
             }
-            const auto place =
-                chooseWorker({spec, job.queue.service, spread, scheduler.learned.interference, pass.slopes, failedLife(scheduler, ref)}, pass.candidates);
+            const WorkerQuery query{.step = spec,
+                                    .service = job.queue.service,
+                                    .spread = spread,
+                                    .interference = scheduler.learned.interference,
+                                    .slopes = pass.slopes,
+                                    .mayHarm = mayHarm,
+                                    .excluded = failedLife(scheduler, ref)};
+            const auto place = chooseWorker(query, pass.candidates);
             if (!place) {
-                pass.misses.note(spec, job.queue.service);
+                pass.misses.note(spec, job.queue.service, mayHarm);
                 return;
             }
             WorkerRoom &candidate = *pass.candidates[*place];
@@ -277,7 +291,8 @@
         std::vector<std::pair<LifeNumber, std::string>> places;
         std::uint32_t run = 0;
         for (const TaskRecord &task : record.tasks) {
-            const auto place = chooseWorker({spec, job.queue.service, spread, scheduler.learned.interference, pass.slopes}, trial);
+            const auto place = chooseWorker(
+                {.step = spec, .service = job.queue.service, .spread = spread, .interference = scheduler.learned.interference, .slopes = pass.slopes}, trial);
             if (!place) {
                 return;
             }
@@ -331,7 +346,7 @@
         }
         const FleetJob &job = state.jobs.at(step.job);
         const StepSpec &spec = job.spec.steps[step.step];
-        if (pass.misses.isHopeless(spec, job.queue.service)) {
+        if (pass.misses.isHopeless(spec, job.queue.service, spec.fillsSpare && isTimeRunningOut(step, now))) {
             continue;
         }
         if (spec.isGang) {
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -51,6 +51,12 @@
     return end <= step.acceptedAt + objective * LateFactor ? Prospect::Late : Prospect::TooLate;
 }
 
+bool isTimeRunningOut(const ReadyStep &step, TimePoint now)
+{
+    const Duration slack = step.objectiveEnd - now - step.remainingChain;
+    return slack < step.remainingChain / 2 && prospectOf(step, now) != Prospect::TooLate;
+}
+
 void sortByService(std::vector<ReadyStep> &steps, TimePoint now)
 {
     std::sort(steps.begin(), steps.end(), [now](const ReadyStep &left, const ReadyStep &right) {
--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -33,6 +33,9 @@
 /** Returns what a step that starts now can still reach. */
 Prospect prospectOf(const ReadyStep &step, TimePoint now);
 
+/** Returns whether a step has little time left to wait for a better place, and its result is still worth something. */
+bool isTimeRunningOut(const ReadyStep &step, TimePoint now);
+
 /** Sorts steps into the order of service. */
 void sortByService(std::vector<ReadyStep> &steps, TimePoint now);
 
--- /dev/null
+++ b/tests/fleet_jobs.h
@@ -0,0 +1,52 @@
+/** @file fleet_jobs.h Jobs that the tests of the fleet scheduler submit. */
+
+#pragma once
+
+#include "fakes/fleet_world.h"
+
+#include <string>
+#include <vector>
+
+namespace Filbertlanding {
+
+inline const Resources SmallTask{2'000, 4'000, 0};
+
+/** Returns a job of two like steps, the second after the first. */
+inline JobSpec twoSteps(std::uint32_t tasks, Duration length)
+{
+    JobSpec spec = oneStepJob(tasks, SmallTask, length);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().dependsOn = {0};
+    return spec;
+}
+
+/** Returns a job of lasting tasks with a latency target. */
+inline JobSpec lastingJob(std::uint32_t tasks, const std::string &image)
+{
+    JobSpec spec = oneStepJob(tasks, {6'000, 8'000, 0}, {400});
+    spec.steps.front().isLasting = true;
+    spec.steps.front().image = image;
+    spec.steps.front().latencyTarget = {20};
+    return spec;
+}
+
+/** Returns a job of tasks in spare room. */
+inline JobSpec fillingJob(std::uint32_t tasks, const std::string &image, Duration length)
+{
+    JobSpec spec = oneStepJob(tasks, {3'500, 4'000, 0}, length);
+    spec.steps.front().fillsSpare = true;
+    spec.steps.front().image = image;
+    return spec;
+}
+
+/** Returns the first violations as one text, for messages. */
+inline std::string firstOf(const std::vector<std::string> &violations)
+{
+    std::string text;
+    for (std::size_t i = 0; i < violations.size() && i < 5; ++i) {
+        text += violations[i] + "\n";
+    }
+    return text;
+}
+
+} // namespace Filbertlanding
--- a/tests/fleet_run_time_test.cpp
+++ b/tests/fleet_run_time_test.cpp
@@ -1,8 +1,8 @@
 /** @file fleet_run_time_test.cpp Run times: what is learned of them, and which runs are moved for their progress. */
 
-#include "fakes/fleet_world.h"
 #include "fleet/run_progress.h"
 #include "fleet/run_time.h"
+#include "fleet_jobs.h"
 #include "test_seed.h"
 
 #include <doctest/doctest.h>
@@ -14,7 +14,6 @@
 
 namespace {
 
-const Resources SmallTask{2'000, 4'000, 0};
 const RunTimeKey Surveys{"host.example", "/surveys/"};
 
 StepSpec statedStep(Duration estimate, const std::string &image = {})
