Fix: a new leader knows which runs are away from their data; starts are proposed with one place

Cause: runs that a leader takes over were all counted as near their data, so a far one looked slower than its siblings by the factor of the distance, and was stopped and begun anew. Change: the distance follows from the rack of the life (isAwayFromData, shared with the placement). proposeStart takes a StartPlace in place of four arguments. Test: 'A new leader knows which runs are away from their data' (0 of 6 without the change).

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -30,7 +30,7 @@
     }
 
     /** Adds the runs that the replicated state places on workers. */
-    void takeOverRuns(FleetScheduler &scheduler, const FleetJob &job, TimePoint now)
+    void takeOverRuns(FleetScheduler &scheduler, const FleetState &state, const FleetJob &job, TimePoint now)
     {
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -43,6 +43,7 @@
                         }
                         RunView view = makeRunView(job.spec.steps[step], active.run, RunPhase::Started, now);
                         view.maySent = true;
+                        view.isFar = isAwayFromData(job.spec.steps[step], state.lives.at(active.life).profile.rack);
                         view.stopWanted = task.isDone || hasEnded(job.state);
                         view.checkpoint = task.checkpoint;
                         addRun(contact->second, {job.number, number, step, index}, std::move(view));
@@ -252,7 +253,7 @@
         }
     }
     for (const auto &[number, job] : state.jobs) {
-        takeOverRuns(scheduler, job, now);
+        takeOverRuns(scheduler, state, job, now);
         if (!hasEnded(job.state)) {
             addJob(scheduler, job, now, wall).openedOccurrences = static_cast<std::uint32_t>(job.occurrences.size());
         }
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -125,7 +125,7 @@
         const StepSpec &step = query.step;
         const double capacity = std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
         const double freeCpu = static_cast<double>(candidate.capacity.cpuMillis - candidate.used.cpuMillis) / capacity;
-        double score = !step.dataRack.empty() && step.dataRack != candidate.rack ? FarScore : 0.0;
+        double score = isAwayFromData(step, candidate.rack) ? FarScore : 0.0;
         score += candidate.recentFailures;
         if (step.fillsSpare) {
             const auto pressure = pressureOf(query, spare, candidate);
@@ -195,6 +195,11 @@
     return candidate.service == service && (step.requiredLabel.empty() || hasLabel(candidate, step.requiredLabel));
 }
 
+bool isAwayFromData(const StepSpec &step, const std::string &rack)
+{
+    return !step.dataRack.empty() && step.dataRack != rack;
+}
+
 bool hasRoomFor(const StepSpec &step, const WorkerRoom &candidate)
 {
     const Resources free = candidate.capacity - candidate.used;
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -60,6 +60,9 @@
 /** Returns whether a worker may run a task of the step at all, room aside. */
 bool isEligible(const StepSpec &step, const ServiceName &service, const WorkerRoom &candidate);
 
+/** Returns whether the tasks of a step run far from their data on a worker of the rack. */
+bool isAwayFromData(const StepSpec &step, const std::string &rack);
+
 /** Returns whether a task fits beside what runs. */
 bool hasRoomFor(const StepSpec &step, const WorkerRoom &candidate);
 
--- a/src/fleet/run_progress.cpp
+++ b/src/fleet/run_progress.cpp
@@ -23,7 +23,7 @@
     constexpr double LeastGain = 1.0; ///< Percent; a run without progress is taken for one that was about to show the first.
     constexpr double SlowFactor = 2.0; ///< Tasks of one step and speeds of sound workers differ by less.
     constexpr double SlowDeviations = 3.0; ///< Distance from the expected run time that is no accident.
-    constexpr double LongestCautious = 1.0; ///< A move must pay also if the task takes so many standard deviations longer elsewhere.
+    constexpr double CautiousDeviations = 1.0; ///< A move must pay also if the task takes so many standard deviations longer elsewhere.
     constexpr double EndUncertainty = 0.25; ///< Largest share of a run time by which the moment of an end may be unknown.
 
     double slownessOf(const WorkerSlowness &worker)
@@ -41,7 +41,7 @@
         const RunProgress &progress = input.progress;
         const double shownPercentMs =
             progress.percent > progress.firstPercent ? progress.workMs / static_cast<double>(progress.percent - progress.firstPercent) : 0.0;
-        const double expectedPercentMs = static_cast<double>(runTimeAt(input.belief, LongestCautious).ms) / 100.0;
+        const double expectedPercentMs = static_cast<double>(runTimeAt(input.belief, CautiousDeviations).ms) / 100.0;
         const double limit = std::max(static_cast<double>(StandingMs), StandingPercents * std::max(shownPercentMs, expectedPercentMs));
         return static_cast<double>(progress.lastClockMs - progress.changedClockMs) >= limit;
     }
@@ -51,7 +51,7 @@
     {
         const double doneShare = static_cast<double>(input.progress.percent) / 100.0;
         const double left = shown.ms * (1.0 - doneShare);
-        const double whole = static_cast<double>(runTimeAt(input.belief, LongestCautious).ms);
+        const double whole = static_cast<double>(runTimeAt(input.belief, CautiousDeviations).ms);
         const double elsewhere = whole * (input.isCheckpointed ? 1.0 - doneShare : 1.0) + static_cast<double>(input.moveCost.ms);
         return left > elsewhere;
     }
--- a/src/fleet/scheduler_answers.cpp
+++ b/src/fleet/scheduler_answers.cpp
@@ -260,6 +260,7 @@
             noteAlive(contact, answer, now);
             run.maySent = true;
             run.phase = RunPhase::Started;
+            // The answer to the first try tells when the run began; a later one may find it at work.
             if (answer.clockMs && run.tries == 0 && run.checkpoint.empty()) {
                 noteProgress(run.progress, 0, *answer.clockMs, 1.0);
             }
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -172,26 +172,30 @@
         return runTimeAt(expectedTaskTime(scheduler, job, step, 0), 0);
     }
 
+    /** Where a task is to run. */
+    struct StartPlace {
+        std::uint32_t run = 0; ///< Number of the run.
+        LifeNumber life = 0;
+        std::string rack; ///< Of the worker.
+        Duration nearTime; ///< Run time that is expected near the data.
+    };
+
     void proposeStart(FleetScheduler &scheduler,
                       const StepSpec &spec,
                       const TaskRef &ref,
                       const TaskRecord &task,
-                      std::uint32_t run,
-                      LifeNumber life,
-                      const std::string &rack,
-                      Duration expectedTime,
+                      const StartPlace &place,
                       TimePoint now,
                       SchedulerActions &actions)
     {
-        const bool isFar = !spec.dataRack.empty() && spec.dataRack != rack;
-        RunView view = makeRunView(spec, run, RunPhase::Proposed, now);
+        RunView view = makeRunView(spec, place.run, RunPhase::Proposed, now);
         view.checkpoint = task.checkpoint;
-        view.isFar = isFar;
-        view.expectedTime = expectedTime * (isFar ? scheduler.settings.farFactor : 1);
+        view.isFar = isAwayFromData(spec, place.rack);
+        view.expectedTime = place.nearTime * (view.isFar ? scheduler.settings.farFactor : 1);
         scheduler.tasksOnMove.erase(ref);
-        addRun(scheduler.contacts.at(life), ref, std::move(view));
+        addRun(scheduler.contacts.at(place.life), ref, std::move(view));
         ++scheduler.proposedStarts[ref];
-        actions.propose.push_back(StartRun{ref, run, life});
+        actions.propose.push_back(StartRun{ref, place.run, place.life});
     }
 
     /** Returns the life on which the task failed last; 0 if it did not fail. */
@@ -232,7 +236,7 @@
             if (place) {
                 WorkerRoom &room = *pass.candidates[*place];
                 takeRoom(room, spec, pass.slopes);
-                proposeStart(scheduler, spec, ref, task, task.lastRun + 1, room.life, room.rack, stepTime(scheduler, job, ref.step), now, actions);
+                proposeStart(scheduler, spec, ref, task, {task.lastRun + 1, room.life, room.rack, stepTime(scheduler, job, ref.step)}, now, actions);
             }
         }
     }
@@ -266,7 +270,7 @@
             WorkerRoom &candidate = *pass.candidates[*place];
             takeRoom(candidate, spec, pass.slopes);
             ++spread[candidate.life];
-            proposeStart(scheduler, spec, ref, task, task.lastRun + 1, candidate.life, candidate.rack, expected, now, actions);
+            proposeStart(scheduler, spec, ref, task, {task.lastRun + 1, candidate.life, candidate.rack, expected}, now, actions);
         }
     }
 
@@ -288,7 +292,8 @@
             trial.push_back(&rooms.back());
         }
         StepSpread spread;
-        std::vector<std::pair<LifeNumber, std::string>> places;
+        const Duration expected = stepTime(scheduler, job, step.step);
+        std::vector<StartPlace> places;
         std::uint32_t run = 0;
         for (const TaskRecord &task : record.tasks) {
             const auto place = chooseWorker(
@@ -299,16 +304,16 @@
             WorkerRoom &room = *trial[*place];
             takeRoom(room, spec, pass.slopes);
             ++spread[room.life];
-            places.emplace_back(room.life, room.rack);
+            places.push_back({0, room.life, room.rack, expected});
             run = std::max(run, task.lastRun + 1);
         }
-        const Duration expected = stepTime(scheduler, job, step.step);
         for (std::size_t i = 0; i < rooms.size(); ++i) {
             *pass.candidates[i] = std::move(rooms[i]);
         }
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
-            proposeStart(scheduler, spec, ref, record.tasks[index], run, places[index].first, places[index].second, expected, now, actions);
+            places[index].run = run;
+            proposeStart(scheduler, spec, ref, record.tasks[index], places[index], now, actions);
         }
     }
 
--- a/tests/fleet_run_time_test.cpp
+++ b/tests/fleet_run_time_test.cpp
@@ -297,6 +297,25 @@
     }
 }
 
+TEST_CASE("A new leader knows which runs are away from their data")
+{
+    // Guards against runs that are begun anew after a takeover, because they take longer than their siblings near the data.
+    FleetWorld world({});
+    world.run({100});
+    JobSpec spec = oneStepJob(6, SmallTask, {5'000});
+    spec.steps.front().dataRack = "elsewhere";
+    world.submit("far", spec);
+    world.run({300});
+    const FleetScheduler next = startScheduler({}, world.state, 9, 0, world.now, {0});
+    std::size_t far = 0;
+    for (const auto &[life, contact] : next.contacts) {
+        far += static_cast<std::size_t>(std::count_if(contact.runs.begin(), contact.runs.end(), [](const auto &item) {
+            return item.second.isFar;
+        }));
+    }
+    CHECK(far == 6);
+}
+
 TEST_CASE("A worker that is slow to answer for a while keeps its running work")
 {
     // Guards against tasks that are stopped or begun anew because their lists are late, although they run as well as the others.
