--- a/cmake/FilbertlandingTargets.cmake
+++ b/cmake/FilbertlandingTargets.cmake
@@ -23,13 +23,13 @@
 endfunction()
 
 # Defines a doctest program <NAME> from <NAME>.cpp and registers it with CTest.
-# Usage: filbertlanding_test(NAME LINK <libraries...>)
+# Usage: filbertlanding_test(NAME LINK <libraries...> [ARGS <arguments...>])
 function(filbertlanding_test NAME)
-    cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "LINK;ARGS" ${ARGN})
     add_executable(${NAME} ${NAME}.cpp)
     target_link_libraries(${NAME} PRIVATE filbertlanding_testmain ${ARG_LINK} rapidcheck)
     target_precompile_headers(${NAME} REUSE_FROM filbertlanding_testmain)
-    add_test(NAME ${NAME} COMMAND ${NAME})
+    add_test(NAME ${NAME} COMMAND ${NAME} ${ARG_ARGS})
     # The time limit only ends a test that hangs; under the sanitizers the longest one takes two minutes on an idle machine.
     # RapidCheck takes its seed from here, so that every run tests the same cases.
     set_tests_properties(${NAME} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 900)
