--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -192,7 +192,7 @@
     world.run({600});
     for (const auto &[name, worker] : world.workers) {
         const bool isWithdrawn = worker->profile.availabilityZone == "z0" || name == "w1";
-        CHECK_MESSAGE((!isWithdrawn || worker->running.empty()), worker->profile.worker);
+        CHECK((!isWithdrawn || worker->running.empty()));
     }
     for (const auto &[life, contact] : world.leaderScheduler().contacts) {
         CHECK((world.state.lives.at(life).profile.worker != "w2" || contact.runs.empty()));
