--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -200,7 +200,15 @@
             return;
         }
     }
-    if (this->scheduler && entry.term == this->scheduler->term && !this->inFlight.empty()) {
+    if (this->scheduler && entry.term == this->scheduler->term) {
+        this->finishBatches(entry.index);
+    }
+}
+
+void FleetCore::finishBatches(std::uint64_t index)
+{
+    // An earlier lead of the same term may have proposed entries too, so a batch is told by its place in the log.
+    while (!this->inFlight.empty() && this->inFlight.front().index != 0 && this->inFlight.front().index <= index) {
         const Batch batch = std::move(this->inFlight.front());
         this->inFlight.pop_front();
         this->counters.commitTime.record(steadyNow() - batch.proposedAt);
@@ -342,13 +350,19 @@
     if (!this->scheduler || this->outbox.empty() || this->inFlight.size() >= MostEntriesInFlight) {
         return;
     }
-    this->inFlight.push_back({std::exchange(this->outboxWaiters, {}), steadyNow()});
-    this->replication.propose(encodeCommands(std::exchange(this->outbox, {})), [this, term = this->scheduler->term](const ProposedEntry &entry) {
-        if (entry.code == ResultCode::Ok && entry.term == term) {
-            return;
-        }
-        asio::post(this->io, [this, term] {
-            if (this->scheduler && this->scheduler->term == term) {
+    const std::uint64_t number = ++this->lastBatch;
+    this->inFlight.push_back({number, 0, std::exchange(this->outboxWaiters, {}), steadyNow()});
+    this->replication.propose(encodeCommands(std::exchange(this->outbox, {})), [this, number, term = this->scheduler->term](const ProposedEntry &entry) {
+        // This comes before the entry is applied, as both are posted from the same thread.
+        asio::post(this->io, [this, number, isTaken = entry.code == ResultCode::Ok && entry.term == term, index = entry.index] {
+            const auto batch = std::find_if(this->inFlight.begin(), this->inFlight.end(), [number](const Batch &item) {
+                return item.number == number;
+            });
+            if (batch == this->inFlight.end()) {
+                return;
+            }
+            batch->index = index;
+            if (!isTaken) {
                 this->endLead("proposal refused");
             }
         });
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -84,6 +84,8 @@
 private:
     /** Commands that were proposed together, with those who wait for them. */
     struct Batch {
+        std::uint64_t number = 0; ///< Number of the proposal.
+        std::uint64_t index = 0; ///< Its place in the log; 0 until that is known.
         std::vector<std::function<void(bool)>> waiters;
         TimePoint proposedAt;
     };
@@ -91,6 +93,7 @@
     void onApplied(const std::vector<LogEntry> &entries);
     void applyEntry(const LogEntry &entry);
     bool applyCommand(const FleetCommand &command);
+    void finishBatches(std::uint64_t index);
     void onInstalled(Snapshot snapshot);
     void onStatus(ReplicationStatus next);
     void beginLeadIfReady();
@@ -135,6 +138,7 @@
     std::size_t pendingBytes = 0; ///< Their memory.
     std::vector<FleetCommand> outbox; ///< Commands for the next entry.
     std::vector<std::function<void(bool)>> outboxWaiters; ///< Who waits for them.
+    std::uint64_t lastBatch = 0; ///< Number of the last proposal.
     std::deque<Batch> inFlight; ///< Entries that were proposed and not applied, in order.
     std::multimap<std::uint64_t, std::function<void()>> readers; ///< Reads that wait for an index to be applied.
     boost::asio::steady_timer tickTimer;
