Fix: a scheduler that joins keeps a link to a leader that is none of its contacts

Cause: a daemon without a disk history knows as peers its contacts alone until it has caught up. When the leader is none of them, the leader's entries reach it, but its answers have no link: it stays joining for ever. Ruled out: a wrong voter removed, a frame that is too large, a damaged disk (the logs of the schedulers show none). Change: the leader is a peer as soon as it is known (peersOf); links are set anew when it changes.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -4,6 +4,7 @@
 
 #include "core/clock_func.h"
 #include "core/random.h"
+#include "fleetd/fleet_peers.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
 
@@ -262,6 +263,7 @@
 {
     const bool roleChanged = next.role != this->status.role || next.term != this->status.term || next.leader != this->status.leader;
     const bool membersChanged = next.membership != this->status.membership;
+    const bool leaderChanged = next.leader != this->status.leader;
     this->status = std::move(next);
     if (roleChanged) {
         logLine(
@@ -270,20 +272,18 @@
             "role_changed",
             {{"role", roleName(this->status.role)}, {"term", this->status.term}, {"leader", this->status.leader}, {"commitIndex", this->status.commitIndex}});
     }
-    if (membersChanged) {
+    if (membersChanged || leaderChanged) {
+        std::vector<DaemonName> contacts;
+        for (const std::string &contact : this->settings.contacts) {
+            contacts.push_back(ipOf(contact));
+        }
         std::vector<PeerAddress> addresses;
-        const auto add = [this, &addresses](const DaemonName &daemon) {
+        for (const DaemonName &daemon : peersOf(this->status.membership, this->status.leader, contacts)) {
             addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
-        };
-        for (const auto *list : {&this->status.membership.voters, &this->status.membership.joining, &this->status.membership.learners}) {
-            for (const VoterId &id : *list) {
-                add(id.daemon);
-            }
-        }
-        for (const std::string &contact : this->settings.contacts) {
-            add(ipOf(contact));
         }
         this->peers->setPeers(std::move(addresses));
+    }
+    if (membersChanged) {
         logLine(LogArea::Replication,
                 LogLevel::Info,
                 "membership_changed",
--- /dev/null
+++ b/src/fleetd/fleet_peers.cpp
@@ -0,0 +1,21 @@
+/** @file fleet_peers.cpp Daemons that a daemon keeps links to. */
+
+#include "fleetd/fleet_peers.h"
+
+namespace Filbertlanding {
+
+std::set<DaemonName> peersOf(const Membership &membership, const DaemonName &leader, const std::vector<DaemonName> &contacts)
+{
+    std::set<DaemonName> peers(contacts.begin(), contacts.end());
+    for (const auto *list : {&membership.voters, &membership.joining, &membership.learners}) {
+        for (const VoterId &id : *list) {
+            peers.insert(id.daemon);
+        }
+    }
+    if (!leader.empty()) {
+        peers.insert(leader);
+    }
+    return peers;
+}
+
+} // namespace Filbertlanding
