Add: load, reads of the manifest and calls at followers in the log and the metrics of the fleet daemon

A line "load" every 5 s, "manifest_read" and "call_not_leading" do, with metrics of connections and of the delay of the event loop. No decision is changed.

--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -78,8 +78,8 @@
     /** Ends the leadership and stops replication. */
     void stop();
 
-    /** Returns the metrics in Prometheus text format. */
-    std::string metrics() const;
+    /** Appends the metrics in Prometheus text format. */
+    void appendMetrics(std::string &text) const;
 
     /** Called with the reason when an unrecoverable error requires the process to exit. */
     std::function<void(ResultCode)> onFatalError;
@@ -116,6 +116,7 @@
     void cancelJob(const JobId &id, CallerResponseHandler done);
     ApiResponse showJob(const JobId &id) const;
 
+    void logNotLeading(const ControlRequest &request) const;
     void dispatchControlRequest(const ControlRequest &request, std::function<void(ApiResponse)> done);
     void handleReport(const WorkerReportRequest &request, std::function<void(ApiResponse)> done);
     void putManifest(const PutManifestRequest &request, std::function<void(ApiResponse)> done);
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -69,6 +69,7 @@
     , signals(this->io)
     , reloadTimer(this->io)
     , stopTimer(this->io)
+    , loadMonitor(this->io, this->network)
     , finder(this->io, static_cast<std::uint16_t>(this->settings.peerPort))
     , relay(this->io, this->adapter)
 {
@@ -121,6 +122,7 @@
     }
     this->armSignals();
     this->armReload();
+    this->loadMonitor.start();
     logLine(
         LogArea::Daemon, LogLevel::Info, "started", {{"daemon", this->settings.daemon}, {"address", this->settings.address}, {"voter", this->core != nullptr}});
     runLoop(this->io, [this](std::string_view error) {
@@ -233,11 +235,13 @@
 
 std::string FleetDaemon::metrics() const
 {
+    std::string text;
+    this->loadMonitor.appendMetrics(text);
     if (this->core != nullptr) {
-        return this->core->metrics();
+        this->core->appendMetrics(text);
+        return text;
     }
     const CallerRelayCounters &count = this->relay.counters();
-    std::string text;
     appendMetric(text, "filbertlanding_calls_received_total", count.received);
     appendMetric(text, "filbertlanding_calls_answered_total", count.answered);
     appendMetric(text, "filbertlanding_calls_refused_total", count.refused);
@@ -335,6 +339,7 @@
     logLine(LogArea::Daemon, LogLevel::Info, "ended", {{"code", resultCodeRow(code).name}});
     this->finder.stop();
     this->reloadTimer.cancel();
+    this->loadMonitor.stop();
     if (this->core != nullptr) {
         this->core->stop();
     }
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -5,6 +5,7 @@
 #include "fleetd/caller_relay.h"
 #include "fleetd/fleet_core.h"
 #include "fleetd/leader_finder.h"
+#include "fleetd/load_monitor.h"
 #include "fleetd/protocol_adapter.h"
 #include "network/http_server.h"
 #include "network/network_counters.h"
@@ -61,6 +62,7 @@
     boost::asio::steady_timer reloadTimer;
     boost::asio::steady_timer stopTimer;
     std::unique_ptr<FleetCore> core; ///< Only set if a data folder is configured.
+    LoadMonitor loadMonitor;
     LeaderFinder finder;
     CallerRelay relay;
     std::unique_ptr<PeerLinks> peers;
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -3,6 +3,7 @@
 #include "core/clock_func.h"
 #include "fleet/job_admission.h"
 #include "fleetd/fleet_core.h"
+#include "replication/raft_func.h"
 #include "runtime/log_func.h"
 
 #include <boost/asio/post.hpp>
@@ -152,6 +153,18 @@
     return daemon + ":" + std::to_string(ownEndpoint ? ownEndpoint->second : 0);
 }
 
+void FleetCore::logNotLeading(const ControlRequest &request) const
+{
+    // Workers report too often for a line each.
+    if (std::holds_alternative<WorkerReportRequest>(request)) {
+        return;
+    }
+    logLine(LogArea::Intent,
+            LogLevel::Info,
+            "call_not_leading",
+            {{"kind", request.index()}, {"role", roleName(this->status.role)}, {"leader", this->status.leader}});
+}
+
 void FleetCore::handleControlRequest(const HttpRequest &request, HttpRespond respond)
 {
     const auto reply = [this, respond = std::move(respond)](const ApiResponse &response) {
@@ -170,6 +183,7 @@
         this->dispatchControlRequest(parsed, reply);
         return;
     }
+    this->logNotLeading(parsed);
     const bool isOtherLeaderKnown = !this->status.leader.empty() && this->status.leader != this->settings.address;
     if (!isOtherLeaderKnown || this->isStopping) {
         reply(makeRetryLaterResponse(ResultCode::NoQuorum, "no leader is known"));
@@ -269,7 +283,11 @@
 
 void FleetCore::getManifest(std::function<void(ApiResponse)> done)
 {
-    this->replication.read([this, done = std::move(done)](ReadReady ready) {
+    const auto logged = [startedAt = steadyNow(), done = std::move(done)](const ApiResponse &response) {
+        logLine(LogArea::Intent, LogLevel::Info, "manifest_read", {{"code", resultCodeRow(response.code).name}, {"waitedMs", (steadyNow() - startedAt).ms}});
+        done(response);
+    };
+    this->replication.read([this, done = logged](ReadReady ready) {
         boost::asio::post(this->io, [this, ready, done] {
             const auto respond = [this, done] {
                 if (this->state.manifest.version == 0) {
@@ -291,9 +309,8 @@
     });
 }
 
-std::string FleetCore::metrics() const
+void FleetCore::appendMetrics(std::string &text) const
 {
-    std::string text;
     appendMetric(text, "filbertlanding_jobs_accepted_total", this->counters.jobsAccepted);
     appendMetric(text, "filbertlanding_jobs_refused_total", this->counters.jobsRefused);
     appendMetric(text, "filbertlanding_jobs_open_bytes", this->scheduler ? this->scheduler->openBytes : 0);
@@ -308,7 +325,6 @@
     this->counters.firstStart.appendText(text, "filbertlanding_first_start_seconds");
     this->counters.jobTime.appendText(text, "filbertlanding_job_seconds");
     this->counters.commitTime.appendText(text, "filbertlanding_commit_seconds");
-    return text;
 }
 
 } // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/load_monitor.cpp
@@ -0,0 +1,86 @@
+/** @file load_monitor.cpp Periodic measurement of the event loop's delay and of the connections of a daemon. */
+
+#include "fleetd/load_monitor.h"
+
+#include "core/clock_func.h"
+#include "runtime/log_func.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr Duration SampleInterval{100};
+    constexpr Duration LineInterval{5'000};
+
+} // namespace
+
+LoadMonitor::LoadMonitor(boost::asio::io_context &loop, const NetworkCounters &networkCounters)
+    : counters(networkCounters)
+    , timer(loop)
+{
+}
+
+void LoadMonitor::start()
+{
+    this->nextLine = steadyNow() + LineInterval;
+    this->armTimer();
+}
+
+void LoadMonitor::stop()
+{
+    this->timer.cancel();
+}
+
+void LoadMonitor::armTimer()
+{
+    this->expectedAt = steadyNow() + SampleInterval;
+    this->timer.expires_after(std::chrono::milliseconds(SampleInterval.ms));
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->onTimer();
+        }
+    });
+}
+
+void LoadMonitor::onTimer()
+{
+    const TimePoint now = steadyNow();
+    const Duration delay = std::max(Duration{0}, now - this->expectedAt);
+    this->loopDelay.record(delay);
+    this->maxDelay = std::max(this->maxDelay, delay);
+    if (now >= this->nextLine) {
+        this->logLoad();
+        this->nextLine = now + LineInterval;
+    }
+    this->armTimer();
+}
+
+void LoadMonitor::logLoad()
+{
+    const std::uint64_t accepted = this->counters.httpConnectionsAccepted;
+    logLine(LogArea::Daemon,
+            LogLevel::Info,
+            "load",
+            {{"connections", this->counters.httpConnectionsOpen.load()},
+             {"accepted", accepted - this->acceptedAtLastLine},
+             {"refused", this->counters.httpConnectionsRefused.load()},
+             {"acceptFailures", this->counters.httpAcceptsFailed.load()},
+             {"requests", this->counters.httpRequests.load()},
+             {"maxLoopDelayMs", this->maxDelay.ms}});
+    this->acceptedAtLastLine = accepted;
+    this->maxDelay = {};
+}
+
+void LoadMonitor::appendMetrics(std::string &text) const
+{
+    appendMetric(text, "filbertlanding_http_connections", this->counters.httpConnectionsOpen);
+    appendMetric(text, "filbertlanding_http_connections_accepted_total", this->counters.httpConnectionsAccepted);
+    appendMetric(text, "filbertlanding_http_connections_refused_total", this->counters.httpConnectionsRefused);
+    appendMetric(text, "filbertlanding_http_accepts_failed_total", this->counters.httpAcceptsFailed);
+    appendMetric(text, "filbertlanding_http_requests_total", this->counters.httpRequests);
+    this->loopDelay.appendText(text, "filbertlanding_loop_delay_seconds");
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleetd/load_monitor.h
@@ -0,0 +1,43 @@
+/** @file load_monitor.h Periodic measurement of the event loop's delay and of the connections of a daemon. */
+
+#pragma once
+
+#include "core/clock_type.h"
+#include "network/network_counters.h"
+#include "runtime/histogram.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace Filbertlanding {
+
+/** Measures how late handlers run on an event loop, and logs this and the connections at a fixed interval. Runs on that loop. */
+class LoadMonitor
+{
+public:
+    LoadMonitor(boost::asio::io_context &loop, const NetworkCounters &networkCounters);
+
+    void start();
+    void stop();
+
+    /** Appends the metrics in Prometheus text format. */
+    void appendMetrics(std::string &text) const;
+
+private:
+    void armTimer();
+    void onTimer();
+    void logLoad();
+
+    const NetworkCounters &counters;
+    boost::asio::steady_timer timer;
+    TimePoint expectedAt; ///< Time at which the timer is due.
+    TimePoint nextLine;
+    Duration maxDelay; ///< Maximum delay since the last line.
+    std::uint64_t acceptedAtLastLine = 0;
+    Histogram loopDelay;
+};
+
+} // namespace Filbertlanding
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -122,6 +122,7 @@
         this->accept();
         return;
     }
+    ++this->shared.counters.httpAcceptsFailed;
     this->retryTimer->expires_after(AcceptRetryDelay);
     this->retryTimer->async_wait([this](Error) {
         if (this->acceptor->is_open()) {
--- a/src/network/network_counters.h
+++ b/src/network/network_counters.h
@@ -14,6 +14,7 @@
     Count httpConnectionsAccepted{0}; ///< Connections that the HTTP server accepted.
     Count httpConnectionsOpen{0}; ///< Current number of connections of the HTTP server.
     Count httpConnectionsRefused{0}; ///< Connections closed at once, since too many were open.
+    Count httpAcceptsFailed{0}; ///< Failed accepts, for example for want of file descriptors; no connection is accepted for a while after one.
     Count httpRequests{0}; ///< Whole requests that were given to the handler.
     Count httpResponses{0}; ///< Responses that were written whole.
     Count httpMalformed{0}; ///< Requests refused because they were malformed or too large.
