Fix: a listener accepts all connections that wait in one turn of its event loop

Callers saw: after a restart of all schedulers, operators got no answer to reads of the configuration for 14 s and more, and a quarter to two fifths of the workers' reports failed, although a leader led 0.9 s after the start and placed tasks all the time.

Cause: Asio's async_accept takes one connection for each turn of the event loop. A turn of a busy leader lasts 20 ms to 500 ms, so it accepted 13 to 100 connections a second, while the 490 workers, whose connections the restart had ended, connected anew after each second without an answer. The kernel's queue (4,096) filled with connections whose callers had gone; a new one waited behind them for longer than any caller waits. A backlog that is served first come, first served, with callers that give up and come again, does not end by itself (metastable overload).

When the traffic ended the queue drained, and reads whose callers had gone were answered within 70 ms each. Ruled out: the quorum round of reads, descriptors and the connection limit, elections.

Change: HttpServer and PeerLinks, which had the same loop twice, share a Listener that accepts up to 256 connections for each readiness of the socket. Entry hosts' links to a new leader wait no longer either.

--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -5,11 +5,9 @@
 
 #include "network/http_connection.h"
 
-#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <mutex>
 #include <thread>
@@ -24,8 +22,6 @@
     using Error = boost::system::error_code;
     using ConnectionPointer = std::shared_ptr<HttpConnection>;
 
-    constexpr std::chrono::milliseconds AcceptRetryDelay{100}; ///< Wait after a failed accept, for example for want of file descriptors.
-
     /** One event loop with its thread and the connections that live on it. */
     struct ServerLoop {
         explicit ServerLoop(net::io_context *ownersLoop)
@@ -53,9 +49,8 @@
 
     std::error_code listen();
     void run();
-    void accept();
-    void onAccepted(Error error, std::size_t loopIndex, Tcp::socket socket);
-    void handOver(std::size_t loopIndex, Tcp::socket socket);
+    void handOver(Tcp::socket socket);
+    void onListenerClosed();
     void onClosed(ServerLoop &loop, const ConnectionPointer &connection);
     void beginDrain();
     void checkStopped();
@@ -63,10 +58,9 @@
 
     std::vector<std::unique_ptr<ServerLoop>> loops; ///< Declared first, so that everything that uses them is destroyed earlier.
     HttpServerShared shared;
-    std::optional<Tcp::acceptor> acceptor; ///< Used on the first loop.
-    std::optional<net::steady_timer> retryTimer; ///< Used on the first loop.
+    std::optional<Listener> listener; ///< Used on the first loop.
     std::atomic<std::size_t> open{0}; ///< Accepted connections that have not closed.
-    std::atomic<bool> listening{false}; ///< Whether the acceptor is open or an accept has not ended.
+    std::atomic<bool> listening{false}; ///< Whether the listener is open or one of its handlers has not ended.
     std::mutex stopMutex; ///< Guards stopped.
     std::function<void()> stopped; ///< Told when the graceful stop is complete.
     std::size_t nextLoop = 0; ///< Loop of the next connection; used on the first loop.
@@ -76,8 +70,19 @@
 
 std::error_code HttpServer::Core::listen()
 {
+    ListenerHooks hooks;
+    hooks.accepted = [this](Tcp::socket socket) {
+        this->handOver(std::move(socket));
+    };
+    hooks.acceptFailed = [this] {
+        ++this->shared.counters.httpAcceptsFailed;
+    };
+    hooks.closed = [this] {
+        this->onListenerClosed();
+    };
     this->port = this->shared.settings.port;
-    return openListener(this->acceptor, this->loops.front()->io, this->shared.settings.address, this->port);
+    this->listener.emplace(this->loops.front()->io, std::move(hooks));
+    return this->listener->open(this->shared.settings.address, this->port);
 }
 
 void HttpServer::Core::run()
@@ -87,7 +92,7 @@
     for (const auto &loop : this->loops) {
         loop->work.emplace(loop->io.get_executor());
     }
-    this->accept();
+    this->listener->start();
     if (this->shared.settings.loop != nullptr) {
         return;
     }
@@ -98,43 +103,7 @@
     }
 }
 
-void HttpServer::Core::accept()
-{
-    const std::size_t index = this->nextLoop;
-    this->nextLoop = (index + 1) % this->loops.size();
-    // The handler runs on the loop of the acceptor, although the socket belongs to another one.
-    this->acceptor->async_accept(this->loops[index]->io, net::bind_executor(this->loops.front()->io, [this, index](Error error, Tcp::socket socket) {
-                                     this->onAccepted(error, index, std::move(socket));
-                                 }));
-}
-
-void HttpServer::Core::onAccepted(Error error, std::size_t loopIndex, Tcp::socket socket)
-{
-    if (!error) {
-        this->handOver(loopIndex, std::move(socket));
-    }
-    if (!this->acceptor->is_open()) {
-        this->listening = false;
-        this->checkStopped();
-        return;
-    }
-    if (!error) {
-        this->accept();
-        return;
-    }
-    ++this->shared.counters.httpAcceptsFailed;
-    this->retryTimer->expires_after(AcceptRetryDelay);
-    this->retryTimer->async_wait([this](Error) {
-        if (this->acceptor->is_open()) {
-            this->accept();
-            return;
-        }
-        this->listening = false;
-        this->checkStopped();
-    });
-}
-
-void HttpServer::Core::handOver(std::size_t loopIndex, Tcp::socket socket)
+void HttpServer::Core::handOver(Tcp::socket socket)
 {
     if (this->open >= this->shared.settings.maxConnections) {
         ++this->shared.counters.httpConnectionsRefused;
@@ -143,7 +112,8 @@
     ++this->open;
     ++this->shared.counters.httpConnectionsAccepted;
     ++this->shared.counters.httpConnectionsOpen;
-    ServerLoop &loop = *this->loops[loopIndex];
+    ServerLoop &loop = *this->loops[this->nextLoop];
+    this->nextLoop = (this->nextLoop + 1) % this->loops.size();
     net::post(loop.io, [this, &loop, moved = std::make_shared<Tcp::socket>(std::move(socket))] {
         Error ignored;
         const bool isIpv6 = moved->local_endpoint(ignored).address().is_v6();
@@ -159,6 +129,12 @@
     });
 }
 
+void HttpServer::Core::onListenerClosed()
+{
+    this->listening = false;
+    this->checkStopped();
+}
+
 void HttpServer::Core::onClosed(ServerLoop &loop, const ConnectionPointer &connection)
 {
     loop.connections.erase(connection);
@@ -170,23 +146,12 @@
 /** Runs on the first loop. Connections that the kernel has completed are accepted first, since closing the listener would reset them. */
 void HttpServer::Core::beginDrain()
 {
-    if (!this->acceptor->is_open()) {
+    if (!this->listener->isOpen()) {
         this->checkStopped();
         return;
     }
-    Error error;
-    this->acceptor->non_blocking(true, error);
-    while (!error) {
-        const std::size_t index = this->nextLoop;
-        this->nextLoop = (index + 1) % this->loops.size();
-        Tcp::socket socket(this->loops[index]->io);
-        this->acceptor->accept(socket, error);
-        if (!error) {
-            this->handOver(index, std::move(socket));
-        }
-    }
-    this->acceptor->close(error);
-    this->retryTimer->cancel();
+    this->listener->acceptWaiting();
+    this->listener->close();
     for (const auto &loop : this->loops) {
         net::post(loop->io, [target = loop.get()] {
             const auto connections = target->connections;
@@ -220,9 +185,7 @@
     this->running = false;
     this->shared.draining = true;
     net::post(this->loops.front()->io, [this] {
-        Error ignored;
-        this->acceptor->close(ignored);
-        this->retryTimer->cancel();
+        this->listener->close();
     });
     for (const auto &loop : this->loops) {
         net::post(loop->io, [target = loop.get()] {
@@ -271,7 +234,6 @@
         return error;
     }
     state.shared.owner = this->core;
-    state.retryTimer.emplace(state.loops.front()->io);
     state.run();
     return {};
 }
--- a/src/network/listen_socket.cpp
+++ b/src/network/listen_socket.cpp
@@ -1,7 +1,11 @@
-/** @file listen_socket.cpp Opens listening TCP sockets. */
+/** @file listen_socket.cpp Listening TCP sockets. */
 
 #include "network/listen_socket.h"
 
+#include "core/result_code.h"
+
+#include <limits>
+
 namespace Filbertlanding {
 
 namespace {
@@ -10,7 +14,10 @@
     using Tcp = net::ip::tcp;
     using Error = boost::system::error_code;
 
-    /** Opens, binds and listens; stops at the first error. */
+    constexpr std::chrono::milliseconds AcceptRetryDelay{100}; ///< Wait after a failed accept.
+    constexpr std::size_t MaxAcceptsPerTurn = 256; ///< Leaves time for the other handlers of the loop.
+
+    /** Binds and listens; stops at the first error. */
     void bindAndListen(Tcp::acceptor &acceptor, const Tcp::endpoint &endpoint, Error &error)
     {
         acceptor.open(endpoint.protocol(), error);
@@ -26,23 +33,110 @@
             return;
         }
         acceptor.listen(net::socket_base::max_listen_connections, error);
+        if (error) {
+            return;
+        }
+        acceptor.non_blocking(true, error);
+    }
+
+    /** Returns whether an error concerns only the connection that would have been accepted next. */
+    bool isOfConnection(const Error &error)
+    {
+        return error == net::error::connection_aborted || error == net::error::connection_reset;
     }
 
 } // namespace
 
-std::error_code openListener(std::optional<Tcp::acceptor> &acceptor, net::io_context &io, const std::string &address, std::uint16_t &port)
+Listener::Listener(net::io_context &loop, ListenerHooks listenerHooks)
+    : hooks(std::move(listenerHooks))
+    , acceptor(loop)
+    , retryTimer(loop)
+{
+}
+
+std::error_code Listener::open(const std::string &address, std::uint16_t &port)
 {
     Error error;
     const auto parsed = net::ip::make_address(address, error);
     if (error) {
         return ResultCode::BadAddress;
     }
-    acceptor.emplace(io);
-    bindAndListen(*acceptor, Tcp::endpoint(parsed, port), error);
+    bindAndListen(this->acceptor, Tcp::endpoint(parsed, port), error);
     if (!error) {
-        port = acceptor->local_endpoint(error).port();
+        port = this->acceptor.local_endpoint(error).port();
     }
     return error ? std::error_code(error.value(), std::system_category()) : std::error_code();
 }
 
+void Listener::start()
+{
+    this->waitForConnections();
+}
+
+void Listener::waitForConnections()
+{
+    this->acceptor.async_wait(Tcp::acceptor::wait_read, [this](Error) {
+        this->onReady();
+    });
+}
+
+void Listener::onReady()
+{
+    const bool hasFailed = this->isOpen() && !this->acceptUpTo(MaxAcceptsPerTurn);
+    if (!this->isOpen()) {
+        this->hooks.closed();
+        return;
+    }
+    if (hasFailed) {
+        this->hooks.acceptFailed();
+        this->retryLater();
+        return;
+    }
+    this->waitForConnections();
+}
+
+/** Accepts connections until none waits or the limit is reached. Returns false if an accept failed. */
+bool Listener::acceptUpTo(std::size_t limit)
+{
+    for (std::size_t count = 0; count < limit && this->isOpen(); ++count) {
+        Error error;
+        Tcp::socket socket(this->acceptor.get_executor());
+        this->acceptor.accept(socket, error);
+        if (error == net::error::would_block || error == net::error::try_again) {
+            return true;
+        }
+        if (!error) {
+            this->hooks.accepted(std::move(socket));
+        } else if (!isOfConnection(error)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void Listener::retryLater()
+{
+    this->retryTimer.expires_after(AcceptRetryDelay);
+    this->retryTimer.async_wait([this](Error) {
+        this->onReady();
+    });
+}
+
+void Listener::acceptWaiting()
+{
+    this->acceptUpTo(std::numeric_limits<std::size_t>::max());
+}
+
+void Listener::close()
+{
+    Error ignored;
+    this->acceptor.close(ignored);
+    this->retryTimer.cancel();
+}
+
+bool Listener::isOpen() const
+{
+    return this->acceptor.is_open();
+}
+
 } // namespace Filbertlanding
--- a/src/network/listen_socket.h
+++ b/src/network/listen_socket.h
@@ -1,26 +1,64 @@
-/** @file listen_socket.h Opens listening TCP sockets. Includes Asio, so include it only in source files. */
+/** @file listen_socket.h Listening TCP sockets. Includes Asio, so include it only in source files. */
 
 #pragma once
 
-#include "core/result_code.h"
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
 #include <cstdint>
-#include <optional>
+#include <functional>
 #include <string>
 #include <system_error>
 
 namespace Filbertlanding {
 
+/** Hooks of a listener; called on its event loop. */
+struct ListenerHooks {
+    std::function<void(boost::asio::ip::tcp::socket)> accepted; ///< Takes an accepted connection.
+    std::function<void()> acceptFailed = [] {}; ///< An accept failed, for example for want of file descriptors; it is tried again after a while.
+    std::function<void()> closed = [] {}; ///< The listener is closed and none of its handlers is left. Not called unless start() was.
+};
+
 /**
- * Opens, binds and listens.
- * @param address IP number.
- * @param port [in,out] TCP port; 0 takes a free one, which is returned here.
- * @return No error, BadAddress, or the error of the system.
+ * Accepts TCP connections on an event loop. Each turn of the loop accepts all connections that wait, up to a bound. With one a turn, a busy loop falls
+ * behind callers that give up and connect again, and in the end accepts only connections whose callers have gone.
  */
-std::error_code
-openListener(std::optional<boost::asio::ip::tcp::acceptor> &acceptor, boost::asio::io_context &io, const std::string &address, std::uint16_t &port);
+class Listener
+{
+public:
+    Listener(boost::asio::io_context &loop, ListenerHooks listenerHooks);
+
+    /**
+     * Opens, binds and listens.
+     * @param address IP number.
+     * @param port [in,out] TCP port; 0 takes a free one, which is returned here.
+     * @return No error, BadAddress, or the error of the system.
+     */
+    std::error_code open(const std::string &address, std::uint16_t &port);
+
+    /** Begins to accept; from then on all calls are made on the event loop. */
+    void start();
+
+    /** Accepts all connections that the kernel has completed. */
+    void acceptWaiting();
+
+    /** Closes the socket, which resets connections that were not accepted. */
+    void close();
+
+    /** Returns whether the socket is open. */
+    bool isOpen() const;
+
+private:
+    void waitForConnections();
+    void onReady();
+    bool acceptUpTo(std::size_t limit);
+    void retryLater();
+
+    ListenerHooks hooks;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer retryTimer;
+};
 
 } // namespace Filbertlanding
--- a/src/network/peer_link.cpp
+++ b/src/network/peer_link.cpp
@@ -27,8 +27,6 @@
     using Error = boost::system::error_code;
     using StreamPointer = std::shared_ptr<FrameStream>;
 
-    constexpr std::chrono::milliseconds AcceptRetryDelay{100}; ///< Wait after a failed accept.
-
     std::chrono::milliseconds chronoOf(Duration length)
     {
         return std::chrono::milliseconds(length.ms);
@@ -69,7 +67,6 @@
     }
 
     std::error_code listen();
-    void accept();
     void onAccepted(Tcp::socket socket);
     void onAcceptedClosed(const StreamPointer &stream, ResultCode reason);
     void replacePeers(const std::vector<PeerAddress> &addresses);
@@ -100,8 +97,7 @@
     std::function<void(const DaemonName &, bool)> linkHook;
     std::function<void(const DaemonName &, ResultCode)> refusalHook;
     std::optional<net::executor_work_guard<net::io_context::executor_type>> work;
-    std::optional<Tcp::acceptor> acceptor;
-    std::optional<net::steady_timer> acceptTimer;
+    std::optional<Listener> listener;
     std::map<DaemonName, PeerPointer> peers;
     std::set<StreamPointer> acceptedStreams; ///< All accepted connections, with or without a complete handshake.
     PeerRequestTable requests;
@@ -117,28 +113,13 @@
 
 std::error_code PeerLinks::Core::listen()
 {
+    ListenerHooks hooks;
+    hooks.accepted = [this](Tcp::socket socket) {
+        this->onAccepted(std::move(socket));
+    };
     this->port = this->settings.port;
-    return openListener(this->acceptor, this->io, this->settings.address, this->port);
-}
-
-void PeerLinks::Core::accept()
-{
-    this->acceptor->async_accept([this](Error error, Tcp::socket socket) {
-        if (!this->acceptor->is_open()) {
-            return;
-        }
-        if (!error) {
-            this->onAccepted(std::move(socket));
-            this->accept();
-            return;
-        }
-        this->acceptTimer->expires_after(AcceptRetryDelay);
-        this->acceptTimer->async_wait([this](Error timerError) {
-            if (!timerError && this->acceptor->is_open()) {
-                this->accept();
-            }
-        });
-    });
+    this->listener.emplace(this->io, std::move(hooks));
+    return this->listener->open(this->settings.address, this->port);
 }
 
 void PeerLinks::Core::onAccepted(Tcp::socket socket)
@@ -464,10 +445,8 @@
 
 void PeerLinks::Core::shutDown()
 {
-    Error ignored;
-    if (this->acceptor) {
-        this->acceptor->close(ignored);
-        this->acceptTimer->cancel();
+    if (this->listener) {
+        this->listener->close();
     }
     const auto present = this->peers;
     for (const auto &[name, peer] : present) {
@@ -532,9 +511,8 @@
     if (const std::error_code error = state.listen()) {
         return error;
     }
-    state.acceptTimer.emplace(state.io);
     state.work.emplace(state.io.get_executor());
-    state.accept();
+    state.listener->start();
     if (state.settings.loop != nullptr) {
         return {};
     }
