Add: time of the event loop by kind of work in the log and the metrics of the fleet daemon; a mixed load for the placement benchmark

The line "loop_time" tells the kinds of work apart. No decision is changed. Which part of the tick it is, is not shown yet.

--- a/bench/fleet_place_bench.cpp
+++ b/bench/fleet_place_bench.cpp
@@ -1,4 +1,4 @@
-/** @file fleet_place_bench.cpp Duration of one placement pass of the fleet scheduler with most tasks waiting. */
+/** @file fleet_place_bench.cpp Duration of one placement pass of the fleet scheduler with most tasks waiting, of like jobs and of jobs that all differ. */
 
 #include "fakes/fleet_simulation.h"
 
@@ -36,9 +36,51 @@
     return simulation;
 }
 
-void placementPass(benchmark::State &state)
+/** Returns a request that differs by up to 60 percent from the mean, independently in CPU and memory. */
+Resources varied(Random &random, std::int64_t cpuMillis, std::int64_t memoryMb)
+{
+    const auto factor = [&random] {
+        return 0.4 + 1.2 * random.unit();
+    };
+    return {static_cast<std::int64_t>(static_cast<double>(cpuMillis) * factor()), static_cast<std::int64_t>(static_cast<double>(memoryMb) * factor()), 0};
+}
+
+/** Returns a simulation with more work than fits, in which each job has requests of its own and many images interfere. */
+std::unique_ptr<FleetSimulation> makeMixedSimulation(int workers, int waitingTasks)
+{
+    constexpr int LongRunningImages = 10;
+    constexpr int SpareImages = 18;
+    constexpr int TasksPerJob = 20;
+    FleetSimulationSettings settings;
+    settings.workers = workers;
+    Random random{1};
+    for (int i = 0; i < LongRunningImages; ++i) {
+        for (int j = 0; j < SpareImages; ++j) {
+            settings.interference[{"l" + std::to_string(i), "s" + std::to_string(j)}] = 5.0 * random.unit();
+        }
+    }
+    auto simulation = std::make_unique<FleetSimulation>(settings);
+    simulation->run({100});
+    for (int i = 0; i < workers / 3; ++i) {
+        JobSpec longRunning = oneStepJob(14, varied(random, 6'400, 13'000), {400});
+        longRunning.steps.front().isLongRunning = true;
+        longRunning.steps.front().image = "l" + std::to_string(random.below(LongRunningImages));
+        longRunning.steps.front().latencyTarget = {45};
+        simulation->submit("service" + std::to_string(i), longRunning);
+    }
+    simulation->run({3'000});
+    for (int i = 0; i < waitingTasks / TasksPerJob; ++i) {
+        JobSpec batch = oneStepJob(TasksPerJob, varied(random, 3'500, 6'400), {60'000});
+        batch.steps.front().usesSpareCapacity = i % 2 == 0;
+        batch.steps.front().image = i % 2 == 0 ? "s" + std::to_string(random.below(SpareImages)) : std::string();
+        simulation->submit("batch" + std::to_string(i), batch);
+    }
+    simulation->run({5'000});
+    return simulation;
+}
+
+void runPlacementPasses(benchmark::State &state, const std::unique_ptr<FleetSimulation> &simulation)
 {
-    const auto simulation = makeSimulation(static_cast<int>(state.range(0)), static_cast<int>(state.range(1)));
     FleetScheduler scheduler = simulation->leaderScheduler();
     TimePoint now = simulation->now;
     for (auto _ : state) {
@@ -48,8 +90,19 @@
     }
 }
 
+void placementPass(benchmark::State &state)
+{
+    runPlacementPasses(state, makeSimulation(static_cast<int>(state.range(0)), static_cast<int>(state.range(1))));
+}
+
+void mixedPlacementPass(benchmark::State &state)
+{
+    runPlacementPasses(state, makeMixedSimulation(static_cast<int>(state.range(0)), static_cast<int>(state.range(1))));
+}
+
 } // namespace
 
+BENCHMARK(mixedPlacementPass)->Args({66, 2'000})->Args({490, 8'000})->Unit(benchmark::kMillisecond);
 BENCHMARK(placementPass)->Args({66, 2'000})->Args({490, 15'000})->Unit(benchmark::kMillisecond);
 
 BENCHMARK_MAIN();
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -86,12 +86,14 @@
 FleetCore::FleetCore(asio::io_context &loop,
                      const FleetDaemonSettings &daemonSettings,
                      const ProtocolAdapter &protocolAdapter,
-                     NetworkCounters &networkCounters)
+                     NetworkCounters &networkCounters,
+                     LoopTimes &loopTimes)
     : io(loop)
     , settings(daemonSettings)
     , adapter(protocolAdapter)
     , client(clientSettings(loop), networkCounters)
     , tickTimer(loop)
+    , times(loopTimes)
 {
 }
 
@@ -124,6 +126,7 @@
     };
     hooks.snapshotWanted = [this](std::uint64_t) {
         asio::post(this->io, [this] {
+            const LoopTimer timer(this->times, LoopPart::Snapshots);
             this->replication.snapshotTaken(this->appliedIndex, encodeFleetState(this->state));
         });
     };
@@ -175,8 +178,11 @@
 
 void FleetCore::onApplied(const std::vector<LogEntry> &entries)
 {
-    for (const LogEntry &entry : entries) {
-        this->applyEntry(entry);
+    {
+        const LoopTimer timer(this->times, LoopPart::AppliedEntries);
+        for (const LogEntry &entry : entries) {
+            this->applyEntry(entry);
+        }
     }
     this->beginLeadershipIfReady();
     while (!this->pendingReads.empty() && this->pendingReads.begin()->first <= this->appliedIndex) {
@@ -404,6 +410,7 @@
         if (!this->scheduler || this->scheduler->term != sent.term) {
             return;
         }
+        const LoopTimer timer(this->times, LoopPart::OrderResponses);
         const OrderResponse response = this->adapter.parseOrderResponse(sent, exchange);
         if (response.outcome != OrderOutcome::Done) {
             this->counters.ordersUnanswered += response.outcome == OrderOutcome::NoResponse ? 1 : 0;
@@ -431,6 +438,7 @@
         return;
     }
     if (!this->isStopping) {
+        const LoopTimer timer(this->times, LoopPart::SchedulerTick);
         this->executeActions(schedulerTick(*this->scheduler, this->state, steadyNow(), wallNow(), this->replication.leaseEnd()));
     }
     this->flush();
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -7,6 +7,7 @@
 
 #include "fleet/fleet_scheduler_func.h"
 #include "fleetd/fleet_message.h"
+#include "fleetd/loop_time.h"
 #include "fleetd/protocol_adapter.h"
 #include "network/http_client.h"
 #include "network/http_server.h"
@@ -52,7 +53,8 @@
     FleetCore(boost::asio::io_context &loop,
               const FleetDaemonSettings &daemonSettings,
               const ProtocolAdapter &protocolAdapter,
-              NetworkCounters &networkCounters);
+              NetworkCounters &networkCounters,
+              LoopTimes &loopTimes);
     FleetCore(const FleetCore &) = delete;
     FleetCore &operator=(const FleetCore &) = delete;
     ~FleetCore();
@@ -147,6 +149,7 @@
     std::multimap<std::uint64_t, std::function<void()>> pendingReads; ///< Reads waiting for a log index to be applied.
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
+    LoopTimes &times;
     bool isTickAdvanced = false; ///< The next tick is scheduled early to process worker responses.
     bool isStopping = false;
 };
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -94,7 +94,7 @@
     }
     this->peers->setPeers({});
     if (!this->settings.dataFolder.empty()) {
-        this->core = std::make_unique<FleetCore>(this->io, this->settings, this->adapter, this->network);
+        this->core = std::make_unique<FleetCore>(this->io, this->settings, this->adapter, this->network, this->loadMonitor.loopTimes());
         this->core->onFatalError = [this](ResultCode code) {
             this->onCoreFailed(code);
         };
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -41,6 +41,7 @@
 
 void FleetCore::handleCallerRequest(const JobApiRequest &request, CallerResponseHandler done)
 {
+    const LoopTimer timer(this->times, LoopPart::CallerRequests);
     if (!this->isLeading()) {
         done(RelayOutcome::NotLeader, {});
         return;
@@ -167,6 +168,7 @@
 
 void FleetCore::handleControlRequest(const HttpRequest &request, HttpRespond respond)
 {
+    const LoopTimer timer(this->times, LoopPart::ControlRequests);
     const auto reply = [this, respond = std::move(respond)](const ApiResponse &response) {
         respond(this->adapter.serializeResponse(response));
     };
--- a/src/fleetd/load_monitor.cpp
+++ b/src/fleetd/load_monitor.cpp
@@ -52,6 +52,9 @@
     this->maxDelay = std::max(this->maxDelay, delay);
     if (now >= this->nextLine) {
         this->logLoad();
+        if (this->times != this->timesAtLastLine) {
+            this->logLoopTimes();
+        }
         this->nextLine = now + LineInterval;
     }
     this->armTimer();
@@ -73,6 +76,29 @@
     this->maxDelay = {};
 }
 
+LoopTimes &LoadMonitor::loopTimes()
+{
+    return this->times;
+}
+
+void LoadMonitor::logLoopTimes()
+{
+    const auto spentMs = [this](LoopPart part) {
+        const auto index = static_cast<std::size_t>(part);
+        return (this->times[index] - this->timesAtLastLine[index]) / 1000;
+    };
+    logLine(LogArea::Daemon,
+            LogLevel::Info,
+            "loop_time",
+            {{"schedulerTickMs", spentMs(LoopPart::SchedulerTick)},
+             {"appliedEntriesMs", spentMs(LoopPart::AppliedEntries)},
+             {"orderResponsesMs", spentMs(LoopPart::OrderResponses)},
+             {"controlRequestsMs", spentMs(LoopPart::ControlRequests)},
+             {"callerRequestsMs", spentMs(LoopPart::CallerRequests)},
+             {"snapshotsMs", spentMs(LoopPart::Snapshots)}});
+    this->timesAtLastLine = this->times;
+}
+
 void LoadMonitor::appendMetrics(std::string &text) const
 {
     appendMetric(text, "filbertlanding_http_connections", this->counters.httpConnectionsOpen);
@@ -80,6 +106,9 @@
     appendMetric(text, "filbertlanding_http_connections_refused_total", this->counters.httpConnectionsRefused);
     appendMetric(text, "filbertlanding_http_accepts_failed_total", this->counters.httpAcceptsFailed);
     appendMetric(text, "filbertlanding_http_requests_total", this->counters.httpRequests);
+    for (const auto &row : LoopPartNames.rows) {
+        appendMetric(text, "filbertlanding_loop_microseconds_total{part=\"" + std::string(row.name) + "\"}", this->times[static_cast<std::size_t>(row.value)]);
+    }
     this->loopDelay.appendText(text, "filbertlanding_loop_delay_seconds");
 }
 
--- a/src/fleetd/load_monitor.h
+++ b/src/fleetd/load_monitor.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "fleetd/loop_time.h"
 #include "network/network_counters.h"
 #include "runtime/histogram.h"
 
@@ -23,6 +24,9 @@
     void start();
     void stop();
 
+    /** Returns the times of the parts of the daemon's work, to be added to by their timers. */
+    LoopTimes &loopTimes();
+
     /** Appends the metrics in Prometheus text format. */
     void appendMetrics(std::string &text) const;
 
@@ -30,6 +34,7 @@
     void armTimer();
     void onTimer();
     void logLoad();
+    void logLoopTimes();
 
     const NetworkCounters &counters;
     boost::asio::steady_timer timer;
@@ -37,6 +42,8 @@
     TimePoint nextLine;
     Duration maxDelay; ///< Maximum delay since the last line.
     std::uint64_t acceptedAtLastLine = 0;
+    LoopTimes times{};
+    LoopTimes timesAtLastLine{};
     Histogram loopDelay;
 };
 
