Fix: a placement pass searches the fleet no more for each job that is limited per worker and cannot be placed

Cause: a pass remembers requests that found no worker, so that larger ones of the same kind are not searched for. A step with a limit of tasks per worker was never remembered, although nearly always only capacity was missing, and each of its searches first looked for the tasks of the step in the sessions of all workers.

Change: a limited step whose request no worker could take without the limit is remembered like others; of each kind the smallest requests are kept, not only the last one; the tasks of a step on each worker are counted from its own records; the expected tail ratio of a worker's long-running images is kept with the candidate in place of being computed for each search.

fleet_place_test "A placement pass does not search the whole fleet..." failed before (800 searches in a pass over 400 jobs, bound 40) and passes.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -100,7 +100,7 @@
     void handleStartApplied(FleetScheduler &scheduler, const StartRun &start, const FleetChange &change, TimePoint now)
     {
         const auto proposed = scheduler.proposedStarts.find(start.task);
-        if (proposed != scheduler.proposedStarts.end() && --proposed->second == 0) {
+        if (proposed != scheduler.proposedStarts.end() && proposed->second == start.incarnation) {
             scheduler.proposedStarts.erase(proposed);
         }
         const auto session = scheduler.sessions.find(start.incarnation);
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -76,7 +76,7 @@
     std::map<JobNumber, JobView> jobs; ///< Jobs that have not ended.
     std::size_t openBytes = 0; ///< Total memory of these jobs.
     std::map<TaskRef, IncarnationNumber> failedOn; ///< Incarnation on which the latest run of a task failed; the next run is placed elsewhere.
-    std::map<TaskRef, unsigned> proposedStarts; ///< Number of proposed starts of each task that are not applied yet.
+    std::map<TaskRef, IncarnationNumber> proposedStarts; ///< Workers of the proposed starts that are not applied yet.
     std::map<std::uint64_t, PendingOrder> pendingOrders; ///< Orders without a response, by order number.
     LearnedModel learnedModel; ///< Model of run times and of interference between images.
     TimePoint nextModelSave; ///< Next time at which the learned model is saved to the log.
@@ -89,6 +89,7 @@
     TimePoint nextFullTick; ///< Time of the next tick that processes all sessions.
     std::uint64_t lastOrder = 0; ///< Number of the last order.
     bool isPlacementDue = true; ///< Something has changed that may allow a task to start.
+    std::uint64_t fleetScans = 0; ///< Number of searches through all workers for a task of a step.
     TimePoint nextPlacement; ///< Earliest time of the next placement pass.
     TimePoint nextSweep; ///< Time of the next periodic sweep over all sessions.
 };
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -67,7 +67,7 @@
             if (tasks.highestTailRatio + rise > 1.0) {
                 return true;
             }
-            const double before = expectedTailRatio(query.interference, image, candidate.spareCpuShares);
+            const double before = tasks.expectedTailRatio;
             const double chance = probabilityOverTarget(query.interference, image, before + rise) - probabilityOverTarget(query.interference, image, before);
             harmedMillis += TargetViolationWeight * chance * static_cast<double>(tasks.cpuMillis);
         }
@@ -86,9 +86,7 @@
             const double rise = slopeAgainst(query, *tasks.slopes, spareIndex, image) * share;
             const bool isHarmful = rise > NegligibleRise && !query.acceptsInterference;
             // The load of a long-running task changes more slowly than it is polled, so a high tail latency persists for a while.
-            if (isHarmful
-                && (tasks.highestTailRatio + rise > MaxTailRatio
-                    || expectedTailRatio(query.interference, image, candidate.spareCpuShares) + rise > MaxTailRatio)) {
+            if (isHarmful && (tasks.highestTailRatio + rise > MaxTailRatio || tasks.expectedTailRatio + rise > MaxTailRatio)) {
                 return std::nullopt;
             }
             sum += rise * tasks.count;
@@ -186,6 +184,13 @@
     return static_cast<std::size_t>(found - table.spareImages.begin());
 }
 
+void updateExpectedTails(PlacementCandidate &candidate, const PairInterference &interference)
+{
+    for (auto &[image, tasks] : candidate.latencySensitiveTasks) {
+        tasks.expectedTailRatio = expectedTailRatio(interference, image, candidate.spareCpuShares);
+    }
+}
+
 void updateSensitivity(PlacementCandidate &candidate, const SlopeTable &table)
 {
     double sum = 0;
@@ -245,13 +250,14 @@
     return best;
 }
 
-void reserveCapacity(PlacementCandidate &candidate, const StepSpec &step, const SlopeTable &table)
+void reserveCapacity(PlacementCandidate &candidate, const StepSpec &step, const SlopeTable &table, const PairInterference &interference)
 {
     candidate.used.memoryMb += step.request.memoryMb;
     candidate.used.accelerators += step.request.accelerators;
     if (step.usesSpareCapacity) {
         candidate.spareCpuRequested += step.request.cpuMillis;
         candidate.spareCpuShares[step.image] += cpuShareOf(step, candidate);
+        updateExpectedTails(candidate, interference);
         return;
     }
     candidate.used.cpuMillis += step.request.cpuMillis;
@@ -261,6 +267,7 @@
         ++tasks.count;
         tasks.cpuMillis += step.request.cpuMillis;
         tasks.slopes = &slopesOf(table, step.image);
+        tasks.expectedTailRatio = expectedTailRatio(interference, step.image, candidate.spareCpuShares);
         updateSensitivity(candidate, table);
     }
 }
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -17,6 +17,7 @@
     unsigned count = 0;
     std::int64_t cpuMillis = 0; ///< CPU reserved by these tasks.
     double highestTailRatio = 0; ///< Highest tail latency in the last poll, relative to the target.
+    double expectedTailRatio = 0; ///< Expected tail latency beside the tasks on the worker that use spare capacity, relative to the target.
     const std::vector<double> *slopes = nullptr; ///< Slope for each spare image, in the order of SlopeTable::spareImages.
 };
 
@@ -80,10 +81,13 @@
 /** Returns the index of the best candidate for one more task of a step; nothing if none is suitable. */
 std::optional<std::size_t> chooseWorker(const WorkerQuery &query, const std::vector<PlacementCandidate *> &candidates);
 
+/** Recomputes the expected tail ratios of a worker's long-running tasks from the tasks that use its spare capacity. */
+void updateExpectedTails(PlacementCandidate &candidate, const PairInterference &interference);
+
 /** Recomputes the sensitivity of a worker from its long-running tasks. */
 void updateSensitivity(PlacementCandidate &candidate, const SlopeTable &table);
 
 /** Reserves capacity on a candidate for one task of a step. */
-void reserveCapacity(PlacementCandidate &candidate, const StepSpec &step, const SlopeTable &table);
+void reserveCapacity(PlacementCandidate &candidate, const StepSpec &step, const SlopeTable &table, const PairInterference &interference);
 
 } // namespace Filbertlanding
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -14,7 +14,11 @@
     constexpr std::size_t MaxStartsPerPass = 256; ///< Maximum number of starts per placement pass, so that a large job does not block the event loop.
 
     /** Recomputes a placement candidate from its worker's session. */
-    void refreshCandidate(PlacementCandidate &candidate, const WorkerIncarnation &incarnation, const WorkerSession &session, const SlopeTable &slopes)
+    void refreshCandidate(PlacementCandidate &candidate,
+                          const WorkerIncarnation &incarnation,
+                          const WorkerSession &session,
+                          const SlopeTable &slopes,
+                          const PairInterference &interference)
     {
         candidate = PlacementCandidate();
         candidate.incarnation = incarnation.number;
@@ -43,6 +47,7 @@
                 tasks.highestTailRatio = std::max(tasks.highestTailRatio, static_cast<double>(run.measurement) / static_cast<double>(run.latencyTarget.ms));
             }
         }
+        updateExpectedTails(candidate, interference);
         updateSensitivity(candidate, slopes);
     }
 
@@ -67,7 +72,7 @@
             }
             const auto [candidate, isNew] = scheduler.candidates.try_emplace(number);
             if (isNew || session.isCandidateStale) {
-                refreshCandidate(candidate->second, state.incarnations.at(number), session, *scheduler.slopes);
+                refreshCandidate(candidate->second, state.incarnations.at(number), session, *scheduler.slopes, scheduler.learnedModel.interference);
                 session.isCandidateStale = false;
             }
             candidates.push_back(&candidate->second);
@@ -75,6 +80,12 @@
         return candidates;
     }
 
+    /** Returns whether a request needs at least as much of each resource as another one. */
+    bool needsAtLeast(const Resources &request, const Resources &other)
+    {
+        return request.cpuMillis >= other.cpuMillis && request.memoryMb >= other.memoryMb && request.accelerators >= other.accelerators;
+    }
+
     /** Requests that could not be placed in this pass. A request of the same kind for at least as many resources cannot be placed either. */
     class FailedPlacements
     {
@@ -82,16 +93,19 @@
         bool cannotFit(const StepSpec &step, const ServiceName &service, bool acceptsInterference) const
         {
             const auto found = this->smallestRequests.find(keyOf(step, service, acceptsInterference));
-            return found != this->smallestRequests.end() && step.request.cpuMillis >= found->second.cpuMillis && step.request.memoryMb >= found->second.memoryMb
-                && step.request.accelerators >= found->second.accelerators;
+            return found != this->smallestRequests.end() && std::any_of(found->second.begin(), found->second.end(), [&step](const Resources &failed) {
+                       return needsAtLeast(step.request, failed);
+                   });
         }
 
+        /** Notes a request that no worker can take, whatever else of its step runs there. */
         void note(const StepSpec &step, const ServiceName &service, bool acceptsInterference)
         {
-            // The reason may be the limit of tasks per worker, which does not apply to other steps.
-            if (step.maxPerWorker == 0 && !this->cannotFit(step, service, acceptsInterference)) {
-                this->smallestRequests[keyOf(step, service, acceptsInterference)] = step.request;
-            }
+            std::vector<Resources> &requests = this->smallestRequests[keyOf(step, service, acceptsInterference)];
+            std::erase_if(requests, [&step](const Resources &failed) {
+                return needsAtLeast(failed, step.request);
+            });
+            requests.push_back(step.request);
         }
 
     private:
@@ -102,7 +116,7 @@
             return {service, step.requiredLabel, step.usesSpareCapacity ? step.image : std::string(), step.usesSpareCapacity, acceptsInterference};
         }
 
-        std::map<Key, Resources> smallestRequests;
+        std::map<Key, std::vector<Resources>> smallestRequests; ///< Of each kind, the requests of which none needs as much as another.
     };
 
     /** State of a placement pass. */
@@ -152,17 +166,20 @@
         }
     }
 
-    StepSpread spreadOf(const FleetScheduler &scheduler, const ReadyStep &step)
+    /** Returns the number of tasks of a step on each worker: those that run, and those whose start is proposed. */
+    StepSpread spreadOf(const FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step)
     {
         StepSpread spread;
-        for (const auto &[number, session] : scheduler.sessions) {
-            const auto first = session.runs.lower_bound({step.job, step.occurrence, step.step, 0});
-            const auto last = session.runs.lower_bound({step.job, step.occurrence, step.step + 1, 0});
-            const auto count = std::distance(first, last);
-            if (count > 0) {
-                spread[number] = static_cast<std::uint32_t>(count);
+        for (const TaskRecord &task : job.occurrences.at(step.occurrence).steps[step.step].tasks) {
+            for (const ActiveRun &run : task.active) {
+                ++spread[run.incarnation];
             }
         }
+        const auto first = scheduler.proposedStarts.lower_bound({step.job, step.occurrence, step.step, 0});
+        const auto last = scheduler.proposedStarts.lower_bound({step.job, step.occurrence, step.step + 1, 0});
+        for (auto proposed = first; proposed != last; ++proposed) {
+            ++spread[proposed->second];
+        }
         return spread;
     }
 
@@ -194,7 +211,7 @@
         view.expectedTime = placement.nearTime * (view.isDataRemote ? scheduler.settings.farFactor : 1);
         scheduler.migratingTasks.erase(ref);
         addRun(scheduler.sessions.at(placement.incarnation), ref, std::move(view));
-        ++scheduler.proposedStarts[ref];
+        scheduler.proposedStarts[ref] = placement.incarnation;
         actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
     }
 
@@ -225,7 +242,8 @@
             const FleetJob &job = state.jobs.at(ref.job);
             const StepSpec &spec = job.spec.steps[ref.step];
             const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
-            const StepSpread spread = spreadOf(scheduler, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
+            const StepSpread spread = spreadOf(scheduler, job, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
+            ++scheduler.fleetScans;
             const auto chosen = chooseWorker({.step = spec,
                                               .service = job.queue.service,
                                               .spread = spread,
@@ -235,13 +253,35 @@
                                              pass.candidates);
             if (chosen) {
                 PlacementCandidate &candidate = *pass.candidates[*chosen];
-                reserveCapacity(candidate, spec, pass.slopes);
+                reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
                 proposeStart(
                     scheduler, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, stepTime(scheduler, job, ref.step)}, now, actions);
             }
         }
     }
 
+    /**
+     * Notes a request for which no worker was found, unless one could take it but for other tasks of the step there or an earlier failure of the
+     * task there. Those do not concern other steps.
+     */
+    void noteFailedPlacement(FleetScheduler &scheduler, const WorkerQuery &query, PlacementPass &pass)
+    {
+        if (query.step.maxPerWorker > 0 || query.excluded != 0) {
+            const StepSpread noSpread;
+            const WorkerQuery unlimited{.step = query.step,
+                                        .service = query.service,
+                                        .spread = noSpread,
+                                        .interference = query.interference,
+                                        .slopes = query.slopes,
+                                        .acceptsInterference = query.acceptsInterference};
+            ++scheduler.fleetScans;
+            if (chooseWorker(unlimited, pass.candidates)) {
+                return;
+            }
+        }
+        pass.failedPlacements.note(query.step, query.service, query.acceptsInterference);
+    }
+
     /** Places the tasks of a step one by one, as far as capacity allows. */
     void
     placeIndependentTasks(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
@@ -250,7 +290,7 @@
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
         const Duration expected = stepTime(scheduler, job, step.step);
         const bool acceptsInterference = spec.usesSpareCapacity && isDeadlineNear(step, now);
-        StepSpread spread = spec.maxPerWorker > 0 || spec.isLongRunning ? spreadOf(scheduler, step) : StepSpread();
+        StepSpread spread = spec.maxPerWorker > 0 || spec.isLongRunning ? spreadOf(scheduler, job, step) : StepSpread();
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
             const TaskRecord &task = record.tasks[index];
@@ -264,13 +304,14 @@
                                     .slopes = pass.slopes,
                                     .acceptsInterference = acceptsInterference,
                                     .excluded = failedLife(scheduler, ref)};
+            ++scheduler.fleetScans;
             const auto chosen = chooseWorker(query, pass.candidates);
             if (!chosen) {
-                pass.failedPlacements.note(spec, job.queue.service, acceptsInterference);
+                noteFailedPlacement(scheduler, query, pass);
                 return;
             }
             PlacementCandidate &candidate = *pass.candidates[*chosen];
-            reserveCapacity(candidate, spec, pass.slopes);
+            reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
             ++spread[candidate.incarnation];
             proposeStart(scheduler, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, expected}, now, actions);
         }
@@ -298,6 +339,7 @@
         std::vector<RunPlacement> placements;
         std::uint32_t run = 0;
         for (const TaskRecord &task : record.tasks) {
+            ++scheduler.fleetScans;
             const auto chosen = chooseWorker(
                 {.step = spec, .service = job.queue.service, .spread = spread, .interference = scheduler.learnedModel.interference, .slopes = pass.slopes},
                 trial);
@@ -305,7 +347,7 @@
                 return;
             }
             PlacementCandidate &candidate = *trial[*chosen];
-            reserveCapacity(candidate, spec, pass.slopes);
+            reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
             ++spread[candidate.incarnation];
             placements.push_back({0, candidate.incarnation, candidate.rack, expected});
             run = std::max(run, task.lastRun + 1);
--- a/tests/fleet_place_test.cpp
+++ b/tests/fleet_place_test.cpp
@@ -114,3 +114,48 @@
     CHECK(interferenceSlope(model, "service", "b") < 0.5);
     CHECK(expectedTailRatio(model, "service", {}) < 0.6);
 }
+
+namespace {
+
+/** Returns the searches through the fleet in one placement pass over jobs that all lack capacity and all differ in their requests. */
+std::uint64_t fleetScansOfOnePass(int jobs, std::uint32_t maxPerWorker)
+{
+    FleetSimulationSettings settings;
+    settings.workers = 40;
+    FleetSimulation simulation(settings);
+    simulation.run({100});
+    simulation.submit("full", oneStepJob(40, {31'000, 120'000, 0}, {600'000}));
+    simulation.run({2'000});
+    for (int i = 0; i < jobs; ++i) {
+        JobSpec waiting = oneStepJob(4, {}, {1'000});
+        waiting.steps.front().request = {
+            2'000 + static_cast<std::int64_t>(simulation.random.below(8'000)), 6'000 + static_cast<std::int64_t>(simulation.random.below(20'000)), 0};
+        waiting.steps.front().maxPerWorker = maxPerWorker;
+        simulation.submit("waiting" + std::to_string(i), waiting);
+    }
+    simulation.run({1'000});
+    FleetScheduler scheduler = simulation.leaderScheduler();
+    const std::uint64_t before = scheduler.fleetScans;
+    scheduler.isPlacementDue = true;
+    scheduler.nextPlacement = simulation.now;
+    schedulerTick(scheduler, simulation.state, simulation.now, {1'700'000'000'000}, simulation.now + Duration{1'000});
+    return scheduler.fleetScans - before;
+}
+
+} // namespace
+
+TEST_CASE("A placement pass does not search the whole fleet for every job that cannot be placed")
+{
+    // Guards against passes that take the leader's processor when the fleet is full, so that reports, orders and calls wait for a turn of its loop.
+    constexpr int Jobs = 400;
+    constexpr std::uint64_t MaxScans = Jobs / 10;
+
+    SUBCASE("when the requests differ")
+    {
+        CHECK(fleetScansOfOnePass(Jobs, 0) <= MaxScans);
+    }
+    SUBCASE("when the tasks of a step must also run on different workers")
+    {
+        CHECK(fleetScansOfOnePass(Jobs, 1) <= MaxScans);
+    }
+}
