Fix: a placement pass examines a bounded number of workers and is continued by the next one

Cause: a pass ended after 256 starts, however many searches it made, and then began again with the first step.

Change: a pass examines about 32,768 workers (67 searches at 490 workers). The next pass begins with the step that was left, and a pass that began there is followed by one from the start of the order of service.

fleet_place_test "A placement pass that ends early is continued where it ended": with passes that always begin at the first step, a long-running job behind 300 jobs that lack a worker never starts (600 runs, 602 expected).

--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -89,6 +89,7 @@
     TimePoint nextFullTick; ///< Time of the next tick that processes all sessions.
     std::uint64_t lastOrder = 0; ///< Number of the last order.
     bool isPlacementDue = true; ///< Something has changed that may allow a task to start.
+    std::optional<TaskRef> resumePlacementAt; ///< First task of the step with which the next placement pass begins; nothing for the first step in order.
     std::uint64_t fleetScans = 0; ///< Number of searches through all workers for a task of a step.
     TimePoint nextPlacement; ///< Earliest time of the next placement pass.
     TimePoint nextSweep; ///< Time of the next periodic sweep over all sessions.
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -6,12 +6,14 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Filbertlanding {
 
 namespace {
 
-    constexpr std::size_t MaxStartsPerPass = 256; ///< Maximum number of starts per placement pass, so that a large job does not block the event loop.
+    /** Workers that a placement pass examines before the rest is left to the next pass: a pass of a few ms, so that it does not block the event loop. */
+    constexpr std::uint64_t MaxWorkersExaminedPerPass = 32'768;
 
     /** Recomputes a placement candidate from its worker's session. */
     void refreshCandidate(PlacementCandidate &candidate,
@@ -123,6 +125,7 @@
     struct PlacementPass {
         const SlopeTable &slopes;
         std::vector<PlacementCandidate *> candidates;
+        std::uint64_t maxScans = 0; ///< Value of FleetScheduler::fleetScans at which the pass ends.
         FailedPlacements failedPlacements;
     };
 
@@ -282,8 +285,8 @@
         pass.failedPlacements.note(query.step, query.service, query.acceptsInterference);
     }
 
-    /** Places the tasks of a step one by one, as far as capacity allows. */
-    void
+    /** Places the tasks of a step one by one, as far as capacity allows. Returns false if tasks were left to the next pass. */
+    bool
     placeIndependentTasks(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
     {
         const StepSpec &spec = job.spec.steps[step.step];
@@ -297,6 +300,9 @@
             if (!isPending(scheduler, ref, task)) {
                 continue;
             }
+            if (scheduler.fleetScans >= pass.maxScans) {
+                return false;
+            }
             const WorkerQuery query{.step = spec,
                                     .service = job.queue.service,
                                     .spread = spread,
@@ -308,13 +314,14 @@
             const auto chosen = chooseWorker(query, pass.candidates);
             if (!chosen) {
                 noteFailedPlacement(scheduler, query, pass);
-                return;
+                return true;
             }
             PlacementCandidate &candidate = *pass.candidates[*chosen];
             reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
             ++spread[candidate.incarnation];
             proposeStart(scheduler, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, expected}, now, actions);
         }
+        return true;
     }
 
     /** Places all tasks of a gang, or none. */
@@ -371,6 +378,46 @@
         }
     }
 
+    /** Places the tasks of a step. Returns false if tasks were left to the next pass. */
+    bool placeStep(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    {
+        const StepSpec &spec = job.spec.steps[step.step];
+        if (pass.failedPlacements.cannotFit(spec, job.queue.service, spec.usesSpareCapacity && isDeadlineNear(step, now))) {
+            return true;
+        }
+        if (spec.isGang) {
+            placeGang(scheduler, job, step, pass, now, actions);
+            return true;
+        }
+        return placeIndependentTasks(scheduler, job, step, pass, now, actions);
+    }
+
+    /** Returns the index of the step with which a pass begins: the one that the last pass left to it, if it is still ready. */
+    std::size_t firstStepOfPass(FleetScheduler &scheduler, const std::vector<ReadyStep> &ready)
+    {
+        const auto left = std::exchange(scheduler.resumePlacementAt, std::nullopt);
+        const auto found = std::find_if(ready.begin(), ready.end(), [&left](const ReadyStep &step) {
+            return left && step.job == left->job && step.occurrence == left->occurrence && step.step == left->step;
+        });
+        return found == ready.end() ? 0 : static_cast<std::size_t>(found - ready.begin());
+    }
+
+    /** Places the tasks of ready steps in their order, until the pass has taken its share of the processor. */
+    void placeSteps(
+        FleetScheduler &scheduler, const FleetState &state, const std::vector<ReadyStep> &ready, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    {
+        const std::size_t first = firstStepOfPass(scheduler, ready);
+        for (std::size_t i = first; i < ready.size(); ++i) {
+            if (scheduler.fleetScans >= pass.maxScans || !placeStep(scheduler, state.jobs.at(ready[i].job), ready[i], pass, now, actions)) {
+                scheduler.resumePlacementAt = TaskRef{ready[i].job, ready[i].occurrence, ready[i].step, 0};
+                scheduler.isPlacementDue = true;
+                return;
+            }
+        }
+        // Steps that have become ready since may come before the one with which this pass began.
+        scheduler.isPlacementDue = scheduler.isPlacementDue || first > 0;
+    }
+
 } // namespace
 
 void placeTasks(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions)
@@ -385,26 +432,11 @@
         return;
     }
     std::vector<PlacementCandidate *> candidates = usableWorkers(scheduler, state, now);
-    PlacementPass pass{*scheduler.slopes, std::move(candidates), {}};
+    const std::uint64_t scansOfPass = 1 + MaxWorkersExaminedPerPass / std::max<std::size_t>(1, candidates.size());
+    PlacementPass pass{*scheduler.slopes, std::move(candidates), scheduler.fleetScans + scansOfPass, {}};
     sortByServiceOrder(ready, now);
     placeCopies(scheduler, state, pass, now, actions);
-    const std::size_t before = actions.propose.size();
-    for (const ReadyStep &step : ready) {
-        if (actions.propose.size() - before >= MaxStartsPerPass) {
-            scheduler.isPlacementDue = true;
-            return;
-        }
-        const FleetJob &job = state.jobs.at(step.job);
-        const StepSpec &spec = job.spec.steps[step.step];
-        if (pass.failedPlacements.cannotFit(spec, job.queue.service, spec.usesSpareCapacity && isDeadlineNear(step, now))) {
-            continue;
-        }
-        if (spec.isGang) {
-            placeGang(scheduler, job, step, pass, now, actions);
-        } else {
-            placeIndependentTasks(scheduler, job, step, pass, now, actions);
-        }
-    }
+    placeSteps(scheduler, state, ready, pass, now, actions);
 }
 
 } // namespace Filbertlanding
--- a/tests/fleet_place_test.cpp
+++ b/tests/fleet_place_test.cpp
@@ -159,3 +159,34 @@
         CHECK(fleetScansOfOnePass(Jobs, 1) <= MaxScans);
     }
 }
+
+TEST_CASE("A placement pass that ends early is continued where it ended")
+{
+    // Guards against jobs that are never looked at because those before them, which cannot be placed, take all the time of each pass.
+    FleetSimulationSettings settings;
+    settings.workers = 600;
+    FleetSimulation simulation(settings);
+    simulation.run({100});
+    simulation.submit("full", oneStepJob(600, {31'000, 20'000, 0}, {600'000}));
+    simulation.run({3'000});
+    constexpr int Waiting = 300;
+    for (int i = 0; i < Waiting; ++i) {
+        JobSpec waiting = oneStepJob(2, {2'000, 1'000, 0}, {60'000});
+        // Each requires a kind of worker of its own, so that no failed search answers for another job.
+        waiting.steps.front().requiredLabel = "kind" + std::to_string(i);
+        simulation.submit("waiting" + std::to_string(i), waiting);
+    }
+    // Long-running tasks come after jobs that are on time.
+    JobSpec last = oneStepJob(2, {500, 100, 0}, {1'000});
+    last.steps.front().isLongRunning = true;
+    const std::uint64_t startedBefore = simulation.startedRuns;
+    simulation.submit("last", last);
+    simulation.run({1'000});
+    CHECK(simulation.startedRuns == startedBefore + 2);
+    FleetScheduler scheduler = simulation.leaderScheduler();
+    const std::uint64_t before = scheduler.fleetScans;
+    scheduler.isPlacementDue = true;
+    scheduler.nextPlacement = simulation.now;
+    schedulerTick(scheduler, simulation.state, simulation.now, {1'700'000'000'000}, simulation.now + Duration{1'000});
+    CHECK(scheduler.fleetScans - before <= 100);
+}
