Fix: long-running tasks that have waited a second precede jobs on time

Cause: the order of service puts long-running tasks after all jobs on time. On a full fleet new jobs on time arrive all the time and take each gap, so a long-running task waits for as long as the load lasts. At every moment some worker has a gap; the slower the leader, the longer a gap stays open.

Change: a long-running step that has lacked tasks for 1 s comes first.

fleet_place_test "Long-running tasks get capacity although jobs on time take every gap" failed before (0 of 6 tasks run after 3 s) and passes; the test of the order gets the new place.

--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -44,6 +44,7 @@
     TimePoint objectiveDeadline; ///< Time by which the job must complete to meet its latency objective.
     double valueDensity = 0; ///< Value of the job per CPU second, for the order of service.
     std::size_t bytes = 0; ///< Estimated memory use of the job on each replica.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, TimePoint> waitingSince; ///< Time since which long-running steps lack tasks, by occurrence and step.
     std::uint32_t openedOccurrences = 0; ///< Occurrences that are open, or whose opening has been proposed.
 };
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -134,7 +134,7 @@
         return !task.isDone && task.active.empty() && !scheduler.proposedStarts.contains(ref);
     }
 
-    void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, std::vector<ReadyStep> &ready)
+    void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::vector<ReadyStep> &ready)
     {
         if (view.isStale) {
             refreshJobView(scheduler, job, view);
@@ -147,6 +147,7 @@
                 const StepRecord &record = occurrence.steps[i];
                 const StepSpec &spec = job.spec.steps[i];
                 if (record.doneCount + record.activeCount >= spec.taskCount || !isStepReady(job, occurrence, i)) {
+                    view.waitingSince.erase({number, i});
                     continue;
                 }
                 ReadyStep step{.job = job.number, .occurrence = number, .step = i, .priority = job.queue.priority};
@@ -159,6 +160,7 @@
                 }
                 step.pendingTasks = spec.taskCount - taken;
                 step.isLongRunning = spec.isLongRunning;
+                step.waitedFor = spec.isLongRunning ? now - view.waitingSince.try_emplace({number, i}, now).first->second : Duration{};
                 step.usesSpareCapacity = spec.usesSpareCapacity;
                 step.acceptedAt = view.acceptedAt;
                 step.objectiveDeadline = view.objectiveDeadline;
@@ -426,7 +428,7 @@
     for (auto &[number, view] : scheduler.jobs) {
         const FleetJob &job = state.jobs.at(number);
         openDueOccurrences(view, job, wall, actions);
-        addReadySteps(scheduler, job, view, ready);
+        addReadySteps(scheduler, job, view, now, ready);
     }
     if (ready.empty() && scheduler.requestedCopies.empty()) {
         return;
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -2,8 +2,9 @@
  * @file service_order.cpp Order of service under overload.
  *
  * Short urgent jobs and wide long jobs share the workers, and bursts exceed the capacity. Jobs that can still meet their objective precede
- * long-running tasks, and these precede late jobs, since a late result has only a fraction of its value. Jobs on time are ordered by slack. At
- * about the same slack, the priority of the queue decides, then the value per CPU second, which is higher for smaller jobs.
+ * long-running tasks, and these precede late jobs, since a late result has only a fraction of its value. New jobs that are on time arrive all the
+ * time, so long-running tasks that have waited for a while precede them. Jobs on time are ordered by slack. At about the same slack, the priority of
+ * the queue decides, then the value per CPU second, which is higher for smaller jobs.
  */
 
 #include "fleet/service_order.h"
@@ -20,14 +21,18 @@
     /** Slack is compared in classes of this size, so that jobs with about the same slack are ordered by priority and value. */
     constexpr std::int64_t SlackClassMs = 400;
 
+    /** Wait after which long-running tasks precede jobs on time. Their users miss them for as long as they wait. */
+    constexpr Duration MaxLongRunningWait{1'000};
+
     /** Returns the rank of a step: long-running tasks have less value per CPU second than short jobs on time, and more than late ones. */
     int rankOf(const ReadyStep &step, DeadlineStatus status)
     {
-        constexpr int LongRunningRank = 1;
+        constexpr int OnTimeRank = 1;
+        constexpr int LongRunningRank = 2;
         if (step.isLongRunning) {
-            return LongRunningRank;
+            return step.waitedFor >= MaxLongRunningWait ? 0 : LongRunningRank;
         }
-        return status == DeadlineStatus::OnTime ? 0 : LongRunningRank + static_cast<int>(status);
+        return status == DeadlineStatus::OnTime ? OnTimeRank : LongRunningRank + static_cast<int>(status);
     }
 
     std::tuple<int, std::int64_t, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
--- a/tests/fleet_place_test.cpp
+++ b/tests/fleet_place_test.cpp
@@ -68,7 +68,8 @@
 
 TEST_CASE("Steps are ordered by rank and slack when capacity is short")
 {
-    // The order documented in service_order.cpp: jobs on time, long-running tasks, late jobs, jobs whose result has no value any more.
+    // The order documented in service_order.cpp: long-running tasks that have waited, jobs on time, other long-running tasks, late jobs, jobs whose
+    // result has no value any more.
     const TimePoint now{100'000};
     const auto stepOf = [now](JobNumber job, Duration age, Duration objective, Duration chain) {
         ReadyStep step;
@@ -81,24 +82,47 @@
     };
     ReadyStep longRunning = stepOf(1, {5'000}, {3'000}, {400});
     longRunning.isLongRunning = true;
+    ReadyStep longWaiting = stepOf(7, {5'000}, {3'000}, {400});
+    longWaiting.isLongRunning = true;
+    longWaiting.waitedFor = {1'000};
     const ReadyStep relaxed = stepOf(2, {0}, {9'000}, {1'000});
     const ReadyStep urgent = stepOf(3, {1'000}, {2'500}, {1'000});
     const ReadyStep late = stepOf(4, {3'000}, {2'500}, {1'000});
     const ReadyStep expired = stepOf(5, {30'000}, {2'500}, {1'000});
     ReadyStep small = stepOf(6, {0}, {9'100}, {1'000});
     small.valueDensity = 1.0;
-    std::vector<ReadyStep> steps{expired, late, longRunning, relaxed, urgent, small};
+    std::vector<ReadyStep> steps{expired, late, longRunning, relaxed, longWaiting, urgent, small};
     sortByServiceOrder(steps, now);
     std::vector<JobNumber> order;
     order.reserve(steps.size());
     for (const ReadyStep &step : steps) {
         order.push_back(step.job);
     }
-    CHECK(order == std::vector<JobNumber>{3, 6, 2, 1, 4, 5});
+    CHECK(order == std::vector<JobNumber>{7, 3, 6, 2, 1, 4, 5});
     CHECK(deadlineStatus(late, now) == DeadlineStatus::Late);
     CHECK(deadlineStatus(expired, now) == DeadlineStatus::Expired);
 }
 
+TEST_CASE("Long-running tasks get capacity although jobs on time take every gap")
+{
+    // Guards against long-running tasks that never start again after their worker has left, since new jobs that are on time always come first.
+    FleetSimulation simulation(FleetSimulationSettings{});
+    simulation.run({100});
+    int submitted = 0;
+    const auto runOverloaded = [&simulation, &submitted](int steps) {
+        for (int i = 0; i < steps; ++i) {
+            // 80 tasks a second, where 48 can run at a time and take a second each.
+            simulation.submit("short" + std::to_string(submitted++), oneStepJob(4, {8'000, 8'000, 0}, {4'000}), 0.25);
+            simulation.submit("short" + std::to_string(submitted++), oneStepJob(4, {8'000, 8'000, 0}, {4'000}), 0.25);
+            simulation.run({100});
+        }
+    };
+    runOverloaded(30);
+    simulation.submit("watch", longRunningJob(6, "quiet"));
+    runOverloaded(30);
+    CHECK(findJob(simulation.state, "watch")->occurrences.at(0).steps.front().activeCount == 6);
+}
+
 TEST_CASE("Interference slopes are learned separately for each pair of images")
 {
     PairInterference model;
