--- /dev/null
+++ b/src/fleet/failed_placements.cpp
@@ -0,0 +1,41 @@
+/** @file failed_placements.cpp Requests for which a placement pass has found no worker. */
+
+#include "fleet/failed_placements.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    /** Returns whether a request needs at least as much of each resource as another one. */
+    bool needsAtLeast(const Resources &request, const Resources &other)
+    {
+        return request.cpuMillis >= other.cpuMillis && request.memoryMb >= other.memoryMb && request.accelerators >= other.accelerators;
+    }
+
+} // namespace
+
+FailedPlacements::Key FailedPlacements::keyOf(const StepSpec &step, const ServiceName &service, bool acceptsInterference)
+{
+    return {service, step.requiredLabel, step.usesSpareCapacity ? step.image : std::string(), step.usesSpareCapacity, acceptsInterference};
+}
+
+bool FailedPlacements::cannotFit(const StepSpec &step, const ServiceName &service, bool acceptsInterference) const
+{
+    const auto found = this->smallestRequests.find(keyOf(step, service, acceptsInterference));
+    return found != this->smallestRequests.end() && std::any_of(found->second.begin(), found->second.end(), [&step](const Resources &failed) {
+               return needsAtLeast(step.request, failed);
+           });
+}
+
+void FailedPlacements::note(const StepSpec &step, const ServiceName &service, bool acceptsInterference)
+{
+    std::vector<Resources> &requests = this->smallestRequests[keyOf(step, service, acceptsInterference)];
+    std::erase_if(requests, [&step](const Resources &failed) {
+        return needsAtLeast(failed, step.request);
+    });
+    requests.push_back(step.request);
+}
+
+} // namespace Filbertlanding
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -1,11 +1,11 @@
 /** @file scheduler_place.cpp Places tasks of ready steps on workers. */
 
+#include "fleet/failed_placements.h"
 #include "fleet/place_run.h"
 #include "fleet/scheduler_detail.h"
 #include "fleet/service_order.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace Filbertlanding {
@@ -82,45 +82,6 @@
         return candidates;
     }
 
-    /** Returns whether a request needs at least as much of each resource as another one. */
-    bool needsAtLeast(const Resources &request, const Resources &other)
-    {
-        return request.cpuMillis >= other.cpuMillis && request.memoryMb >= other.memoryMb && request.accelerators >= other.accelerators;
-    }
-
-    /** Requests that could not be placed in this pass. A request of the same kind for at least as many resources cannot be placed either. */
-    class FailedPlacements
-    {
-    public:
-        bool cannotFit(const StepSpec &step, const ServiceName &service, bool acceptsInterference) const
-        {
-            const auto found = this->smallestRequests.find(keyOf(step, service, acceptsInterference));
-            return found != this->smallestRequests.end() && std::any_of(found->second.begin(), found->second.end(), [&step](const Resources &failed) {
-                       return needsAtLeast(step.request, failed);
-                   });
-        }
-
-        /** Notes a request that no worker can take, whatever else of its step runs there. */
-        void note(const StepSpec &step, const ServiceName &service, bool acceptsInterference)
-        {
-            std::vector<Resources> &requests = this->smallestRequests[keyOf(step, service, acceptsInterference)];
-            std::erase_if(requests, [&step](const Resources &failed) {
-                return needsAtLeast(failed, step.request);
-            });
-            requests.push_back(step.request);
-        }
-
-    private:
-        using Key = std::tuple<ServiceName, std::string, std::string, bool, bool>;
-
-        static Key keyOf(const StepSpec &step, const ServiceName &service, bool acceptsInterference)
-        {
-            return {service, step.requiredLabel, step.usesSpareCapacity ? step.image : std::string(), step.usesSpareCapacity, acceptsInterference};
-        }
-
-        std::map<Key, std::vector<Resources>> smallestRequests; ///< Of each kind, the requests of which none needs as much as another.
-    };
-
     /** State of a placement pass. */
     struct PlacementPass {
         const SlopeTable &slopes;
