Change: deviation and chance over the target of long-running images are kept with the placement candidates

The deviation and the present probability do not depend on the task; they are recomputed with the candidate, which happens at each answer of the worker and each fit (500 ms).

--- a/src/fleet/pair_interference.cpp
+++ b/src/fleet/pair_interference.cpp
@@ -140,13 +140,17 @@
     return tail;
 }
 
-double probabilityOverTarget(const PairInterference &model, const std::string &longRunningImage, double expectedRatio)
+double tailDeviation(const PairInterference &model, const std::string &longRunningImage)
 {
     const auto found = model.models.find(longRunningImage);
     const double weight = found == model.models.end() ? 0.0 : found->second.errorWeight;
     const double errors = found == model.models.end() ? 0.0 : found->second.squaredErrors;
-    const double variance = (errors + PriorVariance * PriorVarianceWeight) / (weight + PriorVarianceWeight);
-    return 0.5 * std::erfc((1.0 - expectedRatio) / std::sqrt(2.0 * variance));
+    return std::sqrt((errors + PriorVariance * PriorVarianceWeight) / (weight + PriorVarianceWeight));
+}
+
+double probabilityOverTarget(double expectedRatio, double deviation)
+{
+    return 0.5 * std::erfc((1.0 - expectedRatio) / (std::sqrt(2.0) * deviation));
 }
 
 } // namespace Filbertlanding
--- a/src/fleet/pair_interference.h
+++ b/src/fleet/pair_interference.h
@@ -58,8 +58,11 @@
 /** Returns the expected tail latency of a long-running image relative to its target. */
 double expectedTailRatio(const PairInterference &model, const std::string &longRunningImage, const SpareCpuShares &shares);
 
-/** Returns the probability that a long-running image exceeds its target, given its expected tail ratio and the variance around it. */
-double probabilityOverTarget(const PairInterference &model, const std::string &longRunningImage, double expectedRatio);
+/** Returns the standard deviation of the tail ratios of a long-running image around their expectation. */
+double tailDeviation(const PairInterference &model, const std::string &longRunningImage);
+
+/** Returns the probability that a tail latency exceeds its target, given its expected ratio to the target and the deviation around it. */
+double probabilityOverTarget(double expectedRatio, double deviation);
 
 /** Returns the rise of the expected tail ratio per share of the worker's CPU that a spare image uses. */
 double interferenceSlope(const PairInterference &model, const std::string &longRunningImage, const std::string &spareImage);
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -67,8 +67,7 @@
             if (tasks.highestTailRatio + rise > 1.0) {
                 return true;
             }
-            const double before = tasks.expectedTailRatio;
-            const double chance = probabilityOverTarget(query.interference, image, before + rise) - probabilityOverTarget(query.interference, image, before);
+            const double chance = probabilityOverTarget(tasks.expectedTailRatio + rise, tasks.tailDeviation) - tasks.chanceOverTarget;
             harmedMillis += TargetViolationWeight * chance * static_cast<double>(tasks.cpuMillis);
         }
         return harmedMillis > MaxHarmRatio * static_cast<double>(query.step.request.cpuMillis);
@@ -188,6 +187,8 @@
 {
     for (auto &[image, tasks] : candidate.latencySensitiveTasks) {
         tasks.expectedTailRatio = expectedTailRatio(interference, image, candidate.spareCpuShares);
+        tasks.tailDeviation = tailDeviation(interference, image);
+        tasks.chanceOverTarget = probabilityOverTarget(tasks.expectedTailRatio, tasks.tailDeviation);
     }
 }
 
@@ -267,7 +268,7 @@
         ++tasks.count;
         tasks.cpuMillis += step.request.cpuMillis;
         tasks.slopes = &slopesOf(table, step.image);
-        tasks.expectedTailRatio = expectedTailRatio(interference, step.image, candidate.spareCpuShares);
+        updateExpectedTails(candidate, interference);
         updateSensitivity(candidate, table);
     }
 }
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -18,6 +18,8 @@
     std::int64_t cpuMillis = 0; ///< CPU reserved by these tasks.
     double highestTailRatio = 0; ///< Highest tail latency in the last poll, relative to the target.
     double expectedTailRatio = 0; ///< Expected tail latency beside the tasks on the worker that use spare capacity, relative to the target.
+    double tailDeviation = 0; ///< Standard deviation of the tail ratio around its expectation.
+    double chanceOverTarget = 0; ///< Probability that the tail latency exceeds its target.
     const std::vector<double> *slopes = nullptr; ///< Slope for each spare image, in the order of SlopeTable::spareImages.
 };
 
@@ -81,7 +83,7 @@
 /** Returns the index of the best candidate for one more task of a step; nothing if none is suitable. */
 std::optional<std::size_t> chooseWorker(const WorkerQuery &query, const std::vector<PlacementCandidate *> &candidates);
 
-/** Recomputes the expected tail ratios of a worker's long-running tasks from the tasks that use its spare capacity. */
+/** Recomputes the expected tail latencies of a worker's long-running tasks from the tasks that use its spare capacity. */
 void updateExpectedTails(PlacementCandidate &candidate, const PairInterference &interference);
 
 /** Recomputes the sensitivity of a worker from its long-running tasks. */
