--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -298,7 +298,7 @@
                 }
                 ApiResponse result;
                 result.document = this->state.manifest.document;
-                done(std::move(result));
+                done(result);
             };
             if (ready.code != ResultCode::Ok) {
                 done(makeRetryLaterResponse(ready.code, "a majority of voters is unreachable"));
