Fix: a response whose connection ends while it is handed over is counted as dropped

Cause: a response is handed to the loop of its connection with a weak pointer; when the connection ended between the hand-over and its turn, nothing counted the response.

--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -152,9 +152,12 @@
                 return;
             }
             // The queued function holds a weak pointer, so that a loop that has stopped does not keep its connections alive.
-            net::dispatch(target->context(), [weak = this->connection, slot = this->number, answer = std::move(response)]() mutable {
+            auto &dropped = this->shared.counters.httpResponsesDropped;
+            net::dispatch(target->context(), [weak = this->connection, slot = this->number, answer = std::move(response), &dropped]() mutable {
                 if (const auto alive = weak.lock()) {
                     alive->respond(slot, std::move(answer));
+                } else {
+                    ++dropped;
                 }
             });
         }
