--- a/src/fleetd/load_monitor.h
+++ b/src/fleetd/load_monitor.h
@@ -21,7 +21,10 @@
 public:
     LoadMonitor(boost::asio::io_context &loop, const NetworkCounters &networkCounters);
 
+    /** Begins to measure and to log. */
     void start();
+
+    /** Ends both, so that nothing keeps the loop running. */
     void stop();
 
     /** Returns the times of the parts of the daemon's work, to be added to by their timers. */
--- a/tests/fleet_place_test.cpp
+++ b/tests/fleet_place_test.cpp
@@ -141,6 +141,17 @@
 
 namespace {
 
+/** Returns the searches through the fleet in a placement pass of the leader, which is made on a copy of its scheduler. */
+std::uint64_t scansOfNextPass(const FleetSimulation &simulation)
+{
+    FleetScheduler scheduler = simulation.leaderScheduler();
+    const std::uint64_t before = scheduler.fleetScans;
+    scheduler.isPlacementDue = true;
+    scheduler.nextPlacement = simulation.now;
+    schedulerTick(scheduler, simulation.state, simulation.now, {1'700'000'000'000}, simulation.now + Duration{1'000});
+    return scheduler.fleetScans - before;
+}
+
 /** Returns the searches through the fleet in one placement pass over jobs that all lack capacity and all differ in their requests. */
 std::uint64_t fleetScansOfOnePass(int jobs, std::uint32_t maxPerWorker)
 {
@@ -158,12 +169,7 @@
         simulation.submit("waiting" + std::to_string(i), waiting);
     }
     simulation.run({1'000});
-    FleetScheduler scheduler = simulation.leaderScheduler();
-    const std::uint64_t before = scheduler.fleetScans;
-    scheduler.isPlacementDue = true;
-    scheduler.nextPlacement = simulation.now;
-    schedulerTick(scheduler, simulation.state, simulation.now, {1'700'000'000'000}, simulation.now + Duration{1'000});
-    return scheduler.fleetScans - before;
+    return scansOfNextPass(simulation);
 }
 
 } // namespace
@@ -207,10 +213,5 @@
     simulation.submit("last", last);
     simulation.run({1'000});
     CHECK(simulation.startedRuns == startedBefore + 2);
-    FleetScheduler scheduler = simulation.leaderScheduler();
-    const std::uint64_t before = scheduler.fleetScans;
-    scheduler.isPlacementDue = true;
-    scheduler.nextPlacement = simulation.now;
-    schedulerTick(scheduler, simulation.state, simulation.now, {1'700'000'000'000}, simulation.now + Duration{1'000});
-    CHECK(scheduler.fleetScans - before <= 100);
+    CHECK(scansOfNextPass(simulation) <= 100);
 }
