--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -58,6 +58,23 @@
     workers[0] = std::make_unique<Worker>(options, system.controls(), world);
 }
 
+/** Stops all schedulers and starts them again; only for a look at what helps, with the variable RESTART_ALL. */
+void restartAllSchedulers(System &system)
+{
+    for (Daemon &daemon : system.daemons) {
+        if (daemon.hasDisk) {
+            system.signal(daemon, SIGTERM);
+            system.waitForEnd(daemon, 6'000);
+        }
+    }
+    for (Daemon &daemon : system.daemons) {
+        if (daemon.hasDisk) {
+            system.start(daemon, false);
+        }
+    }
+    sleepMs(6'000);
+}
+
 int run(const std::filesystem::path &root, bool hasTrouble)
 {
     System system(root, 3, 2);
@@ -106,6 +123,9 @@
     sleepMs(FinishMs);
     record().say("asked for after the traffic: " + std::to_string(accepted.size()) + " accepted submissions; " + std::to_string(refusedAtEnd)
                  + " got no acceptance in five attempts");
+    if (std::getenv("RESTART_ALL") != nullptr) {
+        restartAllSchedulers(system);
+    }
     std::size_t answered = 0;
     std::size_t completed = 0;
     const std::int64_t limit = steadyMs() + 20'000;
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -61,8 +61,8 @@
 
     const auto fronts = system.fronts();
     const int first = submit(fronts, 0, ordinary, R"({"spec":"s","steps":[{"count":1,"cpu":500,"memMb":256,"estimatedMs":600,"requiredLabel":"b"}]})");
-    const int second = submit(
-        fronts, 1, lasting, R"({"spec":"s","steps":[{"count":1,"cpu":500,"memMb":256,"estimatedMs":1000,"requiredLabel":"b","longRunning":true}]})");
+    const int second =
+        submit(fronts, 1, lasting, R"({"spec":"s","steps":[{"count":1,"cpu":500,"memMb":256,"estimatedMs":1000,"requiredLabel":"b","longRunning":true}]})");
     if (first != 200 || second != 200) {
         throw NotRun("a submission was not accepted");
     }
@@ -87,8 +87,8 @@
     lastingWatch.join();
     record().say("the submission is " + state + "; its task was started " + std::to_string(world.startsOf(ordinary + ".0.0.0")) + " times and waited up to "
                  + std::to_string(ordinaryGap) + " ms with an idle worker");
-    record().say("the task that lasts was started " + std::to_string(world.startsOf(lasting + ".0.0.0")) + " times and waited up to " + std::to_string(lastingGap)
-                 + " ms with an idle worker");
+    record().say("the task that lasts was started " + std::to_string(world.startsOf(lasting + ".0.0.0")) + " times and waited up to "
+                 + std::to_string(lastingGap) + " ms with an idle worker");
     return ordinaryGap > WaitMs || lastingGap > LastingWaitMs || state != "completed" ? ExitBroken : ExitHeld;
 }
 
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -243,7 +243,8 @@
 }
 
 /** Sends one request on a connection of its own and waits for the response. */
-inline Message httpCall(const Endpoint &to, const std::string &method, const std::string &target, const Headers &headers, const std::string &body, int timeoutMs)
+inline Message
+httpCall(const Endpoint &to, const std::string &method, const std::string &target, const Headers &headers, const std::string &body, int timeoutMs)
 {
     Message response;
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
@@ -256,7 +257,8 @@
     pollfd item{socket, POLLOUT, 0};
     int error = 0;
     socklen_t size = sizeof error;
-    if ((result != 0 && errno != EINPROGRESS) || ::poll(&item, 1, timeoutMs) <= 0 || ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+    if ((result != 0 && errno != EINPROGRESS) || ::poll(&item, 1, timeoutMs) <= 0 || ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0
+        || error != 0) {
         ::close(socket);
         return response;
     }
@@ -399,8 +401,8 @@
                 }
                 break;
             }
-            const std::string text = "HTTP/1.1 " + std::to_string(response->status) + " X\r\nContent-Type: application/json\r\nContent-Length: "
-                + std::to_string(response->body.size()) + "\r\n\r\n" + response->body;
+            const std::string text = "HTTP/1.1 " + std::to_string(response->status)
+                + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(response->body.size()) + "\r\n\r\n" + response->body;
             if (!writeAll(socket, text)) {
                 break;
             }
@@ -697,7 +699,8 @@
 constexpr const char *ServiceName = "huvo11a";
 
 /** Sends a call of an operator or a worker as the pages tell: any daemon, 307 followed twice, then the next daemon. */
-inline Message controlCall(const std::vector<Endpoint> &controls, std::size_t first, const std::string &method, const std::string &target, const std::string &body, int attempts)
+inline Message controlCall(
+    const std::vector<Endpoint> &controls, std::size_t first, const std::string &method, const std::string &target, const std::string &body, int attempts)
 {
     Message last;
     for (int attempt = 0; attempt < attempts; ++attempt) {
@@ -727,8 +730,7 @@
 {
     return "{\"version\":" + std::to_string(version) + ",\"routes\":[{\"name\":\"r-1\",\"host\":\"" + QueueHost + "\",\"pathPrefix\":\"" + QueuePrefix
         + "\",\"kind\":\"unsafe\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":0,\"service\":\"" + ServiceName
-        + "\",\"maxAttempts\":" + std::to_string(maxAttempts)
-        + ",\"stretch\":2.0}],\"services\":[{\"name\":\"" + ServiceName
+        + "\",\"maxAttempts\":" + std::to_string(maxAttempts) + ",\"stretch\":2.0}],\"services\":[{\"name\":\"" + ServiceName
         + "\",\"healthPath\":\"/health\",\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":0.0,\"coldPerS\":0.0,\"admissionCheck\":true,"
           "\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
 }
@@ -829,7 +831,8 @@
         auto &places = this->runningAt[task];
         for (const auto &[other, otherRun] : places) {
             if (other != worker || otherRun != run) {
-                this->twice.push_back(task + ": run " + std::to_string(run) + " on " + worker + " started while run " + std::to_string(otherRun) + " was running on " + other);
+                this->twice.push_back(task + ": run " + std::to_string(run) + " on " + worker + " started while run " + std::to_string(otherRun)
+                                      + " was running on " + other);
                 record().line("TWICE " + this->twice.back());
             }
         }
@@ -1175,7 +1178,8 @@
         }
         json::array runs;
         for (const auto &[task, run] : this->running) {
-            const std::int64_t percent = run.model.lasts ? 100 : std::min<std::int64_t>(99, (this->clockMs() - run.startedAt) * 100 / std::max<std::int64_t>(1, run.model.workMs));
+            const std::int64_t percent =
+                run.model.lasts ? 100 : std::min<std::int64_t>(99, (this->clockMs() - run.startedAt) * 100 / std::max<std::int64_t>(1, run.model.workMs));
             runs.push_back(json::array{task, run.number, "", percent, run.model.lasts ? 5 : run.model.cpu});
         }
         json::array ended;
