Fix: a leader starts although the latest incarnation of a worker has ended before its predecessor

Cause: a replaced incarnation was only ended by its successor. When the successor ended first (a second crash, then 421 from the worker that got the address), the log kept an incarnation that had neither ended nor was the latest of its worker. startScheduler made a session for the ended successor, without an incarnation, and the first tick of every leader threw.

Ruled out: that the 421 handling itself is wrong; it ends the incarnation that it is about.

Change: a replaced incarnation whose latest successor has ended ends its runs with their leases and then proposes its own end. A new leader links sessions of open incarnations only.

--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -88,6 +88,7 @@
         this->onEndDiscarded(name, end);
     };
     this->workers[name] = std::move(worker);
+    this->reusedAddresses.erase(name);
 }
 
 void FleetSimulation::addViolation(const std::string &text)
@@ -280,7 +281,7 @@
     }
     if (worker == this->workers.end()) {
         OrderResponse refused;
-        refused.outcome = OrderOutcome::Unreachable;
+        refused.outcome = this->reusedAddresses.contains(order.worker) ? OrderOutcome::OtherIncarnation : OrderOutcome::Unreachable;
         finish(refused);
         return;
     }
@@ -362,6 +363,11 @@
     this->at(this->now + this->settings.restartTime, begin);
 }
 
+void FleetSimulation::reuseAddress(const WorkerName &worker)
+{
+    this->reusedAddresses.insert(worker);
+}
+
 void FleetSimulation::setPartitioned(const WorkerName &worker, bool isPartitioned)
 {
     if (isPartitioned) {
--- a/fakes/fleet_simulation.h
+++ b/fakes/fleet_simulation.h
@@ -62,6 +62,9 @@
     /** Terminates a worker's process. With restart, a new incarnation starts after the restart time. */
     void crash(const WorkerName &worker, bool restart);
 
+    /** Gives the address of a crashed worker to another one, which refuses the orders for it. */
+    void reuseAddress(const WorkerName &worker);
+
     /** Partitions a worker from all leaders, or heals the partition. */
     void setPartitioned(const WorkerName &worker, bool isPartitioned);
 
@@ -133,6 +136,7 @@
     std::map<JobId, double> runTimeFactors;
     std::map<JobId, TimePoint> cancelledAt;
     std::set<WorkerName> partitionedWorkers;
+    std::set<WorkerName> reusedAddresses; ///< Crashed workers whose address another worker has.
     std::map<WorkerName, std::uint64_t> sequences;
     std::map<TaskName, std::map<WorkerName, std::uint32_t>, TaskNameOrder> activeRuns; ///< Actual runs of each task, by worker.
     std::set<TaskName, TaskNameOrder> committedDoneTasks; ///< Tasks whose completion is committed.
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -219,6 +219,19 @@
         }
     }
 
+    /** Marks the sessions with replaced incarnations, and lets the session with the latest incarnation account for their runs unless it has ended too. */
+    void linkReplacedIncarnations(FleetScheduler &scheduler, const FleetState &state)
+    {
+        for (auto &[number, session] : scheduler.sessions) {
+            const IncarnationNumber latest = state.latestIncarnation.at(state.incarnations.at(number).profile.worker);
+            session.isReplaced = latest != number;
+            const auto successor = session.isReplaced ? scheduler.sessions.find(latest) : scheduler.sessions.end();
+            if (successor != scheduler.sessions.end()) {
+                successor->second.earlierIncarnations.insert(number);
+            }
+        }
+    }
+
     /**
      * Returns whether all runs of the earlier incarnations are accounted for: those that this incarnation may have executed are stopped, and a
      * later poll has listed their ends.
@@ -249,12 +262,8 @@
         session.incarnation = number;
         session.fenceEpoch = lastOrder;
         session.previousLeasesEnd = now + maxLeaseOnLocalClock(settings.taskLease);
-        const IncarnationNumber latest = state.latestIncarnation.at(incarnation.profile.worker);
-        if (latest != number) {
-            session.isReplaced = true;
-            scheduler.sessions[latest].earlierIncarnations.insert(number);
-        }
     }
+    linkReplacedIncarnations(scheduler, state);
     for (const auto &[number, job] : state.jobs) {
         takeOverRuns(scheduler, state, job, now);
         if (!hasEnded(job.state)) {
@@ -398,6 +407,9 @@
                 actions.propose.push_back(EndIncarnation{earlier});
             }
         }
+        if (session.runs.empty() && hasSuccessorEnded(state, session)) {
+            proposeIncarnationEnd(session, actions);
+        }
         if (now >= session.nextRunOrderAt) {
             sendRunOrders(scheduler, state, session, now, actions);
         }
--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -54,6 +54,9 @@
 /** Proposes the end of the runs of an unresponsive worker once its lease has certainly expired, and of the runs of a replaced incarnation. */
 void expireRuns(const FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions);
 
+/** Returns whether an incarnation was replaced and its latest successor has ended, so that no successor accounts for its runs any more. */
+bool hasSuccessorEnded(const FleetState &state, const WorkerSession &session);
+
 /** Makes the next tick process a session. */
 void markDirty(FleetScheduler &scheduler, WorkerSession &session);
 
--- a/src/fleet/scheduler_orders.cpp
+++ b/src/fleet/scheduler_orders.cpp
@@ -205,6 +205,15 @@
     }
 }
 
+bool hasSuccessorEnded(const FleetState &state, const WorkerSession &session)
+{
+    if (!session.isReplaced) {
+        return false;
+    }
+    const IncarnationNumber latest = state.latestIncarnation.at(state.incarnations.at(session.incarnation).profile.worker);
+    return latest != session.incarnation && state.incarnations.at(latest).hasEnded;
+}
+
 void sendOrder(FleetScheduler &scheduler,
                const FleetState &state,
                WorkerSession &session,
@@ -316,9 +325,15 @@
         return run.wasListed || !run.startSentAt || now - *run.startSentAt >= longest;
     }
 
+    /** Returns whether a run of an unresponsive worker has certainly ended with its lease. */
+    bool hasLeaseExpired(const SchedulerSettings &settings, const WorkerSession &session, const RunView &run, TimePoint now)
+    {
+        return now >= leaseExpiryBound(session) && hasCertainlyExpired(settings, run, now);
+    }
+
     /**
      * Ends the runs of a replaced incarnation. Runs that it had listed ended with its process. The succeeding incarnation accounts for the others,
-     * unless it remains unresponsive for too long.
+     * unless it remains unresponsive for too long or has ended too.
      */
     void expireReplacedRuns(
         const SchedulerSettings &settings, const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions)
@@ -326,9 +341,11 @@
         session.replacedAt = session.replacedAt.value_or(now);
         const Duration unresponsiveLimit = MaxOrderDelay + settings.longestLease * 100 / MinClockRatePercent;
         const bool hasTimedOut = now - *session.replacedAt >= unresponsiveLimit;
+        const bool isLast = hasSuccessorEnded(state, session);
         for (auto &[task, run] : session.runs) {
             const bool isOpen = run.phase != RunPhase::Proposed && !run.isEndProposed;
-            if (isOpen && (hasTimedOut || !mayReachSuccessor(session, run, taskName(state.jobs.at(task.job), task)))) {
+            const bool hasEnded = hasTimedOut || (isLast && hasLeaseExpired(settings, session, run, now));
+            if (isOpen && (hasEnded || !mayReachSuccessor(session, run, taskName(state.jobs.at(task.job), task)))) {
                 proposeRunEnd(session, task, run, RunOutcome::Lost, wall, actions);
             }
         }
@@ -345,11 +362,11 @@
         expireReplacedRuns(scheduler.settings, state, session, now, wall, actions);
         return;
     }
-    if (session.consecutiveOrderFailures == 0 || now < leaseExpiryBound(session)) {
+    if (session.consecutiveOrderFailures == 0) {
         return;
     }
     for (auto &[task, run] : session.runs) {
-        if (run.phase != RunPhase::Proposed && hasCertainlyExpired(scheduler.settings, run, now)) {
+        if (run.phase != RunPhase::Proposed && hasLeaseExpired(scheduler.settings, session, run, now)) {
             proposeRunEnd(session, task, run, RunOutcome::Lost, wall, actions);
         }
     }
