Fix: a preference for other workers does not keep a task from running at all

Cause: the worker on which the latest run of a task failed was excluded until a run was done, whether or not another worker could run the task. Found on related paths: a worker with a slow or stalled task got no new ones for as long as that task ran; a slow run was stopped up to three times although no other worker could run it; the backoff after failed runs was a ban of up to 3 s.

Change: workers are excluded, avoided or free. An exclusion after a failure ends after 5 s, or after half a second for each failure if no other worker may run the task; avoided workers are chosen if no other may run it. "May run" asks for what a worker could take when idle: under overload the worker that fails everything has room and must not draw all tasks.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -122,26 +122,33 @@
         markDirty(scheduler, session->second);
     }
 
-    /** Suspends placements on a worker after consecutive failed runs, for longer with each failure. A run that is done resets the backoff. */
+    /**
+     * Suspends placements on a worker after consecutive failed runs, for longer with each failure. A run that is done resets the backoff. A long backoff
+     * ends as a mere preference for other workers, since the worker may be the only one that may run a task.
+     */
     void updateFailureBackoff(FleetScheduler &scheduler, WorkerSession &worker, const EndRun &end, TimePoint now)
     {
         constexpr unsigned ToleratedFailures = 1; // Some tasks fail on any worker.
         constexpr unsigned MaxBackoffSteps = 6;
         constexpr Duration BackoffStep{500};
+        constexpr Duration MaxSuspension{2'000};
         worker.isCandidateStale = true;
         if (end.outcome == RunOutcome::Done) {
             worker.consecutiveFailures = 0;
-            scheduler.failedOn.erase(end.task);
+            scheduler.failedRuns.erase(end.task);
             return;
         }
         if (end.outcome != RunOutcome::Failed) {
             return;
         }
         ++worker.consecutiveFailures;
-        scheduler.failedOn[end.task] = end.incarnation;
+        FailedRun &failed = scheduler.failedRuns[end.task];
+        failed = {end.incarnation, now, failed.failures + 1};
         if (worker.consecutiveFailures > ToleratedFailures) {
             const unsigned steps = std::min(worker.consecutiveFailures - ToleratedFailures, MaxBackoffSteps);
-            worker.noPlacementUntil = std::max(worker.noPlacementUntil, now + BackoffStep * static_cast<std::int64_t>(steps));
+            const Duration backoff = BackoffStep * static_cast<std::int64_t>(steps);
+            worker.noPlacementUntil = std::max(worker.noPlacementUntil, now + std::min(backoff, MaxSuspension));
+            worker.avoidedUntil = std::max(worker.avoidedUntil, now + backoff);
         }
     }
 
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -48,6 +48,13 @@
     std::uint32_t openedOccurrences = 0; ///< Occurrences that are open, or whose opening has been proposed.
 };
 
+/** The latest failed run of a task. */
+struct FailedRun {
+    IncarnationNumber incarnation = 0; ///< Incarnation on which it failed.
+    TimePoint at;
+    unsigned failures = 0; ///< Number of failed runs of the task since the last one that was done.
+};
+
 /** Output of the scheduler, to be executed by the daemon. */
 struct SchedulerActions {
     std::vector<FleetCommand> propose; ///< Commands to propose to the replicated log; the scheduler is notified when they are applied.
@@ -76,7 +83,7 @@
     std::map<IncarnationNumber, WorkerSession> sessions; ///< Sessions with all incarnations that have not ended.
     std::map<JobNumber, JobView> jobs; ///< Jobs that have not ended.
     std::size_t openBytes = 0; ///< Total memory of these jobs.
-    std::map<TaskRef, IncarnationNumber> failedOn; ///< Incarnation on which the latest run of a task failed; the next run is placed elsewhere.
+    std::map<TaskRef, FailedRun> failedRuns; ///< Latest failed run of each task; the next run is placed on another worker where possible.
     std::map<TaskRef, IncarnationNumber> proposedStarts; ///< Workers of the proposed starts that are not applied yet.
     std::map<std::uint64_t, PendingOrder> pendingOrders; ///< Orders without a response, by order number.
     LearnedModel learnedModel; ///< Model of run times and of interference between images.
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -29,9 +29,9 @@
     constexpr double AddedSensitivityPenalty = 1.0; ///< For each unit by which the sensitivity of the worker rises.
     constexpr double SensitivityBonus = 0.4; ///< For each unit of the worker's sensitivity, if the task does not interfere with it.
 
-    bool hasLabel(const PlacementCandidate &candidate, const std::string &label)
+    bool isLabelPresent(const StepSpec &step, const std::vector<std::string> &labels)
     {
-        return candidate.labels != nullptr && std::find(candidate.labels->begin(), candidate.labels->end(), label) != candidate.labels->end();
+        return step.requiredLabel.empty() || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
     }
 
     /** Returns the spare CPU that is not requested yet, so that tasks can use it without being slowed down. */
@@ -123,6 +123,36 @@
         return score + expectedTailRatio(query.interference, query.step.image, candidate.spareCpuShares);
     }
 
+    /** Returns the number of tasks of the step on a worker. */
+    std::uint32_t countOnWorker(const WorkerQuery &query, const PlacementCandidate &candidate)
+    {
+        const auto found = query.spread.find(candidate.incarnation);
+        return found == query.spread.end() ? 0 : found->second;
+    }
+
+    /** Returns whether the query allows a worker to run one more task of the step, capacity aside. */
+    bool isAllowed(const WorkerQuery &query, const PlacementCandidate &candidate)
+    {
+        const bool isRuledOut = candidate.incarnation == query.excluded || (candidate.isAvoided && !query.acceptsAvoided);
+        const bool isSpreadKept = query.step.maxPerWorker == 0 || countOnWorker(query, candidate) < query.step.maxPerWorker;
+        return !isRuledOut && isSpreadKept && isEligible(query.step, query.service, candidate);
+    }
+
+    /** Returns how many further tasks of the step, up to a number, a worker could run if it ran nothing else. */
+    std::int64_t placesWhenIdle(const WorkerQuery &query, const PlacementCandidate &candidate, std::int64_t most)
+    {
+        const auto placesOf = [most](std::int64_t capacity, std::int64_t request) {
+            return request > 0 ? std::min(most, capacity / request) : most;
+        };
+        const Resources &capacity = candidate.capacity;
+        const Resources &request = query.step.request;
+        const std::int64_t left = query.step.maxPerWorker > 0 ? std::int64_t{query.step.maxPerWorker} - countOnWorker(query, candidate) : most;
+        return std::min({left,
+                         placesOf(capacity.cpuMillis, request.cpuMillis),
+                         placesOf(capacity.memoryMb, request.memoryMb),
+                         placesOf(capacity.accelerators, request.accelerators)});
+    }
+
     /** Returns the score of a worker, lower is better; nothing if the task must not run there. */
     std::optional<double>
     scoreOf(const WorkerQuery &query, const std::optional<std::size_t> &spareIndex, const PlacementCandidate &candidate, std::uint32_t tasksOnWorker)
@@ -207,7 +237,12 @@
 
 bool isEligible(const StepSpec &step, const ServiceName &service, const PlacementCandidate &candidate)
 {
-    return candidate.service == service && (step.requiredLabel.empty() || hasLabel(candidate, step.requiredLabel));
+    return candidate.service == service && (candidate.labels == nullptr ? step.requiredLabel.empty() : isLabelPresent(step, *candidate.labels));
+}
+
+bool isEligible(const StepSpec &step, const ServiceName &service, const WorkerProfile &profile)
+{
+    return profile.service == service && isLabelPresent(step, profile.labels);
 }
 
 bool isDataRemote(const StepSpec &step, const std::string &rack)
@@ -234,15 +269,10 @@
     double bestScore = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = *candidates[i];
-        if (candidate.incarnation == query.excluded || !isEligible(query.step, query.service, candidate) || !hasCapacityFor(query.step, candidate)) {
+        if (!isAllowed(query, candidate) || !hasCapacityFor(query.step, candidate)) {
             continue;
         }
-        const auto tasksOfStep = query.spread.find(candidate.incarnation);
-        const std::uint32_t count = tasksOfStep == query.spread.end() ? 0 : tasksOfStep->second;
-        if (query.step.maxPerWorker > 0 && count >= query.step.maxPerWorker) {
-            continue;
-        }
-        const auto score = scoreOf(query, spareIndex, candidate, count);
+        const auto score = scoreOf(query, spareIndex, candidate, countOnWorker(query, candidate));
         if (score && (!best || *score < bestScore)) {
             best = i;
             bestScore = *score;
@@ -251,6 +281,20 @@
     return best;
 }
 
+bool hasAlternative(const WorkerQuery &query, const std::vector<PlacementCandidate *> &candidates, std::uint32_t tasks)
+{
+    std::int64_t places = 0;
+    for (const PlacementCandidate *candidate : candidates) {
+        if (!candidate->isAvoided && isAllowed(query, *candidate)) {
+            places += placesWhenIdle(query, *candidate, tasks);
+        }
+        if (places >= static_cast<std::int64_t>(tasks)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void reserveCapacity(PlacementCandidate &candidate, const StepSpec &step, const SlopeTable &table, const PairInterference &interference)
 {
     candidate.used.memoryMb += step.request.memoryMb;
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -55,6 +55,7 @@
     SpareCpuShares spareCpuShares; ///< Share of the worker's CPU requested by tasks that use spare capacity, by image.
     double sensitivity = 0; ///< Highest slope against a long-running task of this worker, averaged over all spare images.
     unsigned consecutiveFailures = 0; ///< Number of consecutive failed runs.
+    bool isAvoided = false; ///< Tasks are placed on it only if no other worker may run them.
 };
 
 /** Number of tasks of a step on each worker. */
@@ -62,6 +63,7 @@
 
 /** Returns whether a worker may run tasks of a step, capacity aside. */
 bool isEligible(const StepSpec &step, const ServiceName &service, const PlacementCandidate &candidate);
+bool isEligible(const StepSpec &step, const ServiceName &service, const WorkerProfile &profile);
 
 /** Returns whether the data of a step is outside of a rack. */
 bool isDataRemote(const StepSpec &step, const std::string &rack);
@@ -77,12 +79,16 @@
     const PairInterference &interference;
     const SlopeTable &slopes;
     bool acceptsInterference = false; ///< The deadline of the step is near, so its tasks may raise tail latencies up to the harm limit.
-    IncarnationNumber excluded = 0; ///< Incarnation that must not be chosen, for a speculative copy of a task; 0 for none.
+    IncarnationNumber excluded = 0; ///< Incarnation that must not be chosen; 0 for none.
+    bool acceptsAvoided = false; ///< Workers that are avoided may be chosen too.
 };
 
 /** Returns the index of the best candidate for one more task of a step; nothing if none is suitable. */
 std::optional<std::size_t> chooseWorker(const WorkerQuery &query, const std::vector<PlacementCandidate *> &candidates);
 
+/** Returns whether the candidates that are neither excluded nor avoided may run a number of further tasks of a step, if they were idle. */
+bool hasAlternative(const WorkerQuery &query, const std::vector<PlacementCandidate *> &candidates, std::uint32_t tasks);
+
 /** Recomputes the expected tail latencies of a worker's long-running tasks from the tasks that use its spare capacity. */
 void updateExpectedTails(PlacementCandidate &candidate, const PairInterference &interference);
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -77,6 +77,7 @@
                 refreshCandidate(candidate->second, state.incarnations.at(number), session, *scheduler.slopes, scheduler.learnedModel.interference);
                 session.isCandidateStale = false;
             }
+            candidate->second.isAvoided = now < session.avoidedUntil;
             candidates.push_back(&candidate->second);
         }
         return candidates;
@@ -86,6 +87,7 @@
     struct PlacementPass {
         const SlopeTable &slopes;
         std::vector<PlacementCandidate *> candidates;
+        bool hasAvoided = false; ///< Some of the candidates are avoided.
         std::uint64_t maxScans = 0; ///< Value of FleetScheduler::fleetScans at which the pass ends.
         FailedPlacements failedPlacements;
     };
@@ -181,11 +183,42 @@
         actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
     }
 
-    /** Returns the incarnation on which the last run of a task failed; 0 if it did not fail. */
-    IncarnationNumber failedLife(const FleetScheduler &scheduler, const TaskRef &ref)
+    /** Returns the latest failed run of a task if the next one should be placed on another worker. */
+    const FailedRun *findFailedRun(const FleetScheduler &scheduler, const TaskRef &ref, TimePoint now)
     {
-        const auto found = scheduler.failedOn.find(ref);
-        return found == scheduler.failedOn.end() ? 0 : found->second;
+        // Longer than a faulty worker usually takes to recover, and short enough for a long-running task that no other worker has room for.
+        constexpr Duration MaxAvoidance{5'000};
+        const auto found = scheduler.failedRuns.find(ref);
+        return found == scheduler.failedRuns.end() || now - found->second.at >= MaxAvoidance ? nullptr : &found->second;
+    }
+
+    /** Returns whether a task may be started again on the worker on which it has failed, if no other worker may run it. */
+    bool mayRetryOnSameWorker(const FailedRun &failed, TimePoint now)
+    {
+        constexpr Duration RetryStep{500}; // The worker may recover meanwhile, and the number of attempts is limited.
+        constexpr unsigned MaxRetrySteps = 4;
+        return now - failed.at >= RetryStep * static_cast<std::int64_t>(std::min(failed.failures, MaxRetrySteps));
+    }
+
+    /**
+     * Chooses a worker for a task. The worker on which the task has just failed and workers with slow tasks are only chosen if no other worker
+     * may run the task: they are avoided, but a task must not wait for ever because of that.
+     */
+    std::optional<std::size_t>
+    chooseWorkerForTask(FleetScheduler &scheduler, WorkerQuery &query, const FailedRun *failed, const PlacementPass &pass, TimePoint now)
+    {
+        query.excluded = failed == nullptr ? 0 : failed->incarnation;
+        ++scheduler.fleetScans;
+        const auto chosen = chooseWorker(query, pass.candidates);
+        if (chosen || (failed == nullptr && !pass.hasAvoided) || hasAlternative(query, pass.candidates, 1)) {
+            return chosen;
+        }
+        if (failed != nullptr && mayRetryOnSameWorker(*failed, now)) {
+            query.excluded = 0;
+        }
+        query.acceptsAvoided = true;
+        ++scheduler.fleetScans;
+        return chooseWorker(query, pass.candidates);
     }
 
     /** Returns whether a task is not done and has a single run, so that a speculative copy is useful. */
@@ -227,19 +260,20 @@
     }
 
     /**
-     * Notes a request for which no worker was found, unless one could take it but for other tasks of the step there or an earlier failure of the
-     * task there. Those do not concern other steps.
+     * Notes a request for which no worker was found, unless one could take it but for other tasks of the step there, an earlier failure of the
+     * task there, or slow tasks there. Those do not rule the worker out for other steps.
      */
     void noteFailedPlacement(FleetScheduler &scheduler, const WorkerQuery &query, PlacementPass &pass)
     {
-        if (query.step.maxPerWorker > 0 || query.excluded != 0) {
+        if (query.step.maxPerWorker > 0 || query.excluded != 0 || pass.hasAvoided) {
             const StepSpread noSpread;
             const WorkerQuery unlimited{.step = query.step,
                                         .service = query.service,
                                         .spread = noSpread,
                                         .interference = query.interference,
                                         .slopes = query.slopes,
-                                        .acceptsInterference = query.acceptsInterference};
+                                        .acceptsInterference = query.acceptsInterference,
+                                        .acceptsAvoided = true};
             ++scheduler.fleetScans;
             if (chooseWorker(unlimited, pass.candidates)) {
                 return;
@@ -266,15 +300,13 @@
             if (scheduler.fleetScans >= pass.maxScans) {
                 return false;
             }
-            const WorkerQuery query{.step = spec,
-                                    .service = job.queue.service,
-                                    .spread = spread,
-                                    .interference = scheduler.learnedModel.interference,
-                                    .slopes = pass.slopes,
-                                    .acceptsInterference = acceptsInterference,
-                                    .excluded = failedLife(scheduler, ref)};
-            ++scheduler.fleetScans;
-            const auto chosen = chooseWorker(query, pass.candidates);
+            WorkerQuery query{.step = spec,
+                              .service = job.queue.service,
+                              .spread = spread,
+                              .interference = scheduler.learnedModel.interference,
+                              .slopes = pass.slopes,
+                              .acceptsInterference = acceptsInterference};
+            const auto chosen = chooseWorkerForTask(scheduler, query, findFailedRun(scheduler, ref, now), pass, now);
             if (!chosen) {
                 noteFailedPlacement(scheduler, query, pass);
                 return true;
@@ -308,11 +340,12 @@
         const Duration expected = stepTime(scheduler, job, step.step);
         std::vector<RunPlacement> placements;
         std::uint32_t run = 0;
+        WorkerQuery query{
+            .step = spec, .service = job.queue.service, .spread = spread, .interference = scheduler.learnedModel.interference, .slopes = pass.slopes};
+        query.acceptsAvoided = pass.hasAvoided && !hasAlternative(query, trial, spec.taskCount);
         for (const TaskRecord &task : record.tasks) {
             ++scheduler.fleetScans;
-            const auto chosen = chooseWorker(
-                {.step = spec, .service = job.queue.service, .spread = spread, .interference = scheduler.learnedModel.interference, .slopes = pass.slopes},
-                trial);
+            const auto chosen = chooseWorker(query, trial);
             if (!chosen) {
                 return;
             }
@@ -396,7 +429,10 @@
     }
     std::vector<PlacementCandidate *> candidates = usableWorkers(scheduler, state, now);
     const std::uint64_t scansOfPass = 1 + MaxWorkersExaminedPerPass / std::max<std::size_t>(1, candidates.size());
-    PlacementPass pass{*scheduler.slopes, std::move(candidates), scheduler.fleetScans + scansOfPass, {}};
+    const bool hasAvoided = std::any_of(candidates.begin(), candidates.end(), [](const PlacementCandidate *candidate) {
+        return candidate->isAvoided;
+    });
+    PlacementPass pass{*scheduler.slopes, std::move(candidates), hasAvoided, scheduler.fleetScans + scansOfPass, {}};
     sortByServiceOrder(ready, now);
     placeCopies(scheduler, state, pass, now, actions);
     placeSteps(scheduler, state, ready, pass, now, actions);
--- a/src/fleet/scheduler_run_times.cpp
+++ b/src/fleet/scheduler_run_times.cpp
@@ -136,7 +136,7 @@
 {
     const TaskRef first{job, 0, 0, 0};
     const TaskRef last{job + 1, 0, 0, 0};
-    scheduler.failedOn.erase(scheduler.failedOn.lower_bound(first), scheduler.failedOn.lower_bound(last));
+    scheduler.failedRuns.erase(scheduler.failedRuns.lower_bound(first), scheduler.failedRuns.lower_bound(last));
     scheduler.migrationCounts.erase(scheduler.migrationCounts.lower_bound(first), scheduler.migrationCounts.lower_bound(last));
     scheduler.migratingTasks.erase(scheduler.migratingTasks.lower_bound(first), scheduler.migratingTasks.lower_bound(last));
     const auto view = scheduler.jobs.find(job);
--- a/src/fleet/scheduler_supervision.cpp
+++ b/src/fleet/scheduler_supervision.cpp
@@ -12,7 +12,7 @@
 
     constexpr Duration DrainMargin{400}; ///< Time before the exit of a draining worker by which a checkpointed task must have saved its checkpoint.
     constexpr Duration MigrationOverhead{100}; ///< Duration of the orders and the log entry of a new start.
-    constexpr Duration BadWorkerBackoff{1'500}; ///< Placement backoff for a worker with stalled or slow tasks.
+    constexpr Duration BadWorkerBackoff{1'500}; ///< Time for which a worker with stalled or slow tasks is avoided.
     constexpr unsigned MaxMigrations = 3; ///< Maximum number of migrations of a task because of its progress.
     constexpr Duration ThrottleInterval{450}; ///< Time until a changed speed limit is visible in the tail latencies, which cover half a second.
 
@@ -87,6 +87,18 @@
         return std::distance(first, last) < static_cast<std::ptrdiff_t>(std::max<std::uint32_t>(1, taskCount / 2));
     }
 
+    /** Returns whether another worker that is not avoided either may run a task, so that stopping it is of use. */
+    bool mayRunElsewhere(const FleetScheduler &scheduler, const FleetState &state, const WorkerSession &session, const TaskRef &task, TimePoint now)
+    {
+        const FleetJob &job = state.jobs.at(task.job);
+        const StepSpec &step = job.spec.steps[task.step];
+        return std::any_of(scheduler.sessions.begin(), scheduler.sessions.end(), [&](const auto &item) {
+            const WorkerSession &other = item.second;
+            return other.incarnation != session.incarnation && now >= other.avoidedUntil && isUsable(state, other, now)
+                && isEligible(step, job.queue.service, state.incarnations.at(other.incarnation).profile);
+        });
+    }
+
     /** Migrates a run to another worker, or requests a speculative copy where the step allows it. */
     void migrateRun(FleetScheduler &scheduler, WorkerSession &session, const TaskRef &task, RunView &run, TimePoint now)
     {
@@ -122,8 +134,8 @@
         if (assessProgress(input) == ProgressVerdict::Normal) {
             continue;
         }
-        session.noPlacementUntil = std::max(session.noPlacementUntil, now + BadWorkerBackoff);
-        if (mayMigrate(scheduler, state, task)) {
+        session.avoidedUntil = std::max(session.avoidedUntil, now + BadWorkerBackoff);
+        if (mayMigrate(scheduler, state, task) && mayRunElsewhere(scheduler, state, session, task, now)) {
             migrateRun(scheduler, session, task, run, now);
         }
     }
--- a/src/fleet/worker_session.h
+++ b/src/fleet/worker_session.h
@@ -112,6 +112,7 @@
     bool isReplaced = false; ///< A later incarnation has taken its place.
     std::optional<TimePoint> replacedAt; ///< Time at which the replacement was first processed.
     TimePoint noPlacementUntil; ///< Time until which no tasks are placed on the worker.
+    TimePoint avoidedUntil; ///< Time until which tasks are placed on the worker only if no other worker may run them.
     std::uint64_t lastReportSequence = 0; ///< Sequence number of the newest report.
     std::optional<TimePoint> earliestExit; ///< Earliest time at which a draining worker exits.
     std::map<TaskRef, RunView> runs;
--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -199,6 +199,118 @@
     }
 }
 
+namespace {
+
+/** Gives a worker a label that no other one has. */
+void setOnlyLabel(FleetSimulation &simulation, const WorkerName &worker, const std::string &label)
+{
+    simulation.workers.at(worker)->profile.labels.front() = label;
+    simulation.run({1'100});
+}
+
+/** Returns a job that requires a label. */
+JobSpec labelledJob(std::uint32_t tasks, const std::string &label, Duration length)
+{
+    JobSpec spec = oneStepJob(tasks, SmallTask, length);
+    spec.steps.front().requiredLabel = label;
+    return spec;
+}
+
+} // namespace
+
+TEST_CASE("A task that has failed on the only worker that may run it is started there again")
+{
+    // Guards against a preference for another worker that is applied as a ban: the task was never started again.
+    FleetSimulation simulation({});
+    simulation.run({100});
+    setOnlyLabel(simulation, "w0", "b");
+
+    SUBCASE("because only that worker has the required label")
+    {
+        simulation.workers.at("w0")->failsAll = true;
+        simulation.submit("once", labelledJob(1, "b", {600}));
+        JobSpec lasting = labelledJob(1, "b", {400});
+        lasting.steps.front().isLongRunning = true;
+        simulation.submit("lasting", lasting);
+        simulation.run({400});
+        simulation.workers.at("w0")->failsAll = false;
+        simulation.run({2'500});
+        CHECK(simulation.outcomes.at("once").state == FleetJobState::Completed);
+        CHECK(simulation.workers.at("w0")->running.size() == 1);
+    }
+
+    SUBCASE("because other tasks of its step occupy all other workers")
+    {
+        simulation.workers.at("w0")->failsAll = true;
+        JobSpec spread = oneStepJob(12, SmallTask, {20'000});
+        spread.steps.front().maxPerWorker = 1;
+        simulation.submit("spread", spread);
+        simulation.run({400});
+        simulation.workers.at("w0")->failsAll = false;
+        simulation.run({2'500});
+        CHECK(findJob(simulation.state, "spread")->occurrences.at(0).steps.front().activeCount == 12);
+    }
+
+    SUBCASE("because it needs more than the other workers have free")
+    {
+        simulation.submit("full", oneStepJob(12, {20'000, 4'000, 0}, {600'000}));
+        simulation.run({500});
+        simulation.workers.at("w0")->failsAll = true;
+        simulation.submit("small", labelledJob(1, "b", {30'000}));
+        JobSpec lasting = oneStepJob(13, {12'000, 4'000, 0}, {400});
+        lasting.steps.front().isLongRunning = true;
+        simulation.submit("lasting", lasting);
+        simulation.run({400});
+        simulation.workers.at("w0")->failsAll = false;
+        simulation.cancel("small");
+        simulation.run({9'000});
+        CHECK(findJob(simulation.state, "lasting")->occurrences.at(0).steps.front().activeCount == 12);
+    }
+    CHECK_MESSAGE(simulation.violations.empty(), firstViolations(simulation.violations));
+}
+
+TEST_CASE("A task that only a slow worker may run is started there")
+{
+    // Guards against a preference for other workers that is applied as a ban: a worker got no task for as long as one of its tasks was slow.
+    FleetSimulation simulation({});
+    simulation.run({100});
+    setOnlyLabel(simulation, "w0", "b");
+    simulation.submit("known", labelledJob(4, "a", {1'000}));
+    simulation.run({2'000});
+    simulation.workers.at("w0")->speed = 0.02;
+    JobSpec slow = labelledJob(1, "b", {1'000});
+    simulation.submit("slow", slow);
+    simulation.run({9'000});
+    const std::size_t before = simulation.workers.at("w0")->running.size();
+    REQUIRE(before == 1);
+    // It was not stopped to run elsewhere either.
+    CHECK(simulation.workers.at("w0")->running.begin()->second.run == 1);
+
+    SUBCASE("a single task")
+    {
+        simulation.submit("next", labelledJob(1, "b", {1'000}));
+        simulation.run({2'500});
+        CHECK(simulation.workers.at("w0")->running.size() == 2);
+    }
+
+    SUBCASE("a gang")
+    {
+        JobSpec gang = labelledJob(3, "b", {1'000});
+        gang.steps.front().isGang = true;
+        simulation.submit("gang", gang);
+        simulation.run({2'500});
+        CHECK(simulation.workers.at("w0")->running.size() == 4);
+    }
+
+    SUBCASE("but not one that other workers may run")
+    {
+        simulation.submit("any", oneStepJob(11, SmallTask, {1'000}));
+        simulation.run({1'000});
+        CHECK(simulation.workers.at("w0")->running.size() == 1);
+    }
+    CHECK_MESSAGE(simulation.violations.empty(), firstViolations(simulation.violations));
+}
+
 TEST_CASE("Tasks on faulty workers complete elsewhere")
 {
     // Load: short jobs with a latency objective. Two of twelve workers respond normally, but make no progress, are slow, or fail all tasks.
