Fix: a report that names no worker to use does not reach the replicated state

Cause: only the form of the fields was checked. A later start under a known name registered an incarnation, which counts as the proof that its predecessor has ended.

Change: worker_report_check refuses what no worker can have sent, with a reason and the log line report_refused.

--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -331,7 +331,6 @@
     FleetWorkerReport report;
     report.profile = found->second->profile;
     report.sequence = ++this->sequences[worker];
-    report.clockMs = found->second->clockMs();
     report.drainRemaining = drainRemaining;
     const ReportOutcome outcome = handleWorkerReport(leader->second->scheduler, this->state, report, this->now);
     if (outcome.command) {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -305,14 +305,13 @@
         return {std::nullopt, true};
     }
     WorkerSession &session = found->second;
-    if (report.sequence <= session.lastReportSequence) {
+    const bool startsDraining = report.profile.isDraining && !incarnation.profile.isDraining;
+    // That a worker drains is final, so it counts whatever the sequence number of the report.
+    if (report.sequence <= session.lastReportSequence && !startsDraining) {
         return {std::nullopt, true};
     }
-    session.lastReportSequence = report.sequence;
+    session.lastReportSequence = std::max(session.lastReportSequence, report.sequence);
     session.isShuttingDown = false;
-    if (report.clockMs) {
-        addClockSample(session, *report.clockMs, now);
-    }
     if (report.drainRemaining) {
         session.earliestExit = now + *report.drainRemaining;
     }
--- a/src/fleet/fleet_scheduler_func.h
+++ b/src/fleet/fleet_scheduler_func.h
@@ -21,11 +21,10 @@
     bool isStale = false; ///< The report is from an earlier incarnation, or older than the last one of this incarnation.
 };
 
-/** A status report of a worker. */
+/** A status report of a worker. Its clock is not taken from reports, which may be late, but from its responses to orders. */
 struct FleetWorkerReport {
     WorkerProfile profile;
     std::uint64_t sequence = 0; ///< Increases with each report of an incarnation.
-    std::optional<std::int64_t> clockMs; ///< Monotonic clock of the worker.
     std::optional<Duration> drainRemaining; ///< Minimum time until a draining worker exits.
 };
 
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -400,6 +400,12 @@
     const auto target = splitAddress(order.address);
     if (!target) {
         logLine(LogArea::Worker, LogLevel::Warn, "bad_worker_address", {{"worker", order.worker}, {"address", order.address}});
+        // An older version may have registered the worker. The order fails like any other that reaches nobody.
+        asio::post(this->io, [this, sent = std::move(order)] {
+            OrderResponse response;
+            response.outcome = OrderOutcome::Unreachable;
+            this->handleOrderResponse(sent, response);
+        });
         return;
     }
     ++this->counters.ordersSent;
@@ -407,31 +413,35 @@
     const HttpSendOptions options{order.timeout, order.usesFreshConnection};
     const HttpAddress address{target->first, target->second};
     this->client.send(address, std::move(request), options, [this, sent = std::move(order)](const HttpExchange &exchange) {
-        if (!this->scheduler || this->scheduler->term != sent.term) {
-            return;
-        }
         const LoopTimer timer(this->times, LoopPart::OrderResponses);
-        const OrderResponse response = this->adapter.parseOrderResponse(sent, exchange);
-        if (response.outcome != OrderOutcome::Done) {
-            this->counters.ordersUnanswered += response.outcome == OrderOutcome::NoResponse ? 1 : 0;
-            logLine(LogArea::Worker,
-                    LogLevel::Info,
-                    "order_not_done",
-                    {{"worker", sent.worker},
-                     {"kind", static_cast<int>(sent.kind)},
-                     {"outcome", static_cast<int>(response.outcome)},
-                     {"job", sent.task.job},
-                     {"step", sent.task.step},
-                     {"index", sent.task.index},
-                     {"run", sent.run},
-                     {"term", sent.term},
-                     {"fence", sent.fence}});
-        }
-        this->executeActions(handleResponse(*this->scheduler, this->state, sent.number, response, steadyNow(), wallNow()));
-        this->advanceTick();
+        this->handleOrderResponse(sent, this->adapter.parseOrderResponse(sent, exchange));
     });
 }
 
+void FleetCore::handleOrderResponse(const WorkerOrder &order, const OrderResponse &response)
+{
+    if (!this->scheduler || this->scheduler->term != order.term) {
+        return;
+    }
+    if (response.outcome != OrderOutcome::Done) {
+        this->counters.ordersUnanswered += response.outcome == OrderOutcome::NoResponse ? 1 : 0;
+        logLine(LogArea::Worker,
+                LogLevel::Info,
+                "order_not_done",
+                {{"worker", order.worker},
+                 {"kind", static_cast<int>(order.kind)},
+                 {"outcome", static_cast<int>(response.outcome)},
+                 {"job", order.task.job},
+                 {"step", order.task.step},
+                 {"index", order.task.index},
+                 {"run", order.run},
+                 {"term", order.term},
+                 {"fence", order.fence}});
+    }
+    this->executeActions(handleResponse(*this->scheduler, this->state, order.number, response, steadyNow(), wallNow()));
+    this->advanceTick();
+}
+
 void FleetCore::runScheduler()
 {
     if (!this->scheduler) {
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -107,6 +107,7 @@
     void flush();
     void executeActions(SchedulerActions actions);
     void sendOrder(WorkerOrder order);
+    void handleOrderResponse(const WorkerOrder &order, const OrderResponse &response);
     void runScheduler();
     void armTick();
     void waitForTick();
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -3,6 +3,7 @@
 #include "core/clock_func.h"
 #include "fleet/job_admission.h"
 #include "fleetd/fleet_core.h"
+#include "fleetd/worker_report_check.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
 
@@ -16,6 +17,8 @@
 
     constexpr Duration ElectionRetryDelay{1'000}; ///< Suggested retry delay after a refusal that lasts until the next election.
 
+    constexpr std::size_t MaxLoggedBytes = 64; ///< Bytes of a text from a refused report that are logged.
+
     ApiResponse makeResponse(ResultCode code, std::string message = {})
     {
         ApiResponse response;
@@ -244,6 +247,18 @@
 
 void FleetCore::handleReport(const WorkerReportRequest &request, std::function<void(ApiResponse)> done)
 {
+    if (const auto error = findReportError(request.report, this->state, this->settings.availabilityZones, wallNow())) {
+        const WorkerProfile &profile = request.report.profile;
+        logLine(LogArea::Worker,
+                LogLevel::Warn,
+                "report_refused",
+                {{"worker", profile.worker.substr(0, MaxLoggedBytes)},
+                 {"address", profile.address.substr(0, MaxLoggedBytes)},
+                 {"service", profile.service.substr(0, MaxLoggedBytes)},
+                 {"reason", error->message}});
+        done(makeResponse(error->code, error->message));
+        return;
+    }
     const ReportOutcome outcome = handleWorkerReport(*this->scheduler, this->state, request.report, steadyNow());
     ApiResponse response;
     response.reportTo = this->controlAddressOf(this->settings.address);
--- /dev/null
+++ b/src/fleetd/worker_report_check.cpp
@@ -0,0 +1,98 @@
+/** @file worker_report_check.cpp Checks the status reports of workers. */
+
+#include "fleetd/worker_report_check.h"
+
+#include "settings/fleet_settings.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr std::size_t MaxTextBytes = 256; ///< Maximum length of a name, label or address; all of them are part of each snapshot.
+    constexpr std::size_t MaxLabels = 64;
+    constexpr Duration MaxClockLead{60'000}; ///< Maximum difference of the clocks of two hosts. A start time further ahead would block later incarnations.
+
+    using Error = std::optional<WorkerReportError>;
+
+    Error checkTexts(const WorkerProfile &profile)
+    {
+        if (profile.worker.empty() || profile.labels.size() > MaxLabels) {
+            return WorkerReportError{ResultCode::BadRequest, "a worker needs a name and at most " + std::to_string(MaxLabels) + " labels"};
+        }
+        std::vector<std::string> texts = profile.labels;
+        texts.insert(texts.end(), {profile.worker, profile.address, profile.availabilityZone, profile.service, profile.machine});
+        const bool isTooLong = std::any_of(texts.begin(), texts.end(), [](const std::string &text) {
+            return text.size() > MaxTextBytes;
+        });
+        return isTooLong ? Error(WorkerReportError{ResultCode::BadRequest, "a text is longer than " + std::to_string(MaxTextBytes) + " bytes"}) : std::nullopt;
+    }
+
+    /** Checks that orders can be sent to the address. */
+    Error checkAddress(const std::string &text)
+    {
+        const auto parts = splitAddress(text);
+        if (!parts) {
+            return WorkerReportError{ResultCode::BadAddress, "the address is not an IP address and a port from 1 to 65535"};
+        }
+        boost::system::error_code error;
+        const auto address = boost::asio::ip::make_address(parts->first, error);
+        const bool isBroadcast = address.is_v4() && address.to_v4() == boost::asio::ip::address_v4::broadcast();
+        if (error || address.is_unspecified() || address.is_multicast() || isBroadcast) {
+            return WorkerReportError{ResultCode::BadAddress, "the address is not one of a single host"};
+        }
+        return std::nullopt;
+    }
+
+    /** Returns the incarnation that the reporting process is registered as, or nullptr. */
+    const WorkerIncarnation *findIncarnation(const FleetState &state, const WorkerProfile &profile)
+    {
+        const auto latest = state.latestIncarnation.find(profile.worker);
+        const auto found = latest == state.latestIncarnation.end() ? state.incarnations.end() : state.incarnations.find(latest->second);
+        return found == state.incarnations.end() || found->second.profile.startedAtMs != profile.startedAtMs ? nullptr : &found->second;
+    }
+
+    Error checkService(const WorkerProfile &profile, const FleetManifest &manifest)
+    {
+        const bool isNamed = std::any_of(manifest.services.begin(), manifest.services.end(), [&profile](const FleetService &service) {
+            return service.name == profile.service;
+        });
+        // Workers may start before the first manifest is uploaded.
+        return isNamed || manifest.version == 0 ? std::nullopt : Error(WorkerReportError{ResultCode::ServiceUnknown, "the manifest has no such service"});
+    }
+
+    /** Checks a report of a registered process, which cannot have moved. Its service may have left the manifest meanwhile. */
+    Error checkUnchanged(const WorkerProfile &reported, const WorkerProfile &known)
+    {
+        const bool isSame = reported.address == known.address && reported.availabilityZone == known.availabilityZone && reported.service == known.service;
+        return isSame ? std::nullopt : Error(WorkerReportError{ResultCode::BadRequest, "address, zone and service of a running worker do not change"});
+    }
+
+} // namespace
+
+std::optional<WorkerReportError>
+findReportError(const FleetWorkerReport &report, const FleetState &state, const std::vector<ZoneName> &availabilityZones, WallTime now)
+{
+    const WorkerProfile &profile = report.profile;
+    if (auto error = checkTexts(profile)) {
+        return error;
+    }
+    if (const WorkerIncarnation *known = findIncarnation(state, profile)) {
+        return checkUnchanged(profile, known->profile);
+    }
+    if (auto error = checkAddress(profile.address)) {
+        return error;
+    }
+    if (!availabilityZones.empty() && std::find(availabilityZones.begin(), availabilityZones.end(), profile.availabilityZone) == availabilityZones.end()) {
+        return WorkerReportError{ResultCode::BadRequest, "no host is in this availability zone"};
+    }
+    if (profile.startedAtMs > now.ms + MaxClockLead.ms) {
+        return WorkerReportError{ResultCode::BadRequest, "the start time is in the future"};
+    }
+    return checkService(profile, state.manifest);
+}
+
+} // namespace Filbertlanding
--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -66,6 +66,7 @@
                                     {"dataFolder", daemon.hasDisk ? this->dataFolder(daemon).string() : std::string()},
                                     {"firstStart", isFirstStart},
                                     {"contacts", contacts},
+                                    {"availabilityZones", {"z0", "z1", "z2"}},
                                     {"listen", listen},
                                     {"peer", {{"port", PeerPort}, {"listenPort", PeerPort + 1}, {"fromOwnAddress", true}, {"key", "key of the soak"}}},
                                     {"tolerated", {{"hosts", 1}}}};
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -6,6 +6,7 @@
 #include "core/clock_func.h"
 #include "soak/soak_callers.h"
 #include "soak/soak_faults.h"
+#include "soak/soak_odd_reports.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio.hpp>
@@ -43,6 +44,7 @@
         , workers(this->io, this->settings, this->networkPrefix + "200", this->relay, this->checks)
         , callers(this->io, this->settings, this->daemons.callerAddresses(), this->daemons.controlAddresses(), this->checks)
         , faults(this->io, this->settings, this->daemons, this->relay, this->workers)
+        , oddReports(this->io, this->settings, this->workers, this->checks)
         , pollTimer(this->io)
         , phaseTimer(this->io)
     {
@@ -68,10 +70,12 @@
     {
         if (this->settings.hasFaults) {
             this->faults.start();
+            this->oddReports.start(this->daemons.controlAddresses());
         }
         this->phaseTimer.expires_after(std::chrono::milliseconds(this->settings.faultTime.ms));
         this->phaseTimer.async_wait([this](const boost::system::error_code &) {
             this->faults.revertAll();
+            this->oddReports.stop();
             this->callers.stopSubmitting();
             this->settleDeadline = steadyNow() + this->settings.settleTime;
         });
@@ -108,7 +112,8 @@
         }
         std::cout << "seed " << this->settings.seed << ": " << faultCount << " faults, " << this->checks.jobs.size() << " jobs, " << this->callers.accepted
                   << " accepted, " << this->callers.refused << " refused, " << this->callers.unanswered << " without an answer, " << this->checks.starts
-                  << " starts, " << this->checks.doneEnds << " done, accepted within " << (times.empty() ? 0 : times[times.size() / 2]) << " ms (half), "
+                  << " starts, " << this->oddReports.refused << " of " << this->oddReports.sent << " odd reports refused, " << this->checks.doneEnds
+                  << " done, accepted within " << (times.empty() ? 0 : times[times.size() / 2]) << " ms (half), "
                   << (times.empty() ? 0 : times[times.size() * 99 / 100]) << " ms (99 of 100), " << this->checks.violations.size() << " violations"
                   << std::endl;
     }
@@ -122,6 +127,7 @@
     SoakWorkers workers;
     SoakCallers callers;
     SoakFaults faults;
+    SoakOddReports oddReports;
     boost::asio::steady_timer pollTimer;
     boost::asio::steady_timer phaseTimer;
     std::optional<TimePoint> settleDeadline;
--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -164,17 +164,23 @@
     return this->slots.size();
 }
 
-void SoakWorkers::startIncarnation(std::size_t index)
+WorkerProfile SoakWorkers::profileOf(std::size_t index) const
 {
-    WorkerSlot &slot = this->slots[index];
     WorkerProfile profile;
     profile.worker = "w" + std::to_string(index);
     profile.startedAtMs = wallNow().ms;
-    profile.address = this->address + ":" + std::to_string(slot.port);
+    profile.address = this->address + ":" + std::to_string(this->slots[index].port);
     profile.availabilityZone = "z" + std::to_string(index % 3);
     profile.service = "quote-desk";
     profile.capacity = {32'000, 125'000, 0};
     profile.rack = "r" + std::to_string(index / 4);
+    return profile;
+}
+
+void SoakWorkers::startIncarnation(std::size_t index)
+{
+    WorkerSlot &slot = this->slots[index];
+    const WorkerProfile profile = this->profileOf(index);
     slot.worker = std::make_unique<ModelWorker>(profile, 0.98 + 0.02 * this->random.unit(), this->interference);
     slot.worker->started = [this, index, name = profile.worker](const TaskName &task, std::uint32_t run) {
         this->checks.onStarted(name, task, run, this->slots[index].payload, this->slots[index].isDelayedOrder);
@@ -362,6 +368,25 @@
     this->sendReport(index, to, 3);
 }
 
+json::object SoakWorkers::reportBody(std::size_t index) const
+{
+    const WorkerSlot &slot = this->slots[index];
+    const std::int64_t clockMs = slot.worker == nullptr ? 0 : slot.worker->clockMs();
+    const WorkerProfile profile = slot.worker == nullptr ? this->profileOf(index) : slot.worker->profile;
+    return {{"service", profile.service},
+            {"address", profile.address},
+            {"zone", profile.availabilityZone},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"coldRemainingMs", 0},
+            {"capacity", {{"cpu", profile.capacity.cpuMillis}, {"memMb", profile.capacity.memoryMb}, {"gpu", 0}}},
+            {"labels", {"a", profile.rack}},
+            {"clockMs", clockMs},
+            {"seq", slot.sequence},
+            {"born", profile.startedAtMs}};
+}
+
 void SoakWorkers::sendReport(std::size_t index, const std::string &to, std::size_t attemptsLeft)
 {
     WorkerSlot &slot = this->slots[index];
@@ -369,18 +394,8 @@
         return;
     }
     const WorkerProfile &profile = slot.worker->profile;
-    const json::object body{{"service", profile.service},
-                            {"address", profile.address},
-                            {"zone", profile.availabilityZone},
-                            {"version", "v1"},
-                            {"slots", 8},
-                            {"state", "ready"},
-                            {"coldRemainingMs", 0},
-                            {"capacity", {{"cpu", profile.capacity.cpuMillis}, {"memMb", profile.capacity.memoryMb}, {"gpu", 0}}},
-                            {"labels", {"a", profile.rack}},
-                            {"clockMs", slot.worker->clockMs()},
-                            {"seq", ++slot.sequence},
-                            {"born", profile.startedAtMs}};
+    json::object body = this->reportBody(index);
+    body["seq"] = ++slot.sequence;
     const std::size_t colon = to.rfind(':');
     const HttpAddress target{to.substr(0, colon), static_cast<std::uint16_t>(std::stoul(to.substr(colon + 1)))};
     HttpRequest request{"PUT", "/instances/" + profile.worker, {{"Content-Type", "application/json"}}, json::serialize(body), {}};
--- a/tests/soak/soak_workers.h
+++ b/tests/soak/soak_workers.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
 
 #include <list>
 #include <memory>
@@ -46,6 +47,9 @@
 
     std::size_t count() const;
 
+    /** Returns the body of a status report of a worker. */
+    boost::json::object reportBody(std::size_t index) const;
+
 private:
     struct WorkerSlot {
         std::unique_ptr<ModelWorker> worker; ///< Null while the worker is down.
@@ -67,6 +71,7 @@
         HttpRespond respond;
     };
 
+    WorkerProfile profileOf(std::size_t index) const;
     void startIncarnation(std::size_t index);
     void handle(std::size_t index, HttpRequest &&request, const HttpRespond &respond);
     void execute(std::size_t index, const WorkerOrder &order, const HttpRespond &respond);
