Fix: a job in spare capacity does not starve because of interference while most of a service is idle

Cause: a task in spare capacity is refused every worker whose long-running tasks it is expected to disturb.

The new test completes 1 of 6 jobs before.

Change: a job that is late and has had nothing running for 1.5 s gets one task where it does the least harm, within the spare CPU, while less than half of the CPU of its service is reserved. Speed limits bound the harm, as before.

--- a/src/fleet/failed_placements.cpp
+++ b/src/fleet/failed_placements.cpp
@@ -16,22 +16,22 @@
 
 } // namespace
 
-FailedPlacements::Key FailedPlacements::keyOf(const StepSpec &step, const ServiceName &service, bool acceptsInterference)
+FailedPlacements::Key FailedPlacements::keyOf(const StepSpec &step, const ServiceName &service, HarmTolerance harmTolerance)
 {
-    return {service, step.requiredLabel, step.usesSpareCapacity ? step.image : std::string(), step.usesSpareCapacity, acceptsInterference};
+    return {service, step.requiredLabel, step.usesSpareCapacity ? step.image : std::string(), step.usesSpareCapacity, harmTolerance};
 }
 
-bool FailedPlacements::cannotFit(const StepSpec &step, const ServiceName &service, bool acceptsInterference) const
+bool FailedPlacements::cannotFit(const StepSpec &step, const ServiceName &service, HarmTolerance harmTolerance) const
 {
-    const auto found = this->smallestRequests.find(keyOf(step, service, acceptsInterference));
+    const auto found = this->smallestRequests.find(keyOf(step, service, harmTolerance));
     return found != this->smallestRequests.end() && std::any_of(found->second.begin(), found->second.end(), [&step](const Resources &failed) {
                return needsAtLeast(step.request, failed);
            });
 }
 
-void FailedPlacements::note(const StepSpec &step, const ServiceName &service, bool acceptsInterference)
+void FailedPlacements::note(const StepSpec &step, const ServiceName &service, HarmTolerance harmTolerance)
 {
-    std::vector<Resources> &requests = this->smallestRequests[keyOf(step, service, acceptsInterference)];
+    std::vector<Resources> &requests = this->smallestRequests[keyOf(step, service, harmTolerance)];
     std::erase_if(requests, [&step](const Resources &failed) {
         return needsAtLeast(failed, step.request);
     });
--- a/src/fleet/failed_placements.h
+++ b/src/fleet/failed_placements.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "fleet/fleet_type.h"
+#include "fleet/place_run.h"
 
 #include <map>
 #include <string>
@@ -16,16 +16,16 @@
 {
 public:
     /** Returns whether a request of the step, or one that needs no more, is known to fit on no worker. */
-    bool cannotFit(const StepSpec &step, const ServiceName &service, bool acceptsInterference) const;
+    bool cannotFit(const StepSpec &step, const ServiceName &service, HarmTolerance harmTolerance) const;
 
     /** Notes a request that no worker can take, whatever else of its step runs there. */
-    void note(const StepSpec &step, const ServiceName &service, bool acceptsInterference);
+    void note(const StepSpec &step, const ServiceName &service, HarmTolerance harmTolerance);
 
 private:
-    /** Service, required label, image and use of spare capacity, and whether interference is accepted. */
-    using Key = std::tuple<ServiceName, std::string, std::string, bool, bool>;
+    /** Service, required label, image and use of spare capacity, and the harm that is tolerated. */
+    using Key = std::tuple<ServiceName, std::string, std::string, bool, HarmTolerance>;
 
-    static Key keyOf(const StepSpec &step, const ServiceName &service, bool acceptsInterference);
+    static Key keyOf(const StepSpec &step, const ServiceName &service, HarmTolerance harmTolerance);
 
     std::map<Key, std::vector<Resources>> smallestRequests; ///< Of each kind, the requests of which none needs as much as another.
 };
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -45,6 +45,7 @@
     double valueDensity = 0; ///< Value of the job per CPU second, for the order of service.
     std::size_t bytes = 0; ///< Estimated memory use of the job on each replica.
     std::map<std::pair<std::uint32_t, std::uint32_t>, TimePoint> waitingSince; ///< Time since which long-running steps lack tasks, by occurrence and step.
+    std::optional<TimePoint> idleSince; ///< Time since which the job has had nothing running although a step was ready; nothing while something runs.
     std::uint32_t openedOccurrences = 0; ///< Occurrences that are open, or whose opening has been proposed.
 };
 
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -4,7 +4,8 @@
  * Long-running tasks reserve most of the CPU but use less than half of it. Short tasks need reserved capacity immediately. Wide and long batch
  * tasks use the spare capacity and interfere with the long-running tasks. Therefore short tasks are packed, while long-running tasks and tasks
  * that use spare capacity are spread. A spare image that interferes with almost all long-running images finds no worker without interference;
- * its tasks are allowed a limited amount of harm once their deadline is near.
+ * its tasks are allowed a limited amount of harm once their deadline is near. A job that makes no progress nevertheless gets one task at a time wherever
+ * it does the least harm, since an accepted job must not wait for ever while most of the fleet is idle.
  */
 
 #include "fleet/place_run.h"
@@ -77,13 +78,13 @@
     std::optional<double> addedTailRatio(const WorkerQuery &query, const std::optional<std::size_t> &spareIndex, const PlacementCandidate &candidate)
     {
         const double share = cpuShareOf(query.step, candidate);
-        if (query.acceptsInterference && exceedsHarmLimit(query, spareIndex, candidate)) {
+        if (query.harmTolerance == HarmTolerance::Limited && exceedsHarmLimit(query, spareIndex, candidate)) {
             return std::nullopt;
         }
         double sum = 0;
         for (const auto &[image, tasks] : candidate.latencySensitiveTasks) {
             const double rise = slopeAgainst(query, *tasks.slopes, spareIndex, image) * share;
-            const bool isHarmful = rise > NegligibleRise && !query.acceptsInterference;
+            const bool isHarmful = rise > NegligibleRise && query.harmTolerance == HarmTolerance::None;
             // The load of a long-running task changes more slowly than it is polled, so a high tail latency persists for a while.
             if (isHarmful && (tasks.highestTailRatio + rise > MaxTailRatio || tasks.expectedTailRatio + rise > MaxTailRatio)) {
                 return std::nullopt;
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -71,6 +71,13 @@
 /** Returns whether a worker has enough free capacity for one more task of a step. */
 bool hasCapacityFor(const StepSpec &step, const PlacementCandidate &candidate);
 
+/** How much a task that uses spare capacity may harm the long-running tasks on its worker. */
+enum class HarmTolerance : std::uint8_t {
+    None, ///< No tail latency may come near its target.
+    Limited, ///< The deadline of the step is near: tail latencies may rise up to the harm limit.
+    Any, ///< Its job has made no progress for too long. Speed limits bound the harm once the task runs.
+};
+
 /** Input of chooseWorker(). */
 struct WorkerQuery {
     const StepSpec &step;
@@ -78,7 +85,7 @@
     const StepSpread &spread; ///< Present distribution of the tasks of the step.
     const PairInterference &interference;
     const SlopeTable &slopes;
-    bool acceptsInterference = false; ///< The deadline of the step is near, so its tasks may raise tail latencies up to the harm limit.
+    HarmTolerance harmTolerance = HarmTolerance::None;
     IncarnationNumber excluded = 0; ///< Incarnation that must not be chosen; 0 for none.
     bool acceptsAvoided = false; ///< Workers that are avoided may be chosen too.
 };
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -6,6 +6,9 @@
 #include "fleet/service_order.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <span>
 #include <utility>
 
 namespace Filbertlanding {
@@ -88,20 +91,69 @@
         const SlopeTable &slopes;
         std::vector<PlacementCandidate *> candidates;
         bool hasAvoided = false; ///< Some of the candidates are avoided.
+        std::set<ServiceName> idleServices; ///< Services with less than half of their CPU reserved.
         std::uint64_t maxScans = 0; ///< Value of FleetScheduler::fleetScans at which the pass ends.
         FailedPlacements failedPlacements;
     };
 
+    /** Returns the services with less than half of their CPU reserved. */
+    std::set<ServiceName> findIdleServices(const std::vector<PlacementCandidate *> &candidates)
+    {
+        std::map<ServiceName, std::int64_t> unreserved; ///< Unreserved CPU less half of the capacity.
+        for (const PlacementCandidate *candidate : candidates) {
+            unreserved[candidate->service] += candidate->capacity.cpuMillis / 2 - candidate->used.cpuMillis;
+        }
+        std::set<ServiceName> idle;
+        for (const auto &[service, cpuMillis] : unreserved) {
+            if (cpuMillis > 0) {
+                idle.insert(service);
+            }
+        }
+        return idle;
+    }
+
     bool isPending(const FleetScheduler &scheduler, const TaskRef &ref, const TaskRecord &task)
     {
         return !task.isDone && task.active.empty() && !scheduler.proposedStarts.contains(ref);
     }
 
+    /** Returns whether a task of a job runs, or its start is proposed. */
+    bool hasRuns(const FleetScheduler &scheduler, const FleetJob &job)
+    {
+        const auto proposed = scheduler.proposedStarts.lower_bound({job.number, 0, 0, 0});
+        if (proposed != scheduler.proposedStarts.end() && proposed->first.job == job.number) {
+            return true;
+        }
+        return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &item) {
+            return std::any_of(item.second.steps.begin(), item.second.steps.end(), [](const StepRecord &step) {
+                return step.activeCount > 0;
+            });
+        });
+    }
+
+    /**
+     * Marks the steps of a job that has had nothing running for too long. A job on time waits for a better worker in its own interest, and becomes late
+     * while it does.
+     */
+    void markStarvedSteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::span<ReadyStep> steps)
+    {
+        constexpr Duration MaxIdleTime{1'500};
+        if (steps.empty() || hasRuns(scheduler, job)) {
+            view.idleSince.reset();
+            return;
+        }
+        view.idleSince = view.idleSince.value_or(now);
+        for (ReadyStep &step : steps) {
+            step.isStarved = now - *view.idleSince >= MaxIdleTime && deadlineStatus(step, now) != DeadlineStatus::OnTime;
+        }
+    }
+
     void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::vector<ReadyStep> &ready)
     {
         if (view.isStale) {
             refreshJobView(scheduler, job, view);
         }
+        const std::size_t before = ready.size();
         for (const auto &[number, occurrence] : job.occurrences) {
             if (occurrence.isComplete) {
                 continue;
@@ -132,6 +184,7 @@
                 ready.push_back(step);
             }
         }
+        markStarvedSteps(scheduler, job, view, now, std::span(ready).subspan(before));
     }
 
     /** Returns the number of tasks of a step on each worker: those that run, and those whose start is proposed. */
@@ -260,38 +313,49 @@
     }
 
     /**
-     * Notes a request for which no worker was found, unless one could take it but for other tasks of the step there, an earlier failure of the
-     * task there, or slow tasks there. Those do not rule the worker out for other steps.
+     * Notes a request for which no worker was found, unless one could take it but for other tasks of the step there or an earlier failure of the
+     * task there. Those do not concern other steps.
      */
     void noteFailedPlacement(FleetScheduler &scheduler, const WorkerQuery &query, PlacementPass &pass)
     {
-        if (query.step.maxPerWorker > 0 || query.excluded != 0 || pass.hasAvoided) {
+        if (query.step.maxPerWorker > 0 || query.excluded != 0) {
             const StepSpread noSpread;
             const WorkerQuery unlimited{.step = query.step,
                                         .service = query.service,
                                         .spread = noSpread,
                                         .interference = query.interference,
                                         .slopes = query.slopes,
-                                        .acceptsInterference = query.acceptsInterference,
-                                        .acceptsAvoided = true};
+                                        .harmTolerance = query.harmTolerance,
+                                        .acceptsAvoided = query.acceptsAvoided};
             ++scheduler.fleetScans;
             if (chooseWorker(unlimited, pass.candidates)) {
                 return;
             }
         }
-        pass.failedPlacements.note(query.step, query.service, query.acceptsInterference);
+        pass.failedPlacements.note(query.step, query.service, query.harmTolerance);
     }
 
+    /** What a placement of a step may do. */
+    struct PlacementLimits {
+        HarmTolerance harmTolerance = HarmTolerance::None;
+        std::uint32_t maxTasks = 0; ///< Maximum number of tasks to place; a gang is placed as a whole.
+    };
+
     /** Places the tasks of a step one by one, as far as capacity allows. Returns false if tasks were left to the next pass. */
-    bool
-    placeIndependentTasks(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    bool placeIndependentTasks(FleetScheduler &scheduler,
+                               const FleetJob &job,
+                               const ReadyStep &step,
+                               const PlacementLimits &limits,
+                               PlacementPass &pass,
+                               TimePoint now,
+                               SchedulerActions &actions)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
         const Duration expected = stepTime(scheduler, job, step.step);
-        const bool acceptsInterference = spec.usesSpareCapacity && isDeadlineNear(step, now);
+        std::uint32_t placed = 0;
         StepSpread spread = spec.maxPerWorker > 0 || spec.isLongRunning ? spreadOf(scheduler, job, step) : StepSpread();
-        for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
+        for (std::uint32_t index = 0; index < spec.taskCount && placed < limits.maxTasks; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
             const TaskRecord &task = record.tasks[index];
             if (!isPending(scheduler, ref, task)) {
@@ -305,7 +369,7 @@
                               .spread = spread,
                               .interference = scheduler.learnedModel.interference,
                               .slopes = pass.slopes,
-                              .acceptsInterference = acceptsInterference};
+                              .harmTolerance = limits.harmTolerance};
             const auto chosen = chooseWorkerForTask(scheduler, query, findFailedRun(scheduler, ref, now), pass, now);
             if (!chosen) {
                 noteFailedPlacement(scheduler, query, pass);
@@ -314,13 +378,20 @@
             PlacementCandidate &candidate = *pass.candidates[*chosen];
             reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
             ++spread[candidate.incarnation];
+            ++placed;
             proposeStart(scheduler, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, expected}, now, actions);
         }
         return true;
     }
 
     /** Places all tasks of a gang, or none. */
-    void placeGang(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    void placeGang(FleetScheduler &scheduler,
+                   const FleetJob &job,
+                   const ReadyStep &step,
+                   const PlacementLimits &limits,
+                   PlacementPass &pass,
+                   TimePoint now,
+                   SchedulerActions &actions)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
@@ -340,8 +411,12 @@
         const Duration expected = stepTime(scheduler, job, step.step);
         std::vector<RunPlacement> placements;
         std::uint32_t run = 0;
-        WorkerQuery query{
-            .step = spec, .service = job.queue.service, .spread = spread, .interference = scheduler.learnedModel.interference, .slopes = pass.slopes};
+        WorkerQuery query{.step = spec,
+                          .service = job.queue.service,
+                          .spread = spread,
+                          .interference = scheduler.learnedModel.interference,
+                          .slopes = pass.slopes,
+                          .harmTolerance = limits.harmTolerance};
         query.acceptsAvoided = pass.hasAvoided && !hasAlternative(query, trial, spec.taskCount);
         for (const TaskRecord &task : record.tasks) {
             ++scheduler.fleetScans;
@@ -374,18 +449,45 @@
         }
     }
 
-    /** Places the tasks of a step. Returns false if tasks were left to the next pass. */
-    bool placeStep(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    /** Places the tasks of a step within limits, unless it is known that none fits. Returns false if tasks were left to the next pass. */
+    bool placeWithin(FleetScheduler &scheduler,
+                     const FleetJob &job,
+                     const ReadyStep &step,
+                     const PlacementLimits &limits,
+                     PlacementPass &pass,
+                     TimePoint now,
+                     SchedulerActions &actions)
     {
         const StepSpec &spec = job.spec.steps[step.step];
-        if (pass.failedPlacements.cannotFit(spec, job.queue.service, spec.usesSpareCapacity && isDeadlineNear(step, now))) {
+        // The workers that may run a step depend on its other tasks, and with them whether avoided ones are used.
+        const bool hasOwnAlternatives = pass.hasAvoided && spec.maxPerWorker > 0;
+        if (!hasOwnAlternatives && pass.failedPlacements.cannotFit(spec, job.queue.service, limits.harmTolerance)) {
             return true;
         }
         if (spec.isGang) {
-            placeGang(scheduler, job, step, pass, now, actions);
+            placeGang(scheduler, job, step, limits, pass, now, actions);
+            return true;
+        }
+        return placeIndependentTasks(scheduler, job, step, limits, pass, now, actions);
+    }
+
+    /**
+     * Places the tasks of a step. Returns false if tasks were left to the next pass. Interference with long-running tasks is a reason to prefer other
+     * workers and to wait for them, but not for ever: while most of a service is idle, a starved job gets one task whatever the interference.
+     */
+    bool placeStep(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    {
+        const std::uint32_t taskCount = job.spec.steps[step.step].taskCount;
+        const bool isTolerant = step.usesSpareCapacity && isDeadlineNear(step, now);
+        const std::size_t proposedBefore = actions.propose.size();
+        if (!placeWithin(scheduler, job, step, {isTolerant ? HarmTolerance::Limited : HarmTolerance::None, taskCount}, pass, now, actions)) {
+            return false;
+        }
+        const bool isPlaced = actions.propose.size() > proposedBefore;
+        if (!step.usesSpareCapacity || !step.isStarved || isPlaced || !pass.idleServices.contains(job.queue.service)) {
             return true;
         }
-        return placeIndependentTasks(scheduler, job, step, pass, now, actions);
+        return placeWithin(scheduler, job, step, {HarmTolerance::Any, 1}, pass, now, actions);
     }
 
     /** Returns the index of the step with which a pass begins: the one that the last pass left to it, if it is still ready. */
@@ -432,7 +534,8 @@
     const bool hasAvoided = std::any_of(candidates.begin(), candidates.end(), [](const PlacementCandidate *candidate) {
         return candidate->isAvoided;
     });
-    PlacementPass pass{*scheduler.slopes, std::move(candidates), hasAvoided, scheduler.fleetScans + scansOfPass, {}};
+    std::set<ServiceName> idleServices = findIdleServices(candidates);
+    PlacementPass pass{*scheduler.slopes, std::move(candidates), hasAvoided, std::move(idleServices), scheduler.fleetScans + scansOfPass, {}};
     sortByServiceOrder(ready, now);
     placeCopies(scheduler, state, pass, now, actions);
     placeSteps(scheduler, state, ready, pass, now, actions);
--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -17,6 +17,7 @@
     std::int64_t priority = 0; ///< Priority of the queue; 0 is the highest.
     bool isLongRunning = false;
     bool usesSpareCapacity = false;
+    bool isStarved = false; ///< Its job has had nothing running for too long.
     Duration waitedFor; ///< Time for which a long-running step has lacked tasks.
     TimePoint acceptedAt;
     TimePoint objectiveDeadline; ///< Completion time by which the job meets its latency objective.
--- a/tests/fleet_place_test.cpp
+++ b/tests/fleet_place_test.cpp
@@ -66,6 +66,34 @@
     CHECK(static_cast<double>(simulation.overTargetMs["quiet"]) < 0.05 * static_cast<double>(simulation.longRunningMs));
 }
 
+TEST_CASE("A job that interferes with long-running tasks everywhere makes progress although its result has lost its value")
+{
+    // Long-running tasks of one image on every worker, which reserve less than half of it, and jobs in spare capacity that would push them far over their
+    // targets. Guards against accepted jobs that are never started while most of the fleet is idle, since no limit of harm allows a worker once their deadline
+    // is long past.
+    FleetSimulationSettings settings;
+    settings.interference[{"quiet", "noisy"}] = 9.0;
+    FleetSimulation simulation(settings);
+    simulation.run({100});
+    JobSpec watch = longRunningJob(24, "quiet");
+    watch.steps.front().maxPerWorker = 2;
+    simulation.submit("watch", watch);
+    simulation.run({2'000});
+    constexpr int Jobs = 6;
+    for (int i = 0; i < Jobs; ++i) {
+        simulation.submit("noisy" + std::to_string(i), spareCapacityJob(4, "noisy", {1'500}));
+        simulation.run({500});
+    }
+    simulation.run({60'000});
+    int completed = 0;
+    for (int i = 0; i < Jobs; ++i) {
+        completed += simulation.outcomes.at("noisy" + std::to_string(i)).state == FleetJobState::Completed ? 1 : 0;
+    }
+    CHECK(completed == Jobs);
+    // Speed limits bound the harm.
+    CHECK(static_cast<double>(simulation.overTargetMs["quiet"]) < 0.05 * static_cast<double>(simulation.longRunningMs));
+}
+
 TEST_CASE("Steps are ordered by rank and slack when capacity is short")
 {
     // The order documented in service_order.cpp: long-running tasks that have waited, jobs on time, other long-running tasks, late jobs, jobs whose
