Fix: a worker that has said goodbye is only taken for ended when its host refuses the connection

Cause: DELETE names no process, so it is taken for one of the present incarnation, and the first connection that could not be opened then ended the incarnation, although a host behind a partition does not answer either.

Change: the HTTP client tells a refused connection from one that was not opened in time; orders get the outcome NotListening for it, and only that ends a worker that has said goodbye. Otherwise its lease decides. The simulated links now fail like that too: a partition lets new connections hang.

--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -257,11 +257,16 @@
             this->execute(handleResponse(leader->second->scheduler, this->stateOf(*leader->second), number, response, this->now, this->wall()), term);
         }
     };
-    this->at(this->now + order.timeout, [finish] {
-        finish(OrderResponse());
+    const auto isUnsent = std::make_shared<bool>(false);
+    this->at(this->now + order.timeout, [finish, isUnsent] {
+        OrderResponse none;
+        none.outcome = *isUnsent ? OrderOutcome::Unreachable : OrderOutcome::NoResponse;
+        finish(none);
     });
-    this->at(this->now + this->settings.linkDelay, [this, order, isLost, orderDelay, finish] {
+    this->at(this->now + this->settings.linkDelay, [this, order, isLost, orderDelay, finish, isUnsent] {
         if (this->partitionedWorkers.contains(order.worker)) {
+            // A new connection cannot be opened; what is written to an open one may have been sent.
+            *isUnsent = order.usesFreshConnection;
             return;
         }
         const auto present = this->workers.find(order.worker);
@@ -281,7 +286,7 @@
     }
     if (worker == this->workers.end()) {
         OrderResponse refused;
-        refused.outcome = this->reusedAddresses.contains(order.worker) ? OrderOutcome::OtherIncarnation : OrderOutcome::Unreachable;
+        refused.outcome = this->reusedAddresses.contains(order.worker) ? OrderOutcome::OtherIncarnation : OrderOutcome::NotListening;
         finish(refused);
         return;
     }
@@ -367,6 +372,11 @@
     this->reusedAddresses.insert(worker);
 }
 
+void FleetSimulation::sayGoodbye(const WorkerName &worker)
+{
+    handleGoodbye(this->leaders.at(this->lastTerm)->scheduler, this->state, worker);
+}
+
 void FleetSimulation::setPartitioned(const WorkerName &worker, bool isPartitioned)
 {
     if (isPartitioned) {
--- a/fakes/fleet_simulation.h
+++ b/fakes/fleet_simulation.h
@@ -65,6 +65,9 @@
     /** Gives the address of a crashed worker to another one, which refuses the orders for it. */
     void reuseAddress(const WorkerName &worker);
 
+    /** Delivers the notice of a shutdown under a worker's name. */
+    void sayGoodbye(const WorkerName &worker);
+
     /** Partitions a worker from all leaders, or heals the partition. */
     void setPartitioned(const WorkerName &worker, bool isPartitioned);
 
--- a/src/fleet/scheduler_responses.cpp
+++ b/src/fleet/scheduler_responses.cpp
@@ -200,7 +200,8 @@
             ++session.consecutiveOrderFailures;
             session.isIncarnationConfirmed = false;
             session.nextPoll = now + retryDelay(session.consecutiveOrderFailures);
-            if (response.outcome == OrderOutcome::Unreachable && session.isShuttingDown) {
+            // A host that does not answer proves nothing: the worker may be cut off, and the goodbye one of its predecessor that has arrived late.
+            if (response.outcome == OrderOutcome::NotListening && session.isShuttingDown) {
                 proposeIncarnationEnd(session, actions);
             }
             return;
@@ -280,6 +281,7 @@
             session.nextPoll = now;
             return;
         case OrderOutcome::Unreachable:
+        case OrderOutcome::NotListening:
             ++session.consecutiveOrderFailures;
             session.nextPoll = now;
             if (!run.mayHaveReachedWorker) {
@@ -351,7 +353,8 @@
         return actions;
     }
     session.nextRunOrderAt = now;
-    const bool hasFailed = response.outcome == OrderOutcome::NoResponse || response.outcome == OrderOutcome::Unreachable;
+    const bool isUnsent = response.outcome == OrderOutcome::Unreachable || response.outcome == OrderOutcome::NotListening;
+    const bool hasFailed = response.outcome == OrderOutcome::NoResponse || isUnsent;
     session.isIncarnationConfirmed = session.isIncarnationConfirmed && !hasFailed && !hasClockRestarted(pendingOrder, response);
     if (pendingOrder.isOrphan) {
         handleOrphanStopResponse(scheduler, session, pendingOrder, response, now);
--- a/src/fleet/worker_order_type.h
+++ b/src/fleet/worker_order_type.h
@@ -61,8 +61,9 @@
     Unhealthy, ///< The worker is unable to execute orders.
     OtherIncarnation, ///< Another incarnation has the address.
     Refused, ///< The worker rejects the order for another reason.
-    Unreachable, ///< No connection; the worker has not received the order.
+    Unreachable, ///< No connection in time; the worker has not received the order.
     NoResponse, ///< No response; the worker may execute the order, also later.
+    NotListening, ///< The host refuses the connection, so the process has ended; the worker has not received the order.
 };
 
 /** A running task in a worker's list. */
--- a/src/network/http_client.cpp
+++ b/src/network/http_client.cpp
@@ -54,6 +54,7 @@
         std::chrono::steady_clock::time_point deadline; ///< Counts from the moment of send(), not from when the loop takes the call.
         std::weak_ptr<ClientConnection> connection; ///< Connection that is opened for it or carries it.
         bool bytesSent = false;
+        bool isConnectionRefused = false;
         bool finished = false;
     };
 
@@ -233,6 +234,9 @@
             return;
         }
         if (error) {
+            if (connection->call != nullptr) {
+                connection->call->isConnectionRefused = error == net::error::connection_refused || error == net::error::connection_reset;
+            }
             this->onConnectFailed(connection);
             return;
         }
@@ -470,7 +474,7 @@
         this->counters.clientOutcomeUnknown += code == ResultCode::OutcomeUnknown ? 1 : 0;
         this->counters.clientNotSent += call->bytesSent ? 0 : 1;
         const HttpDone done = std::exchange(call->done, nullptr);
-        done({code, call->bytesSent, std::move(response)});
+        done({code, call->bytesSent, std::move(response), call->isConnectionRefused});
     }
 
     void ClientLoop::shutDown()
--- a/src/network/http_client.h
+++ b/src/network/http_client.h
@@ -42,6 +42,7 @@
     ResultCode code = ResultCode::Internal;
     bool bytesSent = false; ///< False only if certainly no byte of the request has left the process.
     HttpResponse response; ///< Response; empty unless the code is Ok.
+    bool isConnectionRefused = false; ///< ConnectFailed: the host has answered that no process listens; otherwise it has not answered in time.
 };
 
 /** Takes the outcome of a request; called exactly once, on a thread of the client; must not block. */
--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -139,6 +139,36 @@
     CHECK_MESSAGE(simulation.violations.empty(), firstViolations(simulation.violations));
 }
 
+TEST_CASE("A goodbye is no proof that the present process of a worker has ended")
+{
+    // Guards against two runs of one task: a goodbye of the previous process arrives late, and the worker is cut off before its next report.
+    FleetSimulation simulation({});
+    simulation.run({100});
+    simulation.submit("long", oneStepJob(24, SmallTask, {15'000}));
+    simulation.run({1'000});
+    simulation.sayGoodbye("w0");
+
+    SUBCASE("its runs are kept while it may be cut off")
+    {
+        simulation.setPartitioned("w0", true);
+        simulation.run({3'000});
+        simulation.setPartitioned("w0", false);
+        simulation.run({20'000});
+        CHECK(simulation.startedRuns == 24);
+    }
+
+    SUBCASE("its runs are started elsewhere at once if its host refuses the connection")
+    {
+        simulation.crash("w0", false);
+        // The poll that waits at the worker is given up first.
+        simulation.run({3'500});
+        CHECK(simulation.startedRuns > 24);
+        simulation.run({20'000});
+    }
+    CHECK(simulation.outcomes.at("long").state == FleetJobState::Completed);
+    CHECK_MESSAGE(simulation.violations.empty(), firstViolations(simulation.violations));
+}
+
 TEST_CASE("A draining worker gets no new tasks, and its long-running tasks move to other workers")
 {
     FleetSimulation simulation({});
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -333,6 +333,7 @@
         }
         const HttpExchange result = exchange(client, port, "x");
         CHECK(result.code == ResultCode::ConnectFailed);
+        CHECK(result.isConnectionRefused);
         CHECK_FALSE(result.bytesSent);
     }
 
--- a/tests/platform_edge_test.cpp
+++ b/tests/platform_edge_test.cpp
@@ -203,6 +203,7 @@
         CHECK(parsePlatformOrderResponse(order, answered(421, "")).outcome == OrderOutcome::OtherIncarnation);
         CHECK(parsePlatformOrderResponse(order, answered(503, "")).outcome == OrderOutcome::Unhealthy);
         CHECK(parsePlatformOrderResponse(order, {ResultCode::ConnectFailed, false, {}}).outcome == OrderOutcome::Unreachable);
+        CHECK(parsePlatformOrderResponse(order, {ResultCode::ConnectFailed, false, {}, true}).outcome == OrderOutcome::NotListening);
         CHECK(parsePlatformOrderResponse(order, {ResultCode::OutcomeUnknown, true, {}}).outcome == OrderOutcome::NoResponse);
     }
 
