Fix: a job that is due any number of times at once opens a limited number of occurrences

One submission with a large repeatCount and an interval of 0 made the leader open every occurrence in one turn of its loop, and each of its successors again.

Change: at most 64 occurrences of a job are open and incomplete at a time. Not changed: completed occurrences stay in the state until their job is removed.

--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -440,10 +440,12 @@
         }
     }
 
-    /** Proposes to open the occurrences that are due. */
+    /** Proposes to open the occurrences that are due. Any number may be due at once, so the number of incomplete ones is limited. */
     void openDueOccurrences(JobView &view, const FleetJob &job, WallTime wall, SchedulerActions &actions)
     {
-        while (view.openedOccurrences < job.spec.repeatCount && wall.ms >= job.spec.startAt.ms + job.spec.interval.ms * view.openedOccurrences) {
+        constexpr std::uint32_t MaxIncompleteOccurrences = 64;
+        const std::uint32_t end = std::min(job.spec.repeatCount, job.completeCount + MaxIncompleteOccurrences);
+        while (view.openedOccurrences < end && wall.ms >= job.spec.startAt.ms + job.spec.interval.ms * view.openedOccurrences) {
             actions.propose.push_back(OpenOccurrence{job.number, view.openedOccurrences});
             ++view.openedOccurrences;
         }
--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -34,6 +34,23 @@
     }
 }
 
+TEST_CASE("A job that is due any number of times at once does not take the leader down")
+{
+    // Guards against one submission that lets each leader open millions of occurrences in one turn of its loop.
+    FleetSimulation simulation({});
+    simulation.run({100});
+    JobSpec repeated = oneStepJob(1, SmallTask, {300});
+    repeated.repeatCount = 1'000'000;
+    simulation.submit("repeated", repeated);
+    simulation.run({500});
+    simulation.submit("job", oneStepJob(4, SmallTask, {500}));
+    simulation.run({5'000});
+    const FleetJob &job = *findJob(simulation.state, "repeated");
+    CHECK(job.occurrences.size() - job.completeCount <= 64);
+    CHECK(job.completeCount > 64);
+    CHECK(simulation.outcomes.at("job").state == FleetJobState::Completed);
+}
+
 TEST_CASE("A cancelled job stops, and a job that is cancelled before its submission never starts")
 {
     FleetSimulation simulation({});
