Change: a placement pass carries its scheduler, time and actions; candidates in a file of their own

Change: PlacementPass holds what all steps of a pass share, makeQuery and reserve stand once, and the candidates are in placement_candidates.

--- /dev/null
+++ b/src/fleet/placement_candidates.cpp
@@ -0,0 +1,99 @@
+/** @file placement_candidates.cpp The workers among which a placement pass chooses. */
+
+#include "fleet/placement_candidates.h"
+
+#include "fleet/scheduler_detail.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Filbertlanding {
+
+namespace {
+
+    /** Recomputes a placement candidate from its worker's session. */
+    void refreshCandidate(PlacementCandidate &candidate,
+                          const WorkerIncarnation &incarnation,
+                          const WorkerSession &session,
+                          const SlopeTable &slopes,
+                          const PairInterference &interference)
+    {
+        candidate = PlacementCandidate();
+        candidate.incarnation = incarnation.number;
+        candidate.service = incarnation.profile.service;
+        candidate.availabilityZone = incarnation.profile.availabilityZone;
+        candidate.rack = incarnation.profile.rack;
+        candidate.labels = &incarnation.profile.labels;
+        candidate.capacity = incarnation.profile.capacity;
+        candidate.used = session.used;
+        candidate.spareCpuRequested = session.spareCpuRequested;
+        candidate.consecutiveFailures = session.consecutiveFailures;
+        const double capacity = std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
+        for (const auto &[task, run] : session.runs) {
+            if (run.usesSpareCapacity) {
+                candidate.spareCpuShares[run.image] += static_cast<double>(run.spareCpuMillis) / capacity;
+            }
+            if (!run.isLongRunning) {
+                continue;
+            }
+            candidate.longRunningCpu += run.reserved.cpuMillis;
+            if (run.latencyTarget.ms > 0) {
+                LatencySensitiveTasks &tasks = candidate.latencySensitiveTasks[run.image];
+                ++tasks.count;
+                tasks.cpuMillis += run.reserved.cpuMillis;
+                tasks.slopes = &slopesOf(slopes, run.image);
+                tasks.highestTailRatio = std::max(tasks.highestTailRatio, static_cast<double>(run.measurement) / static_cast<double>(run.latencyTarget.ms));
+            }
+        }
+        updateExpectedTails(candidate, interference);
+        updateSensitivity(candidate, slopes);
+    }
+
+    /** Updates the slope table after a new fit. All candidates depend on it and are dropped. */
+    void refreshSlopes(FleetScheduler &scheduler)
+    {
+        if (scheduler.slopes != nullptr && scheduler.slopes->fittedAt == scheduler.learnedModel.interference.fittedAt) {
+            return;
+        }
+        scheduler.slopes = std::make_shared<const SlopeTable>(makeSlopeTable(scheduler.learnedModel.interference));
+        scheduler.candidates.clear();
+    }
+
+} // namespace
+
+std::vector<PlacementCandidate *> usableWorkers(FleetScheduler &scheduler, const FleetState &state, TimePoint now)
+{
+    refreshSlopes(scheduler);
+    std::vector<PlacementCandidate *> candidates;
+    candidates.reserve(scheduler.sessions.size());
+    for (auto &[number, session] : scheduler.sessions) {
+        if (!isUsable(state, session, now)) {
+            continue;
+        }
+        const auto [candidate, isNew] = scheduler.candidates.try_emplace(number);
+        if (isNew || session.isCandidateStale) {
+            refreshCandidate(candidate->second, state.incarnations.at(number), session, *scheduler.slopes, scheduler.learnedModel.interference);
+            session.isCandidateStale = false;
+        }
+        candidate->second.isAvoided = now < session.avoidedUntil;
+        candidates.push_back(&candidate->second);
+    }
+    return candidates;
+}
+
+std::set<ServiceName> findIdleServices(const std::vector<PlacementCandidate *> &candidates)
+{
+    std::map<ServiceName, std::int64_t> unreserved; ///< Unreserved CPU less half of the capacity.
+    for (const PlacementCandidate *candidate : candidates) {
+        unreserved[candidate->service] += candidate->capacity.cpuMillis / 2 - candidate->used.cpuMillis;
+    }
+    std::set<ServiceName> idle;
+    for (const auto &[service, cpuMillis] : unreserved) {
+        if (cpuMillis > 0) {
+            idle.insert(service);
+        }
+    }
+    return idle;
+}
+
+} // namespace Filbertlanding
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -2,11 +2,11 @@
 
 #include "fleet/failed_placements.h"
 #include "fleet/place_run.h"
+#include "fleet/placement_candidates.h"
 #include "fleet/scheduler_detail.h"
 #include "fleet/service_order.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <span>
 #include <utility>
@@ -18,100 +18,19 @@
     /** Workers that a placement pass examines before the rest is left to the next pass: a pass of a few ms, so that it does not block the event loop. */
     constexpr std::uint64_t MaxWorkersExaminedPerPass = 32'768;
 
-    /** Recomputes a placement candidate from its worker's session. */
-    void refreshCandidate(PlacementCandidate &candidate,
-                          const WorkerIncarnation &incarnation,
-                          const WorkerSession &session,
-                          const SlopeTable &slopes,
-                          const PairInterference &interference)
-    {
-        candidate = PlacementCandidate();
-        candidate.incarnation = incarnation.number;
-        candidate.service = incarnation.profile.service;
-        candidate.availabilityZone = incarnation.profile.availabilityZone;
-        candidate.rack = incarnation.profile.rack;
-        candidate.labels = &incarnation.profile.labels;
-        candidate.capacity = incarnation.profile.capacity;
-        candidate.used = session.used;
-        candidate.spareCpuRequested = session.spareCpuRequested;
-        candidate.consecutiveFailures = session.consecutiveFailures;
-        const double capacity = std::max<double>(1, static_cast<double>(candidate.capacity.cpuMillis));
-        for (const auto &[task, run] : session.runs) {
-            if (run.usesSpareCapacity) {
-                candidate.spareCpuShares[run.image] += static_cast<double>(run.spareCpuMillis) / capacity;
-            }
-            if (!run.isLongRunning) {
-                continue;
-            }
-            candidate.longRunningCpu += run.reserved.cpuMillis;
-            if (run.latencyTarget.ms > 0) {
-                LatencySensitiveTasks &tasks = candidate.latencySensitiveTasks[run.image];
-                ++tasks.count;
-                tasks.cpuMillis += run.reserved.cpuMillis;
-                tasks.slopes = &slopesOf(slopes, run.image);
-                tasks.highestTailRatio = std::max(tasks.highestTailRatio, static_cast<double>(run.measurement) / static_cast<double>(run.latencyTarget.ms));
-            }
-        }
-        updateExpectedTails(candidate, interference);
-        updateSensitivity(candidate, slopes);
-    }
-
-    /** Updates the slope table after a new fit. All candidates depend on it and are dropped. */
-    void refreshSlopes(FleetScheduler &scheduler)
-    {
-        if (scheduler.slopes != nullptr && scheduler.slopes->fittedAt == scheduler.learnedModel.interference.fittedAt) {
-            return;
-        }
-        scheduler.slopes = std::make_shared<const SlopeTable>(makeSlopeTable(scheduler.learnedModel.interference));
-        scheduler.candidates.clear();
-    }
-
-    std::vector<PlacementCandidate *> usableWorkers(FleetScheduler &scheduler, const FleetState &state, TimePoint now)
-    {
-        refreshSlopes(scheduler);
-        std::vector<PlacementCandidate *> candidates;
-        candidates.reserve(scheduler.sessions.size());
-        for (auto &[number, session] : scheduler.sessions) {
-            if (!isUsable(state, session, now)) {
-                continue;
-            }
-            const auto [candidate, isNew] = scheduler.candidates.try_emplace(number);
-            if (isNew || session.isCandidateStale) {
-                refreshCandidate(candidate->second, state.incarnations.at(number), session, *scheduler.slopes, scheduler.learnedModel.interference);
-                session.isCandidateStale = false;
-            }
-            candidate->second.isAvoided = now < session.avoidedUntil;
-            candidates.push_back(&candidate->second);
-        }
-        return candidates;
-    }
-
     /** State of a placement pass. */
     struct PlacementPass {
+        FleetScheduler &scheduler;
+        TimePoint now;
+        SchedulerActions &actions;
+        std::vector<PlacementCandidate *> candidates; ///< Set before the slopes, which are refreshed with them.
         const SlopeTable &slopes;
-        std::vector<PlacementCandidate *> candidates;
         bool hasAvoided = false; ///< Some of the candidates are avoided.
         std::set<ServiceName> idleServices; ///< Services with less than half of their CPU reserved.
         std::uint64_t maxScans = 0; ///< Value of FleetScheduler::fleetScans at which the pass ends.
         FailedPlacements failedPlacements;
     };
 
-    /** Returns the services with less than half of their CPU reserved. */
-    std::set<ServiceName> findIdleServices(const std::vector<PlacementCandidate *> &candidates)
-    {
-        std::map<ServiceName, std::int64_t> unreserved; ///< Unreserved CPU less half of the capacity.
-        for (const PlacementCandidate *candidate : candidates) {
-            unreserved[candidate->service] += candidate->capacity.cpuMillis / 2 - candidate->used.cpuMillis;
-        }
-        std::set<ServiceName> idle;
-        for (const auto &[service, cpuMillis] : unreserved) {
-            if (cpuMillis > 0) {
-                idle.insert(service);
-            }
-        }
-        return idle;
-    }
-
     bool isPending(const FleetScheduler &scheduler, const TaskRef &ref, const TaskRecord &task)
     {
         return !task.isDone && task.active.empty() && !scheduler.proposedStarts.contains(ref);
@@ -218,22 +137,29 @@
         Duration nearTime; ///< Expected run time in the rack of the data.
     };
 
-    void proposeStart(FleetScheduler &scheduler,
-                      const StepSpec &spec,
-                      const TaskRef &ref,
-                      const TaskRecord &task,
-                      const RunPlacement &placement,
-                      TimePoint now,
-                      SchedulerActions &actions)
+    void proposeStart(PlacementPass &pass, const StepSpec &spec, const TaskRef &ref, const TaskRecord &task, const RunPlacement &placement)
     {
-        RunView view = makeRunView(spec, placement.run, RunPhase::Proposed, now);
+        FleetScheduler &scheduler = pass.scheduler;
+        RunView view = makeRunView(spec, placement.run, RunPhase::Proposed, pass.now);
         view.checkpoint = task.checkpoint;
         view.isDataRemote = isDataRemote(spec, placement.rack);
         view.expectedTime = placement.nearTime * (view.isDataRemote ? scheduler.settings.farFactor : 1);
         scheduler.migratingTasks.erase(ref);
         addRun(scheduler.sessions.at(placement.incarnation), ref, std::move(view));
         scheduler.proposedStarts[ref] = placement.incarnation;
-        actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
+        pass.actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
+    }
+
+    /** Returns the query for one more task of a step, without any special permission. */
+    WorkerQuery makeQuery(const PlacementPass &pass, const FleetJob &job, const StepSpec &spec, const StepSpread &spread)
+    {
+        return {.step = spec, .service = job.queue.service, .spread = spread, .interference = pass.scheduler.learnedModel.interference, .slopes = pass.slopes};
+    }
+
+    /** Reserves the capacity for one more task of a step on a candidate. */
+    void reserve(const PlacementPass &pass, const StepSpec &spec, PlacementCandidate &candidate)
+    {
+        reserveCapacity(candidate, spec, pass.slopes, pass.scheduler.learnedModel.interference);
     }
 
     /** Returns the latest failed run of a task if the next one should be placed on another worker. */
@@ -257,20 +183,19 @@
      * Chooses a worker for a task. The worker on which the task has just failed and workers with slow tasks are only chosen if no other worker
      * may run the task: they are avoided, but a task must not wait for ever because of that.
      */
-    std::optional<std::size_t>
-    chooseWorkerForTask(FleetScheduler &scheduler, WorkerQuery &query, const FailedRun *failed, const PlacementPass &pass, TimePoint now)
+    std::optional<std::size_t> chooseWorkerForTask(PlacementPass &pass, WorkerQuery &query, const FailedRun *failed)
     {
         query.excluded = failed == nullptr ? 0 : failed->incarnation;
-        ++scheduler.fleetScans;
+        ++pass.scheduler.fleetScans;
         const auto chosen = chooseWorker(query, pass.candidates);
         if (chosen || (failed == nullptr && !pass.hasAvoided) || hasAlternative(query, pass.candidates, 1)) {
             return chosen;
         }
-        if (failed != nullptr && mayRetryOnSameWorker(*failed, now)) {
+        if (failed != nullptr && mayRetryOnSameWorker(*failed, pass.now)) {
             query.excluded = 0;
         }
         query.acceptsAvoided = true;
-        ++scheduler.fleetScans;
+        ++pass.scheduler.fleetScans;
         return chooseWorker(query, pass.candidates);
     }
 
@@ -282,8 +207,9 @@
     }
 
     /** Starts the requested speculative copies of stalled and slow tasks. */
-    void placeCopies(FleetScheduler &scheduler, const FleetState &state, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    void placeCopies(PlacementPass &pass, const FleetState &state)
     {
+        FleetScheduler &scheduler = pass.scheduler;
         std::erase_if(scheduler.requestedCopies, [&scheduler, &state](const auto &item) {
             return !scheduler.jobs.contains(item.first.job) || !isCopyUseful(state.jobs.at(item.first.job), item.first);
         });
@@ -296,18 +222,13 @@
             const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
             const StepSpread spread = spreadOf(scheduler, job, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
             ++scheduler.fleetScans;
-            const auto chosen = chooseWorker({.step = spec,
-                                              .service = job.queue.service,
-                                              .spread = spread,
-                                              .interference = scheduler.learnedModel.interference,
-                                              .slopes = pass.slopes,
-                                              .excluded = incarnation},
-                                             pass.candidates);
+            WorkerQuery query = makeQuery(pass, job, spec, spread);
+            query.excluded = incarnation;
+            const auto chosen = chooseWorker(query, pass.candidates);
             if (chosen) {
                 PlacementCandidate &candidate = *pass.candidates[*chosen];
-                reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
-                proposeStart(
-                    scheduler, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, stepTime(scheduler, job, ref.step)}, now, actions);
+                reserve(pass, spec, candidate);
+                proposeStart(pass, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, stepTime(scheduler, job, ref.step)});
             }
         }
     }
@@ -316,18 +237,14 @@
      * Notes a request for which no worker was found, unless one could take it but for other tasks of the step there or an earlier failure of the
      * task there. Those do not concern other steps.
      */
-    void noteFailedPlacement(FleetScheduler &scheduler, const WorkerQuery &query, PlacementPass &pass)
+    void noteFailedPlacement(PlacementPass &pass, const FleetJob &job, const WorkerQuery &query)
     {
         if (query.step.maxPerWorker > 0 || query.excluded != 0) {
             const StepSpread noSpread;
-            const WorkerQuery unlimited{.step = query.step,
-                                        .service = query.service,
-                                        .spread = noSpread,
-                                        .interference = query.interference,
-                                        .slopes = query.slopes,
-                                        .harmTolerance = query.harmTolerance,
-                                        .acceptsAvoided = query.acceptsAvoided};
-            ++scheduler.fleetScans;
+            WorkerQuery unlimited = makeQuery(pass, job, query.step, noSpread);
+            unlimited.harmTolerance = query.harmTolerance;
+            unlimited.acceptsAvoided = query.acceptsAvoided;
+            ++pass.scheduler.fleetScans;
             if (chooseWorker(unlimited, pass.candidates)) {
                 return;
             }
@@ -342,14 +259,9 @@
     };
 
     /** Places the tasks of a step one by one, as far as capacity allows. Returns false if tasks were left to the next pass. */
-    bool placeIndependentTasks(FleetScheduler &scheduler,
-                               const FleetJob &job,
-                               const ReadyStep &step,
-                               const PlacementLimits &limits,
-                               PlacementPass &pass,
-                               TimePoint now,
-                               SchedulerActions &actions)
+    bool placeIndependentTasks(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
     {
+        const FleetScheduler &scheduler = pass.scheduler;
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
         const Duration expected = stepTime(scheduler, job, step.step);
@@ -364,34 +276,29 @@
             if (scheduler.fleetScans >= pass.maxScans) {
                 return false;
             }
-            WorkerQuery query{.step = spec,
-                              .service = job.queue.service,
-                              .spread = spread,
-                              .interference = scheduler.learnedModel.interference,
-                              .slopes = pass.slopes,
-                              .harmTolerance = limits.harmTolerance};
-            const auto chosen = chooseWorkerForTask(scheduler, query, findFailedRun(scheduler, ref, now), pass, now);
+            const FailedRun *failed = findFailedRun(scheduler, ref, pass.now);
+            WorkerQuery query = makeQuery(pass, job, spec, spread);
+            query.harmTolerance = limits.harmTolerance;
+            const auto chosen = chooseWorkerForTask(pass, query, failed);
             if (!chosen) {
-                noteFailedPlacement(scheduler, query, pass);
-                return true;
+                noteFailedPlacement(pass, job, query);
+                if (failed == nullptr) {
+                    return true;
+                }
+                // The other tasks of the step may run on the worker that this one avoids.
+                continue;
             }
             PlacementCandidate &candidate = *pass.candidates[*chosen];
-            reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
+            reserve(pass, spec, candidate);
             ++spread[candidate.incarnation];
             ++placed;
-            proposeStart(scheduler, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, expected}, now, actions);
+            proposeStart(pass, spec, ref, task, {task.lastRun + 1, candidate.incarnation, candidate.rack, expected});
         }
         return true;
     }
 
     /** Places all tasks of a gang, or none. */
-    void placeGang(FleetScheduler &scheduler,
-                   const FleetJob &job,
-                   const ReadyStep &step,
-                   const PlacementLimits &limits,
-                   PlacementPass &pass,
-                   TimePoint now,
-                   SchedulerActions &actions)
+    void placeGang(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const StepRecord &record = job.occurrences.at(step.occurrence).steps[step.step];
@@ -408,24 +315,20 @@
             trial.push_back(&trialCandidates.back());
         }
         StepSpread spread;
-        const Duration expected = stepTime(scheduler, job, step.step);
+        const Duration expected = stepTime(pass.scheduler, job, step.step);
         std::vector<RunPlacement> placements;
         std::uint32_t run = 0;
-        WorkerQuery query{.step = spec,
-                          .service = job.queue.service,
-                          .spread = spread,
-                          .interference = scheduler.learnedModel.interference,
-                          .slopes = pass.slopes,
-                          .harmTolerance = limits.harmTolerance};
+        WorkerQuery query = makeQuery(pass, job, spec, spread);
+        query.harmTolerance = limits.harmTolerance;
         query.acceptsAvoided = pass.hasAvoided && !hasAlternative(query, trial, spec.taskCount);
         for (const TaskRecord &task : record.tasks) {
-            ++scheduler.fleetScans;
+            ++pass.scheduler.fleetScans;
             const auto chosen = chooseWorker(query, trial);
             if (!chosen) {
                 return;
             }
             PlacementCandidate &candidate = *trial[*chosen];
-            reserveCapacity(candidate, spec, pass.slopes, scheduler.learnedModel.interference);
+            reserve(pass, spec, candidate);
             ++spread[candidate.incarnation];
             placements.push_back({0, candidate.incarnation, candidate.rack, expected});
             run = std::max(run, task.lastRun + 1);
@@ -436,7 +339,7 @@
         for (std::uint32_t index = 0; index < spec.taskCount; ++index) {
             const TaskRef ref{step.job, step.occurrence, step.step, index};
             placements[index].run = run;
-            proposeStart(scheduler, spec, ref, record.tasks[index], placements[index], now, actions);
+            proposeStart(pass, spec, ref, record.tasks[index], placements[index]);
         }
     }
 
@@ -452,13 +355,7 @@
     }
 
     /** Places the tasks of a step within limits, unless it is known that none fits. Returns false if tasks were left to the next pass. */
-    bool placeWithin(FleetScheduler &scheduler,
-                     const FleetJob &job,
-                     const ReadyStep &step,
-                     const PlacementLimits &limits,
-                     PlacementPass &pass,
-                     TimePoint now,
-                     SchedulerActions &actions)
+    bool placeWithin(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         // The workers that may run a step depend on its other tasks, and with them whether avoided ones are used.
@@ -467,29 +364,29 @@
             return true;
         }
         if (spec.isGang) {
-            placeGang(scheduler, job, step, limits, pass, now, actions);
+            placeGang(pass, job, step, limits);
             return true;
         }
-        return placeIndependentTasks(scheduler, job, step, limits, pass, now, actions);
+        return placeIndependentTasks(pass, job, step, limits);
     }
 
     /**
      * Places the tasks of a step. Returns false if tasks were left to the next pass. Interference with long-running tasks is a reason to prefer other
      * workers and to wait for them, but not for ever: while most of a service is idle, a starved job gets one task whatever the interference.
      */
-    bool placeStep(FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    bool placeStep(PlacementPass &pass, const FleetJob &job, const ReadyStep &step)
     {
         const std::uint32_t taskCount = job.spec.steps[step.step].taskCount;
-        const bool isTolerant = step.usesSpareCapacity && isDeadlineNear(step, now);
-        const std::size_t proposedBefore = actions.propose.size();
-        if (!placeWithin(scheduler, job, step, {isTolerant ? HarmTolerance::Limited : HarmTolerance::None, taskCount}, pass, now, actions)) {
+        const bool isTolerant = step.usesSpareCapacity && isDeadlineNear(step, pass.now);
+        const std::size_t proposedBefore = pass.actions.propose.size();
+        if (!placeWithin(pass, job, step, {isTolerant ? HarmTolerance::Limited : HarmTolerance::None, taskCount})) {
             return false;
         }
-        const bool isPlaced = actions.propose.size() > proposedBefore;
+        const bool isPlaced = pass.actions.propose.size() > proposedBefore;
         if (!step.usesSpareCapacity || !step.isStarved || isPlaced || !pass.idleServices.contains(job.queue.service)) {
             return true;
         }
-        return placeWithin(scheduler, job, step, {HarmTolerance::Any, 1}, pass, now, actions);
+        return placeWithin(pass, job, step, {HarmTolerance::Any, 1});
     }
 
     /** Returns the index of the step with which a pass begins: the one that the last pass left to it, if it is still ready. */
@@ -503,12 +400,12 @@
     }
 
     /** Places the tasks of ready steps in their order, until the pass has taken its share of the processor. */
-    void placeSteps(
-        FleetScheduler &scheduler, const FleetState &state, const std::vector<ReadyStep> &ready, PlacementPass &pass, TimePoint now, SchedulerActions &actions)
+    void placeSteps(PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready)
     {
+        FleetScheduler &scheduler = pass.scheduler;
         const std::size_t first = firstStepOfPass(scheduler, ready);
         for (std::size_t i = first; i < ready.size(); ++i) {
-            if (scheduler.fleetScans >= pass.maxScans || !placeStep(scheduler, state.jobs.at(ready[i].job), ready[i], pass, now, actions)) {
+            if (scheduler.fleetScans >= pass.maxScans || !placeStep(pass, state.jobs.at(ready[i].job), ready[i])) {
                 scheduler.resumePlacementAt = TaskRef{ready[i].job, ready[i].occurrence, ready[i].step, 0};
                 scheduler.isPlacementDue = true;
                 return;
@@ -531,16 +428,15 @@
     if (ready.empty() && scheduler.requestedCopies.empty()) {
         return;
     }
-    std::vector<PlacementCandidate *> candidates = usableWorkers(scheduler, state, now);
-    const std::uint64_t scansOfPass = 1 + MaxWorkersExaminedPerPass / std::max<std::size_t>(1, candidates.size());
-    const bool hasAvoided = std::any_of(candidates.begin(), candidates.end(), [](const PlacementCandidate *candidate) {
+    PlacementPass pass{.scheduler = scheduler, .now = now, .actions = actions, .candidates = usableWorkers(scheduler, state, now), .slopes = *scheduler.slopes};
+    pass.hasAvoided = std::any_of(pass.candidates.begin(), pass.candidates.end(), [](const PlacementCandidate *candidate) {
         return candidate->isAvoided;
     });
-    std::set<ServiceName> idleServices = findIdleServices(candidates);
-    PlacementPass pass{*scheduler.slopes, std::move(candidates), hasAvoided, std::move(idleServices), scheduler.fleetScans + scansOfPass, {}};
+    pass.idleServices = findIdleServices(pass.candidates);
+    pass.maxScans = scheduler.fleetScans + 1 + MaxWorkersExaminedPerPass / std::max<std::size_t>(1, pass.candidates.size());
     sortByServiceOrder(ready, now);
-    placeCopies(scheduler, state, pass, now, actions);
-    placeSteps(scheduler, state, ready, pass, now, actions);
+    placeCopies(pass, state);
+    placeSteps(pass, state, ready);
 }
 
 } // namespace Filbertlanding
--- a/tests/fleet_scheduler_test.cpp
+++ b/tests/fleet_scheduler_test.cpp
@@ -298,6 +298,21 @@
         CHECK(findJob(simulation.state, "spread")->occurrences.at(0).steps.front().activeCount == 12);
     }
 
+    SUBCASE("and the other tasks of its step do not wait for it")
+    {
+        // One task at a time fits on the worker, and the first one fails there.
+        simulation.workers.at("w0")->profile.capacity = SmallTask;
+        simulation.run({1'100});
+        simulation.workers.at("w0")->failsAll = true;
+        simulation.submit("series", labelledJob(3, "b", {10'000}));
+        while (simulation.leaderScheduler().failedRuns.empty()) {
+            simulation.run({5});
+        }
+        simulation.workers.at("w0")->failsAll = false;
+        simulation.run({200});
+        CHECK(findJob(simulation.state, "series")->occurrences.at(0).steps.front().activeCount == 1);
+    }
+
     SUBCASE("because it needs more than the other workers have free")
     {
         simulation.submit("full", oneStepJob(12, {20'000, 4'000, 0}, {600'000}));
