--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -56,7 +56,7 @@
      */
     void markStarvedSteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::span<ReadyStep> steps)
     {
-        constexpr Duration MaxIdleTime{1'500};
+        constexpr Duration MaxIdleTime{1'500}; // Longer than the gap between two runs of a job.
         if (steps.empty() || hasRuns(scheduler, job)) {
             view.idleSince.reset();
             return;
@@ -165,8 +165,7 @@
     /** Returns the latest failed run of a task if the next one should be placed on another worker. */
     const FailedRun *findFailedRun(const FleetScheduler &scheduler, const TaskRef &ref, TimePoint now)
     {
-        // Longer than a faulty worker usually takes to recover, and short enough for a long-running task that no other worker has room for.
-        constexpr Duration MaxAvoidance{5'000};
+        constexpr Duration MaxAvoidance{5'000}; // Limited for a task that no other worker has room for.
         const auto found = scheduler.failedRuns.find(ref);
         return found == scheduler.failedRuns.end() || now - found->second.at >= MaxAvoidance ? nullptr : &found->second;
     }
--- a/src/fleetd/worker_report_check.cpp
+++ b/src/fleetd/worker_report_check.cpp
@@ -18,17 +18,22 @@
 
     using Error = std::optional<WorkerReportError>;
 
+    bool isTooLong(const std::string &text)
+    {
+        return text.size() > MaxTextBytes;
+    }
+
     Error checkTexts(const WorkerProfile &profile)
     {
         if (profile.worker.empty() || profile.labels.size() > MaxLabels) {
             return WorkerReportError{ResultCode::BadRequest, "a worker needs a name and at most " + std::to_string(MaxLabels) + " labels"};
         }
-        std::vector<std::string> texts = profile.labels;
-        texts.insert(texts.end(), {profile.worker, profile.address, profile.availabilityZone, profile.service, profile.machine});
-        const bool isTooLong = std::any_of(texts.begin(), texts.end(), [](const std::string &text) {
-            return text.size() > MaxTextBytes;
-        });
-        return isTooLong ? Error(WorkerReportError{ResultCode::BadRequest, "a text is longer than " + std::to_string(MaxTextBytes) + " bytes"}) : std::nullopt;
+        const bool hasLongName = isTooLong(profile.worker) || isTooLong(profile.address) || isTooLong(profile.availabilityZone) || isTooLong(profile.service)
+            || isTooLong(profile.machine);
+        if (hasLongName || std::any_of(profile.labels.begin(), profile.labels.end(), isTooLong)) {
+            return WorkerReportError{ResultCode::BadRequest, "a text is longer than " + std::to_string(MaxTextBytes) + " bytes"};
+        }
+        return std::nullopt;
     }
 
     /** Checks that orders can be sent to the address. */
