--- a/tests/soak/soak_odd_reports.cpp
+++ b/tests/soak/soak_odd_reports.cpp
@@ -45,8 +45,7 @@
 } // namespace
 
 SoakOddReports::SoakOddReports(boost::asio::io_context &loop, const SoakSettings &soakSettings, const SoakWorkers &soakWorkers, SoakChecks &soakChecks)
-    : io(loop)
-    , workers(soakWorkers)
+    : workers(soakWorkers)
     , checks(soakChecks)
     , client(clientSettings(loop), counters)
     , random{soakSettings.seed ^ 0x0ddULL}
--- a/tests/soak/soak_odd_reports.h
+++ b/tests/soak/soak_odd_reports.h
@@ -36,7 +36,6 @@
     void send(const std::string &target, const std::string &body, const std::string &to, int redirectsLeft);
     std::string drawBody(bool hasSoundName, std::size_t worker);
 
-    boost::asio::io_context &io;
     const SoakWorkers &workers;
     SoakChecks &checks;
     NetworkCounters counters;
