Add: the leader logs who uses the CPU of the fleet and who waits for it

Callers saw only part of their jobs served in bursts (SHORT). task_held says that reserved CPU holds the tasks, but not who has it, so three causes could not be told apart: gaps too small for the tasks that wait, capacity spent on jobs that are late already, and long-running tasks that have taken the room.

Change: fleet_load, once a second, names the CPU that is free, the part of it that waiting tasks could use, and the CPU reserved and asked for by long-running jobs and by others that are on time, late or expired. No decision changes.

--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/name_table.h"
 #include "fleet/fleet_state_base.h"
 #include "fleet/place_run.h"
 
@@ -33,6 +34,12 @@
     Expired, ///< The result has no value for the caller any more, but the job was accepted and must run.
 };
 
+constexpr auto DeadlineStatusNames = makeNameTable<DeadlineStatus>({
+    {DeadlineStatus::OnTime, "on_time"},
+    {DeadlineStatus::Late, "late"},
+    {DeadlineStatus::Expired, "expired"},
+});
+
 /** Returns the status that a step reaches if it starts now. */
 DeadlineStatus deadlineStatus(const ReadyStep &step, TimePoint now);
 
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -118,6 +118,7 @@
     void advanceTick();
     void logChange(const FleetCommand &command, const FleetChange &change) const;
     void logHeldTasks();
+    void logFleetLoad();
     void countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued);
 
     void submitJob(const JobApiRequest &request, const QueueConfig &queue, const JobId &id, CallerResponseHandler done);
@@ -147,6 +148,7 @@
     std::uint64_t ordersInLastTerm = 0; ///< Number of the last order issued in that term.
     std::optional<FleetScheduler> scheduler; ///< Set while this daemon leads and has applied all entries of earlier leaders.
     WaitingSteps waitingSteps; ///< Ready steps of the present leadership.
+    TimePoint nextLoadLine; ///< Earliest time of the next log line about the load.
     std::multiset<JobId> pendingJobs; ///< Jobs that were proposed and are not applied yet.
     std::size_t pendingBytes = 0; ///< Memory of the pending jobs.
     std::vector<FleetCommand> outbox; ///< Commands of the next log entry.
--- a/src/fleetd/fleet_orders.cpp
+++ b/src/fleetd/fleet_orders.cpp
@@ -90,6 +90,7 @@
         this->executeActions(schedulerTick(*this->scheduler, this->state, steadyNow(), wallNow(), this->replication.leaseEnd()));
         if (this->scheduler) {
             this->logHeldTasks();
+            this->logFleetLoad();
         }
     }
     this->flush();
