Fix: a large job that has begun does not give way to new ones when it becomes late

Cause: jobs on time came first, at about the same slack the smaller ones, and a job that became late fell behind all that are on time, however much of it was done. A large job needs longer to get all of its tasks, so it became late with part of them done, and then waited until its result had no value. The class: the order of service did not tell a job that has begun from one that has not.

Change: a job that has begun keeps its rank while its result has some value, and among jobs with about the same slack the one of which more is done or under way comes first, then the older one. The size of a job no longer counts. A placement pass repeats a failed search without the limit per worker only where tasks of the step run, since nothing else can be the reason; with jobs ordered by age a pass makes more failed searches, and the bound of fleet_place_test stands.

--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -45,7 +45,7 @@
     bool isStale = true; ///< Run times were observed since the fields that depend on them were computed.
     TimePoint acceptedAt;
     TimePoint objectiveDeadline; ///< Time by which the job must complete to meet its latency objective.
-    double valueDensity = 0; ///< Value of the job per CPU second, for the order of service.
+    std::vector<double> taskSeconds; ///< Expected CPU seconds of a task of each step.
     std::size_t bytes = 0; ///< Estimated memory use of the job on each replica.
     std::map<std::pair<std::uint32_t, std::uint32_t>, TimePoint> waitingSince; ///< Time since which long-running steps lack tasks, by occurrence and step.
     std::optional<TimePoint> idleSince; ///< Time since which the job has had nothing running although a step was ready; nothing while something runs.
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -87,6 +87,19 @@
         }
     }
 
+    /** Returns the share of the work of an occurrence that is done or under way, from 0 to 1. */
+    double startedShare(const FleetJob &job, const JobView &view, const Occurrence &occurrence)
+    {
+        double total = 0;
+        double started = 0;
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            const StepRecord &record = occurrence.steps[i];
+            total += view.taskSeconds[i] * job.spec.steps[i].taskCount;
+            started += view.taskSeconds[i] * (record.doneCount + record.activeCount);
+        }
+        return total > 0 ? started / total : 0;
+    }
+
     void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::vector<ReadyStep> &ready)
     {
         if (view.isStale) {
@@ -97,6 +110,7 @@
             if (occurrence.isComplete) {
                 continue;
             }
+            const double started = startedShare(job, view, occurrence);
             for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
                 const StepRecord &record = occurrence.steps[i];
                 const StepSpec &spec = job.spec.steps[i];
@@ -115,7 +129,7 @@
                 step.acceptedAt = view.acceptedAt;
                 step.objectiveDeadline = view.objectiveDeadline;
                 step.remainingCriticalPath = view.criticalPathFrom[i];
-                step.valueDensity = view.valueDensity;
+                step.startedShare = started;
                 ready.push_back(step);
             }
         }
@@ -289,7 +303,7 @@
         if (query.suspicion != CrashSuspicion::None) {
             return;
         }
-        if (query.step.maxPerWorker > 0 || query.excluded != 0) {
+        if ((query.step.maxPerWorker > 0 && !query.spread.empty()) || query.excluded != 0) {
             const StepSpread noSpread;
             WorkerQuery unlimited = makeQuery(pass, job, query.step, noSpread);
             unlimited.harmTolerance = query.harmTolerance;
--- a/src/fleet/scheduler_run_times.cpp
+++ b/src/fleet/scheduler_run_times.cpp
@@ -23,14 +23,10 @@
         return run.isDataRemote ? static_cast<double>(std::max<std::int64_t>(1, scheduler.settings.farFactor)) : 1.0;
     }
 
-    double processorSeconds(const JobSpec &spec, const std::vector<Duration> &times)
+    /** Returns the CPU seconds that each task of a step needs. */
+    double taskSeconds(const StepSpec &step, Duration time)
     {
-        double sum = 0;
-        for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-            const StepSpec &step = spec.steps[i];
-            sum += static_cast<double>(step.taskCount) * static_cast<double>(step.request.cpuMillis) * static_cast<double>(times[i].ms) / 1e6;
-        }
-        return sum;
+        return static_cast<double>(step.request.cpuMillis) * static_cast<double>(time.ms) / 1e6;
     }
 
     /** Replaces the previous contribution of a run to the evidence of its step. */
@@ -97,8 +93,10 @@
         }
     }
     view.objectiveDeadline = view.acceptedAt + Duration{chain.ms * job.queue.stretchPerMille / 1000} + job.queue.latencyAllowance;
-    // A small job has a higher value per CPU second, since part of the value of a job does not depend on its size.
-    view.valueDensity = 1.0 / std::max(0.1, processorSeconds(spec, times));
+    view.taskSeconds.clear();
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        view.taskSeconds.push_back(taskSeconds(spec.steps[i], times[i]));
+    }
     view.isStale = false;
 }
 
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -3,8 +3,10 @@
  *
  * Short urgent jobs and wide long jobs share the workers, and bursts exceed the capacity. Jobs that can still meet their objective precede
  * long-running tasks, and these precede late jobs, since a late result has only a fraction of its value. New jobs that are on time arrive all the
- * time, so long-running tasks that have waited for a while precede them. Jobs on time are ordered by slack. At about the same slack, the priority of
- * the queue decides, then the value per CPU second, which is higher for smaller jobs.
+ * time, so long-running tasks that have waited for a while precede them. A job that has begun is completed: it keeps its rank when it becomes late, as
+ * long as its result has some value. Otherwise a large job, which takes longer to get all of its tasks, would give way to new ones with part of its work
+ * done, and only small jobs would be served. Jobs on time are ordered by slack. At about the same slack, the priority of the queue decides, then the
+ * share of the job that has been started, then its age.
  */
 
 #include "fleet/service_order.h"
@@ -32,7 +34,8 @@
         if (step.isLongRunning) {
             return step.waitedFor >= MaxLongRunningWait ? 0 : LongRunningRank;
         }
-        return status == DeadlineStatus::OnTime ? OnTimeRank : LongRunningRank + static_cast<int>(status);
+        const bool isBegunAndUseful = step.startedShare > 0 && status == DeadlineStatus::Late;
+        return status == DeadlineStatus::OnTime || isBegunAndUseful ? OnTimeRank : LongRunningRank + static_cast<int>(status);
     }
 
     std::tuple<int, std::int64_t, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
@@ -40,7 +43,7 @@
         const DeadlineStatus status = deadlineStatus(step, now);
         const std::int64_t slack = (step.objectiveDeadline - now - step.remainingCriticalPath).ms;
         const std::int64_t slackClass = status == DeadlineStatus::OnTime && !step.isLongRunning ? slack / SlackClassMs : 0;
-        return {rankOf(step, status), slackClass, step.priority, -step.valueDensity, step.acceptedAt.ms, step.job, step.step};
+        return {rankOf(step, status), slackClass, step.priority, -step.startedShare, step.acceptedAt.ms, step.job, step.step};
     }
 
 } // namespace
