Change: the start of a leadership, the effects of applied commands and the data of jobs each have a file

The takeover of sessions, of runs and of the orders of earlier incarnations, the replacement of an incarnation, its end and a crash are functions of their own. No decision changes.

--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -6,6 +6,22 @@
 
 namespace Filbertlanding {
 
+constexpr Duration ModelSaveInterval{5'000}; ///< A new leader lacks at most this much of the learned model; saving it more often would only use log space.
+
+/** Calls a function with the reference and the record of each task of a job. */
+template<class Function>
+void forEachTask(const FleetJob &job, Function function)
+{
+    for (const auto &[number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<TaskRecord> &tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                function(TaskRef{job.number, number, step, index}, tasks[index]);
+            }
+        }
+    }
+}
+
 /** Returns the view of a run of a task of the step. */
 RunView makeRunView(const StepSpec &step, std::uint32_t run, RunPhase phase, TimePoint now);
 
@@ -21,6 +37,9 @@
 /** Updates the run time model from a run that is done. */
 void learnFromCompletedRun(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, const TaskRef &task, RunView &run, std::int64_t clockMs);
 
+/** Adds the scheduling data of an active job. */
+JobView &addJob(FleetScheduler &scheduler, const FleetJob &job, TimePoint now, WallTime wall);
+
 /** Removes the scheduling data of a job and its tasks. */
 void removeJob(FleetScheduler &scheduler, JobNumber job);
 
--- a/src/fleet/scheduler_run_times.cpp
+++ b/src/fleet/scheduler_run_times.cpp
@@ -132,19 +132,4 @@
         scheduler.learnedModel.runTimes, keyOf(job), step, Duration{static_cast<std::int64_t>(nearMs)}, 1.0 / std::max<std::uint32_t>(1, step.taskCount));
 }
 
-void removeJob(FleetScheduler &scheduler, JobNumber job)
-{
-    const TaskRef first{job, 0, 0, 0};
-    const TaskRef last{job + 1, 0, 0, 0};
-    scheduler.failedRuns.erase(scheduler.failedRuns.lower_bound(first), scheduler.failedRuns.lower_bound(last));
-    scheduler.migrationCounts.erase(scheduler.migrationCounts.lower_bound(first), scheduler.migrationCounts.lower_bound(last));
-    scheduler.migratingTasks.erase(scheduler.migratingTasks.lower_bound(first), scheduler.migratingTasks.lower_bound(last));
-    scheduler.heldSuspects.erase(scheduler.heldSuspects.lower_bound(first), scheduler.heldSuspects.lower_bound(last));
-    const auto view = scheduler.jobs.find(job);
-    if (view != scheduler.jobs.end()) {
-        scheduler.openBytes -= view->second.bytes;
-        scheduler.jobs.erase(view);
-    }
-}
-
 } // namespace Filbertlanding
