Change: the commands on jobs, runs and workers and the queries of the replicated state each have a file

What readers saw: fleet_state.cpp (514 lines) applied fourteen commands on four subjects and answered the queries of the state.

Change: fleet_state_jobs.cpp, fleet_state_runs.cpp, fleet_state_workers.cpp and fleet_state_query.cpp; fleet_state.cpp keeps the manifest, zones, maintenance and the learned model, and the dispatch. No command changes.

--- /dev/null
+++ b/src/fleet/fleet_state_detail.h
@@ -0,0 +1,29 @@
+/** @file fleet_state_detail.h Internal functions shared by the source files that apply commands to the replicated state. */
+
+#pragma once
+
+#include "fleet/fleet_state_func.h"
+
+namespace Filbertlanding {
+
+FleetChange apply(FleetState &state, const SubmitFleetJob &command);
+FleetChange apply(FleetState &state, const CancelFleetJob &command);
+FleetChange apply(FleetState &state, const OpenOccurrence &command);
+
+FleetChange apply(FleetState &state, const StartRun &command);
+FleetChange apply(FleetState &state, const EndRun &command);
+FleetChange apply(FleetState &state, const RecordCrash &command);
+
+FleetChange apply(FleetState &state, const RegisterWorker &command);
+FleetChange apply(FleetState &state, const EndIncarnation &command);
+
+/** Moves a job to a final state. */
+void endJob(FleetJob &job, FleetJobState state, WallTime at, FleetChange &change);
+
+/** Removes the active runs of a job on an incarnation. */
+void removeRunsOn(FleetJob &job, IncarnationNumber incarnation);
+
+/** Returns the queue with exactly this host and path prefix, or nullptr. */
+const QueueConfig *findQueueByRoute(const FleetManifest &manifest, const std::string &host, const std::string &prefix);
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/fleet_state_jobs.cpp
@@ -0,0 +1,137 @@
+/** @file fleet_state_jobs.cpp Applies the commands on jobs: submission, cancellation, occurrences and retention. */
+
+#include "fleet/fleet_state_detail.h"
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr JobNumber CleanupInterval = 64; ///< Number of submissions between two removals of expired jobs, since each of them scans all jobs.
+
+    bool hasActiveRuns(const FleetJob &job)
+    {
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (const StepRecord &step : occurrence.steps) {
+                if (step.activeCount > 0) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    void openOccurrence(FleetJob &job, std::uint32_t number)
+    {
+        Occurrence &occurrence = job.occurrences[number];
+        for (const StepSpec &spec : job.spec.steps) {
+            occurrence.steps.emplace_back().tasks.resize(spec.taskCount);
+        }
+    }
+
+} // namespace
+
+void endJob(FleetJob &job, FleetJobState state, WallTime at, FleetChange &change)
+{
+    job.state = state;
+    job.endedAt = at;
+    change.endedJobs.push_back(job.number);
+}
+
+const QueueConfig *findQueueByRoute(const FleetManifest &manifest, const std::string &host, const std::string &prefix)
+{
+    for (const QueueConfig &queue : manifest.queues) {
+        if (queue.host == host && queue.pathPrefix == prefix) {
+            return &queue;
+        }
+    }
+    return nullptr;
+}
+
+FleetChange apply(FleetState &state, const SubmitFleetJob &command)
+{
+    FleetChange change;
+    const auto known = state.jobNumbers.find(command.id);
+    if (known != state.jobNumbers.end()) {
+        change.job = known->second;
+        return change;
+    }
+    const QueueConfig *queue = findQueueByRoute(state.manifest, command.host, command.pathPrefix);
+    if (queue == nullptr) {
+        return change;
+    }
+    change.isApplied = true;
+    change.job = ++state.lastJobNumber;
+    FleetJob &job = state.jobs[change.job];
+    job.number = change.job;
+    job.id = command.id;
+    job.host = command.host;
+    job.pathPrefix = command.pathPrefix;
+    job.queue = *queue;
+    job.spec = command.spec;
+    job.acceptedAt = command.at;
+    state.jobNumbers[command.id] = change.job;
+    if (job.spec.repeatCount == 0) {
+        openOccurrence(job, 0);
+    }
+    if (state.cancelledBeforeSubmission.erase(command.id) > 0) {
+        endJob(job, FleetJobState::Cancelled, command.at, change);
+    }
+    if (state.lastJobNumber % CleanupInterval == 0) {
+        removeExpiredJobs(state, command.at);
+    }
+    return change;
+}
+
+FleetChange apply(FleetState &state, const CancelFleetJob &command)
+{
+    FleetChange change;
+    const auto known = state.jobNumbers.find(command.id);
+    if (known == state.jobNumbers.end()) {
+        state.cancelledBeforeSubmission[command.id] = command.at;
+        return change;
+    }
+    change.job = known->second;
+    FleetJob &job = state.jobs.at(known->second);
+    if (!hasEnded(job.state)) {
+        change.isApplied = true;
+        endJob(job, FleetJobState::Cancelled, command.at, change);
+    }
+    return change;
+}
+
+FleetChange apply(FleetState &state, const OpenOccurrence &command)
+{
+    FleetChange change;
+    const auto found = state.jobs.find(command.job);
+    if (found == state.jobs.end() || hasEnded(found->second.state)) {
+        return change;
+    }
+    FleetJob &job = found->second;
+    if (command.occurrence >= job.spec.repeatCount || job.occurrences.contains(command.occurrence)) {
+        return change;
+    }
+    openOccurrence(job, command.occurrence);
+    change.isApplied = true;
+    change.job = command.job;
+    return change;
+}
+
+void removeExpiredJobs(FleetState &state, WallTime now)
+{
+    const auto isOld = [now](WallTime at) {
+        return now.ms - at.ms > EndedJobRetention.ms;
+    };
+    std::erase_if(state.jobs, [&state, &isOld](const auto &item) {
+        const FleetJob &job = item.second;
+        if (!hasEnded(job.state) || !isOld(job.endedAt) || hasActiveRuns(job)) {
+            return false;
+        }
+        state.jobNumbers.erase(job.id);
+        return true;
+    });
+    std::erase_if(state.cancelledBeforeSubmission, [&isOld](const auto &item) {
+        return isOld(item.second);
+    });
+}
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/src/fleet/fleet_state_query.cpp
@@ -0,0 +1,55 @@
+/** @file fleet_state_query.cpp Queries of the replicated state. */
+
+#include "fleet/fleet_state_func.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+const QueueConfig *findQueue(const FleetManifest &manifest, std::string_view host, std::string_view path)
+{
+    const QueueConfig *best = nullptr;
+    for (const QueueConfig &queue : manifest.queues) {
+        const bool matches = queue.host == host && path.starts_with(queue.pathPrefix);
+        if (matches && (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &queue;
+        }
+    }
+    return best;
+}
+
+bool enforcesCapacity(const FleetManifest &manifest, const ServiceName &service)
+{
+    return std::any_of(manifest.services.begin(), manifest.services.end(), [&service](const FleetService &known) {
+        return known.name == service && known.workersEnforceCapacity;
+    });
+}
+
+const FleetJob *findJob(const FleetState &state, const JobId &id)
+{
+    const auto found = state.jobNumbers.find(id);
+    return found == state.jobNumbers.end() ? nullptr : &state.jobs.at(found->second);
+}
+
+bool isStepReady(const FleetJob &job, const Occurrence &occurrence, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    if (occurrence.steps[step].doneCount >= spec.taskCount) {
+        return false;
+    }
+    return std::all_of(spec.dependsOn.begin(), spec.dependsOn.end(), [&job, &occurrence](std::uint32_t earlier) {
+        return occurrence.steps[earlier].doneCount >= job.spec.steps[earlier].taskCount;
+    });
+}
+
+std::uint64_t countQueuedJobs(const FleetState &state, const QueueConfig &queue)
+{
+    std::uint64_t count = 0;
+    for (const auto &[number, job] : state.jobs) {
+        const bool isWaiting = job.state == FleetJobState::Queued && job.spec.repeatCount == 0;
+        count += isWaiting && job.host == queue.host && job.pathPrefix == queue.pathPrefix ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace Filbertlanding
