Fix: suspects of crashes leave their workers to other tasks when no other worker has room

Cause: a worker with a strong suspect was avoided by all other tasks for up to 5 s, unless no other worker could run them even if it were idle.

Change: such workers are a second choice: other tasks are placed there if no other worker has room now. A suspect is alone for at most 1 s, and only if its crashes are improbable to have another cause (its weight for each crash), or for at most 2 s after three crashes or when the starts of its runs are unknown. A worker that has come back is kept free for suspects only while few workers crash; otherwise that is a preference too.

--- a/src/fleet/crash_evidence.cpp
+++ b/src/fleet/crash_evidence.cpp
@@ -22,6 +22,10 @@
     /** After a longer run a crash says nothing about the task, and it has proved to be sound before. */
     constexpr Duration MaxRunTime{600'000};
     constexpr Duration MaxWatchTime{5'000}; ///< Keeping workers free for longer costs sound tasks more than another crash does.
+    constexpr Duration MaxIsolationTime{1'000}; ///< Other tasks may wait for the worker meanwhile.
+    constexpr Duration MaxRepeatedIsolationTime{2'000};
+    constexpr std::uint32_t MinIsolationWeight = 4'000; ///< For each crash: one of another cause hits one of 50 runs so soon.
+    constexpr std::uint32_t ManyCrashes = 3; ///< Few sound tasks go through as many.
 
     double perMillisecond(std::size_t count, Duration period)
     {
@@ -132,4 +136,25 @@
     return history.crashes == 0 ? Duration{} : std::min(timeToOutlastCrashes(history), MaxWatchTime);
 }
 
+Duration isolationTimeOf(const CrashHistory &history)
+{
+    if (suspicionOf(history) != CrashSuspicion::Strong) {
+        return {};
+    }
+    // Where no start is known, nothing says that the crashes are of another cause.
+    const bool isWeighed = history.weight > 0 || history.crashes < MinCrashes;
+    if (history.crashes >= ManyCrashes || !isWeighed) {
+        return std::min(timeToOutlastCrashes(history), MaxRepeatedIsolationTime);
+    }
+    const bool isImprobable = history.weight >= MinIsolationWeight * history.crashes;
+    return isImprobable ? std::min(timeToOutlastCrashes(history), MaxIsolationTime) : Duration{};
+}
+
+bool areCrashesTelling(const CrashRate &rate)
+{
+    constexpr Duration TypicalRunTime{500}; // Of runs that crash their worker, most end sooner.
+    constexpr std::uint32_t MinWeight = 3'000; // One of another cause hits one of 20 runs so soon.
+    return crashWeight(rate, TypicalRunTime) >= MinWeight;
+}
+
 } // namespace Filbertlanding
--- a/src/fleet/crash_evidence.h
+++ b/src/fleet/crash_evidence.h
@@ -75,7 +75,16 @@
 /** Returns how strongly earlier crashes point to a task. */
 CrashSuspicion suspicionOf(const CrashHistory &history);
 
-/** Returns the time for which a new run of a task must be kept apart from others, until it has passed the point at which its earlier runs ended. */
+/** Returns the time for which a new run of a task should be kept apart from others, until it has passed the point at which its earlier runs ended. */
 Duration watchTimeOf(const CrashHistory &history);
 
+/**
+ * Returns the time for which a new run of a task must be alone on its worker; 0 if crashes of other causes are too likely to have hit its earlier runs.
+ * Where many workers crash, most tasks have been the youngest of one, and a worker for each of them would leave none to the others.
+ */
+Duration isolationTimeOf(const CrashHistory &history);
+
+/** Returns whether crashes of other causes are so rare that a worker may be kept free for the tasks that may have crashed it. */
+bool areCrashesTelling(const CrashRate &rate);
+
 } // namespace Filbertlanding
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -62,6 +62,7 @@
                         view.checkpoint = task.checkpoint;
                         view.suspicion = suspicionOf(task.crashHistory);
                         view.watchTime = watchTimeOf(task.crashHistory);
+                        view.isolationTime = isolationTimeOf(task.crashHistory);
                         addRun(session->second, {job.number, number, step, index}, std::move(view));
                     }
                 }
@@ -223,11 +224,12 @@
     }
 
     /** Marks the successor of another incarnation. It is empty, and so the best place for a task that may have crashed the other one. */
-    void markRestarted(WorkerSession &session, const WorkerSession &earlier, TimePoint now)
+    void markRestarted(FleetScheduler &scheduler, WorkerSession &session, const WorkerSession &earlier, TimePoint now)
     {
         constexpr Duration ReservationTime{1'000}; // Until the crash and the ends of its runs are committed, and the suspect is placed.
         session.predecessorSilence = silenceStart(earlier, now);
         session.reservedUntil = now + ReservationTime;
+        session.isReservationStrict = areCrashesTelling(crashRate(scheduler, earlier, now));
     }
 
     void handleIncarnationApplied(FleetScheduler &scheduler, const FleetState &state, const FleetChange &change, TimePoint now)
@@ -254,7 +256,7 @@
             const WorkerProfile &earlierProfile = known->second.profile;
             if (earlierProfile.address == incarnation.profile.address && earlierProfile.startedAtMs < incarnation.profile.startedAtMs) {
                 // The process that had the address has probably ended. Only its answer tells.
-                markRestarted(session, earlier, now);
+                markRestarted(scheduler, session, earlier, now);
                 earlier.nextPoll = now;
                 markDirty(scheduler, earlier);
             }
@@ -262,7 +264,7 @@
                 continue;
             }
             earlier.isReplaced = true;
-            markRestarted(session, earlier, now);
+            markRestarted(scheduler, session, earlier, now);
             markDirty(scheduler, earlier);
             session.earlierIncarnations.insert(number);
             for (const auto &[task, run] : earlier.runs) {
--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -160,6 +160,12 @@
         return !ruledOutReason(query, candidate);
     }
 
+    /** Returns whether the task of a query is placed on a worker only if no other one has room for it now. */
+    bool isSecondChoiceFor(const WorkerQuery &query, const PlacementCandidate &candidate)
+    {
+        return candidate.isSecondChoice || (candidate.isPreferredForSuspects && query.suspicion != CrashSuspicion::Strong);
+    }
+
     /** Returns of which resource a worker has too little for one more task of a step; nothing if it has enough of all. */
     std::optional<HoldReason> lackingResource(const StepSpec &step, const PlacementCandidate &candidate)
     {
@@ -331,15 +337,18 @@
     const auto spareIndex = spareImageIndex(query.slopes, query.step.image);
     std::optional<std::size_t> best;
     double bestScore = 0;
+    bool isBestSecond = false;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlacementCandidate &candidate = *candidates[i];
         if (!isAllowed(query, candidate) || !hasCapacityFor(query.step, candidate)) {
             continue;
         }
         const auto score = scoreOf(query, spareIndex, candidate, countOnWorker(query, candidate));
-        if (score && (!best || *score < bestScore)) {
+        const bool isSecond = isSecondChoiceFor(query, candidate);
+        if (score && (!best || (isSecond == isBestSecond ? *score < bestScore : isBestSecond))) {
             best = i;
             bestScore = *score;
+            isBestSecond = isSecond;
         }
     }
     return best;
@@ -365,7 +374,8 @@
     ++candidate.runs;
     candidate.runsAtRisk += query.isQueueAtRisk ? 1 : 0;
     candidate.watchedSuspects += query.suspicion == CrashSuspicion::None ? 0 : 1;
-    candidate.isAvoided = candidate.isAvoided || query.suspicion == CrashSuspicion::Strong;
+    candidate.isAvoided = candidate.isAvoided || query.isIsolated;
+    candidate.isSecondChoice = candidate.isSecondChoice || query.suspicion == CrashSuspicion::Strong;
     candidate.used.memoryMb += step.request.memoryMb;
     candidate.used.accelerators += step.request.accelerators;
     if (step.usesSpareCapacity) {
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -58,6 +58,8 @@
     double sensitivity = 0; ///< Highest slope against a long-running task of this worker, averaged over all spare images.
     unsigned consecutiveFailures = 0; ///< Number of consecutive failed runs.
     bool isAvoided = false; ///< Tasks are placed on it only if no other worker may run them.
+    bool isSecondChoice = false; ///< Tasks are placed on it only if no other worker has room for them now.
+    bool isPreferredForSuspects = false; ///< Other tasks than strong suspects are placed on it only if no other worker has room for them now.
     bool isReservedForSuspects = false; ///< Other tasks than strong suspects are placed on it only if no other worker may run them.
     std::size_t runs = 0; ///< Runs that are lost if it crashes.
     std::size_t runsAtRisk = 0; ///< Those of them whose queue has tasks that crash workers.
@@ -101,6 +103,7 @@
     IncarnationNumber excluded = 0; ///< Incarnation that must not be chosen; 0 for none.
     bool acceptsAvoided = false; ///< Workers that are avoided may be chosen too.
     CrashSuspicion suspicion = CrashSuspicion::None; ///< Suspicion that the task crashes its worker.
+    bool isIsolated = false; ///< The task must be alone on its worker for a while, so that no others join it there.
     bool isQueueAtRisk = false; ///< Tasks of the queue have recently crashed workers.
 };
 
--- a/src/fleet/placement_candidates.cpp
+++ b/src/fleet/placement_candidates.cpp
@@ -55,7 +55,9 @@
     void refreshAvoidance(PlacementCandidate &candidate, const WorkerSession &session, TimePoint now)
     {
         candidate.isAvoided = now < session.avoidedUntil;
-        candidate.isReservedForSuspects = now < session.reservedUntil;
+        candidate.isPreferredForSuspects = now < session.reservedUntil;
+        candidate.isReservedForSuspects = candidate.isPreferredForSuspects && session.isReservationStrict;
+        candidate.isSecondChoice = false;
         candidate.watchedSuspects = 0;
         if (session.suspectRuns == 0) {
             return;
@@ -63,7 +65,8 @@
         for (const auto &[task, run] : session.runs) {
             if (isWatched(run, now)) {
                 ++candidate.watchedSuspects;
-                candidate.isAvoided = candidate.isAvoided || run.suspicion == CrashSuspicion::Strong;
+                candidate.isAvoided = candidate.isAvoided || now - run.since < run.isolationTime;
+                candidate.isSecondChoice = candidate.isSecondChoice || run.suspicion == CrashSuspicion::Strong;
             }
         }
     }
--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -53,28 +53,6 @@
         });
     }
 
-    /** Removes old crashes, and returns how often other workers crash at present. Those that are silent may have crashed too. */
-    CrashRate crashRate(FleetScheduler &scheduler, const WorkerSession &crashed, TimePoint now)
-    {
-        constexpr Duration Period{30'000};
-        constexpr Duration LatestPart{2'000};
-        while (!scheduler.recentCrashes.empty() && now - scheduler.recentCrashes.front() > Period) {
-            scheduler.recentCrashes.pop_front();
-        }
-        CrashRate rate{.crashes = scheduler.recentCrashes.size(), .period = Period, .latestPart = LatestPart};
-        rate.latestCrashes =
-            static_cast<std::size_t>(std::count_if(scheduler.recentCrashes.begin(), scheduler.recentCrashes.end(), [now, LatestPart](TimePoint at) {
-                return now - at <= LatestPart;
-            }));
-        for (const auto &[number, session] : scheduler.sessions) {
-            const bool isSilent = session.consecutiveOrderFailures > 0 && !session.isCrashProposed && number != crashed.incarnation;
-            rate.crashes += isSilent ? 1 : 0;
-            rate.latestCrashes += isSilent ? 1 : 0;
-            rate.workers += session.isReplaced ? 0 : 1;
-        }
-        return rate;
-    }
-
     CrashedRun makeCrashedRun(const WorkerSession &session, const TaskRef &task, const RunView &run, TimePoint now)
     {
         constexpr Duration MaxTimeBeforeTakeover{30'000}; // A run that an earlier leader has started is unlikely to crash its worker that late.
@@ -94,6 +72,27 @@
 
 } // namespace
 
+CrashRate crashRate(FleetScheduler &scheduler, const WorkerSession &crashed, TimePoint now)
+{
+    constexpr Duration Period{30'000};
+    constexpr Duration LatestPart{2'000};
+    while (!scheduler.recentCrashes.empty() && now - scheduler.recentCrashes.front() > Period) {
+        scheduler.recentCrashes.pop_front();
+    }
+    CrashRate rate{.crashes = scheduler.recentCrashes.size(), .period = Period, .latestPart = LatestPart};
+    rate.latestCrashes =
+        static_cast<std::size_t>(std::count_if(scheduler.recentCrashes.begin(), scheduler.recentCrashes.end(), [now, LatestPart](TimePoint at) {
+            return now - at <= LatestPart;
+        }));
+    for (const auto &[number, session] : scheduler.sessions) {
+        const bool isSilent = session.consecutiveOrderFailures > 0 && !session.isCrashProposed && number != crashed.incarnation;
+        rate.crashes += isSilent ? 1 : 0;
+        rate.latestCrashes += isSilent ? 1 : 0;
+        rate.workers += session.isReplaced ? 0 : 1;
+    }
+    return rate;
+}
+
 void proposeCrash(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions)
 {
     if (session.isCrashProposed) {
--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -36,6 +36,9 @@
 /** Proposes to count the crash of an incarnation for the tasks that ran on it, unless something else than a task has ended its process. */
 void proposeCrash(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions);
 
+/** Removes old crashes, and returns how often other workers than one crash at present. Those that are silent may have crashed too. */
+CrashRate crashRate(FleetScheduler &scheduler, const WorkerSession &crashed, TimePoint now);
+
 /** Counts the end of a worker's process, whose host refuses connections, for the queues of all runs that had just started. */
 void noteEarlyCrash(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session);
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -166,6 +166,7 @@
         view.suspicion = suspicionOf(task.crashHistory);
         view.isQueueAtRisk = isAtRisk(scheduler.queueRisks, {job.host, job.pathPrefix}, pass.now);
         view.watchTime = watchTimeOf(task.crashHistory);
+        view.isolationTime = isolationTimeOf(task.crashHistory);
         view.isDataRemote = isDataRemote(spec, placement.rack);
         view.expectedTime = placement.nearTime * (view.isDataRemote ? scheduler.settings.farFactor : 1);
         scheduler.migratingTasks.erase(ref);
@@ -184,6 +185,7 @@
     void addCrashRisk(const PlacementPass &pass, const FleetJob &job, const TaskRecord &task, WorkerQuery &query)
     {
         query.suspicion = suspicionOf(task.crashHistory);
+        query.isIsolated = isolationTimeOf(task.crashHistory) > Duration{};
         query.isQueueAtRisk = isAtRisk(pass.scheduler.queueRisks, {job.host, job.pathPrefix}, pass.now);
     }
 
--- a/src/fleet/worker_session.h
+++ b/src/fleet/worker_session.h
@@ -64,7 +64,8 @@
     RunTimeEvidence evidence; ///< Contribution of the run to the evidence of its step.
     CrashSuspicion suspicion = CrashSuspicion::None; ///< Suspicion against its task when the run was placed.
     bool isQueueAtRisk = false; ///< Tasks of its queue had crashed workers when the run was placed.
-    Duration watchTime; ///< Time from the placement on for which a suspect is kept apart from other runs.
+    Duration watchTime; ///< Time from the placement on for which other workers are preferred for other tasks.
+    Duration isolationTime; ///< Time from the placement on for which other tasks wait for other workers.
 };
 
 /** Reading of a worker's clock at a time of the local clock. */
@@ -125,7 +126,8 @@
     bool isReplaced = false; ///< A later incarnation has taken its place.
     std::optional<TimePoint> replacedAt; ///< Time at which the replacement was first processed.
     std::optional<SilenceStart> predecessorSilence; ///< When the incarnation whose name or address this one has taken fell silent.
-    TimePoint reservedUntil; ///< Time until which the worker is kept free for tasks that may have crashed its predecessor.
+    TimePoint reservedUntil; ///< Time until which the worker is left to tasks that may have crashed its predecessor.
+    bool isReservationStrict = false; ///< Other tasks wait for other workers meanwhile, since crashes are rare.
     bool isEarlyCrashNoted = false; ///< Its end has been counted for the queues of the runs that had just started.
     bool isCrashProposed = false; ///< Whether the end of this incarnation is a crash has been decided, and if so, it is proposed.
     bool hasCrashed = false; ///< Its process has ended, and one of its tasks may be the cause.
--- a/tests/crash_day.h
+++ b/tests/crash_day.h
@@ -32,9 +32,10 @@
 class CrashDay
 {
 public:
-    explicit CrashDay(const FleetSimulationSettings &settings)
+    explicit CrashDay(const FleetSimulationSettings &settings, Duration timeBetweenJobs = {240})
         : simulation(settings)
         , jobRandom{mixBits(settings.seed)}
+        , jobInterval(timeBetweenJobs)
     {
         this->simulation.run({100});
         this->simulation.submit("watch", longRunningJob(24, "watch"));
@@ -49,7 +50,7 @@
         const TimePoint end = this->simulation.now + length;
         while (this->simulation.now < end) {
             if (this->simulation.now >= this->nextJob) {
-                this->nextJob = this->simulation.now + JobInterval;
+                this->nextJob = this->simulation.now + this->jobInterval;
                 this->submitAgain();
                 this->submitSoundJob();
             }
@@ -142,7 +143,6 @@
 
 private:
     static constexpr Duration TimeStep{20};
-    static constexpr Duration JobInterval{240};
     static constexpr Duration RetryInterval{2'000};
 
     void submit(const JobId &id, const JobSpec &spec)
@@ -210,6 +210,7 @@
     }
 
     Random jobRandom; ///< Apart from that of the simulation, so that the jobs of a seed are the same whatever else happens.
+    Duration jobInterval; ///< Time between two sound jobs.
     std::map<JobId, JobSpec> submissions; ///< Submissions that are not committed yet.
     std::vector<JobId> crashing;
     std::vector<JobId> cancelled;
--- a/tests/crash_evidence_test.cpp
+++ b/tests/crash_evidence_test.cpp
@@ -297,6 +297,56 @@
     }
 }
 
+TEST_CASE("A suspect is alone on its worker only if its crashes are unlikely to have another cause, and not for long")
+{
+    // Guards against a fleet in which each crash of another cause takes a worker from all other tasks.
+    constexpr Duration LongestIsolation{2'000};
+    constexpr std::uint32_t Improbable = 5'000;
+    constexpr std::uint32_t Probable = 2'000;
+    const auto historyOf = [](std::uint32_t crashes, std::uint32_t weight, bool wasYoungest) {
+        return CrashHistory{.crashes = crashes, .singledOut = 0, .weight = weight, .wasYoungest = wasYoungest, .longestRun = {100}};
+    };
+    CHECK(isolationTimeOf(historyOf(0, 0, false)) == Duration{0});
+    CHECK(isolationTimeOf(historyOf(1, Improbable, false)) == Duration{0});
+    CHECK(isolationTimeOf(historyOf(1, Probable, true)) == Duration{0});
+    CHECK(isolationTimeOf(historyOf(1, Improbable, true)) == watchTimeOf(historyOf(1, Improbable, true)));
+
+    SUBCASE("each of its crashes counts")
+    {
+        CHECK(isolationTimeOf(historyOf(2, Improbable + Probable, true)) == Duration{0});
+        CHECK(isolationTimeOf(historyOf(2, 2 * Improbable, false)) > Duration{0});
+    }
+
+    SUBCASE("nothing is known of its starts")
+    {
+        CHECK(isolationTimeOf(historyOf(2, 0, false)) > Duration{0});
+    }
+
+    SUBCASE("it has been through many crashes")
+    {
+        CHECK(isolationTimeOf(historyOf(3, Probable, false)) > Duration{0});
+    }
+
+    SUBCASE("it ran for a minute before")
+    {
+        for (const std::uint32_t crashes : {1, 2, 3, 4}) {
+            CrashHistory history = historyOf(crashes, crashes * Improbable, true);
+            history.longestRun = {60'000};
+            CHECK(isolationTimeOf(history) <= LongestIsolation);
+        }
+    }
+}
+
+TEST_CASE("Crashes point to tasks as long as few workers crash")
+{
+    const auto rateOf = [](std::size_t latestCrashes) {
+        return CrashRate{.crashes = latestCrashes, .period = {30'000}, .latestCrashes = latestCrashes, .latestPart = {2'000}, .workers = 24};
+    };
+    CHECK(areCrashesTelling(rateOf(0)));
+    CHECK(areCrashesTelling(rateOf(3)));
+    CHECK_FALSE(areCrashesTelling(rateOf(7)));
+}
+
 TEST_CASE("A suspect is watched until it has outlasted its crashes, but not for ever")
 {
     Task task{{}, 1};
--- a/tests/fleet_crash_test.cpp
+++ b/tests/fleet_crash_test.cpp
@@ -294,6 +294,76 @@
     });
 }
 
+namespace {
+
+/** Returns how long a small task waits for its start while all workers are full but those that have just come back from a crash with their suspects. */
+Duration waitBesideSuspects(std::uint64_t seed, std::uint32_t crashed, Duration ranBefore)
+{
+    constexpr std::uint32_t Workers = 6;
+    constexpr Duration MaxWait{10'000};
+    FleetSimulationSettings settings = crashSettings(seed);
+    settings.workers = Workers;
+    FleetSimulation simulation(settings);
+    simulation.run({100});
+    simulation.submit("busy", oneStepJob(Workers - crashed, settings.capacity, {60'000}));
+    simulation.run({1'000});
+    JobSpec suspects = oneStepJob(crashed, SmallTask, {60'000});
+    suspects.steps.front().maxPerWorker = 1;
+    simulation.submit("suspects", suspects);
+    simulation.run(ranBefore);
+    const FleetJob &job = *findJob(simulation.state, "suspects");
+    std::vector<WorkerName> names;
+    for (const TaskRecord &task : job.occurrences.at(0).steps[0].tasks) {
+        names.push_back(simulation.state.incarnations.at(task.active.at(0).incarnation).profile.worker);
+    }
+    for (const WorkerName &name : names) {
+        simulation.crash(name, true);
+    }
+    const auto hasStartedAgain = [](const TaskRecord &task) {
+        return task.lastRun == 2 && !task.active.empty();
+    };
+    const std::vector<TaskRecord> &tasks = job.occurrences.at(0).steps[0].tasks;
+    const TimePoint end = simulation.now + MaxWait;
+    while (simulation.now < end && !std::all_of(tasks.begin(), tasks.end(), hasStartedAgain)) {
+        simulation.run({5});
+    }
+    const TimePoint submittedAt = simulation.now;
+    simulation.submit("sound", oneStepJob(1, SmallTask, {500}));
+    const auto hasStarted = [&simulation] {
+        const FleetJob *sound = findJob(simulation.state, "sound");
+        return sound != nullptr && sound->occurrences.at(0).steps[0].activeCount > 0;
+    };
+    while (simulation.now < submittedAt + MaxWait && !hasStarted()) {
+        simulation.run({5});
+    }
+    return simulation.now - submittedAt;
+}
+
+} // namespace
+
+TEST_CASE("A task does not wait for busy workers while the only ones with room run suspects")
+{
+    // Guards against a preference for other workers that becomes a ban, since busy workers would have room if they were idle.
+    const auto checkWaits = [](std::uint32_t crashed, Duration ranBefore, Duration maxWait) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            CAPTURE(seed);
+            const Duration wait = waitBesideSuspects(seed, crashed, ranBefore);
+            CAPTURE(wait.ms);
+            CHECK(wait < maxWait);
+        }
+    };
+
+    SUBCASE("of a crash that points to one of them")
+    {
+        checkWaits(1, {1'500}, {1'500});
+    }
+
+    SUBCASE("of several crashes at a time")
+    {
+        checkWaits(3, {4'000}, {200});
+    }
+}
+
 TEST_CASE("Only tasks that crash their workers are given up on days with other faults")
 {
     constexpr std::uint64_t DefaultRuns = 12;
