--- a/src/fleet/fleet_load.h
+++ b/src/fleet/fleet_load.h
@@ -23,7 +23,7 @@
     std::int64_t freeCpuMillis = 0; ///< CPU that is not reserved.
     std::int64_t fittingCpuMillis = 0; ///< Part of it that waiting tasks of the mean size could reserve, each as a whole on one worker.
     WorkLoad longRunning;
-    std::array<WorkLoad, DeadlineStatusNames.rows.size()> byStatus; ///< Other work. Runs count by their status when they were placed, or when this leader took over.
+    std::array<WorkLoad, DeadlineStatusNames.rows.size()> byStatus; ///< Other work. Runs count as of their placement, or of the take-over.
 };
 
 /** Measures the present load. It examines all workers and all of their runs. */
