Add: failing tests of small jobs beside large ones that have begun and are late

Callers would see: small jobs get no worker in time while larger jobs that are late hold the fleet, also where those cannot be done while they have value.

Cause: a late job that has begun is in the lowest slack class at once and for up to twice its objective, whatever it still needs; a small job on time that enters the class has begun nothing and follows it, becomes late and loses its rank.

--- a/tests/fleet_overload_test.cpp
+++ b/tests/fleet_overload_test.cpp
@@ -143,3 +143,49 @@
     MESSAGE("served: ", served, ", of the largest tenth: ", largestServed);
     CHECK(largestServed >= served / 2);
 }
+
+TEST_CASE("Narrow jobs are served beside jobs that are too wide for the fleet")
+{
+    // Guards against a job that cannot be done while its result has value, and keeps the whole fleet from all others because it has begun.
+    constexpr int NarrowJobs = 300;
+    constexpr int WideInterval = 60; // Narrow jobs from one wide job to the next.
+    FleetSimulation simulation(FleetSimulationSettings{});
+    simulation.run({1'000});
+    for (int i = 0; i < NarrowJobs; ++i) {
+        if (i % WideInterval == 0) {
+            simulation.submit("wide" + std::to_string(i), oneStepJob(400, {8'000, 1'000, 0}, {1'000}));
+        }
+        simulation.submit("narrow" + std::to_string(i), oneStepJob(1, {8'000, 1'000, 0}, {200}));
+        simulation.run({100});
+    }
+    simulation.run({30'000});
+    const auto served = std::count_if(simulation.outcomes.begin(), simulation.outcomes.end(), [](const auto &item) {
+        const ModelOutcome &outcome = item.second;
+        return outcome.endedAt && *outcome.endedAt - outcome.submittedAt <= outcome.objective * 3;
+    });
+    CHECK_MESSAGE(simulation.violations.empty(), firstViolations(simulation.violations));
+    CHECK(served >= NarrowJobs * 9 / 10);
+}
+
+TEST_CASE("Small new jobs are served in a burst of larger ones")
+{
+    // Guards against jobs on time that get no worker at all, because larger jobs that have begun and are late precede them.
+    FleetSimulation simulation(FleetSimulationSettings{});
+    simulation.run({1'000});
+    constexpr int Jobs = 160;
+    constexpr int SmallInterval = 16; // Larger jobs from one small job to the next.
+    for (int i = 0; i < Jobs; ++i) {
+        if (i % SmallInterval == 0) {
+            simulation.submit("small" + std::to_string(i), oneStepJob(2, SmallTask, {300}));
+        }
+        simulation.submit("large" + std::to_string(i), oneStepJob(12, {8'000, 1'000, 0}, {1'000}));
+        simulation.run({125});
+    }
+    simulation.run({3'000});
+    const auto served = std::count_if(simulation.outcomes.begin(), simulation.outcomes.end(), [](const auto &item) {
+        const ModelOutcome &outcome = item.second;
+        return item.first.starts_with("small") && outcome.endedAt && *outcome.endedAt - outcome.submittedAt <= outcome.objective * 3;
+    });
+    MESSAGE("small jobs that were served: ", served);
+    CHECK(served >= Jobs / SmallInterval / 2);
+}
