Fix: small jobs and jobs of higher priority are not served after large ones that have begun

Cause: a late job that had begun kept its rank whatever it still needed, and the share of a job that was started came before all else, so a new small job was behind every large one.

Change: a late job keeps its rank only if it is likely, at its pace so far, to be completed while its result has value. At about the same slack the value per CPU second that a job still needs decides, where the value grows as the square root of its work, so that small jobs that have not begun come first and large ones that have are completed. Long-running tasks are ordered by their wait.

The test of the order has both kinds of late jobs.

--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -7,6 +7,7 @@
 #include "fleet/service_order.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <span>
 #include <utility>
@@ -87,17 +88,32 @@
         }
     }
 
-    /** Returns the share of the work of an occurrence that is done or under way, from 0 to 1. */
-    double startedShare(const FleetJob &job, const JobView &view, const Occurrence &occurrence)
-    {
+    /** CPU seconds of an occurrence. */
+    struct OccurrenceWork {
         double total = 0;
-        double started = 0;
+        double started = 0; ///< Part of it that is done or under way.
+    };
+
+    OccurrenceWork workOf(const FleetJob &job, const JobView &view, const Occurrence &occurrence)
+    {
+        OccurrenceWork work;
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
             const StepRecord &record = occurrence.steps[i];
-            total += view.taskSeconds[i] * job.spec.steps[i].taskCount;
-            started += view.taskSeconds[i] * (record.doneCount + record.activeCount);
+            work.total += view.taskSeconds[i] * job.spec.steps[i].taskCount;
+            work.started += view.taskSeconds[i] * (record.doneCount + record.activeCount);
         }
-        return total > 0 ? started / total : 0;
+        return work;
+    }
+
+    /**
+     * Returns the value of a job per CPU second that it still needs. Its value grows with its work, but more slowly: small jobs are worth more per CPU
+     * second, and large ones are worth more than small ones. So of two jobs that have not begun the smaller comes first, and large ones that have begun
+     * are completed.
+     */
+    double valueDensityOf(const OccurrenceWork &work)
+    {
+        constexpr double LeastSeconds = 0.1; // A smaller rest makes no difference.
+        return std::sqrt(work.total) / std::max(LeastSeconds, work.total - work.started);
     }
 
     void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::vector<ReadyStep> &ready)
@@ -110,7 +126,7 @@
             if (occurrence.isComplete) {
                 continue;
             }
-            const double started = startedShare(job, view, occurrence);
+            const OccurrenceWork work = workOf(job, view, occurrence);
             for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
                 const StepRecord &record = occurrence.steps[i];
                 const StepSpec &spec = job.spec.steps[i];
@@ -129,7 +145,8 @@
                 step.acceptedAt = view.acceptedAt;
                 step.objectiveDeadline = view.objectiveDeadline;
                 step.remainingCriticalPath = view.criticalPathFrom[i];
-                step.startedShare = started;
+                step.startedShare = work.started / work.total;
+                step.valueDensity = valueDensityOf(work);
                 ready.push_back(step);
             }
         }
--- a/src/fleet/scheduler_run_times.cpp
+++ b/src/fleet/scheduler_run_times.cpp
@@ -23,10 +23,10 @@
         return run.isDataRemote ? static_cast<double>(std::max<std::int64_t>(1, scheduler.settings.farFactor)) : 1.0;
     }
 
-    /** Returns the CPU seconds that each task of a step needs. */
+    /** Returns the CPU seconds that each task of a step needs; above 0 also for tasks that ask for no CPU. */
     double taskSeconds(const StepSpec &step, Duration time)
     {
-        return static_cast<double>(step.request.cpuMillis) * static_cast<double>(time.ms) / 1e6;
+        return static_cast<double>(std::max<std::int64_t>(1, step.request.cpuMillis)) * static_cast<double>(std::max<std::int64_t>(1, time.ms)) / 1e6;
     }
 
     /** Replaces the previous contribution of a run to the evidence of its step. */
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -3,10 +3,10 @@
  *
  * Short urgent jobs and wide long jobs share the workers, and bursts exceed the capacity. Jobs that can still meet their objective precede
  * long-running tasks, and these precede late jobs, since a late result has only a fraction of its value. New jobs that are on time arrive all the
- * time, so long-running tasks that have waited for a while precede them. A job that has begun is completed: it keeps its rank when it becomes late, as
- * long as its result has some value. Otherwise a large job, which takes longer to get all of its tasks, would give way to new ones with part of its work
- * done, and only small jobs would be served. Jobs on time are ordered by slack. At about the same slack, the priority of the queue decides, then the
- * share of the job that has been started, then its age.
+ * time, so long-running tasks that have waited for a while precede them. A job that has begun keeps its rank when it becomes late, as long as it is
+ * likely to be completed while its result has some value. Otherwise a large job, which takes longer to get all of its tasks, would give way to new ones
+ * with part of its work done. Jobs on time are ordered by slack. At about the same slack, the priority of the queue decides, then the value per CPU second
+ * that the job still needs. Long-running tasks are ordered by their wait.
  */
 
 #include "fleet/service_order.h"
@@ -20,22 +20,32 @@
 
     constexpr std::int64_t MaxLateFactor = 3; ///< A result has some value up to this multiple of its latency objective.
 
-    /** Slack is compared in classes of this size, so that jobs with about the same slack are ordered by priority and value. */
+    /** Slack is compared in classes of this size, so that jobs with about the same slack are ordered by priority and value density. */
     constexpr std::int64_t SlackClassMs = 400;
 
     /** Wait after which long-running tasks precede jobs on time. Their users miss them for as long as they wait. */
     constexpr Duration MaxLongRunningWait{1'000};
 
-    /** Returns the rank of a step: long-running tasks have less value per CPU second than short jobs on time, and more than late ones. */
-    int rankOf(const ReadyStep &step, DeadlineStatus status)
+    /** Returns whether a job that goes on as fast as so far is completed while its result has some value. */
+    bool isLikelyToBeUseful(const ReadyStep &step, TimePoint now)
+    {
+        const Duration objective = step.objectiveDeadline - step.acceptedAt;
+        const Duration usefulTime = objective * MaxLateFactor - step.remainingCriticalPath;
+        return step.startedShare * static_cast<double>(usefulTime.ms) >= static_cast<double>((now - step.acceptedAt).ms);
+    }
+
+    /**
+     * Returns the rank of a step: long-running tasks have less value per CPU second than short jobs on time, and more than late ones that have not begun.
+     */
+    int rankOf(const ReadyStep &step, DeadlineStatus status, TimePoint now)
     {
         constexpr int OnTimeRank = 1;
         constexpr int LongRunningRank = 2;
         if (step.isLongRunning) {
             return step.waitedFor >= MaxLongRunningWait ? 0 : LongRunningRank;
         }
-        const bool isBegunAndUseful = step.startedShare > 0 && status == DeadlineStatus::Late;
-        return status == DeadlineStatus::OnTime || isBegunAndUseful ? OnTimeRank : LongRunningRank + static_cast<int>(status);
+        const bool keepsRank = status == DeadlineStatus::Late && step.startedShare > 0 && isLikelyToBeUseful(step, now);
+        return status == DeadlineStatus::OnTime || keepsRank ? OnTimeRank : LongRunningRank + static_cast<int>(status);
     }
 
     std::tuple<int, std::int64_t, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
@@ -43,7 +53,8 @@
         const DeadlineStatus status = deadlineStatus(step, now);
         const std::int64_t slack = (step.objectiveDeadline - now - step.remainingCriticalPath).ms;
         const std::int64_t slackClass = status == DeadlineStatus::OnTime && !step.isLongRunning ? slack / SlackClassMs : 0;
-        return {rankOf(step, status), slackClass, step.priority, -step.startedShare, step.acceptedAt.ms, step.job, step.step};
+        const double urgency = step.isLongRunning ? static_cast<double>(step.waitedFor.ms) : step.valueDensity;
+        return {rankOf(step, status, now), slackClass, step.priority, -urgency, step.acceptedAt.ms, step.job, step.step};
     }
 
 } // namespace
--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -25,6 +25,7 @@
     TimePoint objectiveDeadline; ///< Completion time by which the job meets its latency objective.
     Duration remainingCriticalPath; ///< Critical path from this step to the end of the job.
     double startedShare = 0; ///< Share of the work of its occurrence that is done or under way, from 0 to 1.
+    double valueDensity = 0; ///< Value of the job per CPU second that it still needs.
 };
 
 /** Status of a step relative to its latency objective. */
--- a/tests/fleet_overload_test.cpp
+++ b/tests/fleet_overload_test.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-/** A job that was submitted, with what decides whether it was served. */
+/** A job that was submitted. */
 struct SubmittedJob {
     JobId id;
-    double processorSeconds = 0;
+    double work = 0; ///< CPU that its tasks ask for, times their run time.
 };
 
 /** A fleet of which long-running tasks of several images reserve most, so that short jobs share the rest. */
@@ -48,7 +48,7 @@
     double servedShare(double fromQuantile)
     {
         std::sort(this->jobs.begin(), this->jobs.end(), [](const SubmittedJob &left, const SubmittedJob &right) {
-            return left.processorSeconds < right.processorSeconds;
+            return left.work < right.work;
         });
         const auto first = static_cast<std::size_t>(fromQuantile * static_cast<double>(this->jobs.size()));
         std::size_t served = 0;
--- a/tests/fleet_place_test.cpp
+++ b/tests/fleet_place_test.cpp
@@ -140,8 +140,8 @@
 
 TEST_CASE("Steps are ordered by rank and slack when capacity is short")
 {
-    // The order documented in service_order.cpp: long-running tasks that have waited, jobs on time and late ones that have begun, other long-running
-    // tasks, late jobs, jobs whose result has no value any more.
+    // The order documented in service_order.cpp: long-running tasks that have waited, jobs on time and late ones that are likely to be
+    // useful, other long-running tasks, late jobs, jobs whose result has no value any more.
     const TimePoint now{100'000};
     const auto stepOf = [now](JobNumber job, Duration age, Duration objective, Duration chain) {
         ReadyStep step;
@@ -149,6 +149,7 @@
         step.acceptedAt = now - age;
         step.objectiveDeadline = step.acceptedAt + objective;
         step.remainingCriticalPath = chain;
+        step.valueDensity = 0.1;
         return step;
     };
     ReadyStep longRunning = stepOf(1, {5'000}, {3'000}, {400});
@@ -162,18 +163,23 @@
     const ReadyStep expired = stepOf(5, {30'000}, {2'500}, {1'000});
     ReadyStep begun = stepOf(6, {0}, {9'100}, {1'000});
     begun.startedShare = 0.5;
+    begun.valueDensity = 1.0;
     ReadyStep begunLate = stepOf(8, {3'000}, {2'500}, {1'000});
-    begunLate.startedShare = 0.2;
+    begunLate.startedShare = 0.6;
+    ReadyStep slowLate = stepOf(10, {3'000}, {2'500}, {1'000});
+    slowLate.startedShare = 0.2;
+    slowLate.valueDensity = 0.2;
     ReadyStep begunExpired = stepOf(9, {30'000}, {2'500}, {1'000});
     begunExpired.startedShare = 0.9;
-    std::vector<ReadyStep> steps{expired, late, longRunning, relaxed, longWaiting, urgent, begun, begunLate, begunExpired};
+    begunExpired.valueDensity = 1.0;
+    std::vector<ReadyStep> steps{expired, late, longRunning, relaxed, longWaiting, urgent, begun, begunLate, slowLate, begunExpired};
     sortByServiceOrder(steps, now);
     std::vector<JobNumber> order;
     order.reserve(steps.size());
     for (const ReadyStep &step : steps) {
         order.push_back(step.job);
     }
-    CHECK(order == std::vector<JobNumber>{7, 8, 3, 6, 2, 1, 4, 9, 5});
+    CHECK(order == std::vector<JobNumber>{7, 8, 3, 6, 2, 1, 10, 4, 9, 5});
     CHECK(deadlineStatus(late, now) == DeadlineStatus::Late);
     CHECK(deadlineStatus(expired, now) == DeadlineStatus::Expired);
 }
