--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/name_table.h"
 #include "fleet/fleet_state_base.h"
 #include "fleet/place_run.h"
 
@@ -23,7 +24,7 @@
     TimePoint acceptedAt;
     TimePoint objectiveDeadline; ///< Completion time by which the job meets its latency objective.
     Duration remainingCriticalPath; ///< Critical path from this step to the end of the job.
-    double valueDensity = 0; ///< Value of the job per CPU second that it still needs.
+    double startedShare = 0; ///< Share of the work of its occurrence that is done or under way, from 0 to 1.
 };
 
 /** Status of a step relative to its latency objective. */
@@ -33,6 +34,12 @@
     Expired, ///< The result has no value for the caller any more, but the job was accepted and must run.
 };
 
+constexpr auto DeadlineStatusNames = makeNameTable<DeadlineStatus>({
+    {DeadlineStatus::OnTime, "on_time"},
+    {DeadlineStatus::Late, "late"},
+    {DeadlineStatus::Expired, "expired"},
+});
+
 /** Returns the status that a step reaches if it starts now. */
 DeadlineStatus deadlineStatus(const ReadyStep &step, TimePoint now);
 
