--- a/src/fleet/crash_evidence.cpp
+++ b/src/fleet/crash_evidence.cpp
@@ -153,8 +153,8 @@
 bool areCrashesTelling(const CrashRate &rate)
 {
     constexpr Duration TypicalRunTime{500}; // Of runs that crash their worker, most end sooner.
-    constexpr std::uint32_t MinWeight = 3'000; // One of another cause hits one of 20 runs so soon.
-    return crashWeight(rate, TypicalRunTime) >= MinWeight;
+    constexpr std::uint32_t MinTellingWeight = 3'000; // One of another cause hits one of 20 runs so soon.
+    return crashWeight(rate, TypicalRunTime) >= MinTellingWeight;
 }
 
 } // namespace Filbertlanding
