--- a/src/fleet/crash_evidence.h
+++ b/src/fleet/crash_evidence.h
@@ -79,7 +79,7 @@
 Duration watchTimeOf(const CrashHistory &history);
 
 /**
- * Returns the time for which a new run of a task must be alone on its worker; 0 if crashes of other causes are too likely to have hit its earlier runs.
+ * Returns the time for which no other run may join a new one of a task on its worker; 0 if crashes of other causes are too likely to have hit its earlier runs.
  * Where many workers crash, most tasks have been the youngest of one, and a worker for each of them would leave none to the others.
  */
 Duration isolationTimeOf(const CrashHistory &history);
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -103,7 +103,7 @@
     IncarnationNumber excluded = 0; ///< Incarnation that must not be chosen; 0 for none.
     bool acceptsAvoided = false; ///< Workers that are avoided may be chosen too.
     CrashSuspicion suspicion = CrashSuspicion::None; ///< Suspicion that the task crashes its worker.
-    bool isIsolated = false; ///< The task must be alone on its worker for a while, so that no others join it there.
+    bool isIsolated = false; ///< No other tasks may join it on its worker for a while.
     bool isQueueAtRisk = false; ///< Tasks of the queue have recently crashed workers.
 };
 
--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -25,7 +25,7 @@
 /** Returns the view of a run of a task of the step. */
 RunView makeRunView(const StepSpec &step, std::uint32_t run, RunPhase phase, TimePoint now);
 
-/** Recomputes the critical paths, the deadline and the value density of a job from the expected run times. */
+/** Recomputes the critical paths, the deadline and the work of the tasks of a job from the expected run times. */
 void refreshJobView(const FleetScheduler &scheduler, const FleetJob &job, JobView &view);
 
 /** Returns the expected run time of a task of a step, based on the runs on all workers except one; 0 excludes none. */
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -7,7 +7,6 @@
 #include "fleet/service_order.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <span>
 #include <utility>
@@ -105,17 +104,6 @@
         return work;
     }
 
-    /**
-     * Returns the value of a job per CPU second that it still needs. Its value grows with its work, but more slowly: small jobs are worth more per CPU
-     * second, and large ones are worth more than small ones. So of two jobs that have not begun the smaller comes first, and large ones that have begun
-     * are completed.
-     */
-    double valueDensityOf(const OccurrenceWork &work)
-    {
-        constexpr double LeastSeconds = 0.1; // A smaller rest makes no difference.
-        return std::sqrt(work.total) / std::max(LeastSeconds, work.total - work.started);
-    }
-
     void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::vector<ReadyStep> &ready)
     {
         if (view.isStale) {
@@ -146,7 +134,7 @@
                 step.objectiveDeadline = view.objectiveDeadline;
                 step.remainingCriticalPath = view.criticalPathFrom[i];
                 step.startedShare = work.started / work.total;
-                step.valueDensity = valueDensityOf(work);
+                step.valueDensity = valueDensity(work.total, work.started);
                 ready.push_back(step);
             }
         }
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -12,6 +12,7 @@
 #include "fleet/service_order.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace Filbertlanding {
@@ -48,17 +49,23 @@
         return status == DeadlineStatus::OnTime || keepsRank ? OnTimeRank : LongRunningRank + static_cast<int>(status);
     }
 
-    std::tuple<int, std::int64_t, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
+    std::tuple<int, std::int64_t, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t, std::uint32_t> serviceKey(const ReadyStep &step, TimePoint now)
     {
         const DeadlineStatus status = deadlineStatus(step, now);
         const std::int64_t slack = (step.objectiveDeadline - now - step.remainingCriticalPath).ms;
         const std::int64_t slackClass = status == DeadlineStatus::OnTime && !step.isLongRunning ? slack / SlackClassMs : 0;
         const double urgency = step.isLongRunning ? static_cast<double>(step.waitedFor.ms) : step.valueDensity;
-        return {rankOf(step, status, now), slackClass, step.priority, -urgency, step.acceptedAt.ms, step.job, step.step};
+        return {rankOf(step, status, now), slackClass, step.priority, -urgency, step.acceptedAt.ms, step.job, step.occurrence, step.step};
     }
 
 } // namespace
 
+double valueDensity(double total, double started)
+{
+    constexpr double LeastShare = 0.001; // The last tasks of a job come first in any case.
+    return std::sqrt(total) / std::max(LeastShare * total, total - started);
+}
+
 DeadlineStatus deadlineStatus(const ReadyStep &step, TimePoint now)
 {
     const TimePoint end = now + step.remainingCriticalPath;
--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -41,6 +41,12 @@
     {DeadlineStatus::Expired, "expired"},
 });
 
+/**
+ * Returns the value of a job per CPU second that it still needs, from its work and the part of it that is done or under way, in CPU seconds. The value
+ * grows with the work, but more slowly. So of two jobs that have not begun the smaller comes first, and large ones that have begun are completed.
+ */
+double valueDensity(double total, double started);
+
 /** Returns the status that a step reaches if it starts now. */
 DeadlineStatus deadlineStatus(const ReadyStep &step, TimePoint now);
 
--- a/tests/fleet_overload_test.cpp
+++ b/tests/fleet_overload_test.cpp
@@ -161,8 +161,9 @@
     simulation.run({30'000});
     const auto served = std::count_if(simulation.outcomes.begin(), simulation.outcomes.end(), [](const auto &item) {
         const ModelOutcome &outcome = item.second;
-        return outcome.endedAt && *outcome.endedAt - outcome.submittedAt <= outcome.objective * 3;
+        return item.first.starts_with("narrow") && outcome.endedAt && *outcome.endedAt - outcome.submittedAt <= outcome.objective * 3;
     });
+    MESSAGE("narrow jobs that were served: ", served);
     CHECK_MESSAGE(simulation.violations.empty(), firstViolations(simulation.violations));
     CHECK(served >= NarrowJobs * 9 / 10);
 }
--- a/tests/fleet_place_test.cpp
+++ b/tests/fleet_place_test.cpp
@@ -184,6 +184,19 @@
     CHECK(deadlineStatus(expired, now) == DeadlineStatus::Expired);
 }
 
+TEST_CASE("A job is worth more per CPU second the smaller it is and the less of it is left")
+{
+    // Guards against tiny jobs, or ones that ask for no CPU, that come behind large ones.
+    double previous = valueDensity(1e-6, 0);
+    for (const double total : {0.001, 0.01, 0.1, 1.0, 10.0, 1'000.0}) {
+        CAPTURE(total);
+        CHECK(valueDensity(total, 0) < previous);
+        CHECK(valueDensity(total, total / 2) > valueDensity(total, 0));
+        CHECK(valueDensity(total, total) > valueDensity(total, total / 2));
+        previous = valueDensity(total, 0);
+    }
+}
+
 TEST_CASE("Long-running tasks get capacity although jobs on time take every gap")
 {
     // Guards against long-running tasks that never start again after their worker has left, since new jobs that are on time always come first.
