--- a/src/fleet/place_run.cpp
+++ b/src/fleet/place_run.cpp
@@ -6,6 +6,10 @@
  * that use spare capacity are spread. A spare image that interferes with almost all long-running images finds no worker without interference;
  * its tasks are allowed a limited amount of harm once their deadline is near. A job that makes no progress nevertheless gets one task at a time wherever
  * it does the least harm, since an accepted job must not wait for ever while most of the fleet is idle.
+ *
+ * Failures, slow tasks and suspects of crashes make some workers a worse choice, in two degrees. One that is a second choice, or preferred for suspects,
+ * is taken if no other worker has room now, whatever the scores. One that is avoided, or reserved for suspects, is taken only if no other worker may run
+ * the task, not even a busy one; so these states must end soon.
  */
 
 #include "fleet/place_run.h"
