--- /dev/null
+++ b/fakes/fleet_checks.cpp
@@ -0,0 +1,101 @@
+/** @file fleet_checks.cpp Checks of the guarantees at each start and end of a run in the fleet simulation. */
+
+#include "fakes/fleet_simulation.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr Duration MaxCancelDelay{3'000}; ///< Time after which no task of a cancelled job may start.
+
+} // namespace
+
+void FleetSimulation::addViolation(const std::string &text)
+{
+    this->violations.push_back("at " + std::to_string(this->now.ms) + " ms: " + text);
+}
+
+void FleetSimulation::onStarted(const WorkerName &worker, const TaskName &task, std::uint32_t run)
+{
+    ++this->startedRuns;
+    const std::string name = task.job + "." + std::to_string(task.step) + "." + std::to_string(task.index) + " run " + std::to_string(run) + " on " + worker;
+    const StepSpec &step = this->specs.at(task.job).steps.at(task.step);
+    auto &activeWorkers = this->activeRuns[task];
+    if (!activeWorkers.empty() && !step.allowsSpeculativeCopies) {
+        this->addViolation("two runs of one task: " + name + " beside " + activeWorkers.begin()->first);
+    }
+    activeWorkers[worker] = run;
+    this->checkGangIsComplete(task, run);
+    if (const CrashTime *time = this->findCrashTime(task)) {
+        this->onCrashingTaskStarted(worker, task, run, *time);
+    }
+    if (this->committedDoneTasks.contains(task) && !step.allowsSpeculativeCopies) {
+        this->addViolation("start after a committed end: " + name);
+    }
+    const FleetJob *job = findJob(this->state, task.job);
+    if (job == nullptr) {
+        this->addViolation("start of a job that was not accepted: " + name);
+        return;
+    }
+    for (const std::uint32_t earlier : step.dependsOn) {
+        if (job->occurrences.at(task.occurrence).steps[earlier].doneCount < this->specs.at(task.job).steps[earlier].taskCount) {
+            this->addViolation("start before a dependency is done: " + name);
+        }
+    }
+    const auto cancelled = this->cancelledAt.find(task.job);
+    if (cancelled != this->cancelledAt.end() && this->now - cancelled->second > MaxCancelDelay && this->settings.lateOrderPercent == 0) {
+        this->addViolation("start after a cancellation: " + name);
+    }
+    std::uint32_t tasksOfStep = 0;
+    for (const auto &[other, present] : this->workers.at(worker)->running) {
+        tasksOfStep += other.job == task.job && other.occurrence == task.occurrence && other.step == task.step ? 1 : 0;
+    }
+    if (step.maxPerWorker > 0 && tasksOfStep > step.maxPerWorker) {
+        this->addViolation("too many tasks of a step on one worker: " + name);
+    }
+    this->checkCapacity(worker, name);
+}
+
+void FleetSimulation::checkCapacity(const WorkerName &worker, const std::string &run)
+{
+    const ModelWorker &model = *this->workers.at(worker);
+    if (model.enforcesCapacity) {
+        return;
+    }
+    Resources limit = model.profile.capacity;
+    for (const FormerCapacity &former : this->formerCapacities[worker]) {
+        if (this->now - former.until <= this->settings.shrinkGrace) {
+            limit.cpuMillis = std::max(limit.cpuMillis, former.capacity.cpuMillis);
+            limit.memoryMb = std::max(limit.memoryMb, former.capacity.memoryMb);
+            limit.accelerators = std::max(limit.accelerators, former.capacity.accelerators);
+        }
+    }
+    const Resources used = model.used();
+    if (used.cpuMillis > limit.cpuMillis || used.memoryMb > limit.memoryMb || used.accelerators > limit.accelerators) {
+        this->addViolation("start over the capacity of the worker: " + run);
+    }
+}
+
+void FleetSimulation::onEnded(const WorkerName &worker, const TaskName &task, std::uint32_t run, RunOutcome end)
+{
+    this->activeRuns[task].erase(worker);
+    if (end != RunOutcome::Done) {
+        this->breakGang(task, run);
+    }
+}
+
+void FleetSimulation::onEndDiscarded(const WorkerName &worker, const ListedEnd &end)
+{
+    const FleetJob *job = findJob(this->state, end.task.job);
+    if (end.outcome != RunOutcome::Done || job == nullptr || hasEnded(job->state)) {
+        return;
+    }
+    if (!job->occurrences.at(end.task.occurrence).steps[end.task.step].tasks[end.task.index].isDone) {
+        this->addViolation("a worker may discard an end that is not committed: " + end.task.job + "." + std::to_string(end.task.step) + "."
+                           + std::to_string(end.task.index) + " run " + std::to_string(end.run) + " on " + worker);
+    }
+}
+
+} // namespace Filbertlanding
--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -2,7 +2,6 @@
 
 #include "fakes/fleet_simulation.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Filbertlanding {
@@ -12,16 +11,9 @@
     constexpr Duration Step{5}; ///< Resolution of the simulated time.
     constexpr Duration TickInterval{20}; ///< Tick interval of the scheduler in the daemon.
     constexpr Duration ReportInterval{1'000};
-    constexpr Duration MaxCancelDelay{3'000}; ///< Time after which no task of a cancelled job may start.
     constexpr Duration LeaderLease{600}; ///< Lease of a reachable leader, renewed with each tick.
     const ServiceName Service = "quote-desk";
 
-    /** Returns the number of a worker's address. Its name is "w" and this number, followed by "-" and another one after a restart under a new name. */
-    int indexOf(const WorkerName &worker)
-    {
-        return std::stoi(worker.substr(1));
-    }
-
     /** Makes workers that have restarted available to all tasks. */
     void cancelReservations(FleetScheduler &scheduler)
     {
@@ -112,19 +104,6 @@
     this->reusedAddresses.erase(name);
 }
 
-std::optional<WorkerName> FleetSimulation::workerAt(int index) const
-{
-    const auto found = std::find_if(this->workers.begin(), this->workers.end(), [index](const auto &item) {
-        return indexOf(item.first) == index;
-    });
-    return found == this->workers.end() ? std::nullopt : std::optional<WorkerName>(found->first);
-}
-
-void FleetSimulation::addViolation(const std::string &text)
-{
-    this->violations.push_back("at " + std::to_string(this->now.ms) + " ms: " + text);
-}
-
 ModelTask FleetSimulation::modelTask(const TaskName &task) const
 {
     ModelTask model;
@@ -144,87 +123,6 @@
     return model;
 }
 
-void FleetSimulation::onStarted(const WorkerName &worker, const TaskName &task, std::uint32_t run)
-{
-    ++this->startedRuns;
-    const std::string name = task.job + "." + std::to_string(task.step) + "." + std::to_string(task.index) + " run " + std::to_string(run) + " on " + worker;
-    const StepSpec &step = this->specs.at(task.job).steps.at(task.step);
-    auto &activeWorkers = this->activeRuns[task];
-    if (!activeWorkers.empty() && !step.allowsSpeculativeCopies) {
-        this->addViolation("two runs of one task: " + name + " beside " + activeWorkers.begin()->first);
-    }
-    activeWorkers[worker] = run;
-    this->checkGangIsComplete(task, run);
-    if (const CrashTime *time = this->findCrashTime(task)) {
-        this->onCrashingTaskStarted(worker, task, run, *time);
-    }
-    if (this->committedDoneTasks.contains(task) && !step.allowsSpeculativeCopies) {
-        this->addViolation("start after a committed end: " + name);
-    }
-    const FleetJob *job = findJob(this->state, task.job);
-    if (job == nullptr) {
-        this->addViolation("start of a job that was not accepted: " + name);
-        return;
-    }
-    for (const std::uint32_t earlier : step.dependsOn) {
-        if (job->occurrences.at(task.occurrence).steps[earlier].doneCount < this->specs.at(task.job).steps[earlier].taskCount) {
-            this->addViolation("start before a dependency is done: " + name);
-        }
-    }
-    const auto cancelled = this->cancelledAt.find(task.job);
-    if (cancelled != this->cancelledAt.end() && this->now - cancelled->second > MaxCancelDelay && this->settings.lateOrderPercent == 0) {
-        this->addViolation("start after a cancellation: " + name);
-    }
-    std::uint32_t tasksOfStep = 0;
-    for (const auto &[other, present] : this->workers.at(worker)->running) {
-        tasksOfStep += other.job == task.job && other.occurrence == task.occurrence && other.step == task.step ? 1 : 0;
-    }
-    if (step.maxPerWorker > 0 && tasksOfStep > step.maxPerWorker) {
-        this->addViolation("too many tasks of a step on one worker: " + name);
-    }
-    this->checkCapacity(worker, name);
-}
-
-void FleetSimulation::checkCapacity(const WorkerName &worker, const std::string &run)
-{
-    const ModelWorker &model = *this->workers.at(worker);
-    if (model.enforcesCapacity) {
-        return;
-    }
-    Resources limit = model.profile.capacity;
-    for (const FormerCapacity &former : this->formerCapacities[worker]) {
-        if (this->now - former.until <= this->settings.shrinkGrace) {
-            limit.cpuMillis = std::max(limit.cpuMillis, former.capacity.cpuMillis);
-            limit.memoryMb = std::max(limit.memoryMb, former.capacity.memoryMb);
-            limit.accelerators = std::max(limit.accelerators, former.capacity.accelerators);
-        }
-    }
-    const Resources used = model.used();
-    if (used.cpuMillis > limit.cpuMillis || used.memoryMb > limit.memoryMb || used.accelerators > limit.accelerators) {
-        this->addViolation("start over the capacity of the worker: " + run);
-    }
-}
-
-void FleetSimulation::onEnded(const WorkerName &worker, const TaskName &task, std::uint32_t run, RunOutcome end)
-{
-    this->activeRuns[task].erase(worker);
-    if (end != RunOutcome::Done) {
-        this->breakGang(task, run);
-    }
-}
-
-void FleetSimulation::onEndDiscarded(const WorkerName &worker, const ListedEnd &end)
-{
-    const FleetJob *job = findJob(this->state, end.task.job);
-    if (end.outcome != RunOutcome::Done || job == nullptr || hasEnded(job->state)) {
-        return;
-    }
-    if (!job->occurrences.at(end.task.occurrence).steps[end.task.step].tasks[end.task.index].isDone) {
-        this->addViolation("a worker may discard an end that is not committed: " + end.task.job + "." + std::to_string(end.task.step) + "."
-                           + std::to_string(end.task.index) + " run " + std::to_string(end.run) + " on " + worker);
-    }
-}
-
 void FleetSimulation::submit(const JobId &id, const JobSpec &spec, double runTimeFactor)
 {
     this->specs[id] = spec;
@@ -434,95 +332,6 @@
     }
 }
 
-void FleetSimulation::crash(const WorkerName &worker, bool restart)
-{
-    for (auto &[task, activeWorkers] : this->activeRuns) {
-        const auto run = activeWorkers.find(worker);
-        if (run != activeWorkers.end()) {
-            ++this->taskCrashes[task].witnessed;
-            this->breakGang(task, run->second);
-            activeWorkers.erase(run);
-        }
-    }
-    this->workers.erase(worker);
-    if (!restart) {
-        return;
-    }
-    const Duration restartTime = this->settings.restartTime + this->randomUpTo(this->settings.restartJitter);
-    if (restartTime.ms == 0) {
-        this->restart(worker);
-        return;
-    }
-    this->at(this->now + restartTime, [this, worker] {
-        this->restart(worker);
-    });
-}
-
-void FleetSimulation::restart(const WorkerName &worker)
-{
-    const int index = indexOf(worker);
-    if (this->workerAt(index)) {
-        return;
-    }
-    WorkerName name = worker;
-    if (this->settings.restartsUnderNewName) {
-        name = "w" + std::to_string(index) + "-" + std::to_string(++this->restarts);
-        this->reuseAddress(worker);
-    }
-    this->addWorker(name, index);
-    this->sequences.erase(name);
-    this->report(name, std::nullopt);
-}
-
-void FleetSimulation::reuseAddress(const WorkerName &worker)
-{
-    this->reusedAddresses.insert(worker);
-}
-
-void FleetSimulation::sayGoodbye(const WorkerName &worker)
-{
-    handleGoodbye(this->leaders.at(this->lastTerm)->scheduler, this->state, worker);
-}
-
-void FleetSimulation::setPartitioned(const WorkerName &worker, bool isPartitioned)
-{
-    if (isPartitioned) {
-        this->partitionedWorkers.insert(worker);
-    } else {
-        this->partitionedWorkers.erase(worker);
-    }
-}
-
-void FleetSimulation::drain(const WorkerName &worker, Duration remaining)
-{
-    this->workers.at(worker)->profile.isDraining = true;
-    this->report(worker, remaining);
-}
-
-void FleetSimulation::setCapacity(const WorkerName &worker, const Resources &capacity)
-{
-    Resources &present = this->workers.at(worker)->profile.capacity;
-    this->formerCapacities[worker].push_back({present, this->now});
-    present = capacity;
-}
-
-void FleetSimulation::delayNextReport(const WorkerName &worker, Duration delay)
-{
-    this->reportDelays[worker] = delay;
-}
-
-void FleetSimulation::setCapacityEnforced(bool isEnforced)
-{
-    this->settings.workersEnforceCapacity = isEnforced;
-    for (const auto &[name, worker] : this->workers) {
-        worker->enforcesCapacity = isEnforced;
-    }
-    FleetManifest manifest = this->state.manifest;
-    ++manifest.version;
-    manifest.services.front().workersEnforceCapacity = isEnforced;
-    this->propose(PutManifest{manifest}, this->lastTerm);
-}
-
 void FleetSimulation::changeLeader(Duration gap)
 {
     this->leaders.clear();
