--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -10,7 +10,10 @@
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -77,6 +80,17 @@
     list.push_back(nullptr);
     const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     const pid_t parent = ::getpid();
+    std::array<int, 2> executed{-1, -1};
+    if (::pipe2(executed.data(), O_CLOEXEC) != 0) {
+        ::close(file);
+        ::close(executed[1]);
+        // The last copy of the write end is closed when the program replaces the child, so that later signals reach the program.
+        char none = 0;
+        while (::read(executed[0], &none, 1) < 0 && errno == EINTR) {
+        }
+        ::close(executed[0]);
+        throw std::runtime_error("no pipe to a child process");
+    }
     this->pid = file < 0 ? -1 : ::fork();
     if (this->pid == 0) {
         // Only calls that are safe after fork in a program with threads. The signal ends the process also when the test is killed.
@@ -87,7 +101,9 @@
         ::dup2(file, STDOUT_FILENO);
         ::dup2(file, STDERR_FILENO);
         // A copy of a listening socket of the test would keep its port taken.
-        ::close_range(STDERR_FILENO + 1, ~0U, 0);
+        const auto kept = static_cast<unsigned>(executed[1]);
+        ::close_range(STDERR_FILENO + 1, kept - 1, 0);
+        ::close_range(kept + 1, ~0U, 0);
         ::execv(list.front(), list.data());
         ::_exit(127);
     }
--- a/tests/process_cluster.h
+++ b/tests/process_cluster.h
@@ -32,7 +32,7 @@
 class ChildProcess
 {
 public:
-    /** Starts a program with standard output and error appended to a file; throws if that is not possible. */
+    /** Starts a program with standard output and error appended to a file, and waits until it runs; throws if that is not possible. */
     ChildProcess(const std::vector<std::string> &arguments, const std::filesystem::path &output);
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
