Fix: a worker of the soak that restarts soon after its crash ends the soak

The listener of a crashed worker is closed on the event loop. The worker now starts again after the same time.

--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -214,7 +214,13 @@
             this->handle(index, std::move(request), respond);
         },
         this->counters);
-    if (const std::error_code error = slot.server->start()) {
+    const std::error_code error = slot.server->start();
+    if (error == std::errc::address_in_use) {
+        // A busy event loop has not closed the listener of the earlier process yet.
+        this->crash(index, true);
+        return;
+    }
+    if (error) {
         throw std::runtime_error("worker cannot listen on its port: " + error.message());
     }
     this->report(index);
