Add: faults of processes, operators and open connections in the soak

The soak sent no SIGHUP, changed no settings file and had one operator that changed the manifest every 1.5 s, so an incident of daemons that end by themselves and lose requests could not show. Now volleys of SIGHUP, also some milliseconds after a start and to all cores together, SIGTERM after a start, changed and half-written settings files, slow processors and ports in use overlap with the other faults; two operators change the manifest every 50 to 500 ms, one in seven times with an invalid one, each core daemon is read, and callers use their connections to entries until the process is gone. New checks: an invalid manifest is refused and never in force, a confirmed route is not answered with 404, and a request on an open connection gets an answer unless the process was killed, was slow, or crossed the end of a drain.

The new parts draw random numbers of their own, so that the other faults of a seed stay the same.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -19,7 +19,6 @@
     namespace asio = boost::asio;
     namespace json = boost::json;
 
-    constexpr std::string_view QueueHost = "quotes.example";
     constexpr std::string_view QueuePrefix = "/jobs/";
     constexpr int SubmitAttempts = 5;
     constexpr int CancelAttempts = 8;
@@ -79,11 +78,13 @@
                          const SoakSettings &soakSettings,
                          std::vector<std::string> entryAddresses,
                          std::vector<std::string> controlAddresses,
+                         SoakManifests &soakManifests,
                          SoakChecks &soakChecks)
     : io(loop)
     , settings(soakSettings)
     , entries(std::move(entryAddresses))
     , controls(std::move(controlAddresses))
+    , manifests(soakManifests)
     , checks(soakChecks)
     , client(soakClientSettings(loop), counters)
     , random{soakSettings.seed ^ 0xca11ULL}
@@ -96,7 +97,7 @@
 
 void SoakCallers::start()
 {
-    this->putManifest(++this->version, ManifestAttempts);
+    this->putManifest(this->manifests.next(1), ManifestAttempts);
     this->armSubmit();
     this->armStatusPoll();
     this->armOperator();
@@ -135,7 +136,7 @@
 
 void SoakCallers::sendToEntry(HttpRequest request, Duration timeout, HttpDone done)
 {
-    request.headers.push_back({"Host", std::string(QueueHost)});
+    request.headers.push_back({"Host", std::string(SoakManifests::QueueHost)});
     request.headers.push_back({"Content-Type", "application/json"});
     request.headers.push_back({"X-Deadline-Ms", std::to_string(timeout.ms)});
     const std::string &entry = this->entries[this->random.below(this->entries.size())];
@@ -145,18 +146,7 @@
 void SoakCallers::sendToControl(HttpRequest request, HttpDone done)
 {
     const std::string &control = this->controls[this->random.below(this->controls.size())];
-    HttpRequest redirected = request;
-    this->client.send(
-        soakAddressOf(control), std::move(request), {.timeout = ControlTimeout}, [this, redirected, done = std::move(done)](const HttpExchange &exchange) {
-            const std::string location(headerValue(exchange.response.headers, "Location"));
-            constexpr std::string_view Scheme = "http://";
-            if (exchange.response.status != 307 || !location.starts_with(Scheme)) {
-                done(exchange);
-                return;
-            }
-            const std::string rest = location.substr(Scheme.size());
-            this->client.send(soakAddressOf(rest.substr(0, rest.find('/'))), redirected, {.timeout = ControlTimeout}, done);
-        });
+    sendToLeader(this->client, control, std::move(request), ControlTimeout, std::move(done));
 }
 
 JobSpec SoakCallers::makeRandomJob()
@@ -364,41 +354,25 @@
             return;
         }
         if (!this->isSubmittingStopped && this->hasManifest) {
-            this->version += 1 + this->random.below(3);
-            this->putManifest(this->version, ManifestAttempts);
+            this->putManifest(this->manifests.next(1 + this->random.below(3)), ManifestAttempts);
         }
         this->readManifest();
         this->armOperator();
     });
 }
 
-std::string SoakCallers::manifest(std::uint64_t number) const
-{
-    const json::object route{{"name", "jobs"},
-                             {"host", QueueHost},
-                             {"pathPrefix", QueuePrefix},
-                             {"kind", "unsafe"},
-                             {"timeoutMs", 3000 + number},
-                             {"targetLatencyMs", 250},
-                             {"priority", 0},
-                             {"service", "quote-desk"},
-                             {"maxAttempts", 3},
-                             {"stretch", 2.0}};
-    const json::object service{{"name", "quote-desk"}, {"admissionCheck", true}, {"standby", false}};
-    return json::serialize(json::object{{"version", number}, {"routes", json::array{route}}, {"services", json::array{service}}});
-}
-
 void SoakCallers::putManifest(std::uint64_t number, int attemptsLeft)
 {
-    this->sendToControl({"PUT", "/config", {{"Content-Type", "application/json"}}, this->manifest(number), {}},
+    this->sendToControl({"PUT", "/config", {{"Content-Type", "application/json"}}, this->manifests.document(number), {}},
                         [this, number, attemptsLeft](const HttpExchange &exchange) {
                             const unsigned status = exchange.code == ResultCode::Ok ? exchange.response.status : 0;
                             if (status == 200) {
                                 this->hasManifest = true;
                                 this->checks.onManifestAcknowledged(number, steadyNow());
+                                this->manifests.onAcknowledged(number, steadyNow());
                                 return;
                             }
-                            if (status >= 400 && status < 500 && status != 408 && status != 429) {
+                            if (isRejection(status)) {
                                 this->checks.addViolation("a valid manifest was rejected with HTTP status " + std::to_string(status));
                                 return;
                             }
@@ -418,7 +392,11 @@
             return;
         }
         const json::object body = json::parse(exchange.response.body).as_object();
-        this->checks.onManifestRead(body.at("version").to_number<std::uint64_t>(), sentAt);
+        const auto version = body.at("version").to_number<std::uint64_t>();
+        this->checks.onManifestRead(version, sentAt);
+        if (this->manifests.isInvalid(version)) {
+            this->checks.addViolation("an invalid manifest is in force: version " + std::to_string(version));
+        }
         this->hasReadManifestSinceStop = this->hasReadManifestSinceStop || this->isSubmittingStopped;
     });
 }
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "network/http_client.h"
 #include "soak/soak_checks.h"
+#include "soak/soak_manifests.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -22,6 +23,7 @@
                 const SoakSettings &soakSettings,
                 std::vector<std::string> entryAddresses,
                 std::vector<std::string> controlAddresses,
+                SoakManifests &soakManifests,
                 SoakChecks &soakChecks);
 
     /** Uploads the first manifest until it is accepted, then starts to submit jobs. */
@@ -58,12 +60,12 @@
     void sendToEntry(HttpRequest request, Duration timeout, HttpDone done);
     void sendToControl(HttpRequest request, HttpDone done);
     void runAfter(Duration delay, std::function<void()> action);
-    std::string manifest(std::uint64_t version) const;
 
     boost::asio::io_context &io;
     const SoakSettings &settings;
     std::vector<std::string> entries;
     std::vector<std::string> controls;
+    SoakManifests &manifests;
     SoakChecks &checks;
     NetworkCounters counters;
     HttpClient client;
@@ -72,7 +74,6 @@
     boost::asio::steady_timer submitTimer;
     boost::asio::steady_timer statusPollTimer;
     boost::asio::steady_timer operatorTimer;
-    std::uint64_t version = 0;
     bool hasManifest = false;
     bool isSubmittingStopped = false;
     bool hasReadManifestSinceStop = false;
--- a/tests/soak/soak_client.cpp
+++ b/tests/soak/soak_client.cpp
@@ -18,4 +18,25 @@
     return {text.substr(0, colon), static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
 }
 
+void sendToLeader(HttpClient &client, const std::string &daemon, HttpRequest request, Duration timeout, HttpDone done)
+{
+    HttpRequest redirected = request;
+    client.send(
+        soakAddressOf(daemon), std::move(request), {.timeout = timeout}, [&client, redirected, timeout, done = std::move(done)](const HttpExchange &exchange) {
+            const std::string location(headerValue(exchange.response.headers, "Location"));
+            constexpr std::string_view Scheme = "http://";
+            if (exchange.response.status != 307 || !location.starts_with(Scheme)) {
+                done(exchange);
+                return;
+            }
+            const std::string rest = location.substr(Scheme.size());
+            client.send(soakAddressOf(rest.substr(0, rest.find('/'))), redirected, {.timeout = timeout}, done);
+        });
+}
+
+bool isRejection(unsigned status)
+{
+    return status >= 400 && status < 500 && status != 408 && status != 429;
+}
+
 } // namespace Filbertlanding
--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -22,6 +22,7 @@
     constexpr std::uint16_t ControlPort = 8'101;
     constexpr std::uint16_t ReadinessPort = 8'102;
     constexpr std::uint16_t MetricsPort = 8'103;
+    constexpr int MaxContacts = 3;
     constexpr Duration KillTimeout{10'000}; ///< Maximum time until a killed process has exited.
 
     std::string endpoint(const std::string &address, std::uint16_t port)
@@ -41,6 +42,9 @@
         daemon.name = (daemon.hasDisk ? "core-" : "entry-") + std::to_string(i);
         daemon.address = this->networkPrefix + std::to_string(i + 1);
         daemon.zone = "z" + std::to_string(i % 3);
+        for (int contact = 0; contact < std::min(MaxContacts, this->settings.cores); ++contact) {
+            daemon.contacts.push_back(static_cast<std::size_t>(contact));
+        }
         soakRelay.listen(daemon.address, PeerPort, PeerPort + 1);
         this->daemons.push_back(std::move(daemon));
     }
@@ -52,11 +56,12 @@
     return this->settings.folder / (daemon.name + "-data");
 }
 
-void SoakDaemons::writeSettings(const SoakDaemon &daemon, bool isFirstStart) const
+void SoakDaemons::writeSettings(std::size_t written, SoakFileWrite how, bool isFirstStart) const
 {
+    const SoakDaemon &daemon = this->daemons[written];
     json::array contacts;
-    for (std::size_t i = 0; i < std::min<std::size_t>(3, static_cast<std::size_t>(this->settings.cores)); ++i) {
-        contacts.emplace_back(endpoint(this->daemons[i].address, ControlPort));
+    for (const std::size_t contact : daemon.contacts) {
+        contacts.emplace_back(endpoint(this->daemons[contact].address, ControlPort));
     }
     json::object listen{{"readiness", endpoint(daemon.address, ReadinessPort)}, {"metrics", endpoint(daemon.address, MetricsPort)}};
     listen[daemon.hasDisk ? "control" : "callers"] = endpoint(daemon.address, daemon.hasDisk ? ControlPort : CallerPort);
@@ -70,8 +75,15 @@
                                     {"listen", listen},
                                     {"peer", {{"port", PeerPort}, {"listenPort", PeerPort + 1}, {"fromOwnAddress", true}, {"key", "key of the soak"}}},
                                     {"tolerated", {{"hosts", 1}}}};
-    std::ofstream file(this->settings.folder / (daemon.name + ".json"));
-    file << json::serialize(settingsFile);
+    const std::string text = json::serialize(settingsFile);
+    const auto path = this->settings.folder / (daemon.name + ".json");
+    if (how == SoakFileWrite::Renamed) {
+        const auto replacement = this->settings.folder / (daemon.name + ".json.new");
+        std::ofstream(replacement) << text;
+        std::filesystem::rename(replacement, path);
+        return;
+    }
+    std::ofstream(path) << (how == SoakFileWrite::FirstHalfInPlace ? text.substr(0, text.size() / 2) : text);
 }
 
 void SoakDaemons::startAll()
@@ -85,18 +97,45 @@
 }
 
 void SoakDaemons::start(std::size_t daemon, bool isFirstStart)
+{
+    if (this->daemons[daemon].process == nullptr) {
+        this->writeSettings(daemon, SoakFileWrite::WholeInPlace, isFirstStart);
+        this->startProcess(daemon);
+    }
+}
+
+void SoakDaemons::startProcess(std::size_t daemon)
 {
     SoakDaemon &started = this->daemons[daemon];
     if (started.process != nullptr) {
         return;
     }
-    this->writeSettings(started, isFirstStart);
     const auto settingsPath = this->settings.folder / (started.name + ".json");
     const std::vector<std::string> arguments{this->settings.program, "--settings", settingsPath.string()};
     started.process = std::make_unique<ChildProcess>(arguments, this->settings.folder / (started.name + ".log"));
     started.isSuspended = false;
     started.upSince = steadyNow();
     this->isExitExpected[daemon] = false;
+    if (this->hasStarted) {
+        this->hasStarted(daemon);
+    }
+}
+
+void SoakDaemons::signal(std::size_t daemon, int number)
+{
+    if (this->daemons[daemon].process != nullptr) {
+        this->daemons[daemon].process->signal(number);
+    }
+}
+
+void SoakDaemons::slowDown(std::size_t daemon, bool isSuspended)
+{
+    SoakDaemon &slow = this->daemons[daemon];
+    if (slow.process != nullptr && !slow.isSuspended) {
+        slow.lastSlowDown = steadyNow();
+        slow.upSince = slow.lastSlowDown;
+        slow.process->signal(isSuspended ? SIGSTOP : SIGCONT);
+    }
 }
 
 void SoakDaemons::kill(std::size_t daemon)
@@ -109,6 +148,7 @@
     killed.process->waitForEnd(KillTimeout);
     killed.process.reset();
     killed.upSince.reset();
+    killed.lastKill = steadyNow();
 }
 
 void SoakDaemons::terminate(std::size_t daemon)
@@ -116,6 +156,7 @@
     if (this->daemons[daemon].process != nullptr) {
         this->isExitExpected[daemon] = true;
         this->daemons[daemon].upSince = steadyNow();
+        this->daemons[daemon].lastTermination = steadyNow();
         this->daemons[daemon].process->signal(SIGTERM);
     }
 }
@@ -144,6 +185,7 @@
     if (paused.process != nullptr && paused.isSuspended != isPaused) {
         paused.isSuspended = isPaused;
         paused.upSince = steadyNow();
+        paused.lastSlowDown = steadyNow();
         paused.process->signal(isPaused ? SIGSTOP : SIGCONT);
     }
 }
@@ -183,6 +225,14 @@
     });
 }
 
+std::string SoakDaemons::addressOf(std::size_t daemon, SoakPort port) const
+{
+    const SoakDaemon &found = this->daemons[daemon];
+    const std::uint16_t requestPort = found.hasDisk ? ControlPort : CallerPort;
+    const std::uint16_t otherPort = port == SoakPort::Metrics ? MetricsPort : PeerPort + 1;
+    return endpoint(found.address, port == SoakPort::Requests ? requestPort : otherPort);
+}
+
 std::vector<std::string> SoakDaemons::callerAddresses() const
 {
     std::vector<std::string> result;
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -6,6 +6,7 @@
 #include "soak/soak_relay.h"
 #include "soak/soak_type.h"
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -20,6 +21,24 @@
     bool isSuspended = false; ///< By SIGSTOP.
     std::unique_ptr<ChildProcess> process; ///< Null while the daemon is down.
     std::optional<TimePoint> upSince;
+    std::vector<std::size_t> contacts; ///< Numbers of the core daemons in its settings file.
+    TimePoint lastKill; ///< End of the last time at which callers could lose a request because of a fault.
+    TimePoint lastTermination; ///< Last SIGTERM.
+    TimePoint lastSlowDown; ///< Last signal that suspended or resumed the process.
+};
+
+/** How a settings file is replaced. */
+enum class SoakFileWrite : std::uint8_t {
+    WholeInPlace,
+    FirstHalfInPlace, ///< Leaves a file that ends in the middle.
+    Renamed, ///< A new file takes the place of the old one.
+};
+
+/** Ports that a daemon listens on. */
+enum class SoakPort : std::uint8_t {
+    Metrics,
+    Peer,
+    Requests, ///< Of callers at an entry, of operators and workers at a core.
 };
 
 /** Starts, stops and signals all daemon processes. */
@@ -34,6 +53,21 @@
     /** Starts a daemon unless it is running. */
     void start(std::size_t daemon, bool isFirstStart = false);
 
+    /** Starts a daemon unless it is running, and leaves its settings file as it is. */
+    void startProcess(std::size_t daemon);
+
+    /** Writes the settings file of a daemon with its current contacts. */
+    void writeSettings(std::size_t daemon, SoakFileWrite how, bool isFirstStart = false) const;
+
+    /** Sends a signal to a daemon if it is running. */
+    void signal(std::size_t daemon, int number);
+
+    /** Suspends or resumes a daemon for some milliseconds, as a slow processor does, unless pause() has suspended it. */
+    void slowDown(std::size_t daemon, bool isSuspended);
+
+    /** Returns an address of a daemon in the form "IP:port". */
+    std::string addressOf(std::size_t daemon, SoakPort port) const;
+
     /** Kills a daemon with SIGKILL. */
     void kill(std::size_t daemon);
 
@@ -61,9 +95,9 @@
     std::vector<std::string> controlAddresses() const;
 
     std::vector<SoakDaemon> daemons; ///< All daemons; the cores come first.
+    std::function<void(std::size_t)> hasStarted; ///< Told about each daemon that has started.
 
 private:
-    void writeSettings(const SoakDaemon &daemon, bool isFirstStart) const;
     std::filesystem::path dataFolder(const SoakDaemon &daemon) const;
 
     const SoakSettings &settings;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -6,8 +6,11 @@
 #include "core/clock_func.h"
 #include "soak/soak_callers.h"
 #include "soak/soak_capacity.h"
+#include "soak/soak_connections.h"
 #include "soak/soak_faults.h"
 #include "soak/soak_odd_reports.h"
+#include "soak/soak_operators.h"
+#include "soak/soak_process_faults.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio.hpp>
@@ -43,10 +46,13 @@
         , checks(SoakLimits{})
         , daemons(this->settings, this->networkPrefix, this->relay)
         , workers(this->io, this->settings, this->networkPrefix + "200", this->relay, this->checks)
-        , callers(this->io, this->settings, this->daemons.callerAddresses(), this->daemons.controlAddresses(), this->checks)
+        , callers(this->io, this->settings, this->daemons.callerAddresses(), this->daemons.controlAddresses(), this->manifests, this->checks)
         , faults(this->io, this->settings, this->daemons, this->relay, this->workers)
         , capacityChanges(this->io, this->settings, this->workers)
         , oddReports(this->io, this->settings, this->workers, this->checks)
+        , processFaults(this->io, this->settings, this->daemons)
+        , operators(this->io, this->settings, this->manifests, this->checks)
+        , connections(this->io, this->settings, this->daemons, this->manifests, this->checks)
         , pollTimer(this->io)
         , phaseTimer(this->io)
     {
@@ -74,12 +80,18 @@
             this->faults.start();
             this->capacityChanges.start();
             this->oddReports.start(this->daemons.controlAddresses());
+            this->processFaults.start();
+            this->operators.start(this->daemons.controlAddresses());
+            this->connections.start();
         }
         this->phaseTimer.expires_after(std::chrono::milliseconds(this->settings.faultTime.ms));
         this->phaseTimer.async_wait([this](const boost::system::error_code &) {
+            this->processFaults.stop();
             this->faults.revertAll();
             this->capacityChanges.stop();
             this->oddReports.stop();
+            this->operators.stop();
+            this->connections.stop();
             this->callers.stopSubmitting();
             this->settleDeadline = steadyNow() + this->settings.settleTime;
         });
@@ -114,13 +126,20 @@
         for (const auto &[fault, count] : this->faults.injected) {
             faultCount += count;
         }
-        std::cout << "seed " << this->settings.seed << ": " << faultCount << " faults, " << this->checks.jobs.size() << " jobs, " << this->callers.accepted
-                  << " accepted, " << this->callers.refused << " refused, " << this->callers.unanswered << " without an answer, " << this->checks.starts
-                  << " starts, " << this->checks.crashes << " workers crashed by tasks, " << this->checks.jobsGivenUp << " jobs given up, "
-                  << this->capacityChanges.shrunk << " capacities shrunk, " << this->oddReports.refused << " of " << this->oddReports.sent
-                  << " odd reports refused, " << this->checks.doneEnds << " done, accepted within " << (times.empty() ? 0 : times[times.size() / 2])
-                  << " ms (half), " << (times.empty() ? 0 : times[times.size() * 99 / 100]) << " ms (99 of 100), " << this->checks.violations.size()
-                  << " violations" << std::endl;
+        int processFaultCount = 0;
+        for (const auto &[fault, count] : this->processFaults.injected) {
+            processFaultCount += count;
+        }
+        std::cout << "seed " << this->settings.seed << ": " << faultCount << " and " << processFaultCount << " process faults, " << this->checks.jobs.size()
+                  << " jobs, " << this->callers.accepted << " accepted, " << this->callers.refused << " refused, " << this->callers.unanswered
+                  << " without an answer, " << this->checks.starts << " starts, " << this->checks.crashes << " workers crashed by tasks, "
+                  << this->checks.jobsGivenUp << " jobs given up, " << this->capacityChanges.shrunk << " capacities shrunk, " << this->oddReports.refused
+                  << " of " << this->oddReports.sent << " odd reports refused, " << this->checks.doneEnds << " done, " << this->operators.acknowledged << " of "
+                  << this->operators.sent << " changes acknowledged and " << this->operators.refused << " refused, " << this->operators.read
+                  << " manifests read, " << this->connections.answered << " answers on open connections and " << this->connections.excused
+                  << " requests lost by faults, accepted within " << (times.empty() ? 0 : times[times.size() / 2]) << " ms (half), "
+                  << (times.empty() ? 0 : times[times.size() * 99 / 100]) << " ms (99 of 100), " << this->checks.violations.size() << " violations"
+                  << std::endl;
     }
 
     SoakSettings settings;
@@ -128,12 +147,16 @@
     boost::asio::io_context io;
     SoakRelay relay;
     SoakChecks checks;
+    SoakManifests manifests;
     SoakDaemons daemons;
     SoakWorkers workers;
     SoakCallers callers;
     SoakFaults faults;
     SoakCapacityChanges capacityChanges;
     SoakOddReports oddReports;
+    SoakProcessFaults processFaults;
+    SoakOperators operators;
+    SoakConnections connections;
     boost::asio::steady_timer pollTimer;
     boost::asio::steady_timer phaseTimer;
     std::optional<TimePoint> settleDeadline;
