Fix: a child process of the tests is awaited until it runs its program

The wait for the end of the pipe stood in the branch for a failed pipe2, so the parent neither waited nor closed its copies of the pipe: a signal could still end the copy of the test, and two descriptors leaked with each start.

--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -83,12 +83,6 @@
     std::array<int, 2> executed{-1, -1};
     if (::pipe2(executed.data(), O_CLOEXEC) != 0) {
         ::close(file);
-        ::close(executed[1]);
-        // The last copy of the write end is closed when the program replaces the child, so that later signals reach the program.
-        char none = 0;
-        while (::read(executed[0], &none, 1) < 0 && errno == EINTR) {
-        }
-        ::close(executed[0]);
         throw std::runtime_error("no pipe to a child process");
     }
     this->pid = file < 0 ? -1 : ::fork();
@@ -102,12 +96,20 @@
         ::dup2(file, STDERR_FILENO);
         // A copy of a listening socket of the test would keep its port taken.
         const auto kept = static_cast<unsigned>(executed[1]);
-        ::close_range(STDERR_FILENO + 1, kept - 1, 0);
+        if (kept > STDERR_FILENO + 1) {
+            ::close_range(STDERR_FILENO + 1, kept - 1, 0);
+        }
         ::close_range(kept + 1, ~0U, 0);
         ::execv(list.front(), list.data());
         ::_exit(127);
     }
     ::close(file);
+    ::close(executed[1]);
+    // The last copy of the write end is closed when the program replaces the child, so that later signals reach the program.
+    char none = 0;
+    while (::read(executed[0], &none, 1) < 0 && errno == EINTR) {
+    }
+    ::close(executed[0]);
     if (this->pid < 0) {
         throw std::runtime_error("cannot start " + arguments.front());
     }
