Fix: SIGHUP and SIGTERM no longer end a fleet daemon that handles or starts to handle signals

Cause: the daemon took all signals away and added them again after each signal. When the last handler of a signal is removed its default action is back, so a signal in between ended the process. The handlers were also registered last in the start, behind settings, log, disk and listeners.

The daemon registers them once, before anything else is started, and lets them through when it has started; what came before is handled then, so that SIGTERM in the start is an orderly stop. They are blocked again when the daemon has ended, since its handlers go with it.

--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -4,10 +4,9 @@
 
 #include "core/clock_func.h"
 #include "runtime/log_func.h"
+#include "runtime/process_signals.h"
 #include "runtime/run_loop.h"
 
-#include <csignal>
-
 namespace Filbertlanding {
 
 namespace {
@@ -78,6 +77,26 @@
 FleetDaemon::~FleetDaemon() = default;
 
 ResultCode FleetDaemon::run()
+{
+    this->armSignals();
+    const ResultCode started = this->start();
+    if (started != ResultCode::Ok) {
+        return started;
+    }
+    unblockControlSignals();
+    runLoop(this->io, [this](std::string_view error) {
+        logLine(LogArea::Daemon, LogLevel::Error, "handler_failed", {{"error", error}});
+        if (this->core != nullptr) {
+            // The scheduler may be partially modified. The replicated state is consistent, because a command that cannot be applied exits the process.
+            this->core->restartScheduler("an event handler threw an exception");
+        }
+    });
+    // The handlers are removed with the daemon. A signal after that would end the process before its log is written.
+    blockControlSignals();
+    return this->result;
+}
+
+ResultCode FleetDaemon::start()
 {
     this->peers = std::make_unique<PeerLinks>(
         linkSettings(this->settings, this->io),
@@ -120,19 +139,11 @@
     if (listening != ResultCode::Ok) {
         return listening;
     }
-    this->armSignals();
     this->armReload();
     this->loadMonitor.start();
     logLine(
         LogArea::Daemon, LogLevel::Info, "started", {{"daemon", this->settings.daemon}, {"address", this->settings.address}, {"voter", this->core != nullptr}});
-    runLoop(this->io, [this](std::string_view error) {
-        logLine(LogArea::Daemon, LogLevel::Error, "handler_failed", {{"error", error}});
-        if (this->core != nullptr) {
-            // The scheduler may be partially modified. The replicated state is consistent, because a command that cannot be applied exits the process.
-            this->core->restartScheduler("an event handler threw an exception");
-        }
-    });
-    return this->result;
+    return ResultCode::Ok;
 }
 
 std::error_code FleetDaemon::listen(const std::string &endpoint, HttpHandler handler, std::size_t maxBodyBytes)
@@ -250,23 +261,27 @@
     return text;
 }
 
+/** Registers the signals once: while none is registered, the default action would end the process. */
 void FleetDaemon::armSignals()
 {
-    boost::system::error_code ignored;
-    this->signals.clear(ignored);
-    this->signals.add(SIGTERM, ignored);
-    this->signals.add(SIGINT, ignored);
-    this->signals.add(SIGHUP, ignored);
+    for (const int signal : ControlSignals) {
+        this->signals.add(signal);
+    }
+    this->waitForSignal();
+}
+
+void FleetDaemon::waitForSignal()
+{
     this->signals.async_wait([this](const boost::system::error_code &error, int signal) {
         if (error) {
             return;
         }
+        this->waitForSignal();
         if (signal == SIGHUP) {
             this->reload();
         } else {
             this->beginStop();
         }
-        this->armSignals();
     });
 }
 
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -35,10 +35,14 @@
     FleetDaemon &operator=(const FleetDaemon &) = delete;
     ~FleetDaemon();
 
-    /** Runs until SIGTERM, SIGINT or an unrecoverable error. Returns the reason. */
+    /**
+     * Runs until SIGTERM, SIGINT or an unrecoverable error. Returns the reason. The control signals are to be blocked when it is called, and are
+     * blocked again when it returns; those that come before the daemon has started are handled once it has.
+     */
     ResultCode run();
 
 private:
+    ResultCode start();
     ResultCode startListeners();
     std::error_code listen(const std::string &endpoint, HttpHandler handler, std::size_t maxBodyBytes);
     void onPeerMessage(const DaemonName &peer, std::uint8_t kind, const std::string &payload, PeerReply reply);
@@ -47,6 +51,7 @@
     bool isReady() const;
     std::string metrics() const;
     void armSignals();
+    void waitForSignal();
     void armReload();
     void reload();
     void beginStop();
--- /dev/null
+++ b/tests/fleet_installation.h
@@ -0,0 +1,81 @@
+/** @file fleet_installation.h One core and one entry of the fleet daemon as real processes on loopback addresses of their own. */
+
+#pragma once
+
+#include "network/http_client.h"
+#include "process_cluster.h"
+
+#include <string>
+
+namespace Filbertlanding {
+
+/** A fleet daemon of the test. */
+struct FleetProcess {
+    std::string name;
+    std::string address;
+    bool isCore = false; ///< Whether it has a data folder.
+    std::unique_ptr<ChildProcess> process; ///< Null while it is down.
+};
+
+/** A core and an entry. The addresses are derived from the process id, so that concurrent runs use different ones. */
+class FleetInstallation
+{
+public:
+    static constexpr std::uint16_t PeerPort = 7'700;
+    static constexpr std::uint16_t CallerPort = 8'100;
+    static constexpr std::uint16_t ControlPort = 8'101;
+    static constexpr std::uint16_t ReadinessPort = 8'102;
+    static constexpr std::uint16_t MetricsPort = 8'103;
+
+    FleetInstallation();
+    FleetInstallation(const FleetInstallation &) = delete;
+    FleetInstallation &operator=(const FleetInstallation &) = delete;
+    /** Ends all processes by their ids and removes the files. */
+    ~FleetInstallation();
+
+    /** Starts a daemon that is down. */
+    void start(FleetProcess &daemon);
+
+    /** Kills a daemon and starts a new process in its place. */
+    void restart(FleetProcess &daemon);
+
+    /** Returns whether the readiness check of a daemon says 200. */
+    bool isReady(const FleetProcess &daemon);
+
+    /** Starts both daemons and waits until they are ready. */
+    bool startAll();
+
+    /** Sends a request and waits for the answer; the status is 0 if none came. */
+    unsigned get(const FleetProcess &daemon, std::uint16_t port, const std::string &target);
+
+    /** Sends requests at once, on connections of their own. Returns a function that waits for them and counts those without an answer. */
+    std::function<int()> sendMany(const FleetProcess &daemon, std::uint16_t port, int count);
+
+    /** Returns the standard output and error of all processes of a daemon so far. */
+    std::string log(const FleetProcess &daemon) const;
+
+    /** Returns how many log lines of a daemon have an event. */
+    int countEvents(const FleetProcess &daemon, const std::string &event) const;
+
+    /** Returns the settings of a daemon as JSON text. */
+    std::string settingsText(const FleetProcess &daemon) const;
+
+    std::filesystem::path settingsPath(const FleetProcess &daemon) const;
+    std::filesystem::path logPath(const FleetProcess &daemon) const;
+
+    FleetProcess core;
+    FleetProcess entry;
+
+private:
+    std::filesystem::path folder;
+    NetworkCounters counters;
+    HttpClient client;
+};
+
+/** Replaces the content of a file. */
+void writeText(const std::filesystem::path &path, std::string_view text);
+
+/** Path of the fleet daemon's program. */
+std::string fleetDaemonProgram();
+
+} // namespace Filbertlanding
--- /dev/null
+++ b/tests/fleet_process_test.cpp
@@ -0,0 +1,151 @@
+/** @file fleet_process_test.cpp Starts, signals and stops of the fleet daemon as real processes. */
+
+#include "core/random.h"
+#include "fleet_installation.h"
+#include "test_seed.h"
+
+#include <doctest/doctest.h>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace Filbertlanding;
+
+namespace {
+
+constexpr Duration EndLimit{10'000}; ///< Far above the grace period of the test.
+
+void sleepMs(int milliseconds)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+bool hasEnded(const FleetProcess &daemon)
+{
+    return daemon.process->waitForEnd(Duration{0}).has_value();
+}
+
+/**
+ * Starts a daemon whose settings come from a pipe, so that it is known to be in its start, and passes it a signal each millisecond until it has
+ * read them and for a while after.
+ */
+void restartWithSignals(FleetInstallation &installation, FleetProcess &daemon, int signal, int count)
+{
+    const std::filesystem::path path = installation.settingsPath(daemon);
+    const std::string text = installation.settingsText(daemon);
+    const std::filesystem::path whole = path.string() + ".whole";
+    writeText(whole, text);
+    daemon.process.reset();
+    std::filesystem::remove(path);
+    REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+    installation.start(daemon);
+    const int pipe = ::open(path.c_str(), O_WRONLY | O_CLOEXEC); // Waits until the daemon opens it.
+    REQUIRE(pipe >= 0);
+    std::filesystem::rename(whole, path);
+    daemon.process->signal(signal);
+    sleepMs(20);
+    CHECK(!hasEnded(daemon));
+    std::signal(SIGPIPE, SIG_IGN);
+    CHECK(::write(pipe, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    ::close(pipe);
+    for (int i = 1; i < count; ++i) {
+        daemon.process->signal(signal);
+        sleepMs(1);
+    }
+}
+
+} // namespace
+
+// Guards against a signal that takes its default action before the handlers are registered.
+TEST_CASE("a signal in the start of a fleet daemon does not end it out of order")
+{
+    FleetInstallation installation;
+    REQUIRE(installation.startAll());
+    SUBCASE("SIGHUP does not end it")
+    {
+        for (FleetProcess *daemon : {&installation.entry, &installation.core}) {
+            for (const int count : {1, 50, 200}) {
+                CAPTURE(daemon->name);
+                CAPTURE(count);
+                restartWithSignals(installation, *daemon, SIGHUP, count);
+                CHECK(eventually([&] {
+                    return hasEnded(*daemon) || installation.isReady(*daemon);
+                }));
+                CHECK(!hasEnded(*daemon));
+            }
+        }
+    }
+    SUBCASE("SIGTERM stops it in order")
+    {
+        for (FleetProcess *daemon : {&installation.entry, &installation.core}) {
+            for (const int count : {1, 50}) {
+                CAPTURE(daemon->name);
+                CAPTURE(count);
+                const int endedBefore = installation.countEvents(*daemon, "ended");
+                restartWithSignals(installation, *daemon, SIGTERM, count);
+                CHECK(daemon->process->waitForEnd(EndLimit) == 0);
+                CHECK(installation.countEvents(*daemon, "ended") == endedBefore + 1);
+            }
+        }
+    }
+}
+
+// Guards against a moment without a handler while signals are handled.
+TEST_CASE("volleys of SIGHUP do not end a running fleet daemon")
+{
+    FleetInstallation installation;
+    REQUIRE(installation.startAll());
+    constexpr int Signals = 4'000;
+    constexpr int SignalsPerRequests = 200;
+    constexpr int Requests = 32;
+    constexpr std::uint64_t MaxGapUs = 300;
+    Random random(testSeed());
+    for (FleetProcess *daemon : {&installation.entry, &installation.core}) {
+        CAPTURE(daemon->name);
+        int unanswered = 0;
+        for (int sent = 0; sent < Signals && !hasEnded(*daemon); sent += SignalsPerRequests) {
+            const auto answers = installation.sendMany(installation.entry, FleetInstallation::CallerPort, Requests);
+            for (int i = 0; i < SignalsPerRequests; ++i) {
+                daemon->process->signal(SIGHUP);
+                std::this_thread::sleep_for(std::chrono::microseconds(random.below(MaxGapUs)));
+            }
+            unanswered += answers();
+        }
+        CHECK(unanswered == 0);
+        REQUIRE(!hasEnded(*daemon));
+        CHECK(installation.isReady(*daemon));
+    }
+}
+
+// Guards against a daemon that relies on the signal mask and the actions of the process that started it.
+TEST_CASE("a fleet daemon that is started with blocked or ignored signals takes them")
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGHUP);
+    sigaddset(&set, SIGTERM);
+    sigset_t before;
+    FleetInstallation installation;
+    SUBCASE("blocked")
+    {
+        pthread_sigmask(SIG_BLOCK, &set, &before);
+        CHECK(installation.startAll());
+        pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    }
+    SUBCASE("ignored")
+    {
+        std::signal(SIGHUP, SIG_IGN);
+        CHECK(installation.startAll());
+        std::signal(SIGHUP, SIG_DFL);
+    }
+    installation.core.process->signal(SIGHUP);
+    CHECK(installation.get(installation.core, FleetInstallation::MetricsPort, "/metrics") == 200);
+    installation.entry.process->signal(SIGTERM);
+    CHECK(installation.entry.process->waitForEnd(EndLimit) == 0);
+    installation.core.process->signal(SIGTERM);
+    CHECK(installation.core.process->waitForEnd(EndLimit) == 0);
+}
