Fix: SIGHUP no longer ends filbertlandingd

What callers saw: nothing yet. A daemon that gets SIGHUP, for example from a terminal that closes, ended at once, without its planned stop.

Cause: SIGHUP was not among the signals that the daemon waits for, and its default action ends the process.

Change: SIGHUP is taken with the others, logged as signal_ignored and otherwise ignored, since the settings are read only at the start.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/daemon_func.h"
 #include "daemon/stop_func.h"
 #include "runtime/log_func.h"
+#include "runtime/process_signals.h"
 #include "settings/settings_func.h"
 
 #include <CLI/CLI.hpp>
@@ -53,15 +54,18 @@
     return errors.empty();
 }
 
-/** Runs the daemon until it has stopped. SIGTERM and SIGINT start a planned stop. */
+/** Runs the daemon until it has stopped. SIGTERM and SIGINT start a planned stop; SIGHUP is logged and ignored, since the settings are read only at the start.
+ */
 int run(const Settings &settings, const Options &options)
 {
     // Signals are taken by one thread that waits for them; blocked here, they are blocked in all threads started later.
     sigset_t signals;
     sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
+    for (const int signal : ControlSignals) {
+        sigaddset(&signals, signal);
+    }
     sigaddset(&signals, SIGUSR1);
+    blockControlSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
@@ -85,6 +89,10 @@
     std::thread signalThread([&daemon, &signals] {
         int signal = 0;
         while (sigwait(&signals, &signal) == 0 && signal != SIGUSR1) {
+            if (signal == SIGHUP) {
+                logLine(LogArea::Daemon, LogLevel::Warn, "signal_ignored", {{"signal", "SIGHUP"}});
+                continue;
+            }
             daemon.control.post([&daemon] {
                 startPlannedStop(daemon);
             });
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -502,3 +502,18 @@
     }));
     CHECK(worksAfter(told + FewSeconds) == 0);
 }
+
+// Guards against the default action of SIGHUP, which ends a daemon without its planned stop.
+TEST_CASE("SIGHUP does not end a daemon")
+{
+    ProcessCluster cluster;
+    for (const TestDaemon &daemon : cluster.daemons) {
+        daemon.process->signal(SIGHUP);
+    }
+    for (std::size_t i = 0; i < cluster.daemons.size(); ++i) {
+        CHECK(!cluster.daemons[i].process->waitForEnd(Duration{100}));
+        CHECK(cluster.call(i, "GET", "/readyz").status == 200);
+    }
+    cluster.daemons[0].process->signal(SIGTERM);
+    CHECK(cluster.daemons[0].process->waitForEnd(Duration{20'000}) == 0);
+}
