--- a/tests/platform_edge_test.cpp
+++ b/tests/platform_edge_test.cpp
@@ -134,6 +134,13 @@
         CHECK(isMalformed(parseControl("PUT", "/config", replaced(Manifest, route, route + "," + route))));
     }
 
+    SUBCASE("a fraction too large for an integer is refused in place of an undefined conversion")
+    {
+        CHECK(isMalformed(parseControl("PUT", "/config", replaced(Manifest, "\"stretch\":1.5", "\"stretch\":1e300"))));
+        CHECK(isMalformed(parseControl("PUT", "/config", replaced(Manifest, "\"stretch\":1.5", "\"stretch\":-1.5"))));
+        CHECK(isMalformed(parseControl("POST", "/wave-start", R"({"wave":1,"machines":["m-1"],"durationS":1e300})")));
+    }
+
     SUBCASE("zone drains and maintenance waves are parsed")
     {
         const ControlRequest drain = parseControl("POST", "/evacuate/z1");
