Fix: an ambiguous or incomplete manifest is refused and not put in force

Cause: the JSON parser keeps the last of two equal keys silently, the services were put into a set without a look at what was there, and only the fields in use were read.

The soak's manifest had no limits and has them now.

--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -182,7 +182,9 @@
                 LogLevel::Info,
                 "call_malformed",
                 {{"method", request.method}, {"target", request.target}, {"code", resultCodeRow(malformed->code).name}, {"message", malformed->message}});
-        reply(makeResponse(malformed->code, malformed->message));
+        // An earlier version may have put in force what this one refuses; a resend of it stays acknowledged.
+        const bool isInForce = !malformed->manifest.empty() && malformed->manifest == this->state.manifest.document;
+        reply(isInForce ? makeResponse(ResultCode::Ok) : makeResponse(malformed->code, malformed->message));
         return;
     }
     if (this->isLeading()) {
--- a/src/fleetd/protocol_adapter.h
+++ b/src/fleetd/protocol_adapter.h
@@ -71,6 +71,7 @@
 struct MalformedRequest {
     ResultCode code = ResultCode::BadRequest;
     std::string message;
+    std::string manifest; ///< Text of a refused manifest; empty for other requests.
 };
 
 using ControlRequest = std::variant<WorkerReportRequest,
--- a/tests/platform_edge_test.cpp
+++ b/tests/platform_edge_test.cpp
@@ -141,6 +141,44 @@
         CHECK(isMalformed(parseControl("POST", "/wave-start", R"({"wave":1,"machines":["m-1"],"durationS":1e300})")));
     }
 
+    SUBCASE("an ambiguous or incomplete manifest is not put in force")
+    {
+        const std::string service = R"({"name":"s1","admissionCheck":true})";
+        for (const auto &change : std::vector<std::pair<std::string, std::string>>{{service, service + R"(,{"name":"s1","admissionCheck":false})"},
+                                                                                   {"\"version\":7", R"("version":7,"version":8)"},
+                                                                                   {"\"timeoutMs\":3000", R"("timeoutMs":0,"timeoutMs":3000)"},
+                                                                                   {"\"timeoutMs\":3000", R"("timeoutMs":3000,"timeout\u004ds":1000)"},
+                                                                                   {"\"limits\":{}", R"("limits":{},"unknown":[{"a":1,"a":1}])"},
+                                                                                   {",\"limits\":{}", ""},
+                                                                                   {"\"limits\":{}", "\"limits\":[]"},
+                                                                                   {"\"limits\":{}", R"("limits":{"maxBodyBytes":"many"})"},
+                                                                                   {"\"admissionCheck\":true", R"("admissionCheck":true,"maxConns":"many")"},
+                                                                                   {"\"kind\":\"unsafe\"", "\"kind\":7"}}) {
+            CHECK_MESSAGE(isMalformed(parseControl("PUT", "/config", replaced(Manifest, change.first, change.second))), change.second);
+        }
+    }
+
+    SUBCASE("a refused manifest keeps its text, so that a resend of one that an earlier version took is recognized")
+    {
+        const std::string incomplete = replaced(Manifest, ",\"limits\":{}", "");
+        CHECK(std::get<MalformedRequest>(parseControl("PUT", "/config", incomplete)).manifest == incomplete);
+        CHECK(std::get<MalformedRequest>(parseControl("PUT", "/instances/i-1", "{}")).manifest.empty());
+    }
+
+    SUBCASE("a valid manifest with unusual content is not refused")
+    {
+        const std::string route = R"({"name":"r1","host":"b.example","pathPrefix":"/q/","service":"s1","timeoutMs":1})";
+        for (const auto &change :
+             std::vector<std::pair<std::string, std::string>>{{"\"name\":\"r1\"", R"("name":"a \"b\": {\\")"},
+                                                              {"{\"name\":\"r1\"", route + R"(,{"name":"r1")"},
+                                                              {"\"pathPrefix\":\"/q/\"", R"("pathPrefix":"/q/","timeoutms":0)"},
+                                                              {"\"limits\":{}", R"("limits":{"maxBodyBytes":262144.0},"added":{"version":1})"},
+                                                              {"\"version\":7", "\"version\":9000000000000000"},
+                                                              {"{\"version\"", "\n {\t\"version\""}}) {
+            CHECK_MESSAGE(!isMalformed(parseControl("PUT", "/config", replaced(Manifest, change.first, change.second))), change.second);
+        }
+    }
+
     SUBCASE("zone drains and maintenance waves are parsed")
     {
         const ControlRequest drain = parseControl("POST", "/evacuate/z1");
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -385,7 +385,7 @@
                              {"maxAttempts", 3},
                              {"stretch", 2.0}};
     const json::object service{{"name", "quote-desk"}, {"admissionCheck", true}, {"standby", false}};
-    return json::serialize(json::object{{"version", number}, {"routes", json::array{route}}, {"services", json::array{service}}});
+    return json::serialize(json::object{{"version", number}, {"routes", json::array{route}}, {"services", json::array{service}}, {"limits", json::object()}});
 }
 
 void SoakCallers::putManifest(std::uint64_t number, int attemptsLeft)
