--- a/tests/soak/soak_manifests.cpp
+++ b/tests/soak/soak_manifests.cpp
@@ -51,7 +51,7 @@
         }
     }
     const json::object service{{"name", "quote-desk"}, {"admissionCheck", true}, {"standby", false}};
-    return json::serialize(json::object{{"version", version}, {"routes", std::move(written)}, {"services", json::array{service}}});
+    return json::serialize(json::object{{"version", version}, {"routes", std::move(written)}, {"services", json::array{service}}, {"limits", json::object()}});
 }
 
 std::string SoakManifests::invalidDocument(std::uint64_t version, ManifestFault fault)
