Fix: a port that is taken for a while no longer ends a fleet daemon

Cause: each listener was opened once, in the start, and an error of any of them ended the process.

Change: DaemonListeners opens what is not open yet every 200 ms, and the daemon does the same with the port of the peer links. Errors that do not pass by themselves still end it with code 1. Threads that are started once a port has come free keep the control signals blocked.

--- /dev/null
+++ b/src/fleetd/daemon_listeners.h
@@ -0,0 +1,72 @@
+/** @file daemon_listeners.h The HTTP listeners of a daemon, which are opened as soon as their endpoints are free. */
+
+#pragma once
+
+#include "network/http_server.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace Filbertlanding {
+
+/** One listener. */
+struct DaemonListener {
+    std::string endpoint; ///< IP address and port; empty for none.
+    HttpHandler handler; ///< Handles the requests.
+    std::size_t maxBodyBytes = 0; ///< Maximum body size of a request.
+    bool isRequired = true; ///< Whether the daemon is only ready with it.
+};
+
+/** Returns whether an endpoint that cannot be opened now may come free later, such as a port that a predecessor still has. */
+bool mayComeFree(const std::error_code &error);
+
+/** Logs the attempts to open an endpoint: the first failure, further ones once in a while, and the success after them. */
+class ListenAttempts
+{
+public:
+    /** Takes the outcome of an attempt. */
+    void record(const std::string &endpoint, const std::error_code &error, bool isRetried);
+
+private:
+    int failures = 0;
+};
+
+/** Opens listeners, and keeps those open that are. */
+class DaemonListeners
+{
+public:
+    DaemonListeners(boost::asio::io_context &loop, NetworkCounters &networkCounters);
+
+    /** Adds a listener, which open() opens. Does nothing if it has no endpoint. */
+    void add(DaemonListener listener);
+
+    /** Tries to open each listener that is not open yet. Returns the first error of a required one that does not come free, or no error. */
+    std::error_code open();
+
+    /** Returns whether all listeners that were added are open. */
+    bool areAllOpen() const;
+
+    /** Returns whether all required listeners that were added are open. */
+    bool areRequiredOpen() const;
+
+    /** Closes the open listeners; connections end after their requests. */
+    void stopAccepting();
+
+private:
+    struct Entry {
+        DaemonListener listener;
+        ListenAttempts attempts;
+        std::unique_ptr<HttpServer> server; ///< Null until it is open.
+    };
+
+    std::error_code open(Entry &entry);
+
+    boost::asio::io_context &io;
+    NetworkCounters &network;
+    std::vector<Entry> entries;
+};
+
+} // namespace Filbertlanding
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -13,6 +13,7 @@
 
     constexpr Duration MaxLeaderConfirmationAge{1'500}; ///< A relay is ready while the last confirmation of the leader is at most this old.
     constexpr std::chrono::milliseconds ReloadInterval{2'000}; ///< The settings file is also checked for changes periodically, without SIGHUP.
+    constexpr std::chrono::milliseconds ListenRetryInterval{200}; ///< Interval of the attempts to open an endpoint that is taken.
     constexpr std::size_t MaxCallerBodyBytes = std::size_t{1024} * 1024; ///< Maximum body size of a caller's request.
     constexpr std::size_t MaxControlBodyBytes = std::size_t{4} * 1024 * 1024; ///< Maximum body size of a request of a worker or an operator.
     constexpr std::chrono::milliseconds DiskFailureExitDelay{2'000}; ///< Delay between a disk failure and the exit of the process.
@@ -66,11 +67,13 @@
     , adapter(std::move(protocolAdapter))
     , readSettings(std::move(settingsReload))
     , signals(this->io)
+    , startTimer(this->io)
     , reloadTimer(this->io)
     , stopTimer(this->io)
     , loadMonitor(this->io, this->network)
     , finder(this->io, static_cast<std::uint16_t>(this->settings.peerPort))
     , relay(this->io, this->adapter)
+    , listeners(this->io, this->network)
 {
 }
 
@@ -79,10 +82,8 @@
 ResultCode FleetDaemon::run()
 {
     this->armSignals();
-    const ResultCode started = this->start();
-    if (started != ResultCode::Ok) {
-        return started;
-    }
+    this->prepare();
+    this->continueStart();
     unblockControlSignals();
     runLoop(this->io, [this](std::string_view error) {
         logLine(LogArea::Daemon, LogLevel::Error, "handler_failed", {{"error", error}});
@@ -96,7 +97,7 @@
     return this->result;
 }
 
-ResultCode FleetDaemon::start()
+void FleetDaemon::prepare()
 {
     this->peers = std::make_unique<PeerLinks>(
         linkSettings(this->settings, this->io),
@@ -107,85 +108,107 @@
     this->peers->setLinkHook([](const DaemonName &peer, bool open) {
         logLine(LogArea::Peer, LogLevel::Info, open ? "link_opened" : "link_closed", {{"peer", peer}});
     });
-    if (const std::error_code error = this->peers->start()) {
-        logLine(LogArea::Peer, LogLevel::Error, "listen_failed", {{"port", this->settings.peerPort}, {"error", error.message()}});
-        return ResultCode::BadAddress;
-    }
-    this->peers->setPeers({});
     if (!this->settings.dataFolder.empty()) {
         this->core = std::make_unique<FleetCore>(this->io, this->settings, this->adapter, this->network, this->loadMonitor.loopTimes());
         this->core->onFatalError = [this](ResultCode code) {
             this->onCoreFailed(code);
         };
     }
-    this->relay.start(*this->peers, this->finder);
-    this->finder.leaderFound = [this] {
-        this->relay.onLeaderFound();
+    const auto readiness = [this](HttpRequest &&, const HttpRespond &respond) {
+        this->answerReadiness(respond);
     };
-    if (this->core == nullptr) {
-        this->finder.start(*this->peers, addressesOf(this->settings.contacts));
-    } else {
-        std::vector<PeerAddress> addresses;
-        for (const std::string &address : addressesOf(this->settings.contacts)) {
-            addresses.push_back({address, address, static_cast<std::uint16_t>(this->settings.peerPort)});
-        }
-        this->peers->setPeers(std::move(addresses));
-        const ResultCode code = this->core->start(*this->peers);
-        if (code != ResultCode::Ok) {
-            return code;
-        }
-    }
-    const ResultCode listening = this->startListeners();
-    if (listening != ResultCode::Ok) {
-        return listening;
-    }
+    const auto metricsHandler = [this](HttpRequest &&, const HttpRespond &respond) {
+        respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics()});
+    };
+    this->listeners.add({this->settings.listenReadiness, readiness, MaxCallerBodyBytes});
+    this->listeners.add({this->settings.listenMetrics, metricsHandler, MaxCallerBodyBytes, false});
     this->armReload();
     this->loadMonitor.start();
-    logLine(
-        LogArea::Daemon, LogLevel::Info, "started", {{"daemon", this->settings.daemon}, {"address", this->settings.address}, {"voter", this->core != nullptr}});
-    return ResultCode::Ok;
 }
 
-std::error_code FleetDaemon::listen(const std::string &endpoint, HttpHandler handler, std::size_t maxBodyBytes)
+/** Opens what is not open yet, and tries again later as long as an endpoint is taken. */
+void FleetDaemon::continueStart()
 {
-    const auto parts = splitAddress(endpoint);
-    if (!parts) {
-        return {};
+    if (this->isStopping) {
+        return;
     }
-    HttpServerSettings server;
-    server.loop = &this->io;
-    server.address = parts->first;
-    server.port = parts->second;
-    server.maxBodyBytes = maxBodyBytes;
-    server.maxConnections = 3'500;
-    server.idleTimeout = {15'000};
-    this->servers.push_back(std::make_unique<HttpServer>(server, std::move(handler), this->network));
-    const std::error_code error = this->servers.back()->start();
-    if (error) {
-        logLine(LogArea::Daemon, LogLevel::Error, "listen_failed", {{"endpoint", endpoint}, {"error", error.message()}});
+    const ResultCode code = this->openEndpoints();
+    if (code != ResultCode::Ok) {
+        this->finishRun(code);
+        return;
+    }
+    if (!this->isStarted && this->areLinksOpen && this->listeners.areRequiredOpen()) {
+        this->isStarted = true;
+        logLine(LogArea::Daemon,
+                LogLevel::Info,
+                "started",
+                {{"daemon", this->settings.daemon}, {"address", this->settings.address}, {"voter", this->core != nullptr}});
     }
-    return error;
+    if (this->isStarted && this->listeners.areAllOpen()) {
+        return;
+    }
+    this->startTimer.expires_after(ListenRetryInterval);
+    this->startTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->continueStart();
+        }
+    });
 }
 
-ResultCode FleetDaemon::startListeners()
+ResultCode FleetDaemon::openEndpoints()
 {
+    if (!this->areLinksOpen) {
+        const ResultCode code = this->openLinks();
+        if (code != ResultCode::Ok) {
+            return code;
+        }
+    }
+    return this->listeners.open() ? ResultCode::BadAddress : ResultCode::Ok;
+}
+
+/** Opens the port for peer links, and then all that needs it. Returns Ok also if the port may come free later. */
+ResultCode FleetDaemon::openLinks()
+{
+    const std::error_code error = this->peers->start();
+    const int port = linkSettings(this->settings, this->io).port;
+    this->linkAttempts.record(this->settings.address + ":" + std::to_string(port), error, mayComeFree(error));
+    if (error) {
+        return mayComeFree(error) ? ResultCode::Ok : ResultCode::BadAddress;
+    }
+    this->areLinksOpen = true;
+    this->peers->setPeers({});
+    this->relay.start(*this->peers, this->finder);
+    this->finder.leaderFound = [this] {
+        this->relay.onLeaderFound();
+    };
+    if (this->core != nullptr) {
+        return this->startCore();
+    }
+    this->finder.start(*this->peers, addressesOf(this->settings.contacts));
     const auto callers = [this](HttpRequest &&request, HttpRespond respond) {
         this->relay.handleRequest(std::move(request), std::move(respond));
     };
-    const auto readiness = [this](HttpRequest &&, const HttpRespond &respond) {
-        this->answerReadiness(respond);
-    };
+    this->listeners.add({this->settings.listenCallers, callers, MaxCallerBodyBytes});
+    return ResultCode::Ok;
+}
+
+ResultCode FleetDaemon::startCore()
+{
+    std::vector<PeerAddress> addresses;
+    for (const std::string &address : addressesOf(this->settings.contacts)) {
+        addresses.push_back({address, address, static_cast<std::uint16_t>(this->settings.peerPort)});
+    }
+    this->peers->setPeers(std::move(addresses));
+    const ControlSignalBlock blockInThreads;
+    const ResultCode code = this->core->start(*this->peers);
+    if (code != ResultCode::Ok) {
+        return code;
+    }
     const auto control = [this](HttpRequest &&request, HttpRespond respond) {
         this->core->handleControlRequest(request, std::move(respond));
     };
-    const auto metricsHandler = [this](HttpRequest &&, const HttpRespond &respond) {
-        respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics()});
-    };
-    const bool failed = (this->core == nullptr && this->listen(this->settings.listenCallers, callers, MaxCallerBodyBytes))
-        || this->listen(this->settings.listenReadiness, readiness, MaxCallerBodyBytes)
-        || (this->core != nullptr && this->listen(this->settings.listenControl, control, MaxControlBodyBytes))
-        || this->listen(this->settings.listenMetrics, metricsHandler, MaxCallerBodyBytes);
-    return failed ? ResultCode::BadAddress : ResultCode::Ok;
+    this->listeners.add({this->settings.listenControl, control, MaxControlBodyBytes});
+    return ResultCode::Ok;
 }
 
 void FleetDaemon::onPeerMessage(const DaemonName &peer, std::uint8_t kind, const std::string &payload, PeerReply reply)
@@ -233,7 +256,7 @@
 
 bool FleetDaemon::isReady() const
 {
-    if (this->isStopping) {
+    if (this->isStopping || !this->isStarted) {
         return false;
     }
     return this->core != nullptr || (!this->finder.leader().empty() && steadyNow() - this->finder.confirmedAt() < MaxLeaderConfirmationAge);
@@ -304,7 +327,7 @@
     }
     logLine(LogArea::Daemon, LogLevel::Info, "settings_reloaded", {{"contacts", next->contacts.size()}});
     this->settings.contacts = next->contacts;
-    if (this->core == nullptr) {
+    if (this->core == nullptr && this->areLinksOpen) {
         this->finder.setContacts(addressesOf(this->settings.contacts));
     }
 }
@@ -316,7 +339,7 @@
     }
     this->isStopping = true;
     logLine(LogArea::Daemon, LogLevel::Info, "stopping", {{"graceMs", this->settings.stopGraceMs}});
-    if (this->core != nullptr) {
+    if (this->core != nullptr || !this->isStarted) {
         this->finishRun(ResultCode::Ok);
         return;
     }
@@ -324,9 +347,7 @@
     const Duration grace{this->settings.stopGraceMs - StopMargin.ms};
     this->stopTimer.expires_after(std::chrono::milliseconds(grace.ms / 2));
     this->stopTimer.async_wait([this, grace](const boost::system::error_code &) {
-        for (const auto &server : this->servers) {
-            server->stopAccepting([] {});
-        }
+        this->listeners.stopAccepting();
         this->stopTimer.expires_after(std::chrono::milliseconds(grace.ms / 2));
         this->stopTimer.async_wait([this](const boost::system::error_code &) {
             this->finishRun(ResultCode::Ok);
@@ -353,6 +374,7 @@
     this->result = code;
     logLine(LogArea::Daemon, LogLevel::Info, "ended", {{"code", resultCodeRow(code).name}});
     this->finder.stop();
+    this->startTimer.cancel();
     this->reloadTimer.cancel();
     this->loadMonitor.stop();
     if (this->core != nullptr) {
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include "fleetd/caller_relay.h"
+#include "fleetd/daemon_listeners.h"
 #include "fleetd/fleet_core.h"
 #include "fleetd/leader_finder.h"
 #include "fleetd/load_monitor.h"
 #include "fleetd/protocol_adapter.h"
-#include "network/http_server.h"
 #include "network/network_counters.h"
 #include "network/peer_link.h"
 #include "settings/fleet_settings.h"
@@ -42,9 +42,11 @@
     ResultCode run();
 
 private:
-    ResultCode start();
-    ResultCode startListeners();
-    std::error_code listen(const std::string &endpoint, HttpHandler handler, std::size_t maxBodyBytes);
+    void prepare();
+    void continueStart();
+    ResultCode openEndpoints();
+    ResultCode openLinks();
+    ResultCode startCore();
     void onPeerMessage(const DaemonName &peer, std::uint8_t kind, const std::string &payload, PeerReply reply);
     void onRelayedRequest(const std::string &payload, PeerReply reply);
     void answerReadiness(const HttpRespond &respond) const;
@@ -64,6 +66,7 @@
     boost::asio::io_context io{1};
     NetworkCounters network;
     boost::asio::signal_set signals;
+    boost::asio::steady_timer startTimer;
     boost::asio::steady_timer reloadTimer;
     boost::asio::steady_timer stopTimer;
     std::unique_ptr<FleetCore> core; ///< Only set if a data folder is configured.
@@ -71,7 +74,10 @@
     LeaderFinder finder;
     CallerRelay relay;
     std::unique_ptr<PeerLinks> peers;
-    std::vector<std::unique_ptr<HttpServer>> servers;
+    ListenAttempts linkAttempts;
+    DaemonListeners listeners;
+    bool areLinksOpen = false; ///< Whether the port for peer links is open.
+    bool isStarted = false; ///< Whether all that the daemon needs is open.
     bool isStopping = false;
     ResultCode result = ResultCode::Ok;
 };
--- a/src/runtime/process_signals.cpp
+++ b/src/runtime/process_signals.cpp
@@ -41,4 +41,15 @@
     pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
 }
 
+ControlSignalBlock::ControlSignalBlock()
+{
+    const sigset_t set = controlSignalSet();
+    pthread_sigmask(SIG_BLOCK, &set, &this->before);
+}
+
+ControlSignalBlock::~ControlSignalBlock()
+{
+    pthread_sigmask(SIG_SETMASK, &this->before, nullptr);
+}
+
 } // namespace Filbertlanding
--- a/src/runtime/process_signals.h
+++ b/src/runtime/process_signals.h
@@ -15,4 +15,17 @@
 /** Lets the control signals through to the calling thread, also if the program was started with them blocked. To be called once handlers are registered. */
 void unblockControlSignals();
 
+/** Blocks the control signals for its lifetime, so that threads started meanwhile do not take them and their system calls are not interrupted. */
+class ControlSignalBlock
+{
+public:
+    ControlSignalBlock();
+    ControlSignalBlock(const ControlSignalBlock &) = delete;
+    ControlSignalBlock &operator=(const ControlSignalBlock &) = delete;
+    ~ControlSignalBlock();
+
+private:
+    sigset_t before; ///< Mask of the thread before.
+};
+
 } // namespace Filbertlanding
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "fleet_installation.h"
+#include "raw_socket.h"
 #include "test_seed.h"
 
 #include <doctest/doctest.h>
@@ -29,6 +30,21 @@
     return daemon.process->waitForEnd(Duration{0}).has_value();
 }
 
+/** Listens on an address in place of a daemon; the socket is not open if that fails. */
+RawSocket listenOn(const std::string &address, std::uint16_t port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int reuse = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    sockaddr_in endpoint = RawSocket::loopback(port);
+    ::inet_pton(AF_INET, address.c_str(), &endpoint.sin_addr);
+    if (::bind(descriptor, reinterpret_cast<sockaddr *>(&endpoint), sizeof(endpoint)) != 0 || ::listen(descriptor, 1) != 0) {
+        ::close(descriptor);
+        return RawSocket(-1);
+    }
+    return RawSocket(descriptor);
+}
+
 /**
  * Starts a daemon whose settings come from a pipe, so that it is known to be in its start, and passes it a signal each millisecond until it has
  * read them and for a while after.
@@ -103,7 +119,7 @@
     constexpr int SignalsPerRequests = 200;
     constexpr int Requests = 32;
     constexpr std::uint64_t MaxGapUs = 300;
-    Random random(testSeed());
+    Random random{testSeed()};
     for (FleetProcess *daemon : {&installation.entry, &installation.core}) {
         CAPTURE(daemon->name);
         int unanswered = 0;
@@ -149,3 +165,79 @@
     installation.core.process->signal(SIGTERM);
     CHECK(installation.core.process->waitForEnd(EndLimit) == 0);
 }
+
+// Guards against a daemon that ends, or says that it is ready, because a port is taken for a while.
+TEST_CASE("a port that is taken does not end a fleet daemon")
+{
+    FleetInstallation installation;
+    REQUIRE(installation.startAll());
+    FleetProcess *daemon = &installation.entry;
+    std::uint16_t port = FleetInstallation::CallerPort;
+    SUBCASE("the port of the metrics: the daemon serves without it")
+    {
+        port = FleetInstallation::MetricsPort;
+    }
+    SUBCASE("the port for callers")
+    {
+    }
+    SUBCASE("the port of the readiness check")
+    {
+        port = FleetInstallation::ReadinessPort;
+    }
+    SUBCASE("the port of the peer links")
+    {
+        port = FleetInstallation::PeerPort;
+    }
+    SUBCASE("the control port of a core")
+    {
+        daemon = &installation.core;
+        port = FleetInstallation::ControlPort;
+    }
+    SUBCASE("the port of the peer links of a core")
+    {
+        daemon = &installation.core;
+        port = FleetInstallation::PeerPort;
+    }
+    const bool isRequired = port != FleetInstallation::MetricsPort;
+    daemon->process.reset();
+    {
+        const RawSocket holder = listenOn(daemon->address, port);
+        REQUIRE(holder.isOpen());
+        installation.start(*daemon);
+        CHECK(eventually([&] {
+            return hasEnded(*daemon) || installation.countEvents(*daemon, "listen_failed") > 0;
+        }));
+        if (!isRequired) {
+            CHECK(eventually([&] {
+                return hasEnded(*daemon) || installation.isReady(*daemon);
+            }));
+        }
+        sleepMs(1'000);
+        CHECK(!hasEnded(*daemon));
+        CHECK(installation.isReady(*daemon) == !isRequired);
+    }
+    CHECK(eventually([&] {
+        return hasEnded(*daemon) || (installation.isReady(*daemon) && installation.get(*daemon, FleetInstallation::MetricsPort, "/metrics") == 200);
+    }));
+    CHECK(!hasEnded(*daemon));
+    CHECK(installation.countEvents(*daemon, "listen_opened") == 1);
+    CHECK(installation.sendMany(installation.entry, FleetInstallation::CallerPort, 8)() == 0);
+}
+
+// Guards against a daemon that cannot be stopped while it waits for a port.
+TEST_CASE("SIGTERM stops a fleet daemon that waits for a port")
+{
+    FleetInstallation installation;
+    for (FleetProcess *daemon : {&installation.entry, &installation.core}) {
+        const RawSocket holder = listenOn(daemon->address, FleetInstallation::PeerPort);
+        REQUIRE(holder.isOpen());
+        installation.start(*daemon);
+        CHECK(eventually([&] {
+            return hasEnded(*daemon) || installation.countEvents(*daemon, "listen_failed") > 0;
+        }));
+        daemon->process->signal(SIGHUP);
+        daemon->process->signal(SIGTERM);
+        CHECK(daemon->process->waitForEnd(EndLimit) == 0);
+        CHECK(installation.countEvents(*daemon, "ended") == 1);
+    }
+}
