Change: one function makes the results of refused commands

job_state.cpp and service_state.cpp held the same refuse() to the letter, and intent_store.cpp a third one without the sentence of the code, which its caller then passed. All three now call the one in catalog/command_result.h. The results are the same: no caller in intent_store.cpp passes an empty message.

--- a/src/catalog/intent_store.cpp
+++ b/src/catalog/intent_store.cpp
@@ -2,6 +2,7 @@
 
 #include "catalog/intent_store.h"
 
+#include "catalog/command_result.h"
 #include "catalog/config_check.h"
 #include "catalog/intent_merge.h"
 
@@ -11,20 +12,12 @@
 
 namespace {
 
-    CommandResult refuse(ResultCode code, std::string message)
-    {
-        CommandResult result;
-        result.code = code;
-        result.message = std::move(message);
-        return result;
-    }
-
     CommandResult refuseVersion(const IntentStore &store, const ChangeFiles &command)
     {
         if (command.baseVersion > store.version) {
             return refuse(ResultCode::VersionConflict, "the base version is newer than the configuration");
         }
-        auto result = refuse(ResultCode::VersionConflict, std::string(resultCodeRow(ResultCode::VersionConflict).sentence));
+        auto result = refuse(ResultCode::VersionConflict);
         const auto winner = std::find_if(store.history.begin(), store.history.end(), [&command](const ChangeRecord &record) {
             return record.version == command.baseVersion + 1;
         });
--- a/src/catalog/job_state.cpp
+++ b/src/catalog/job_state.cpp
@@ -2,6 +2,7 @@
 
 #include "catalog/job_state.h"
 
+#include "catalog/command_result.h"
 #include "catalog/intent_merge.h"
 
 #include <algorithm>
@@ -28,14 +29,6 @@
         {JobState::Running, JobEvent::Cancelled, JobState::Cancelled},
     };
 
-    CommandResult refuse(ResultCode code, std::string message = {})
-    {
-        CommandResult result;
-        result.code = code;
-        result.message = message.empty() ? std::string(resultCodeRow(code).sentence) : std::move(message);
-        return result;
-    }
-
     JobTally &tallyOf(JobTable &table, const JobRecord &job, const ZoneName &zone)
     {
         return table.tallies[{job.spec.service, job.spec.team, zone}];
--- a/src/catalog/service_state.cpp
+++ b/src/catalog/service_state.cpp
@@ -2,20 +2,13 @@
 
 #include "catalog/service_state.h"
 
+#include "catalog/command_result.h"
 #include "catalog/intent_merge.h"
 
 namespace Filbertlanding {
 
 namespace {
 
-    CommandResult refuse(ResultCode code, std::string message = {})
-    {
-        CommandResult result;
-        result.code = code;
-        result.message = message.empty() ? std::string(resultCodeRow(code).sentence) : std::move(message);
-        return result;
-    }
-
     void openService(ServiceTable &table, ServiceRecord &record, std::uint64_t version)
     {
         record.open = true;
