Change: one comparison of amounts serves the scheduler, its failed placements and the simulation

Whether an amount fits into another in every resource stood in four places: fitsInto() beside Resources, exceeds() in scheduler_orders.cpp, needsAtLeast() in failed_placements.cpp and the check of the capacity in the fleet simulation. The last three now call fitsInto(); each is its negation or has the sides swapped, so the behaviour is the same.

Release build: the eleven test programs of the fleet simulation, crash_evidence_test and job_admission_test pass.

--- a/fakes/fleet_checks.cpp
+++ b/fakes/fleet_checks.cpp
@@ -72,8 +72,7 @@
             limit.accelerators = std::max(limit.accelerators, former.capacity.accelerators);
         }
     }
-    const Resources used = model.used();
-    if (used.cpuMillis > limit.cpuMillis || used.memoryMb > limit.memoryMb || used.accelerators > limit.accelerators) {
+    if (!fitsInto(model.used(), limit)) {
         this->addViolation("start over the capacity of the worker: " + run);
     }
 }
--- a/src/fleet/failed_placements.cpp
+++ b/src/fleet/failed_placements.cpp
@@ -6,16 +6,6 @@
 
 namespace Filbertlanding {
 
-namespace {
-
-    /** Returns whether a request needs at least as much of each resource as another one. */
-    bool needsAtLeast(const Resources &request, const Resources &other)
-    {
-        return request.cpuMillis >= other.cpuMillis && request.memoryMb >= other.memoryMb && request.accelerators >= other.accelerators;
-    }
-
-} // namespace
-
 FailedPlacements::Key FailedPlacements::keyOf(const StepSpec &step, const ServiceName &service, HarmTolerance harmTolerance)
 {
     return {service, step.requiredLabel, step.usesSpareCapacity ? step.image : std::string(), step.usesSpareCapacity, harmTolerance};
@@ -25,7 +15,7 @@
 {
     const auto found = this->smallestRequests.find(keyOf(step, service, harmTolerance));
     return found != this->smallestRequests.end() && std::any_of(found->second.begin(), found->second.end(), [&step](const Resources &failed) {
-               return needsAtLeast(step.request, failed);
+               return fitsInto(failed, step.request);
            });
 }
 
@@ -33,7 +23,7 @@
 {
     std::vector<Resources> &requests = this->smallestRequests[keyOf(step, service, harmTolerance)];
     std::erase_if(requests, [&step](const Resources &failed) {
-        return needsAtLeast(failed, step.request);
+        return fitsInto(step.request, failed);
     });
     requests.push_back(step.request);
 }
--- a/src/fleet/scheduler_orders.cpp
+++ b/src/fleet/scheduler_orders.cpp
@@ -154,11 +154,6 @@
         return used;
     }
 
-    bool exceeds(const Resources &used, const Resources &capacity)
-    {
-        return used.cpuMillis > capacity.cpuMillis || used.memoryMb > capacity.memoryMb || used.accelerators > capacity.accelerators;
-    }
-
 } // namespace
 
 RunView makeRunView(const StepSpec &step, std::uint32_t run, RunPhase phase, TimePoint now)
@@ -297,13 +292,13 @@
 {
     const WorkerProfile &profile = state.incarnations.at(session.incarnation).profile;
     const Resources capacity = usableCapacity(session, profile.capacity);
-    if (session.isReplaced || !exceeds(session.used, capacity) || enforcesCapacity(state.manifest, profile.service)) {
+    if (session.isReplaced || fitsInto(session.used, capacity) || enforcesCapacity(state.manifest, profile.service)) {
         return;
     }
     Resources used = committedUse(session);
     for (auto &[task, run] : session.runs) {
         const bool isStartDue = run.phase == RunPhase::Ordered && !run.isOrderPending && !run.isStopRequested && !run.isEndProposed;
-        if (!isStartDue || !exceeds(used, capacity)) {
+        if (!isStartDue || fitsInto(used, capacity)) {
             continue;
         }
         if (run.mayHaveReachedWorker) {
