Change: one check of the election times serves the settings of both daemons

fleet_settings.cpp and settings_func.cpp held the same two checks of the timeout of elections and of the interval of heartbeats to the letter. Both now call checkElectionTimes() in settings_reader.h; codes, places and sentences of the errors are the same.

No test had reached these checks. A new one in settings_test.cpp names both errors for both daemons; it passes before and after the change.

--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -84,12 +84,7 @@
         if (settings.peerKey.empty()) {
             addError(errors, ResultCode::MissingField, "/peer/key", "required; daemons prove with it that they belong together");
         }
-        if (settings.electionTimeoutMaxMs <= settings.electionTimeoutMinMs) {
-            addError(errors, ResultCode::ConflictingSettings, "/raft/electionTimeoutMaxMs", "must be above /raft/electionTimeoutMinMs");
-        }
-        if (settings.raftHeartbeatMs * 3 > settings.electionTimeoutMinMs) {
-            addError(errors, ResultCode::ConflictingSettings, "/raft/heartbeatIntervalMs", "must be at most a third of /raft/electionTimeoutMinMs");
-        }
+        checkElectionTimes(settings, errors);
     }
 
 } // namespace
--- a/src/settings/settings_func.cpp
+++ b/src/settings/settings_func.cpp
@@ -140,12 +140,7 @@
 
     void checkDurations(const Settings &settings, Errors &errors)
     {
-        if (settings.electionTimeoutMaxMs <= settings.electionTimeoutMinMs) {
-            addError(errors, ResultCode::ConflictingSettings, "/raft/electionTimeoutMaxMs", "must be above /raft/electionTimeoutMinMs");
-        }
-        if (settings.raftHeartbeatMs * 3 > settings.electionTimeoutMinMs) {
-            addError(errors, ResultCode::ConflictingSettings, "/raft/heartbeatIntervalMs", "must be at most a third of /raft/electionTimeoutMinMs");
-        }
+        checkElectionTimes(settings, errors);
         if (settings.runningLeaseMs <= settings.freshnessLeaseMs) {
             addError(errors, ResultCode::ConflictingSettings, "/lease/runningMs", "must be above /lease/freshnessMs");
         }
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -59,6 +59,18 @@
     member = number;
 }
 
+/** Checks the times of elections, which both daemons have under the same keys. */
+template<class DaemonSettings>
+void checkElectionTimes(const DaemonSettings &settings, Errors &errors)
+{
+    if (settings.electionTimeoutMaxMs <= settings.electionTimeoutMinMs) {
+        addError(errors, ResultCode::ConflictingSettings, "/raft/electionTimeoutMaxMs", "must be above /raft/electionTimeoutMinMs");
+    }
+    if (settings.raftHeartbeatMs * 3 > settings.electionTimeoutMinMs) {
+        addError(errors, ResultCode::ConflictingSettings, "/raft/heartbeatIntervalMs", "must be at most a third of /raft/electionTimeoutMinMs");
+    }
+}
+
 inline bool parsesAsAddress(const std::string &text)
 {
     boost::system::error_code error;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -133,3 +133,15 @@
         checkPage(FILBERTLANDING_SOURCE_DIR "/docs/fleet-settings.md", fleetSettingsRows());
     }
 }
+
+TEST_CASE("Both daemons refuse times with which no leader could last")
+{
+    // Guards against elections that split for ever, and against followers that give up a leader after few lost heartbeats.
+    const std::string times = R"("raft": {"electionTimeoutMinMs": 500, "electionTimeoutMaxMs": 500, "heartbeatIntervalMs": 200})";
+    FleetDaemonSettings settings;
+    for (const auto &errors : {errorsOf(R"({"dataFolder": "d", )" + times + "}"), parseFleetSettings(R"({"peer": {"key": "k"}, )" + times + "}", settings)}) {
+        CHECK(errors.size() == 2);
+        CHECK(hasError(errors, ResultCode::ConflictingSettings, "/raft/electionTimeoutMaxMs"));
+        CHECK(hasError(errors, ResultCode::ConflictingSettings, "/raft/heartbeatIntervalMs"));
+    }
+}
