Fix: a data folder that cannot be opened for a moment does not end a daemon at once

A predecessor that still held the folder for a moment ended its successor in the same way (DataFolderInUse).

Cause: only an error at run time was followed by a delay; an error while the folder is opened ended the process.

Change: the driver tries to open the folder again for up to three seconds, which is below the grace period of a stop.

--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -23,6 +23,22 @@
 namespace {
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Well below the shortest heartbeat interval, so that elections and heartbeats are on time.
+    constexpr Duration OpenRetryTime{3'000}; ///< Time in which opening the data folder is retried; below the grace period of a stop.
+    constexpr std::chrono::milliseconds OpenRetryInterval{100};
+
+    /** Opens the data folder. Write errors and a predecessor that is still stopping often last for seconds; exiting at once would cause a restart loop. */
+    DataFolder openWithRetries(const std::string &path, std::uint64_t newIncarnation)
+    {
+        const TimePoint deadline = steadyNow() + OpenRetryTime;
+        while (true) {
+            DataFolder folder = openDataFolder(systemFiles(), path, newIncarnation);
+            const bool mayPass = folder.code == ResultCode::DiskFailed || folder.code == ResultCode::DataFolderInUse;
+            if (!mayPass || steadyNow() >= deadline) {
+                return folder;
+            }
+            std::this_thread::sleep_for(OpenRetryInterval);
+        }
+    }
 
 } // namespace
 
@@ -198,7 +214,7 @@
     PersistedState persisted;
     if (state.hasDisk) {
         const auto newIncarnation = config.votesAtOnce ? FirstIncarnation : static_cast<std::uint64_t>(wallNow().ms);
-        state.folder = openDataFolder(systemFiles(), config.dataFolder, newIncarnation);
+        state.folder = openWithRetries(config.dataFolder, newIncarnation);
         result.code = state.folder.code;
         result.incarnation = state.folder.incarnation;
         result.isNew = state.folder.isNew;
