--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -23,14 +23,13 @@
 } // namespace
 
 SoakConnections::SoakConnections(
-    boost::asio::io_context &loop, const SoakSettings &soakSettings, const SoakDaemons &soakDaemons, const SoakManifests &soakManifests, SoakChecks &soakChecks)
+    boost::asio::io_context &loop, std::uint64_t seed, const SoakDaemons &soakDaemons, const SoakManifests &soakManifests, SoakChecks &soakChecks)
     : io(loop)
-    , settings(soakSettings)
     , daemons(soakDaemons)
     , manifests(soakManifests)
     , checks(soakChecks)
     , client(soakClientSettings(loop), counters)
-    , random{soakSettings.seed ^ 0xc0ecULL}
+    , random{seed ^ 0xc0ecULL}
 {
 }
 
--- a/tests/soak/soak_connections.h
+++ b/tests/soak/soak_connections.h
@@ -19,11 +19,8 @@
 class SoakConnections
 {
 public:
-    SoakConnections(boost::asio::io_context &loop,
-                    const SoakSettings &soakSettings,
-                    const SoakDaemons &soakDaemons,
-                    const SoakManifests &soakManifests,
-                    SoakChecks &soakChecks);
+    SoakConnections(
+        boost::asio::io_context &loop, std::uint64_t seed, const SoakDaemons &soakDaemons, const SoakManifests &soakManifests, SoakChecks &soakChecks);
 
     void start();
 
@@ -40,7 +37,6 @@
     bool mayBeLost(const SoakDaemon &entry, TimePoint sentAt, Duration waited) const;
 
     boost::asio::io_context &io;
-    const SoakSettings &settings;
     const SoakDaemons &daemons;
     const SoakManifests &manifests;
     SoakChecks &checks;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -52,7 +52,7 @@
         , oddReports(this->io, this->settings, this->workers, this->checks)
         , processFaults(this->io, this->settings, this->daemons)
         , operators(this->io, this->settings, this->manifests, this->checks)
-        , connections(this->io, this->settings, this->daemons, this->manifests, this->checks)
+        , connections(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
         , pollTimer(this->io)
         , phaseTimer(this->io)
     {
