Change: the soak sends SIGHUP to a daemon once its program has begun, and can run another build of the daemon

Between exec and the first code of a program, while the kernel and the dynamic loader work, no program can handle a signal; docs/fleet-settings.md says how a service manager closes that time.

--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -133,6 +133,11 @@
     }
 }
 
+pid_t ChildProcess::id() const
+{
+    return this->pid;
+}
+
 std::optional<int> ChildProcess::waitForEnd(Duration limit)
 {
     const TimePoint end = steadyNow() + limit;
--- a/tests/process_cluster.h
+++ b/tests/process_cluster.h
@@ -48,6 +48,9 @@
     /** Waits for the end of the process. Returns the exit code, 128 plus the signal that ended it, or nothing at the limit. */
     std::optional<int> waitForEnd(Duration limit);
 
+    /** Id of the process; meaningless once it has ended. */
+    pid_t id() const;
+
 private:
     pid_t pid = -1;
     std::optional<int> ended;
--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -25,6 +25,12 @@
     constexpr int MaxContacts = 3;
     constexpr Duration KillTimeout{10'000}; ///< Maximum time until a killed process has exited.
 
+    /** Returns whether a set of signals in hexadecimal notation, as in /proc, holds a signal. */
+    bool hasSignal(const std::string &set, int signal)
+    {
+        return (std::stoull(set, nullptr, 16) >> (signal - 1) & 1U) != 0;
+    }
+
     std::string endpoint(const std::string &address, std::uint16_t port)
     {
         return address + ":" + std::to_string(port);
@@ -121,6 +127,25 @@
     }
 }
 
+bool SoakDaemons::hasBegun(std::size_t daemon) const
+{
+    const auto &process = this->daemons[daemon].process;
+    if (process == nullptr) {
+        return false;
+    }
+    std::ifstream status("/proc/" + std::to_string(process->id()) + "/status");
+    std::string name;
+    std::string value;
+    while (status >> name && std::getline(status, value)) {
+        const bool isBlockedOrCaught = (name == "SigBlk:" || name == "SigCgt:") && hasSignal(value, SIGHUP);
+        // A daemon ignores SIGXFSZ first of all.
+        if (isBlockedOrCaught || (name == "SigIgn:" && hasSignal(value, SIGXFSZ))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void SoakDaemons::signal(std::size_t daemon, int number)
 {
     if (this->daemons[daemon].process != nullptr) {
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -59,6 +59,9 @@
     /** Writes the settings file of a daemon with its current contacts. */
     void writeSettings(std::size_t daemon, SoakFileWrite how, bool isFirstStart = false) const;
 
+    /** Returns whether the first code of a running daemon's program has run, as its signal actions show: no program can handle a signal before. */
+    bool hasBegun(std::size_t daemon) const;
+
     /** Sends a signal to a daemon if it is running. */
     void signal(std::size_t daemon, int number);
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -175,6 +175,7 @@
     CLI::App app{"Randomized fault soak of the fleet daemons"};
     app.add_option("--seed", settings.seed, "random seed of the first run");
     app.add_option("--runs", runs, "number of runs, with consecutive seeds");
+    app.add_option("--program", settings.program, "fleet daemon to run; the one of this build by default");
     app.add_option("--seconds", seconds, "duration of the fault injection in seconds");
     app.add_option("--cores", settings.cores, "number of daemons with a data folder");
     app.add_option("--entries", settings.entries, "number of daemons that relay requests");
--- a/tests/soak/soak_process_faults.cpp
+++ b/tests/soak/soak_process_faults.cpp
@@ -172,17 +172,30 @@
     }
 }
 
+void SoakProcessFaults::hangUp(std::size_t daemon)
+{
+    if (this->daemons.hasBegun(daemon)) {
+        this->daemons.signal(daemon, SIGHUP);
+    }
+}
+
 void SoakProcessFaults::sendVolley(std::size_t daemon)
 {
+    if (this->daemons.daemons[daemon].process != nullptr && !this->daemons.hasBegun(daemon)) {
+        this->runAfter(MinStartDelay, [this, daemon] {
+            this->sendVolley(daemon);
+        });
+        return;
+    }
     const int signals = VolleySizes[this->random.below(VolleySizes.size())];
     const bool isAtOnce = this->random.below(2) == 0;
     for (int i = 0; i < signals; ++i) {
         if (isAtOnce) {
-            this->daemons.signal(daemon, SIGHUP);
+            this->hangUp(daemon);
             continue;
         }
         this->runAfter(this->drawDuration({0}, MaxVolleyTime), [this, daemon] {
-            this->daemons.signal(daemon, SIGHUP);
+            this->hangUp(daemon);
         });
     }
 }
@@ -209,7 +222,7 @@
     const auto write = [this, daemon, isSignalled](SoakFileWrite how) {
         this->daemons.writeSettings(daemon, how);
         if (isSignalled) {
-            this->daemons.signal(daemon, SIGHUP);
+            this->hangUp(daemon);
         }
     };
     if (this->random.below(2) == 0) {
--- a/tests/soak/soak_process_faults.h
+++ b/tests/soak/soak_process_faults.h
@@ -55,6 +55,7 @@
     void arm();
     void inject(SoakProcessFault fault);
     void sendVolley(std::size_t daemon);
+    void hangUp(std::size_t daemon);
     void onStarted(std::size_t daemon);
     void changeContacts(std::size_t daemon);
     void startWithHalfFile(std::size_t daemon);
