Change: one function prints the faults of intent files as JSON

ctl_output.cpp and intent_api.cpp held the same errorsAsJson(), for a form that the daemon and filbertctl must share. It moves to catalog/intent_json.h. A trial program that is not kept printed the same text with the daemon's former function and the new one, for two faults and for none.

--- a/src/ctl/ctl_output.cpp
+++ b/src/ctl/ctl_output.cpp
@@ -2,6 +2,7 @@
 
 #include "ctl/ctl_output.h"
 
+#include "catalog/intent_json.h"
 #include "ctl/json_access.h"
 
 #include <algorithm>
@@ -83,19 +84,6 @@
         }
     }
 
-    json::array errorsAsJson(const std::vector<IntentError> &errors)
-    {
-        json::array list;
-        for (const IntentError &error : errors) {
-            list.push_back(json::object{{"code", static_cast<int>(error.code)},
-                                        {"name", resultCodeRow(error.code).name},
-                                        {"file", error.file},
-                                        {"pointer", error.pointer},
-                                        {"message", error.message}});
-        }
-        return list;
-    }
-
     json::object errorBody(ResultCode code, const std::string &message)
     {
         return {{"code", static_cast<int>(code)}, {"name", resultCodeRow(code).name}, {"message", message}};
--- a/src/daemon/intent_api.cpp
+++ b/src/daemon/intent_api.cpp
@@ -2,6 +2,7 @@
 
 #include "catalog/config_check.h"
 #include "catalog/intent_diff.h"
+#include "catalog/intent_json.h"
 #include "core/clock_func.h"
 #include "daemon/api_func.h"
 #include "daemon/drain_restriction.h"
@@ -22,19 +23,6 @@
 
     constexpr Duration ChangeTimeout{8000}; ///< Time for a change, over one election; the operator's tool waits longer.
 
-    json::array errorsAsJson(const std::vector<IntentError> &errors)
-    {
-        json::array list;
-        for (const IntentError &error : errors) {
-            list.push_back({{"code", static_cast<int>(error.code)},
-                            {"name", resultCodeRow(error.code).name},
-                            {"file", error.file},
-                            {"pointer", error.pointer},
-                            {"message", error.message}});
-        }
-        return list;
-    }
-
     HttpResponse changeResponse(const CommandResult &result)
     {
         const ResultCodeRow &row = resultCodeRow(result.code);
