Change: one function calls back after a delay on the loops of the daemon and of the stand-ins

ControlLoop::after() and EventLoop::after() held the same timer. Both now call callAfter() in network/delayed_call.h; the behaviour is the same.

--- a/fakes/event_loop.cpp
+++ b/fakes/event_loop.cpp
@@ -2,10 +2,11 @@
 
 #include "fakes/event_loop.h"
 
+#include "network/delayed_call.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 
@@ -43,12 +44,7 @@
 
 void EventLoop::after(Duration delay, std::function<void()> function)
 {
-    const auto timer = std::make_shared<net::steady_timer>(this->core->io, std::chrono::milliseconds(delay.ms));
-    timer->async_wait([timer, function = std::move(function)](const boost::system::error_code &error) {
-        if (!error) {
-            function();
-        }
-    });
+    callAfter(this->core->io, delay, std::move(function));
 }
 
 void EventLoop::onSignal(std::function<void()> function)
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -2,10 +2,11 @@
 
 #include "daemon/control_loop.h"
 
+#include "network/delayed_call.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <thread>
 
@@ -52,12 +53,7 @@
 
 void ControlLoop::after(Duration delay, std::function<void()> function)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(this->core->context, std::chrono::milliseconds(delay.ms));
-    timer->async_wait([timer, function = std::move(function)](const boost::system::error_code &error) {
-        if (!error) {
-            function();
-        }
-    });
+    callAfter(this->core->context, delay, std::move(function));
 }
 
 void ControlLoop::every(Duration pause, std::function<void()> function)
