Change: one function makes a caller's request from a forwarded one

request_service.cpp and ledger_path.cpp copied the same seven fields. Both now call requestOfPeer(). As before, only a send to the home takes the identity of the send and is not repeatable, and only a routed one is marked as forwarded.

--- a/src/daemon/ledger_path.cpp
+++ b/src/daemon/ledger_path.cpp
@@ -246,16 +246,10 @@
 
 void submitForPeer(Daemon &daemon, ForwardedRequest forwarded, const std::function<void(ForwardedAnswer)> &reply)
 {
-    const auto request = std::make_shared<CallerRequest>();
-    request->service = std::move(forwarded.service);
-    request->team = std::move(forwarded.team);
-    request->caller = std::move(forwarded.caller);
-    request->id = std::move(forwarded.request);
+    SubmissionIdentity submission = std::move(forwarded.submission);
+    const auto request = requestOfPeer(std::move(forwarded));
     request->repeatable = false;
-    request->submission = std::move(forwarded.submission);
-    request->deadline = steadyNow() + forwarded.remaining;
-    request->contentType = std::move(forwarded.contentType);
-    request->body = std::move(forwarded.body);
+    request->submission = std::move(submission);
     registerReaderThread();
     {
         const auto view = daemon.view.read();
--- a/src/daemon/request_service.cpp
+++ b/src/daemon/request_service.cpp
@@ -325,19 +325,25 @@
     carryOutAdmission(daemon, runtime, runtime->admission.admit({request->ticket, request->team, request->deadline}, now));
 }
 
-void serveForwarded(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply)
+std::shared_ptr<CallerRequest> requestOfPeer(ForwardedRequest forwarded)
 {
-    registerReaderThread();
-    const auto request = std::make_shared<CallerRequest>();
+    auto request = std::make_shared<CallerRequest>();
     request->service = std::move(forwarded.service);
     request->team = std::move(forwarded.team);
     request->caller = std::move(forwarded.caller);
     request->id = std::move(forwarded.request);
     request->repeatable = forwarded.repeatable;
-    request->forwarded = true;
     request->deadline = steadyNow() + forwarded.remaining;
     request->contentType = std::move(forwarded.contentType);
     request->body = std::move(forwarded.body);
+    return request;
+}
+
+void serveForwarded(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply)
+{
+    registerReaderThread();
+    const auto request = requestOfPeer(std::move(forwarded));
+    request->forwarded = true;
     request->done = [reply = std::move(reply)](RequestOutcome outcome) {
         reply({outcome.code, outcome.status, std::move(outcome.contentType), std::move(outcome.body), std::move(outcome.worker), outcome.retryAfter});
     };
--- a/src/daemon/request_service.h
+++ b/src/daemon/request_service.h
@@ -16,6 +16,9 @@
  */
 void admitRequest(Daemon &daemon, const std::shared_ptr<CallerRequest> &request);
 
+/** Makes a request of a caller from one that a peer forwarded. Its deadline counts from now; the identity of its send is left out. */
+std::shared_ptr<CallerRequest> requestOfPeer(ForwardedRequest forwarded);
+
 /** Takes a request that a peer forwarded; only own workers are used. */
 void serveForwarded(Daemon &daemon, ForwardedRequest forwarded, std::function<void(ForwardedAnswer)> reply);
 
