--- a/tests/fleet_fault_test.cpp
+++ b/tests/fleet_fault_test.cpp
@@ -216,3 +216,23 @@
     CHECK(simulation.outcomes.at("gang").state == FleetJobState::Completed);
     CHECK_MESSAGE(simulation.violations.empty(), firstViolations(simulation.violations));
 }
+
+TEST_CASE("A clock that steps forward does not remove jobs that have just ended")
+{
+    // Guards against an ended job that is answered as unknown, and runs again when its submission is resent.
+    constexpr Duration Step{3'600'000};
+    constexpr int Submissions = 2'000;
+    FleetSimulation simulation({});
+    simulation.run({100});
+    FleetState &state = simulation.state;
+    const QueueConfig queue = state.manifest.queues.front();
+    const WallTime before{1'800'000'000'000};
+    const WallTime after{before.ms + Step.ms};
+    const JobSpec spec = oneStepJob(1, SmallTask, {100});
+    applyFleetCommand(state, SubmitFleetJob{"ended", queue.host, queue.pathPrefix, before, spec});
+    applyFleetCommand(state, CancelFleetJob{"ended", before});
+    for (int i = 0; i < Submissions; ++i) {
+        applyFleetCommand(state, SubmitFleetJob{"job" + std::to_string(i), queue.host, queue.pathPrefix, after, spec});
+    }
+    CHECK(findJob(state, "ended") != nullptr);
+}
--- a/tests/raft_membership_test.cpp
+++ b/tests/raft_membership_test.cpp
@@ -52,6 +52,31 @@
     }
 }
 
+TEST_CASE("A voter that loses its disk again after its clock went back votes again")
+{
+    // Guards against a voter that is shut out for good, because the number of its new disk comes from the wall clock and is below the last one.
+    constexpr std::uint64_t WhileAhead = 1'000'000;
+    constexpr std::uint64_t AfterStepBack = 500'000;
+    TestCluster cluster(13, 3, 0);
+    TestNode &lost = otherVoter(cluster, waitForLeader(cluster));
+    for (const std::uint64_t incarnation : {WhileAhead, AfterStepBack}) {
+        cluster.loseDisk(lost);
+        lost.newIncarnation = incarnation;
+        cluster.start(lost);
+        cluster.run(30'000);
+    }
+    REQUIRE(lost.raft);
+    REQUIRE(cluster.leader() != nullptr);
+    CHECK(holdsId(currentMembership(*cluster.leader()->raft).voters, lost.raft->settings.self));
+    for (auto &node : cluster.nodes) {
+        if (node->name != lost.name && node->name != cluster.leader()->name) {
+            cluster.stop(*node, false);
+        }
+    }
+    cluster.run(ElectionBound);
+    CHECK(canCommit(cluster));
+}
+
 TEST_CASE("Operators change the membership one voter at a time")
 {
     TestCluster cluster(7, 3, 1);
