Fix: a voter that loses its disk again after its clock went back votes again

What operators saw: three core daemons, one of which lost its disk while its time of day was ahead, and again after it had gone back. It was never taken back; when one more daemon was killed, no read of the manifest was answered within 15 s.

Cause: the number of a new disk is the time of day, and the others take only a number above the last one that they know.

Change: the others go on addressing the lost disk. A replica that is empty and in no membership takes such a message as proof of the higher number, takes the next one and persists it before it sends anything under it.

--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -24,6 +24,17 @@
         }
     }
 
+    /**
+     * Returns whether a message shows that the others know this daemon under a higher incarnation, that of a disk which it has lost: the
+     * number of the new disk comes from a wall clock that has gone back since, and the others take a higher one only.
+     */
+    bool showsHigherIncarnation(const RaftState &state, const RaftMessage &message)
+    {
+        const VoterId &self = state.settings.self;
+        const bool isEmpty = lastLogIndex(state) == 0 && !isMember(currentMembership(state), self);
+        return state.settings.hasDisk && isEmpty && message.to.daemon == self.daemon && message.to.incarnation > self.incarnation;
+    }
+
 } // namespace
 
 RaftStart raftStart(RaftSettings settings, PersistedState persisted, TimePoint now)
@@ -81,6 +92,11 @@
 RaftActions raftReceive(RaftState &state, const RaftMessage &message, TimePoint now)
 {
     RaftActions actions;
+    if (showsHigherIncarnation(state, message)) {
+        state.settings.self.incarnation = message.to.incarnation + 1;
+        actions.persistIncarnation = state.settings.self.incarnation;
+        return actions;
+    }
     const bool anyIncarnation = std::holds_alternative<JoinRequest>(message.body) || std::holds_alternative<FetchRequest>(message.body);
     const bool addressed = message.to == state.settings.self || (anyIncarnation && message.to == VoterId{state.settings.self.daemon, 0});
     if (!addressed || message.from.daemon == state.settings.self.daemon || !isWellFormed(message)) {
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -281,6 +281,7 @@
 
 /** What the caller carries out, in the order of the members, before it calls again. */
 struct RaftActions {
+    std::optional<std::uint64_t> persistIncarnation; ///< New number of the data folder. Sync it before anything below.
     std::optional<HardState> persistHardState;
     std::optional<Snapshot>
         persistSnapshot; ///< Sync it before the log is changed. It replaces the log up to its index, and all of the log if that has another term at its index.
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -46,6 +46,7 @@
             return ResultCode::DiskFailed;
         }
         folder.incarnation = *incarnation;
+        folder.incarnationFile = std::make_unique<Journal>(files, current, std::string(IncarnationFile));
         folder.log = std::make_unique<LogStore>(files, current);
         folder.snapshots = std::make_unique<SnapshotStore>(files, current);
         folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
@@ -74,6 +75,7 @@
     /** Creates `current`. The incarnation is written last, so a crash on the way leaves a folder that counts as lost and never voted. */
     ResultCode createCurrent(const FileFunctions &files, const std::string &path, const std::string &current, std::uint64_t incarnation, DataFolder &folder)
     {
+        folder.incarnationFile = std::make_unique<Journal>(files, current, std::string(IncarnationFile));
         folder.log = std::make_unique<LogStore>(files, current);
         folder.snapshots = std::make_unique<SnapshotStore>(files, current);
         folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
@@ -87,7 +89,7 @@
         if (folder.log->create() != ResultCode::Ok || folder.ledger->create() != ResultCode::Ok) {
             return ResultCode::DiskFailed;
         }
-        return Journal(files, current, std::string(IncarnationFile)).rewrite({std::to_string(incarnation)});
+        return folder.incarnationFile->rewrite({std::to_string(incarnation)});
     }
 
     /** Returns an incarnation above every one that this data folder has had, as far as it can be read. */
@@ -163,6 +165,7 @@
         if (folder.code != ResultCode::DataDamaged) {
             return folder;
         }
+        folder.incarnationFile.reset();
         folder.log.reset();
         folder.snapshots.reset();
         folder.ledger.reset();
@@ -182,7 +185,11 @@
     if (folder.code != ResultCode::Ok) {
         return folder.code;
     }
-    if (actions.persistSnapshot) {
+    if (actions.persistIncarnation) {
+        folder.code = folder.incarnationFile->rewrite({std::to_string(*actions.persistIncarnation)});
+        folder.incarnation = *actions.persistIncarnation;
+    }
+    if (actions.persistSnapshot && folder.code == ResultCode::Ok) {
         folder.code = folder.snapshots->save(*actions.persistSnapshot);
     }
     if (folder.code == ResultCode::Ok) {
--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -24,6 +24,7 @@
     std::string setAside; ///< Folder to which damaged data was renamed; empty if there was none.
     PersistedState persisted; ///< For raftStart.
     std::vector<std::string> ledgerRecords; ///< Records of the ledger's journal.
+    std::unique_ptr<Journal> incarnationFile;
     std::unique_ptr<LogStore> log;
     std::unique_ptr<SnapshotStore> snapshots;
     std::unique_ptr<Journal> ledger;
@@ -34,6 +35,7 @@
  * Opens a data folder, or creates it with a new incarnation when it is missing, empty or damaged. Nothing is deleted.
  * @param path The data folder.
  * @param newIncarnation Number for a new folder: 1 at the first start of an installation, otherwise the calendar time in ms.
+ *        The replicated log raises it if the others know a higher one.
  *        Raised above every incarnation that is found in folders that were set aside.
  */
 DataFolder openDataFolder(const FileFunctions &files, const std::string &path, std::uint64_t newIncarnation);
