Fix: a settings file that is being written no longer ends a fleet daemon

What callers saw: a daemon that started while its settings file was empty, cut short or not yet there ended with code 1 (FAULT).

Cause: the file was read once, before anything else, and each mistake in it ended the process.

That a half-written file is refused at run time and a whole one read later was right before, and is tested now.

--- a/src/runtime/process_signals.cpp
+++ b/src/runtime/process_signals.cpp
@@ -41,6 +41,13 @@
     pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
 }
 
+bool isStopPending()
+{
+    sigset_t pending;
+    sigemptyset(&pending);
+    return sigpending(&pending) == 0 && (sigismember(&pending, SIGINT) == 1 || sigismember(&pending, SIGTERM) == 1);
+}
+
 ControlSignalBlock::ControlSignalBlock()
 {
     const sigset_t set = controlSignalSet();
--- a/src/runtime/process_signals.h
+++ b/src/runtime/process_signals.h
@@ -15,6 +15,9 @@
 /** Lets the control signals through to the calling thread, also if the program was started with them blocked. To be called once handlers are registered. */
 void unblockControlSignals();
 
+/** Returns whether SIGINT or SIGTERM has come while blocked. */
+bool isStopPending();
+
 /** Blocks the control signals for its lifetime, so that threads started meanwhile do not take them and their system calls are not interrupted. */
 class ControlSignalBlock
 {
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -241,3 +241,86 @@
         CHECK(installation.countEvents(*daemon, "ended") == 1);
     }
 }
+
+// Guards against a daemon that ends, or takes half of its settings, because the file is being written.
+TEST_CASE("a settings file that is being written does not end a fleet daemon")
+{
+    FleetInstallation installation;
+    FleetProcess &core = installation.core;
+    const std::filesystem::path path = installation.settingsPath(core);
+    const std::string text = installation.settingsText(core);
+    const std::string half = text.substr(0, text.size() / 2);
+    SUBCASE("it is whole a moment after the start")
+    {
+        for (const std::string &early : {std::string(), half}) {
+            CAPTURE(early);
+            writeText(path, early);
+            installation.start(core);
+            sleepMs(700);
+            CHECK(!hasEnded(core));
+            writeText(path, text);
+            CHECK(eventually([&] {
+                return hasEnded(core) || installation.isReady(core);
+            }));
+            CHECK(!hasEnded(core));
+            core.process.reset();
+        }
+    }
+    SUBCASE("it comes a moment after the start")
+    {
+        std::filesystem::remove(path);
+        installation.start(core);
+        sleepMs(700);
+        CHECK(!hasEnded(core));
+        writeText(path, text);
+        CHECK(eventually([&] {
+            return hasEnded(core) || installation.isReady(core);
+        }));
+    }
+    SUBCASE("SIGTERM ends the wait for it")
+    {
+        writeText(path, half);
+        installation.start(core);
+        sleepMs(700);
+        core.process->signal(SIGTERM);
+        CHECK(core.process->waitForEnd(Duration{2'000}) == 0);
+    }
+    SUBCASE("it stays incomplete")
+    {
+        writeText(path, half);
+        installation.start(core);
+        CHECK(core.process->waitForEnd(EndLimit) == 1);
+        CHECK(installation.log(core).find("BadJson") != std::string::npos);
+    }
+    SUBCASE("it is whole but wrong: the daemon ends at once")
+    {
+        writeText(path, R"({"nonsense": 1})");
+        installation.start(core);
+        CHECK(core.process->waitForEnd(Duration{2'000}) == 1);
+        CHECK(installation.log(core).find("/nonsense") != std::string::npos);
+    }
+    SUBCASE("it is checked without a wait")
+    {
+        writeText(path, half);
+        ChildProcess check({fleetDaemonProgram(), "--check", "--settings", path.string()}, installation.logPath(core));
+        CHECK(check.waitForEnd(Duration{2'000}) == 1);
+    }
+    SUBCASE("it is half written while the daemon runs")
+    {
+        installation.start(core);
+        REQUIRE(eventually([&] {
+            return installation.isReady(core);
+        }));
+        writeText(path, half);
+        core.process->signal(SIGHUP);
+        CHECK(eventually([&] {
+            return installation.countEvents(core, "settings_refused") == 1;
+        }));
+        writeText(path, text + "\n");
+        core.process->signal(SIGHUP);
+        CHECK(eventually([&] {
+            return installation.countEvents(core, "settings_reloaded") == 1;
+        }));
+        CHECK(installation.isReady(core));
+    }
+}
