--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -199,11 +199,16 @@
     }
     const bool isFinal = *state >= FleetJobState::Completed;
     if (job.finalState && *state != *job.finalState) {
-        this->addViolation("the final state of a job has changed: " + id);
+        this->addViolation("the final state of a job has changed: " + id + " from " + std::to_string(static_cast<int>(*job.finalState)) + " to "
+                           + std::to_string(static_cast<int>(*state)) + ", read by a request sent " + std::to_string((sentAt - job.finalStateAt).ms)
+                           + " ms after the first reading of the final state");
     }
     if (isFinal) {
         const bool isGivenUp = !job.finalState && *state == FleetJobState::Failed && job.crashesAfter;
         this->jobsGivenUp += isGivenUp ? 1 : 0;
+        if (!job.finalState) {
+            job.finalStateAt = steadyNow();
+        }
         job.finalState = state;
     }
     if (*state == FleetJobState::Failed) {
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -20,6 +20,7 @@
     std::optional<TimePoint> cancelSentAt;
     std::optional<TimePoint> cancelAcknowledgedAt;
     std::optional<FleetJobState> finalState; ///< Final state, as reported to a caller.
+    TimePoint finalStateAt; ///< First report of a final state.
 };
 
 /** Records the observed events and reports each violated guarantee. */
