Fix: other contacts at a restart no longer change the voters of an installation

Cause: the membership before the first entry of the log was made of the contacts in the settings at each start. Class: settings that may change at any time stand for state that must not.

Change: the data folder keeps the membership before the first entry in a file of its own, written before the replica votes for the first time; the settings count only while there is none. A folder of an earlier version takes it from the settings once.

--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -10,6 +10,12 @@
 
 namespace Filbertlanding {
 
+/** Returns the payload of a membership entry. */
+std::string encodeMembership(const Membership &membership);
+
+/** Returns the membership of an entry's payload; nothing when the payload is malformed. */
+std::optional<Membership> decodeMembership(std::string_view payload);
+
 /** A replica that was started. */
 struct RaftStart {
     ResultCode code = ResultCode::Ok; ///< Ok or DataDamaged.
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -43,12 +43,6 @@
 /** Returns the highest incarnation of a daemon in a membership, or nothing. */
 std::optional<std::uint64_t> newestIncarnation(const Membership &membership, const DaemonName &daemon);
 
-/** Returns the payload of a membership entry. */
-std::string encodeMembership(const Membership &membership);
-
-/** Returns the membership of an entry's payload; nothing when the payload is malformed. */
-std::optional<Membership> decodeMembership(std::string_view payload);
-
 /** Returns whether a membership has voters, each with a disk and under one identity. */
 bool isWellFormed(const Membership &membership);
 
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -222,6 +222,10 @@
         if (result.code != ResultCode::Ok) {
             return result;
         }
+        result.code = keepFoundingMembership(state.folder, config.raft.bootstrap);
+        if (result.code != ResultCode::Ok) {
+            return result;
+        }
         persisted = std::move(state.folder.persisted);
         result.ledgerRecords = std::move(state.folder.ledgerRecords);
         result.ledger = std::move(state.folder.ledger);
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -12,20 +12,39 @@
 namespace {
 
     constexpr std::string_view IncarnationFile = "incarnation";
+    constexpr std::string_view FoundingFile = "founding-membership";
     constexpr std::string_view DamagedPrefix = "damaged-";
 
+    /** Returns the only record of a file; nothing if it is damaged. */
+    std::optional<std::string> singleRecord(std::string_view bytes)
+    {
+        JournalContent content = decodeJournal(bytes);
+        const bool isWhole = content.code == ResultCode::Ok && content.records.size() == 1 && content.validBytes == bytes.size();
+        return isWhole ? std::optional(std::move(content.records.front())) : std::nullopt;
+    }
+
     /** Reads an incarnation file; nothing if it is missing or damaged. */
     std::optional<std::uint64_t> readIncarnation(const FileFunctions &files, const std::string &folder)
     {
-        const auto bytes = files.read(folder + "/" + std::string(IncarnationFile));
-        const JournalContent content = decodeJournal(bytes.value_or(std::string()));
-        if (content.code != ResultCode::Ok || content.records.size() != 1 || content.validBytes != bytes->size()) {
+        const auto text = singleRecord(files.read(folder + "/" + std::string(IncarnationFile)).value_or(std::string()));
+        if (!text) {
             return std::nullopt;
         }
-        const std::string &text = content.records.front();
         std::uint64_t number = 0;
-        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-        return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? std::optional(number) : std::nullopt;
+        const auto parsed = std::from_chars(text->data(), text->data() + text->size(), number);
+        return parsed.ec == std::errc() && parsed.ptr == text->data() + text->size() ? std::optional(number) : std::nullopt;
+    }
+
+    /** Reads the founding membership. Returns Ok also if there is no file: earlier versions wrote none, and a crash may have come before it. */
+    ResultCode loadFoundingMembership(const FileFunctions &files, const std::string &folder, std::optional<Membership> &membership)
+    {
+        const auto bytes = files.read(folder + "/" + std::string(FoundingFile));
+        if (!bytes) {
+            return ResultCode::Ok;
+        }
+        const auto record = singleRecord(*bytes);
+        membership = record ? decodeMembership(*record) : std::nullopt;
+        return membership ? ResultCode::Ok : ResultCode::DataDamaged;
     }
 
     /** Returns whether snapshot and log together hold every entry. */
@@ -47,10 +66,12 @@
         }
         folder.incarnation = *incarnation;
         folder.incarnationFile = std::make_unique<Journal>(files, current, std::string(IncarnationFile));
+        folder.foundingFile = std::make_unique<Journal>(files, current, std::string(FoundingFile));
         folder.log = std::make_unique<LogStore>(files, current);
         folder.snapshots = std::make_unique<SnapshotStore>(files, current);
         folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
-        ResultCode code = folder.snapshots->load(folder.persisted.snapshot);
+        ResultCode code = loadFoundingMembership(files, current, folder.foundingMembership);
+        code = code == ResultCode::Ok ? folder.snapshots->load(folder.persisted.snapshot) : code;
         code = code == ResultCode::Ok ? folder.log->open() : code;
         code = code == ResultCode::Ok ? folder.ledger->open(folder.ledgerRecords) : code;
         if (code != ResultCode::Ok) {
@@ -76,6 +97,8 @@
     ResultCode createCurrent(const FileFunctions &files, const std::string &path, const std::string &current, std::uint64_t incarnation, DataFolder &folder)
     {
         folder.incarnationFile = std::make_unique<Journal>(files, current, std::string(IncarnationFile));
+        folder.foundingFile = std::make_unique<Journal>(files, current, std::string(FoundingFile));
+        folder.foundingMembership.reset();
         folder.log = std::make_unique<LogStore>(files, current);
         folder.snapshots = std::make_unique<SnapshotStore>(files, current);
         folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
@@ -166,6 +189,7 @@
             return folder;
         }
         folder.incarnationFile.reset();
+        folder.foundingFile.reset();
         folder.log.reset();
         folder.snapshots.reset();
         folder.ledger.reset();
@@ -180,6 +204,17 @@
     return folder;
 }
 
+ResultCode keepFoundingMembership(DataFolder &folder, Membership &membership)
+{
+    if (folder.foundingMembership) {
+        membership = *folder.foundingMembership;
+        return ResultCode::Ok;
+    }
+    folder.code = folder.foundingFile->rewrite({encodeMembership(membership)});
+    folder.foundingMembership = membership;
+    return folder.code;
+}
+
 ResultCode persistActions(DataFolder &folder, const RaftActions &actions)
 {
     if (folder.code != ResultCode::Ok) {
--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -1,6 +1,6 @@
 /**
  * @file data_folder.h The data folder of a voter: lock, incarnation, log, snapshots and the ledger's journal.
- * Layout: `lock`, `current/incarnation`, `current/raft.log`, `current/snapshot-<index>`, `current/ledger.journal`, `damaged-<n>/` (set aside).
+ * Layout: `lock`, `current/incarnation`, `current/founding-membership`, `current/raft.log`, `current/snapshot-<index>`, `current/ledger.journal`, `damaged-<n>/` (set aside).
  * The files stand in a subfolder so that damaged data can be set aside by renaming also when the data folder is a mount point.
  */
 
@@ -24,7 +24,9 @@
     std::string setAside; ///< Folder to which damaged data was renamed; empty if there was none.
     PersistedState persisted; ///< For raftStart.
     std::vector<std::string> ledgerRecords; ///< Records of the ledger's journal.
+    std::optional<Membership> foundingMembership; ///< Membership before the first entry; nothing until keepFoundingMembership() has stored it.
     std::unique_ptr<Journal> incarnationFile;
+    std::unique_ptr<Journal> foundingFile;
     std::unique_ptr<LogStore> log;
     std::unique_ptr<SnapshotStore> snapshots;
     std::unique_ptr<Journal> ledger;
@@ -40,6 +42,12 @@
  */
 DataFolder openDataFolder(const FileFunctions &files, const std::string &path, std::uint64_t newIncarnation);
 
+/**
+ * Makes the membership before the first entry the one that the folder holds, and stores the given one if the folder holds none. The settings may name
+ * other daemons at a later start, and the log counts its majorities from this membership on. Returns Ok or DiskFailed.
+ */
+ResultCode keepFoundingMembership(DataFolder &folder, Membership &membership);
+
 /** Persists and syncs what the actions ask for, before anything is sent. Returns Ok or DiskFailed; after DiskFailed the process must stop. */
 ResultCode persistActions(DataFolder &folder, const RaftActions &actions);
 
