--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -1,5 +1,6 @@
 /** @file fleet_process_test.cpp Starts, signals and stops of the fleet daemon as real processes. */
 
+#include "core/clock_func.h"
 #include "core/random.h"
 #include "fleet_installation.h"
 #include "raw_socket.h"
@@ -241,3 +242,51 @@
         CHECK(installation.countEvents(*daemon, "ended") == 1);
     }
 }
+
+// Guards against requests that end without an answer because the daemon is stopped while it waits for a port that does not concern them.
+TEST_CASE("review: SIGTERM to an entry that waits for its readiness port lets requests end")
+{
+    FleetInstallation installation;
+    FleetProcess &entry = installation.entry;
+    const RawSocket holder = listenOn(entry.address, FleetInstallation::ReadinessPort);
+    REQUIRE(holder.isOpen());
+    installation.start(entry);
+    REQUIRE(eventually([&] {
+        return installation.countEvents(entry, "listen_failed") > 0;
+    }));
+    sleepMs(300);
+    const auto answers = installation.sendMany(entry, FleetInstallation::CallerPort, 16); // No leader: each waits 400 ms for its refusal.
+    sleepMs(100);
+    entry.process->signal(SIGTERM);
+    CHECK(answers() == 0);
+    CHECK(entry.process->waitForEnd(EndLimit) == 0);
+}
+
+// Guards against a core that cannot be stopped in order while its data folder is in use.
+TEST_CASE("review: SIGTERM stops a core that waits for its data folder within the grace period")
+{
+    FleetInstallation installation;
+    FleetProcess other{"other", installation.core.address, true, nullptr};
+    REQUIRE(installation.startAll());
+    const std::string text = installation.settingsText(installation.core);
+    std::string changed = text;
+    const auto replaceAll = [&changed](const std::string &from, const std::string &to) {
+        for (std::size_t at = changed.find(from); at != std::string::npos; at = changed.find(from, at + to.size())) {
+            changed.replace(at, from.size(), to);
+        }
+    };
+    // The same data folder, on ports of its own.
+    replaceAll(":8101\"", ":9101\"");
+    replaceAll(":8102\"", ":9102\"");
+    replaceAll(":8103\"", ":9103\"");
+    replaceAll("\"port\":7700", "\"port\":7701");
+    writeText(installation.settingsPath(other), changed);
+    installation.start(other);
+    sleepMs(500);
+    REQUIRE(!hasEnded(other));
+    const TimePoint sentAt = steadyNow();
+    other.process->signal(SIGTERM);
+    CHECK(other.process->waitForEnd(EndLimit) == 0);
+    const std::int64_t waited = (steadyNow() - sentAt).ms;
+    CHECK(waited < 2'500);
+}
