Fix: a stop while the daemon starts loses no request and needs no disk

Cause: an entry counted as not started, and was stopped without a drain, while any port was taken, although its callers' port was open. The retry of the data folder slept on the event loop.

Change: an entry drains once its peer links are open. The daemon tries the data folder again from its timer for up to 3 s. An exception in the start ends the process with the line start_failed; before, a daemon without a core could go on for good.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -139,6 +139,7 @@
     config.dataFolder = this->settings.dataFolder;
     config.votesAtOnce = this->settings.firstStart;
     config.syncsCommitIndex = false;
+    config.openRetryTime = {0}; // The daemon tries again itself, so that its event loop goes on.
     const ReplicationStart started = this->replication.start(std::move(config), std::move(hooks));
     logLine(LogArea::Replication,
             LogLevel::Info,
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -13,6 +13,7 @@
 
     constexpr Duration MaxLeaderConfirmationAge{1'500}; ///< A relay is ready while the last confirmation of the leader is at most this old.
     constexpr std::chrono::milliseconds ReloadInterval{2'000}; ///< The settings file is also checked for changes periodically, without SIGHUP.
+    constexpr Duration DataFolderRetryTime{3'000}; ///< Time for which a data folder that is in use or whose disk refuses is tried again.
     constexpr std::chrono::milliseconds ListenRetryInterval{200}; ///< Interval of the attempts to open an endpoint that is taken.
     constexpr std::size_t MaxCallerBodyBytes = std::size_t{1024} * 1024; ///< Maximum body size of a caller's request.
     constexpr std::size_t MaxControlBodyBytes = std::size_t{4} * 1024 * 1024; ///< Maximum body size of a request of a worker or an operator.
@@ -132,12 +133,19 @@
     if (this->isStopping) {
         return;
     }
-    const ResultCode code = this->openEndpoints();
+    ResultCode code = ResultCode::Internal;
+    try {
+        code = this->openEndpoints();
+    } catch (const std::exception &error) {
+        // A part of the daemon is missing for good, so only a new process can serve.
+        logLine(LogArea::Daemon, LogLevel::Error, "start_failed", {{"error", error.what()}});
+    }
     if (code != ResultCode::Ok) {
         this->finishRun(code);
         return;
     }
-    if (!this->isStarted && this->areLinksOpen && this->listeners.areRequiredOpen()) {
+    const bool hasAllParts = this->areLinksOpen && (this->core == nullptr || this->isCoreStarted);
+    if (!this->isStarted && hasAllParts && this->listeners.areRequiredOpen()) {
         this->isStarted = true;
         logLine(LogArea::Daemon,
                 LogLevel::Info,
@@ -163,6 +171,12 @@
             return code;
         }
     }
+    if (this->areLinksOpen && this->core != nullptr && !this->isCoreStarted) {
+        const ResultCode code = this->startCore();
+        if (code != ResultCode::Ok) {
+            return code;
+        }
+    }
     return this->listeners.open() ? ResultCode::BadAddress : ResultCode::Ok;
 }
 
@@ -182,7 +196,7 @@
         this->relay.onLeaderFound();
     };
     if (this->core != nullptr) {
-        return this->startCore();
+        return ResultCode::Ok;
     }
     this->finder.start(*this->peers, addressesOf(this->settings.contacts));
     const auto callers = [this](HttpRequest &&request, HttpRespond respond) {
@@ -192,6 +206,7 @@
     return ResultCode::Ok;
 }
 
+/** Starts the core. Returns Ok also if its data folder is to be tried again later. */
 ResultCode FleetDaemon::startCore()
 {
     std::vector<PeerAddress> addresses;
@@ -202,8 +217,12 @@
     const ControlSignalBlock blockInThreads;
     const ResultCode code = this->core->start(*this->peers);
     if (code != ResultCode::Ok) {
-        return code;
+        // Write errors and a predecessor that is still stopping often last for seconds.
+        const bool mayPass = code == ResultCode::DiskFailed || code == ResultCode::DataFolderInUse;
+        this->dataFolderDeadline = this->dataFolderDeadline.value_or(steadyNow() + DataFolderRetryTime);
+        return mayPass && steadyNow() < *this->dataFolderDeadline ? ResultCode::Ok : code;
     }
+    this->isCoreStarted = true;
     const auto control = [this](HttpRequest &&request, HttpRespond respond) {
         this->core->handleControlRequest(request, std::move(respond));
     };
@@ -215,7 +234,7 @@
 {
     switch (static_cast<FleetMessageKind>(kind)) {
     case FleetMessageKind::Replication:
-        if (this->core != nullptr) {
+        if (this->isCoreStarted) {
             this->core->receiveReplication(payload);
         }
         return;
@@ -339,7 +358,8 @@
     }
     this->isStopping = true;
     logLine(LogArea::Daemon, LogLevel::Info, "stopping", {{"graceMs", this->settings.stopGraceMs}});
-    if (this->core != nullptr || !this->isStarted) {
+    // An entry serves callers as soon as its peer links are open, also while another port is taken.
+    if (this->core != nullptr || !this->areLinksOpen) {
         this->finishRun(ResultCode::Ok);
         return;
     }
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -76,6 +76,8 @@
     std::unique_ptr<PeerLinks> peers;
     ListenAttempts linkAttempts;
     DaemonListeners listeners;
+    bool isCoreStarted = false;
+    std::optional<TimePoint> dataFolderDeadline; ///< Time until which a data folder that cannot be opened is tried again.
     bool areLinksOpen = false; ///< Whether the port for peer links is open.
     bool isStarted = false; ///< Whether all that the daemon needs is open.
     bool isStopping = false;
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -19,6 +19,7 @@
     RaftSettings raft; ///< Settings of the replica; the incarnation of its identity comes from the data folder.
     std::string dataFolder; ///< Folder of a voter; empty without a disk.
     bool votesAtOnce = false; ///< An empty data folder has lost nothing, because the installation starts for the first time.
+    Duration openRetryTime{3'000}; ///< Time for which start() tries again to open a data folder that is in use or whose disk refuses.
     bool syncsCommitIndex = true; ///< Syncs a commit index that came without entries, so that a restarted voter without a quorum knows it.
 };
 
--- a/tests/platform_edge_test.cpp
+++ b/tests/platform_edge_test.cpp
@@ -174,6 +174,7 @@
                                                               {"\"pathPrefix\":\"/q/\"", R"("pathPrefix":"/q/","timeoutms":0)"},
                                                               {"\"limits\":{}", R"("limits":{"maxBodyBytes":262144.0},"added":{"version":1})"},
                                                               {"\"version\":7", "\"version\":9000000000000000"},
+                                                              {"\"limits\":{}", "\"limits\":{\"maxBodyBytes\":4294967296}"},
                                                               {"{\"version\"", "\n {\t\"version\""}}) {
             CHECK_MESSAGE(!isMalformed(parseControl("PUT", "/config", replaced(Manifest, change.first, change.second))), change.second);
         }
