Fix: settings that name a contact twice do not damage the data folder

Change: contacts count once; a membership that could not be read again is not stored; only an installation that takes new voters by itself keeps it. A file that is there but cannot be read is a failed disk, not a missing file.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -40,6 +40,8 @@
             raft.contacts.push_back(address);
         }
         std::sort(raft.bootstrap.voters.begin(), raft.bootstrap.voters.end());
+        const auto repeated = std::unique(raft.bootstrap.voters.begin(), raft.bootstrap.voters.end());
+        raft.bootstrap.voters.erase(repeated, raft.bootstrap.voters.end());
         raft.electionTimeoutMin = {settings.electionTimeoutMinMs};
         raft.electionTimeoutMax = {settings.electionTimeoutMaxMs};
         raft.heartbeatInterval = {settings.raftHeartbeatMs};
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -221,7 +221,8 @@
         if (result.code != ResultCode::Ok) {
             return result;
         }
-        result.code = keepFoundingMembership(state.folder, config.raft.bootstrap);
+        // Without new voters by themselves, operators change the members of an installation in the settings.
+        result.code = config.raft.admitsNewVoters ? keepFoundingMembership(state.folder, config.raft.bootstrap) : ResultCode::Ok;
         if (result.code != ResultCode::Ok) {
             return result;
         }
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -40,7 +40,9 @@
     {
         const auto bytes = files.read(folder + "/" + std::string(FoundingFile));
         if (!bytes) {
-            return ResultCode::Ok;
+            const auto names = files.list(folder);
+            const bool isMissing = names && std::find(names->begin(), names->end(), FoundingFile) == names->end();
+            return isMissing ? ResultCode::Ok : ResultCode::DiskFailed;
         }
         const auto record = singleRecord(*bytes);
         membership = record ? decodeMembership(*record) : std::nullopt;
@@ -210,7 +212,12 @@
         membership = *folder.foundingMembership;
         return ResultCode::Ok;
     }
-    folder.code = folder.foundingFile->rewrite({encodeMembership(membership)});
+    const std::string record = encodeMembership(membership);
+    if (!decodeMembership(record)) {
+        // A folder with such a file would count as damaged at the next start.
+        return ResultCode::Ok;
+    }
+    folder.code = folder.foundingFile->rewrite({record});
     folder.foundingMembership = membership;
     return folder.code;
 }
--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -44,7 +44,8 @@
 
 /**
  * Makes the membership before the first entry the one that the folder holds, and stores the given one if the folder holds none. The settings may name
- * other daemons at a later start, and the log counts its majorities from this membership on. Returns Ok or DiskFailed.
+ * other daemons at a later start, and the log counts its majorities from this membership on. A membership without voters is not stored. Returns Ok or
+ * DiskFailed.
  */
 ResultCode keepFoundingMembership(DataFolder &folder, Membership &membership);
 
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -260,6 +260,50 @@
     CHECK(again.persisted == PersistedState());
 }
 
+TEST_CASE("The membership before the first entry stays the one of the first start")
+{
+    // Guards against majorities that follow the settings, and against a folder that counts as damaged because of the settings it was made with.
+    const Membership founding{{{"a", 1}, {"b", 1}, {"c", 1}}, {}, {}};
+    const Membership changed{{{"a", 1}}, {}, {}};
+    const Membership repeated{{{"a", 1}, {"a", 1}}, {}, {}};
+    MemoryDisk disk;
+    const auto keepAtStart = [&disk](Membership membership) {
+        DataFolder folder = openDataFolder(disk.functions(), "data", 1);
+        REQUIRE(folder.code == ResultCode::Ok);
+        CHECK(folder.setAside.empty());
+        CHECK(keepFoundingMembership(folder, membership) == ResultCode::Ok);
+        return membership;
+    };
+
+    SUBCASE("other settings at a later start do not change it")
+    {
+        CHECK(keepAtStart(founding) == founding);
+        Random random(1);
+        disk.losePower(random);
+        CHECK(keepAtStart(changed) == founding);
+    }
+
+    SUBCASE("a folder of an earlier version takes it from the settings once")
+    {
+        writeFolder(disk, 2);
+        disk.endProcess();
+        CHECK(keepAtStart(founding) == founding);
+        disk.endProcess();
+        CHECK(keepAtStart(changed) == founding);
+        disk.endProcess();
+        CHECK(openDataFolder(disk.functions(), "data", 1).persisted.log.size() == 2);
+    }
+
+    SUBCASE("one that names a daemon twice, or nobody, is not stored and does not damage the folder")
+    {
+        for (const Membership &malformed : {repeated, Membership()}) {
+            CHECK(keepAtStart(malformed) == malformed);
+            disk.endProcess();
+        }
+        CHECK(keepAtStart(founding) == founding);
+    }
+}
+
 TEST_CASE("Properties of the stores")
 {
     SUBCASE("decoding damaged bytes returns only records that were written, in order")
