Fix: only short jobs that lack CPU keep long-running jobs out

Change: a wait counts if no worker of the service has the CPU for the task free, and one is large enough for it.

--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -498,19 +498,45 @@
         scheduler.isPlacementDue = scheduler.isPlacementDue || first > 0;
     }
 
-    /** Records which services and priorities have short jobs that become late because a placement pass has left tasks of theirs without a worker. */
-    void recordShortJobWaits(FleetScheduler &scheduler, const FleetState &state, const std::vector<ReadyStep> &ready, TimePoint now)
+    /** Most CPU that one worker of a service has, in thousandths of a core. */
+    struct LargestCpu {
+        std::int64_t capacity = 0;
+        std::int64_t free = 0;
+    };
+
+    std::map<ServiceName, LargestCpu> largestCpuByService(const std::vector<PlacementCandidate *> &candidates)
     {
+        std::map<ServiceName, LargestCpu> result;
+        for (const PlacementCandidate *candidate : candidates) {
+            LargestCpu &largest = result[candidate->service];
+            largest.capacity = std::max(largest.capacity, candidate->capacity.cpuMillis);
+            largest.free = std::max(largest.free, candidate->capacity.cpuMillis - candidate->used.cpuMillis);
+        }
+        return result;
+    }
+
+    /**
+     * Records which services and priorities have short jobs that become late because no worker has the CPU for their tasks after a placement pass.
+     * Tasks that wait for something else, such as a label or memory, don't count.
+     */
+    void recordShortJobWaits(const PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready)
+    {
+        FleetScheduler &scheduler = pass.scheduler;
+        const TimePoint now = pass.now;
         constexpr Duration LearningTime{5'000}; // A new leader does not know all workers before.
         if (now - scheduler.since < LearningTime) {
             return;
         }
+        const auto largestCpu = largestCpuByService(pass.candidates);
         for (const ReadyStep &step : ready) {
             if (step.isLongRunning || step.usesSpareCapacity || !isDeadlineNear(step, now)) {
                 continue;
             }
             const FleetJob &job = state.jobs.at(step.job);
-            if (countPendingTasks(scheduler, job, step.occurrence, step.step) > 0) {
+            const auto largest = largestCpu.find(job.queue.service);
+            const std::int64_t request = job.spec.steps[step.step].request.cpuMillis;
+            const bool lacksCpu = largest != largestCpu.end() && request > largest->second.free && request <= largest->second.capacity;
+            if (lacksCpu && countPendingTasks(scheduler, job, step.occurrence, step.step) > 0) {
                 scheduler.shortJobWaits[{job.queue.service, step.priority}] = now;
             }
         }
@@ -539,7 +565,7 @@
     sortByServiceOrder(ready, now);
     placeCopies(pass, state);
     placeSteps(pass, state, ready);
-    recordShortJobWaits(scheduler, state, ready, now);
+    recordShortJobWaits(pass, state, ready);
     scheduler.readySteps = std::move(ready);
 }
 
--- a/tests/fleet_admission_test.cpp
+++ b/tests/fleet_admission_test.cpp
@@ -242,6 +242,21 @@
     CHECK(refuses.largestServed / refuses.largestSent >= refuses.served / refuses.sent / 2);
 }
 
+TEST_CASE("A short job that waits for a label does not keep long-running jobs out")
+{
+    // Guards against one job that no worker may run, because of which a service with room refuses all long-running jobs.
+    FleetSimulation simulation({});
+    simulation.run({6'000});
+    JobSpec spec = oneStepJob(1, SmallTask, {1'000});
+    spec.steps.front().requiredLabel = "no worker has it";
+    simulation.submit("unplaceable", spec);
+    const auto &queue = simulation.state.manifest.queues.front();
+    for (int i = 0; i < 40; ++i) {
+        simulation.run({100});
+        CHECK(canAdmitLongRunningJob(simulation.leaderScheduler().shortJobWaits, queue.service, queue.priority, simulation.now));
+    }
+}
+
 TEST_CASE("A fleet with room refuses no job")
 {
     // Guards against estimates that refuse jobs which the fleet could serve.
