--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -278,7 +278,7 @@
     SUBCASE("other settings at a later start do not change it")
     {
         CHECK(keepAtStart(founding) == founding);
-        Random random(1);
+        Random random{1};
         disk.losePower(random);
         CHECK(keepAtStart(changed) == founding);
     }
