Fix: a clock that steps forward no longer removes ended jobs

What callers saw: when the time of day of the leader stepped forward by more than 600 s, ended jobs were removed at once.

Change: the leader proposes AdvanceRetentionClock every 5 s with the time that has passed on its steady clock since the advance before, at most 10 s. Ends and early cancellations keep the value of this clock, and the command removes what is older than 600 s and one advance. Time without a leader or with one that stood still does not count, so a takeover cannot shorten the retention; removal no longer depends on submissions, so memory is bounded as before. The clock stands while no job is known.

Of the same class and not mended, by reading: an occurrence is due by the time of day of the leader; the age of a job at a takeover (order of service only, at most 120 s); a new worker is refused while its start is over 60 s ahead of the leader; a worker whose clock went back before its restart counts as an earlier process; the ledger of filbertlandingd counts a new folder as complete by the time of day.

--- a/src/fleet/fleet_command.h
+++ b/src/fleet/fleet_command.h
@@ -13,6 +13,7 @@
 namespace Filbertlanding {
 
 constexpr char ReportSequenceCommandFormat = 2; ///< First format version of commands with the sequence number of a report.
+constexpr char RetentionClockCommandFormat = 3; ///< First format version of commands from which on retention is counted by AdvanceRetentionClock.
 
 /** Puts a manifest in force if its version is higher than the present one. */
 struct PutManifest {
@@ -70,11 +71,15 @@
     std::string pathPrefix; ///< Path prefix of the queue.
     WallTime at;
     JobSpec spec;
+    bool removesByWallTime = false; ///< The command is of a log that removed ended jobs by the time of day; it must have the same effect again.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(this->id, this->host, this->pathPrefix, this->at, this->spec);
+        if constexpr (Archive::is_loading::value) {
+            this->removesByWallTime = !archive.hasFieldsOf(RetentionClockCommandFormat);
+        }
     }
 };
 
@@ -198,6 +203,17 @@
     }
 };
 
+/** Counts time for the retention of ended jobs, and removes those whose retention time has passed. */
+struct AdvanceRetentionClock {
+    Duration elapsed; ///< Time on the leader's steady clock since the previous advance of its leadership.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->elapsed);
+    }
+};
+
 using FleetCommand = std::variant<PutManifest,
                                   SetZoneDrained,
                                   RegisterWorker,
@@ -210,7 +226,8 @@
                                   StartMaintenanceWave,
                                   SetMaintenanceStage,
                                   SaveLearnedModel,
-                                  RecordCrash>;
+                                  RecordCrash,
+                                  AdvanceRetentionClock>;
 
 /** Encodes commands as the payload of a log entry. */
 std::string encodeCommands(const std::vector<FleetCommand> &commands);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -106,6 +106,16 @@
         }
     }
 
+    /** Proposes to count the time since the previous advance for the retention of ended jobs. */
+    void proposeRetentionClock(FleetScheduler &scheduler, const FleetState &state, TimePoint now, SchedulerActions &actions)
+    {
+        const Duration elapsed = now - scheduler.retentionCountedUntil;
+        scheduler.retentionCountedUntil = now;
+        if (needsRetentionClock(state)) {
+            actions.propose.push_back(AdvanceRetentionClock{elapsed});
+        }
+    }
+
     /**
      * Returns whether all runs of the earlier incarnations are accounted for: those that this incarnation may have executed are stopped, and a
      * later poll has listed their ends.
@@ -162,6 +172,9 @@
         if (now >= scheduler.nextModelSave) {
             proposeModelSave(scheduler, state, now, actions);
         }
+        if (now - scheduler.retentionCountedUntil >= RetentionClockInterval) {
+            proposeRetentionClock(scheduler, state, now, actions);
+        }
         // Workers may become usable again just because time has passed.
         scheduler.isPlacementDue = true;
     }
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -97,6 +97,7 @@
     QueueRisks queueRisks; ///< Queues whose tasks have recently crashed workers.
     LearnedModel learnedModel; ///< Model of run times and of interference between images.
     TimePoint nextModelSave; ///< Next time at which the learned model is saved to the log.
+    TimePoint retentionCountedUntil; ///< Time up to which the retention clock has been advanced in this leadership.
     std::map<TaskRef, unsigned> migrationCounts; ///< Number of times that a task was migrated because of its progress.
     std::set<TaskRef> migratingTasks; ///< Tasks that were stopped because of their progress and have no new placement yet.
     std::shared_ptr<const SlopeTable> slopes; ///< Slopes with which the candidates were computed; null before the first placement.
--- a/src/fleet/fleet_snapshot.cpp
+++ b/src/fleet/fleet_snapshot.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr char SnapshotVersion = 4; ///< First byte of every snapshot.
+    constexpr char SnapshotVersion = 5; ///< First byte of every snapshot.
     constexpr char OldestSnapshotVersion = 2; ///< Oldest version that can be read.
 
     /** Content of a snapshot. The lookup tables by name are rebuilt when it is decoded. */
@@ -16,11 +16,12 @@
         std::vector<ZoneName> drainedZones;
         std::map<IncarnationNumber, WorkerIncarnation> incarnations;
         std::map<JobNumber, FleetJob> jobs;
-        std::map<JobId, WallTime> cancelledBeforeSubmission;
+        std::map<JobId, EarlyCancellation> cancelledBeforeSubmission;
         std::map<std::uint64_t, MaintenanceWave> waves;
         std::string learnedModel;
         JobNumber lastJobNumber = 0;
         IncarnationNumber lastIncarnationNumber = 0;
+        Duration retentionClock;
 
         template<class Archive>
         void serialize(Archive &archive)
@@ -34,6 +35,9 @@
                     this->learnedModel,
                     this->lastJobNumber,
                     this->lastIncarnationNumber);
+            if (archive.hasFieldsOf(RetentionClockFormat)) {
+                archive(this->retentionClock);
+            }
         }
     };
 
@@ -51,6 +55,7 @@
     stored.learnedModel = state.learnedModel;
     stored.lastJobNumber = state.lastJobNumber;
     stored.lastIncarnationNumber = state.lastIncarnationNumber;
+    stored.retentionClock = state.retentionClock;
     return encodeVersioned(SnapshotVersion, stored);
 }
 
@@ -71,6 +76,7 @@
     next.learnedModel = std::move(stored.learnedModel);
     next.lastJobNumber = stored.lastJobNumber;
     next.lastIncarnationNumber = stored.lastIncarnationNumber;
+    next.retentionClock = stored.retentionClock;
     for (const auto &[number, incarnation] : next.incarnations) {
         // Incarnations are numbered in order of registration, so the last one of each worker wins.
         next.latestIncarnation[incarnation.profile.worker] = number;
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -73,11 +73,15 @@
 
 FleetChange applyFleetCommand(FleetState &state, const FleetCommand &command)
 {
-    return std::visit(
+    FleetChange change = std::visit(
         [&state](const auto &body) {
             return apply(state, body);
         },
         command);
+    for (const JobNumber number : change.endedJobs) {
+        state.jobs.at(number).endedOnClock = state.retentionClock;
+    }
+    return change;
 }
 
 } // namespace Filbertlanding
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -15,6 +15,7 @@
 
 constexpr char CrashHistoryFormat = 3; ///< First format version of snapshots with the history of crashes and the reason of a failure.
 constexpr char ReportSequenceFormat = 4; ///< First format version of snapshots with the sequence numbers of reports.
+constexpr char RetentionClockFormat = 5; ///< First format version of snapshots with the retention clock.
 
 /** A run that may be executing on a worker. */
 struct ActiveRun {
@@ -87,6 +88,7 @@
     std::map<std::uint32_t, Occurrence> occurrences; ///< Open and completed occurrences; only occurrence 0 for a job that runs once.
     std::uint32_t completeCount = 0; ///< Number of completed occurrences.
     JobFailure failure = JobFailure::None; ///< Why the job has failed.
+    Duration endedOnClock; ///< Retention clock when the job ended.
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -96,6 +98,24 @@
         if (archive.hasFieldsOf(CrashHistoryFormat)) {
             archive(this->failure);
         }
+        if (archive.hasFieldsOf(RetentionClockFormat)) {
+            archive(this->endedOnClock);
+        }
+    }
+};
+
+/** A cancellation that arrived before the submission of its job. */
+struct EarlyCancellation {
+    WallTime at;
+    Duration onClock; ///< Retention clock when it was applied.
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->at);
+        if (archive.hasFieldsOf(RetentionClockFormat)) {
+            archive(this->onClock);
+        }
     }
 };
 
@@ -150,11 +170,12 @@
     std::map<WorkerName, IncarnationNumber> latestIncarnation;
     std::map<JobNumber, FleetJob> jobs;
     std::map<JobId, JobNumber> jobNumbers;
-    std::map<JobId, WallTime> cancelledBeforeSubmission; ///< Jobs cancelled before their submission arrived, so that a late submission does not run.
+    std::map<JobId, EarlyCancellation> cancelledBeforeSubmission; ///< Jobs cancelled before their submission arrived, so that a late submission does not run.
     std::map<std::uint64_t, MaintenanceWave> waves;
     std::string learnedModel; ///< Encoded model saved by the latest leader; empty if none has been saved.
     JobNumber lastJobNumber = 0;
     IncarnationNumber lastIncarnationNumber = 0;
+    Duration retentionClock; ///< Time that leaders have counted. Unlike the time of day it cannot be set, so ended jobs are kept as long as promised.
 };
 
 /** Returns whether a job state is final. */
--- a/src/fleet/fleet_state_detail.h
+++ b/src/fleet/fleet_state_detail.h
@@ -10,6 +10,8 @@
 FleetChange apply(FleetState &state, const CancelFleetJob &command);
 FleetChange apply(FleetState &state, const OpenOccurrence &command);
 
+FleetChange apply(FleetState &state, const AdvanceRetentionClock &command);
+
 FleetChange apply(FleetState &state, const StartRun &command);
 FleetChange apply(FleetState &state, const EndRun &command);
 FleetChange apply(FleetState &state, const RecordCrash &command);
@@ -17,6 +19,9 @@
 FleetChange apply(FleetState &state, const RegisterWorker &command);
 FleetChange apply(FleetState &state, const EndIncarnation &command);
 
+/** Removes ended jobs by the time of day, as logs of earlier versions ask for. */
+void removeJobsByWallTime(FleetState &state, WallTime now);
+
 /** Moves a job to a final state. */
 void endJob(FleetJob &job, FleetJobState state, WallTime at, FleetChange &change);
 
--- a/src/fleet/fleet_state_func.h
+++ b/src/fleet/fleet_state_func.h
@@ -12,6 +12,8 @@
 namespace Filbertlanding {
 
 constexpr Duration EndedJobRetention{600'000}; ///< Retention time of ended jobs, well above the time in which callers query them.
+constexpr Duration RetentionClockInterval{5'000}; ///< Time between two advances of the retention clock.
+constexpr Duration MaxRetentionClockAdvance{10'000}; ///< Time in which a leader stood still, and answered nobody, does not count.
 
 /** Effect of a command, for the scheduler that follows the state. */
 struct FleetChange {
@@ -21,6 +23,7 @@
     IncarnationNumber incarnation = 0; ///< Incarnation that was registered or ended, or whose run was started or ended.
     bool isNewIncarnation = false; ///< The incarnation was not known before.
     std::vector<IncarnationNumber> endedIncarnations; ///< Incarnations ended by the command.
+    std::size_t removedJobs = 0; ///< Number of ended jobs that are no longer known because their retention time has passed.
 };
 
 /** Applies a command. */
@@ -41,8 +44,8 @@
 /** Returns the number of jobs of a queue that run once and have not started a task. */
 std::uint64_t countQueuedJobs(const FleetState &state, const QueueConfig &queue);
 
-/** Removes jobs whose retention time has passed. Runs as part of a submission, whose recorded time keeps it deterministic. */
-void removeExpiredJobs(FleetState &state, WallTime now);
+/** Returns whether the state holds anything that is removed after its retention time. */
+bool needsRetentionClock(const FleetState &state);
 
 /** Encodes the state for a snapshot. */
 std::string encodeFleetState(const FleetState &state);
--- a/src/fleet/fleet_state_jobs.cpp
+++ b/src/fleet/fleet_state_jobs.cpp
@@ -1,4 +1,4 @@
-/** @file fleet_state_jobs.cpp Applies the commands on jobs: submission, cancellation, occurrences and retention. */
+/** @file fleet_state_jobs.cpp Applies the commands on jobs: submission, cancellation and occurrences. */
 
 #include "fleet/fleet_state_detail.h"
 
@@ -6,19 +6,7 @@
 
 namespace {
 
-    constexpr JobNumber CleanupInterval = 64; ///< Number of submissions between two removals of expired jobs, since each of them scans all jobs.
-
-    bool hasActiveRuns(const FleetJob &job)
-    {
-        for (const auto &[number, occurrence] : job.occurrences) {
-            for (const StepRecord &step : occurrence.steps) {
-                if (step.activeCount > 0) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
+    constexpr JobNumber CleanupInterval = 64; ///< Number of submissions between two removals by the time of day.
 
     void openOccurrence(FleetJob &job, std::uint32_t number)
     {
@@ -76,8 +64,8 @@
     if (state.cancelledBeforeSubmission.erase(command.id) > 0) {
         endJob(job, FleetJobState::Cancelled, command.at, change);
     }
-    if (state.lastJobNumber % CleanupInterval == 0) {
-        removeExpiredJobs(state, command.at);
+    if (command.removesByWallTime && state.lastJobNumber % CleanupInterval == 0) {
+        removeJobsByWallTime(state, command.at);
     }
     return change;
 }
@@ -87,7 +75,7 @@
     FleetChange change;
     const auto known = state.jobNumbers.find(command.id);
     if (known == state.jobNumbers.end()) {
-        state.cancelledBeforeSubmission[command.id] = command.at;
+        state.cancelledBeforeSubmission[command.id] = {command.at, state.retentionClock};
         return change;
     }
     change.job = known->second;
@@ -116,22 +104,4 @@
     return change;
 }
 
-void removeExpiredJobs(FleetState &state, WallTime now)
-{
-    const auto isOld = [now](WallTime at) {
-        return now.ms - at.ms > EndedJobRetention.ms;
-    };
-    std::erase_if(state.jobs, [&state, &isOld](const auto &item) {
-        const FleetJob &job = item.second;
-        if (!hasEnded(job.state) || !isOld(job.endedAt) || hasActiveRuns(job)) {
-            return false;
-        }
-        state.jobNumbers.erase(job.id);
-        return true;
-    });
-    std::erase_if(state.cancelledBeforeSubmission, [&isOld](const auto &item) {
-        return isOld(item.second);
-    });
-}
-
 } // namespace Filbertlanding
--- a/src/fleet/scheduler_applied.cpp
+++ b/src/fleet/scheduler_applied.cpp
@@ -246,6 +246,13 @@
         }
     }
 
+    /** Returns whether a command without an effect of its own on the scheduler may allow a task to start. */
+    bool mayAllowStart(const FleetCommand &command)
+    {
+        return !std::holds_alternative<SubmitFleetJob>(command) && !std::holds_alternative<SaveLearnedModel>(command)
+            && !std::holds_alternative<AdvanceRetentionClock>(command);
+    }
+
 } // namespace
 
 void handleApplied(FleetScheduler &scheduler, const FleetState &state, const FleetCommand &command, const FleetChange &change, TimePoint now, WallTime wall)
@@ -265,7 +272,7 @@
     } else if (std::holds_alternative<SubmitFleetJob>(command) && change.isApplied && change.endedJobs.empty()) {
         addJob(scheduler, state.jobs.at(change.job), now, wall);
         scheduler.isPlacementDue = true;
-    } else if (!std::holds_alternative<SubmitFleetJob>(command) && !std::holds_alternative<SaveLearnedModel>(command)) {
+    } else if (mayAllowStart(command)) {
         scheduler.isPlacementDue = true;
     }
     for (const JobNumber job : change.endedJobs) {
--- a/src/fleet/scheduler_start.cpp
+++ b/src/fleet/scheduler_start.cpp
@@ -85,6 +85,7 @@
     scheduler.since = now;
     scheduler.learnedModel = decodeLearned(state.learnedModel, now);
     scheduler.nextModelSave = now + ModelSaveInterval;
+    scheduler.retentionCountedUntil = now;
     addSessions(scheduler, state, now);
     linkReplacedIncarnations(scheduler, state);
     for (const auto &[number, job] : state.jobs) {
--- a/src/fleetd/fleet_change_log.cpp
+++ b/src/fleetd/fleet_change_log.cpp
@@ -54,6 +54,9 @@
     } else if (const auto *zone = std::get_if<SetZoneDrained>(&command)) {
         logLine(LogArea::Intent, LogLevel::Info, "zone_drained", {{"zone", zone->availabilityZone}, {"drained", zone->isDrained}});
     }
+    if (change.removedJobs > 0) {
+        logLine(LogArea::Job, LogLevel::Info, "ended_jobs_removed", {{"count", change.removedJobs}, {"known", this->state.jobs.size()}});
+    }
     for (const JobNumber number : change.endedJobs) {
         const FleetJob &job = this->state.jobs.at(number);
         logLine(LogArea::Job,
--- a/tests/fleet_snapshot_test.cpp
+++ b/tests/fleet_snapshot_test.cpp
@@ -140,7 +140,9 @@
     for (const auto &[number, job] : state.jobs) {
         stored.jobs[number] = toOld(job);
     }
-    stored.cancelledBeforeSubmission = state.cancelledBeforeSubmission;
+    for (const auto &[id, cancellation] : state.cancelledBeforeSubmission) {
+        stored.cancelledBeforeSubmission[id] = cancellation.at;
+    }
     stored.waves = state.waves;
     stored.learnedModel = state.learnedModel;
     stored.lastJobNumber = state.lastJobNumber;
@@ -213,7 +215,12 @@
         FleetState expected = simulation.state;
         for (auto &[number, job] : expected.jobs) {
             job.failure = JobFailure::None;
+            job.endedOnClock = {};
+        }
+        for (auto &[id, cancellation] : expected.cancelledBeforeSubmission) {
+            cancellation.onClock = {};
         }
+        expected.retentionClock = {};
         for (auto &[number, incarnation] : expected.incarnations) {
             incarnation.reportSequence = 0;
         }
