Fix: a data folder that cannot be read is no longer set aside

A file of the data folder that could not be read (EIO, EMFILE, ENFILE, ENOMEM, EACCES) counted as damaged. The sound folder was set aside, and the voter came back empty. With one lost disk beside it two of three disks were lost, and with them what both had accepted.

Cause: a read returned nothing for a missing file and for a failed read alike.

Only content that was read whole and is malformed, or a file that is missing, sets a folder aside. The incarnations in folders that were set aside must be read before a number is taken, so that none is used twice.

Same class, looked through: listings already failed as DiskFailed; the founding membership told the two apart by a listing; a failed lock is tried again.

--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -23,28 +23,29 @@
         return isWhole ? std::optional(std::move(content.records.front())) : std::nullopt;
     }
 
-    /** Reads an incarnation file; nothing if it is missing or damaged. */
-    std::optional<std::uint64_t> readIncarnation(const FileFunctions &files, const std::string &folder)
+    /** Reads an incarnation file. Returns Ok, DiskFailed, or DataDamaged also if there is none. */
+    ResultCode readIncarnation(const FileFunctions &files, const std::string &folder, std::uint64_t &incarnation)
     {
-        const auto text = singleRecord(files.read(folder + "/" + std::string(IncarnationFile)).value_or(std::string()));
+        const FileContent file = files.read(folder + "/" + std::string(IncarnationFile));
+        if (file.outcome == ReadOutcome::Failed) {
+            return ResultCode::DiskFailed;
+        }
+        const auto text = singleRecord(file.bytes);
         if (!text) {
-            return std::nullopt;
+            return ResultCode::DataDamaged;
         }
-        std::uint64_t number = 0;
-        const auto parsed = std::from_chars(text->data(), text->data() + text->size(), number);
-        return parsed.ec == std::errc() && parsed.ptr == text->data() + text->size() ? std::optional(number) : std::nullopt;
+        const auto parsed = std::from_chars(text->data(), text->data() + text->size(), incarnation);
+        return parsed.ec == std::errc() && parsed.ptr == text->data() + text->size() ? ResultCode::Ok : ResultCode::DataDamaged;
     }
 
     /** Reads the founding membership. Returns Ok also if there is no file: earlier versions wrote none, and a crash may have come before it. */
     ResultCode loadFoundingMembership(const FileFunctions &files, const std::string &folder, std::optional<Membership> &membership)
     {
-        const auto bytes = files.read(folder + "/" + std::string(FoundingFile));
-        if (!bytes) {
-            const auto names = files.list(folder);
-            const bool isMissing = names && std::find(names->begin(), names->end(), FoundingFile) == names->end();
-            return isMissing ? ResultCode::Ok : ResultCode::DiskFailed;
+        const FileContent file = files.read(folder + "/" + std::string(FoundingFile));
+        if (file.outcome != ReadOutcome::Whole) {
+            return file.outcome == ReadOutcome::Missing ? ResultCode::Ok : ResultCode::DiskFailed;
         }
-        const auto record = singleRecord(*bytes);
+        const auto record = singleRecord(file.bytes);
         membership = record ? decodeMembership(*record) : std::nullopt;
         return membership ? ResultCode::Ok : ResultCode::DataDamaged;
     }
@@ -58,21 +59,20 @@
     /** Reads `current`. Returns Ok, DiskFailed, or DataDamaged for anything that counts as a lost disk. */
     ResultCode loadCurrent(const FileFunctions &files, const std::string &current, DataFolder &folder)
     {
-        const auto incarnation = readIncarnation(files, current);
-        if (!incarnation) {
-            return ResultCode::DataDamaged;
+        ResultCode code = readIncarnation(files, current, folder.incarnation);
+        if (code != ResultCode::Ok) {
+            return code;
         }
         // A process that failed between a rename and the sync of the folder leaves names that a loss of power would still take away.
         if (!files.syncFolder(current)) {
             return ResultCode::DiskFailed;
         }
-        folder.incarnation = *incarnation;
         folder.incarnationFile = std::make_unique<Journal>(files, current, std::string(IncarnationFile));
         folder.foundingFile = std::make_unique<Journal>(files, current, std::string(FoundingFile));
         folder.log = std::make_unique<LogStore>(files, current);
         folder.snapshots = std::make_unique<SnapshotStore>(files, current);
         folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
-        ResultCode code = loadFoundingMembership(files, current, folder.foundingMembership);
+        code = loadFoundingMembership(files, current, folder.foundingMembership);
         code = code == ResultCode::Ok ? folder.snapshots->load(folder.persisted.snapshot) : code;
         code = code == ResultCode::Ok ? folder.log->open() : code;
         code = code == ResultCode::Ok ? folder.ledger->open(folder.ledgerRecords) : code;
@@ -117,18 +117,26 @@
         return folder.incarnationFile->rewrite({std::to_string(incarnation)});
     }
 
-    /** Returns an incarnation above every one that this data folder has had, as far as it can be read. */
-    std::uint64_t freshIncarnation(const FileFunctions &files, const std::string &path, const std::vector<std::string> &names, std::uint64_t proposed)
+    /**
+     * Raises an incarnation above every one that this data folder has had, as far as the files are sound. Returns Ok, or DiskFailed if one cannot be
+     * read, since a number that was used once would stand for other votes.
+     */
+    ResultCode raiseIncarnation(const FileFunctions &files, const std::string &path, const std::vector<std::string> &names, std::uint64_t &incarnation)
     {
-        std::uint64_t fresh = proposed;
         for (const auto &name : names) {
-            if (name.starts_with(DamagedPrefix)) {
-                std::string folder = path;
-                folder.append("/").append(name);
-                fresh = std::max(fresh, readIncarnation(files, folder).value_or(0) + 1);
+            if (!name.starts_with(DamagedPrefix)) {
+                continue;
+            }
+            std::string folder = path;
+            folder.append("/").append(name);
+            std::uint64_t used = 0;
+            const ResultCode code = readIncarnation(files, folder, used);
+            if (code == ResultCode::DiskFailed) {
+                return code;
             }
+            incarnation = std::max(incarnation, code == ResultCode::Ok ? used + 1 : 0);
         }
-        return fresh;
+        return ResultCode::Ok;
     }
 
     /** Renames `current`; returns the new path, or nothing on failure. */
@@ -202,7 +210,10 @@
         }
         folder.setAside = *target;
     }
-    folder.code = createCurrent(files, path, current, freshIncarnation(files, path, *names, newIncarnation), folder);
+    folder.code = raiseIncarnation(files, path, *names, newIncarnation);
+    if (folder.code == ResultCode::Ok) {
+        folder.code = createCurrent(files, path, current, newIncarnation, folder);
+    }
     return folder;
 }
 
--- a/src/storage/file_functions.cpp
+++ b/src/storage/file_functions.cpp
@@ -35,25 +35,36 @@
         return written < 0 ? std::nullopt : std::optional<std::size_t>(static_cast<std::size_t>(written));
     }
 
-    std::optional<std::string> readFile(const std::string &path)
+    /** Reads an open file to its end; nothing if a read fails. */
+    std::optional<std::string> readToEnd(int file)
     {
-        const auto file = openFile(path, O_RDONLY);
-        if (!file) {
-            return std::nullopt;
-        }
         std::string content;
         std::string buffer(ReadStep, '\0');
         ssize_t got = 0;
         do {
-            got = ::read(*file, buffer.data(), buffer.size());
+            got = ::read(file, buffer.data(), buffer.size());
             if (got > 0) {
                 content.append(buffer, 0, static_cast<std::size_t>(got));
             }
         } while (got > 0 || (got < 0 && errno == EINTR));
-        ::close(*file);
         return got < 0 ? std::nullopt : std::optional<std::string>(std::move(content));
     }
 
+    FileContent readFile(const std::string &path)
+    {
+        const auto file = openFile(path, O_RDONLY);
+        if (!file) {
+            return {errno == ENOENT ? ReadOutcome::Missing : ReadOutcome::Failed, {}};
+        }
+        auto content = readToEnd(*file);
+        struct stat status {
+        };
+        // A journal that is read short would look torn, and would be cut there.
+        const bool isWhole = content && ::fstat(*file, &status) == 0 && content->size() == static_cast<std::size_t>(status.st_size);
+        ::close(*file);
+        return isWhole ? FileContent{ReadOutcome::Whole, std::move(*content)} : FileContent{ReadOutcome::Failed, {}};
+    }
+
     bool syncFolderAt(const std::string &path)
     {
         const auto folder = openFile(path, O_RDONLY | O_DIRECTORY);
--- a/src/storage/file_functions.h
+++ b/src/storage/file_functions.h
@@ -12,6 +12,19 @@
 
 namespace Filbertlanding {
 
+/** How the attempt to read a file ended. */
+enum class ReadOutcome {
+    Whole,
+    Missing, ///< There is no such file.
+    Failed, ///< The file could not be read, which says nothing about its content: the disk refuses, or descriptors or memory are lacking.
+};
+
+/** Result of reading a file. */
+struct FileContent {
+    ReadOutcome outcome = ReadOutcome::Missing;
+    std::string bytes; ///< Content; empty unless Whole.
+};
+
 /** File operations. Each returns false or nothing on failure. */
 struct FileFunctions {
     std::function<std::optional<int>(const std::string &path)> openAppend; ///< Opens for appending and creates the file if missing.
@@ -19,7 +32,7 @@
     std::function<bool(int file)> sync; ///< Makes the content of a file durable.
     std::function<bool(int file, std::uint64_t size)> truncate; ///< Cuts a file to a size in bytes.
     std::function<void(int file)> close;
-    std::function<std::optional<std::string>(const std::string &path)> read; ///< Whole content of a file.
+    std::function<FileContent(const std::string &path)> read; ///< Reads a whole file.
     std::function<bool(const std::string &from, const std::string &to)> rename; ///< Renames a file or folder, replacing a file.
     std::function<bool(const std::string &path)> remove; ///< Removes a file.
     std::function<bool(const std::string &path)> makeFolder; ///< Creates a folder; true if it exists already.
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -124,11 +124,11 @@
 ResultCode Journal::open(std::vector<std::string> &records)
 {
     const std::string path = this->folder + "/" + this->name;
-    const auto bytesRead = this->files.read(path);
-    if (!bytesRead) {
-        return ResultCode::DataDamaged;
+    const FileContent read = this->files.read(path);
+    if (read.outcome == ReadOutcome::Failed) {
+        return this->fail();
     }
-    JournalContent content = decodeJournal(*bytesRead);
+    JournalContent content = decodeJournal(read.bytes);
     if (content.code != ResultCode::Ok) {
         return content.code;
     }
@@ -138,7 +138,7 @@
     }
     this->handle = *file;
     this->bytes = content.validBytes;
-    const bool isTorn = content.validBytes < bytesRead->size();
+    const bool isTorn = content.validBytes < read.bytes.size();
     // Records that were read must not depend on pages that an earlier process failed to sync, so the file is synced in any case.
     if ((isTorn && !this->files.truncate(*file, content.validBytes)) || !this->files.sync(*file)) {
         return this->fail();
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -48,10 +48,13 @@
     if (!newest) {
         return ResultCode::Ok;
     }
-    const auto bytes = this->files.read(this->folder + "/" + std::string(Prefix) + std::to_string(*newest));
-    const JournalContent content = decodeJournal(bytes.value_or(std::string()));
+    const FileContent file = this->files.read(this->folder + "/" + std::string(Prefix) + std::to_string(*newest));
+    if (file.outcome == ReadOutcome::Failed) {
+        return ResultCode::DiskFailed;
+    }
+    const JournalContent content = decodeJournal(file.bytes);
     Snapshot loaded;
-    const bool isWhole = content.code == ResultCode::Ok && content.records.size() == 1 && content.validBytes == bytes->size();
+    const bool isWhole = content.code == ResultCode::Ok && content.records.size() == 1 && content.validBytes == file.bytes.size();
     if (!isWhole || decodeVersioned(SnapshotVersion, content.records.front(), loaded) != ResultCode::Ok || loaded.index != *newest) {
         return ResultCode::DataDamaged;
     }
--- a/src/storage/snapshot_store.h
+++ b/src/storage/snapshot_store.h
@@ -13,7 +13,7 @@
 public:
     SnapshotStore(FileFunctions fileFunctions, std::string folderPath);
 
-    /** Reads the newest snapshot. Returns Ok (also without a snapshot), DiskFailed, or DataDamaged when the newest one cannot be read. */
+    /** Reads the newest snapshot. Returns Ok (also without a snapshot), DiskFailed, or DataDamaged when the newest one is malformed. */
     ResultCode load(std::optional<Snapshot> &snapshot) const;
 
     /** Writes and syncs a snapshot under its final name. Returns Ok or DiskFailed; a failure is final. */
--- a/tests/memory_disk.h
+++ b/tests/memory_disk.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "storage/file_functions.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,6 +28,7 @@
     int nextHandle = 3;
     int failAfter = -1; ///< Writes and syncs that still succeed; negative for no fault.
     bool failOnce = false; ///< Only one operation fails, later ones succeed again.
+    int failReadAfter = -1; ///< Reads and listings that still succeed before one fails; negative for no fault.
     std::size_t maxWrite = SIZE_MAX; ///< Bytes that one write takes at most.
 
     /** Counts an operation and returns whether it succeeds. */
@@ -45,6 +47,14 @@
         return false;
     }
 
+    /** Counts a read or a listing and returns whether it succeeds. */
+    bool mayRead()
+    {
+        const bool fails = this->failReadAfter == 0;
+        this->failReadAfter = std::max(-1, this->failReadAfter - 1);
+        return !fails;
+    }
+
     /** Ends the process: handles and locks go, the content of files stays. */
     void endProcess()
     {
@@ -182,9 +192,12 @@
             this->handles.erase(file);
             this->locks.erase(file);
         };
-        files.read = [this](const std::string &path) -> std::optional<std::string> {
+        files.read = [this](const std::string &path) -> FileContent {
             const auto found = this->names.find(path);
-            return found == this->names.end() ? std::nullopt : std::optional(found->second->data);
+            if (found == this->names.end()) {
+                return {};
+            }
+            return this->mayRead() ? FileContent{ReadOutcome::Whole, found->second->data} : FileContent{ReadOutcome::Failed, {}};
         };
         files.rename = [this](const std::string &from, const std::string &to) {
             return this->mayProceed() && this->rename(from, to);
@@ -200,7 +213,7 @@
             return this->mayProceed() && this->syncFolder(path);
         };
         files.list = [this](const std::string &path) {
-            return std::optional(this->listFolder(path));
+            return this->mayRead() ? std::optional(this->listFolder(path)) : std::nullopt;
         };
         files.lock = [this](const std::string &path) {
             return this->lock(path);
--- a/tests/raft_membership_test.cpp
+++ b/tests/raft_membership_test.cpp
@@ -77,6 +77,34 @@
     CHECK(canCommit(cluster));
 }
 
+TEST_CASE("A failed read on one voter and a lost disk of another lose nothing")
+{
+    for (int reads = 0; reads < 8; ++reads) {
+        TestCluster cluster(17, 3, 0);
+        TestNode &leader = waitForLeader(cluster);
+        TestNode &holder = otherVoter(cluster, leader);
+        TestNode &behind = **std::find_if(cluster.nodes.begin(), cluster.nodes.end(), [&leader, &holder](const auto &node) {
+            return node->name != leader.name && node->name != holder.name;
+        });
+        cluster.stop(behind, false);
+        REQUIRE(canCommit(cluster));
+        const std::size_t accepted = cluster.accepted.size();
+        cluster.loseDisk(leader);
+        cluster.stop(holder, false);
+        holder.disk.failReadAfter = reads;
+        for (int attempt = 0; attempt < 2; ++attempt) {
+            // A process whose disk fails ends and is started again.
+            cluster.healAll();
+        }
+        TestNode &next = waitForLeader(cluster);
+        CHECK(next.applied >= accepted);
+        CHECK(canCommit(cluster));
+        CHECK(cluster.runUntil(ElectionBound, [&cluster] {
+            return cluster.isRepaired();
+        }));
+    }
+}
+
 TEST_CASE("Operators change the membership one voter at a time")
 {
     TestCluster cluster(7, 3, 1);
--- a/tests/replication_driver_test.cpp
+++ b/tests/replication_driver_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -34,6 +36,18 @@
     return driver.start(std::move(config), std::move(hooks));
 }
 
+/** Limits the descriptors of this process to a number above the present ones. */
+void limitDescriptors(rlim_t more)
+{
+    const int next = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+    REQUIRE(next >= 0);
+    ::close(next);
+    rlimit limit{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    limit.rlim_cur = static_cast<rlim_t>(next) + more;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+}
+
 } // namespace
 
 TEST_CASE("A data folder that can be opened a moment later does not end the daemon")
@@ -72,3 +86,30 @@
     driver.stop();
     std::filesystem::remove_all(parent);
 }
+
+TEST_CASE("A data folder that cannot be read for want of descriptors is not set aside")
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("replication-driver-" + std::to_string(::getpid()));
+    {
+        ReplicationDriver first;
+        REQUIRE(startIn(first, folder).code == ResultCode::Ok);
+    }
+    rlimit before{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    for (rlim_t more = 1; more < 4; ++more) {
+        ReplicationDriver driver;
+        limitDescriptors(more);
+        std::thread others([&before] {
+            std::this_thread::sleep_for(ObstacleTime);
+            ::setrlimit(RLIMIT_NOFILE, &before);
+        });
+        const ReplicationStart started = startIn(driver, folder);
+        others.join();
+        CHECK(started.code == ResultCode::Ok);
+        CHECK(started.setAside.empty());
+        CHECK_FALSE(started.isNew);
+        CHECK(started.incarnation == FirstIncarnation);
+    }
+    CHECK_FALSE(std::filesystem::exists(folder / "damaged-1"));
+    std::filesystem::remove_all(folder);
+}
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -185,6 +185,58 @@
     CHECK(std::includes(after.begin(), after.end(), before.begin(), before.end()));
 }
 
+TEST_CASE("A read that fails does not make a data folder count as lost")
+{
+    // Guards against a sound disk that is given up for one error, which beside one lost disk loses what two of three voters had accepted.
+    SUBCASE("a folder with a log, a snapshot and a founding membership")
+    {
+        // The folder, its incarnation, founding membership, names, snapshot, log and ledger. Then only old snapshots are looked for.
+        constexpr int NeededReads = 7;
+        MemoryDisk disk;
+        writeFolder(disk, 5);
+        {
+            DataFolder folder = openDataFolder(disk.functions(), "data", 1);
+            Membership founding = Voters;
+            REQUIRE(keepFoundingMembership(folder, founding) == ResultCode::Ok);
+            REQUIRE(persistActions(folder, snapshotActions(4, 1)) == ResultCode::Ok);
+            REQUIRE(folder.ledger->append("request") == ResultCode::Ok);
+        }
+        const PersistedState persisted = openDataFolder(disk.functions(), "data", 1).persisted;
+        REQUIRE(persisted.log.size() == 1);
+        for (int reads = 0; reads <= NeededReads; ++reads) {
+            disk.failReadAfter = reads;
+            CHECK(openDataFolder(disk.functions(), "data", 77).code == (reads < NeededReads ? ResultCode::DiskFailed : ResultCode::Ok));
+            REQUIRE(disk.failReadAfter == -1);
+            const DataFolder again = openDataFolder(disk.functions(), "data", 77);
+            REQUIRE(again.code == ResultCode::Ok);
+            CHECK(again.setAside.empty());
+            CHECK(again.incarnation == 1);
+            CHECK(again.persisted == persisted);
+            CHECK(again.foundingMembership == Voters);
+            CHECK(again.ledgerRecords == std::vector<std::string>{"request"});
+        }
+        CHECK_FALSE(disk.folders.contains("data/damaged-1"));
+    }
+
+    SUBCASE("a folder that is set aside, whose incarnation must not be used again")
+    {
+        // The folder, incarnation, names and log of `current`, then the folder and the incarnation of `damaged-1`.
+        constexpr int NeededReads = 6;
+        for (int reads = 0; reads < NeededReads; ++reads) {
+            MemoryDisk disk;
+            writeFolder(disk, 2);
+            fileOn(disk, "raft.log")[0] ^= 1;
+            disk.failReadAfter = reads;
+            CHECK(openDataFolder(disk.functions(), "data", 1).code == ResultCode::DiskFailed);
+            REQUIRE(disk.failReadAfter == -1);
+            const DataFolder again = openDataFolder(disk.functions(), "data", 1);
+            CHECK(again.code == ResultCode::Ok);
+            CHECK(again.incarnation == 2);
+            CHECK_FALSE(disk.folders.contains("data/damaged-2"));
+        }
+    }
+}
+
 TEST_CASE("A data folder is used by one process")
 {
     const auto path = std::filesystem::temp_directory_path() / ("filbertlanding-storage-test-" + std::to_string(std::random_device()()));
