Add: transfer of leadership, and replicas that tell that they are not serving

Cause: Raft had no transfer of leadership, and each voter was as good a candidate as any other. Change: raftTransferLeadership, raftSetServing and hasSuccessor, in the driver transferLeadership, setServing and ReplicationStatus::hasSuccessor. TimeoutNow, TransferVoteRequest and NotServing are the last kinds of RaftBody; an earlier version drops them with message_malformed. The leader takes no proposal during a transfer, waits at most the shortest election timeout for a successor with the whole log, steps down and only then tells it. TimeoutNow is taken from the leader of the replica's present term only, and the transfer's votes only in a later term than the voter's, so a late or repeated offer does nothing. raftSetElectable, for an owner that stands still, comes with it: an ordinary step-down. A replica that steps down otherwise than by a transfer votes for nobody until its own lease has ended, since its owner may be between a check of the lease and an action. The driver stored the end of the lease after it had sent the messages; now it withdraws a lease before. The random faults of raft_property_test get transfers (also twice, with the successor, the old leader or another node paused before the offer arrives), replicas that are not serving and replicas that may not lead; two new properties check that the leases which owners saw never overlap. A follower that isn't serving stands two longest election timeouts later. filbertlandingd uses none of this and keeps its behaviour, but for the votes of a replica that has just stepped down.

--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -145,6 +145,18 @@
         {
             receiveFetchAnswer(this->state, this->actions, this->message, body, this->now);
         }
+        void operator()(const TimeoutNow &) const
+        {
+            receiveTimeoutNow(this->state, this->actions, this->message, this->now);
+        }
+        void operator()(const TransferVoteRequest &body) const
+        {
+            receiveTransferVoteRequest(this->state, this->actions, this->message, body, this->now);
+        }
+        void operator()(const NotServing &) const
+        {
+            receiveNotServing(this->state, this->message, this->now);
+        }
     };
     std::visit(Dispatch{state, actions, message, now}, message.body);
     finishActions(state, actions);
@@ -154,6 +166,11 @@
 ProposeResult raftPropose(RaftState &state, std::string payload, TimePoint now)
 {
     ProposeResult result;
+    if (state.transferDue) {
+        // An entry that arrives now could delay the successor; the next leader is not known yet.
+        result.code = ResultCode::NotLeader;
+        return result;
+    }
     result.leaderHint = leaderName(state);
     if (state.role != RaftRole::Leader) {
         result.code = ResultCode::NotLeader;
--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -93,6 +93,7 @@
         becomeFollower(state, actions, state.term, now);
         return;
     }
+    continueTransfer(state, actions, now);
     maintainMembership(state, actions, now);
     if (state.role == RaftRole::Leader && now >= state.heartbeatDue) {
         startRound(state, actions, now);
@@ -141,6 +142,8 @@
     state.leader = message.from;
     state.leaderContact = now;
     resetElection(state, now);
+    // It goes before the answer, so that the leader doesn't take this replica for a successor in between.
+    reportNotServing(state, actions, message.from, now);
     return true;
 }
 
@@ -221,6 +224,7 @@
     if (state.role == RaftRole::Leader && state.commitIndex == committed && progress->next <= lastLogIndex(state)) {
         sendAppend(state, actions, message.from, *progress);
     }
+    continueTransfer(state, actions, now);
 }
 
 } // namespace Filbertlanding
--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -17,6 +17,7 @@
     std::uint64_t next = 1; ///< Next entry to send.
     std::uint64_t ackedRound = 0; ///< Last quorum round that it answered.
     TimePoint lastAnswer; ///< Arrival of the last answer in this term.
+    std::optional<TimePoint> notServingAt; ///< Arrival of the last NotServing in this term.
     std::uint64_t snapshotIndex = 0; ///< Snapshot in transfer; 0 for none.
     std::uint64_t snapshotOffset = 0; ///< Bytes of it that were acknowledged.
 };
@@ -65,7 +66,11 @@
     bool installPending = false; ///< The snapshot must still be handed to the state machine.
     HardState persisted; ///< Hard state that was last handed out for persisting.
 
+    bool isServing = true; ///< Whether this replica could carry out the duties of a leader now; otherwise others come first in an election.
+    bool isElectable = true; ///< Whether this replica may stand for election and lead.
+    TimePoint notServingDue; ///< Follower that isn't serving: next NotServing.
     TimePoint electionDue; ///< Follower or candidate: next election.
+    TimePoint voteDue; ///< Before, no vote in an ordinary election: an action under this replica's last lease may be under way.
     std::optional<TimePoint> leaderContact; ///< Last message from the leader of the current term.
     std::set<VoterId> votes; ///< Promises or votes for this replica.
     TimePoint requestDue; ///< Next JoinRequest or FetchRequest.
@@ -79,6 +84,7 @@
     std::optional<TimePoint> answeredRoundStart; ///< Leader: start of the newest round that a quorum has answered.
     TimePoint heartbeatDue;
     std::vector<RaftPendingRead> reads;
+    std::optional<TimePoint> transferDue; ///< Leader: latest end of the transfer of leadership that is under way.
     TimePoint leaderSince; ///< Leader: start of its term; running leases count from here.
 };
 
--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -34,10 +34,10 @@
 /** Handles a message. Messages to another incarnation or from an unknown identity, and malformed ones, are dropped. */
 RaftActions raftReceive(RaftState &state, const RaftMessage &message, TimePoint now);
 
-/** Appends a command. The command is accepted once the entry with the returned index and term is applied. */
+/** Appends a command. The command is accepted once the entry with the returned index and term is applied. NotLeader also during a transfer of leadership. */
 ProposeResult raftPropose(RaftState &state, std::string payload, TimePoint now);
 
-/** Changes the membership by at most one voter; learners may change freely. MembershipBusy while another change is not yet accepted. */
+/** Changes the membership by at most one voter; learners may change freely. MembershipBusy while another change is not yet accepted, or during a transfer. */
 ProposeResult raftChangeMembership(RaftState &state, const Membership &membership, TimePoint now);
 
 /** Asks for the commit index, answered in RaftActions::reads after a quorum round that starts after this call. */
@@ -46,6 +46,27 @@
 /** Takes the state of the state machine after an applied entry as the new snapshot and drops older entries. */
 RaftActions raftSnapshotTaken(RaftState &state, std::uint64_t index, std::string snapshot, TimePoint now);
 
+/**
+ * Tells whether this replica could carry out the duties of a leader now. It is a preference: a replica that isn't serving stands for election
+ * after the others have had the time for it, and tells the leader, which prefers others as successor.
+ */
+RaftActions raftSetServing(RaftState &state, bool isServing, TimePoint now);
+
+/**
+ * Tells whether this replica may lead. One that may not steps down, unless it is the only voter, and stands for no election; its lease stays
+ * in force for the others, since an action under it may be under way.
+ */
+RaftActions raftSetElectable(RaftState &state, bool isElectable, TimePoint now);
+
+/**
+ * Begins to transfer the leadership to another voter, within the shortest election timeout; no action under the lease may follow the call.
+ * Nothing happens on a replica that doesn't lead, on the only voter, and while a transfer is under way.
+ */
+RaftActions raftTransferLeadership(RaftState &state, TimePoint now);
+
+/** Returns whether this replica leads and another voter that is serving has answered recently. */
+bool hasSuccessor(const RaftState &state, TimePoint now);
+
 /** Returns whether snapshotEvery entries were applied since the last snapshot. */
 bool wantsSnapshot(const RaftState &state);
 
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -67,11 +67,14 @@
 /** Moves to a term that is at least the own one, as follower or learner; pending reads are answered NoQuorum. */
 void becomeFollower(RaftState &state, RaftActions &actions, std::uint64_t term, TimePoint now);
 
-/** Chooses the next election time at random. */
+/** Chooses the next election time at random; later for a follower that isn't serving. */
 void resetElection(RaftState &state, TimePoint now);
 
 void electionTick(RaftState &state, RaftActions &actions, TimePoint now);
 void receiveVoteRequest(RaftState &state, RaftActions &actions, const RaftMessage &message, const VoteRequest &request, TimePoint now);
+/** Stands for election in the next term, without pre-vote, if the leader of this replica's present term asks for it. */
+void receiveTimeoutNow(RaftState &state, RaftActions &actions, const RaftMessage &message, TimePoint now);
+void receiveTransferVoteRequest(RaftState &state, RaftActions &actions, const RaftMessage &message, const TransferVoteRequest &request, TimePoint now);
 void receiveVoteAnswer(RaftState &state, RaftActions &actions, const RaftMessage &message, const VoteAnswer &answer, TimePoint now);
 
 /** Sends the next entries, snapshot part or a heartbeat to one replica. */
@@ -90,6 +93,12 @@
 /** Checks the sender of an answer and notes that it follows; returns its progress, or nothing for a refused answer. */
 RaftProgress *noteAnswer(RaftState &state, RaftActions &actions, const RaftMessage &message, std::uint64_t round, TimePoint now);
 
+/** Ends a transfer of leadership that is under way if a successor has the whole log, or if it has taken too long. */
+void continueTransfer(RaftState &state, RaftActions &actions, TimePoint now);
+/** Sends NotServing to the leader, once in a while, if this voter should not be its successor. */
+void reportNotServing(RaftState &state, RaftActions &actions, const VoterId &leader, TimePoint now);
+void receiveNotServing(RaftState &state, const RaftMessage &message, TimePoint now);
+
 /** Returns a part of the last snapshot. */
 SnapshotChunk snapshotPart(const RaftState &state, std::uint64_t offset);
 void receiveChunk(RaftState &state, RaftActions &actions, const RaftMessage &message, const SnapshotChunk &chunk, TimePoint now);
--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -30,11 +30,12 @@
         return nullptr;
     }
 
-    /** Returns whether the last change is accepted and the leader has accepted an entry of its own term. */
+    /** Returns whether the last change is accepted and the leader has accepted an entry of its own term and stays the leader. */
     bool mayChange(const RaftState &state)
     {
         // The second condition closes the gap in the original rule for single-server changes (Ongaro, raft-dev, 2015).
-        return state.role == RaftRole::Leader && state.memberships.back().index <= state.commitIndex && state.commitIndex >= state.termStart;
+        return state.role == RaftRole::Leader && !state.transferDue && state.memberships.back().index <= state.commitIndex
+            && state.commitIndex >= state.termStart;
     }
 
     void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now)
--- a/src/replication/raft_role.cpp
+++ b/src/replication/raft_role.cpp
@@ -21,6 +21,7 @@
 
     using ElectionTimeout = RoleEvent<RaftRoleEvent::ElectionTimeout>;
     using PreVoteWon = RoleEvent<RaftRoleEvent::PreVoteWon>;
+    using LeadershipOffered = RoleEvent<RaftRoleEvent::LeadershipOffered>;
     using ElectionWon = RoleEvent<RaftRoleEvent::ElectionWon>;
     using SteppedDown = RoleEvent<RaftRoleEvent::SteppedDown>;
     using Removed = RoleEvent<RaftRoleEvent::Removed>;
@@ -52,6 +53,7 @@
         Front::Row<PreCandidate, ElectionTimeout, PreCandidate>,
         Front::Row<Candidate,    ElectionTimeout, PreCandidate>,
         Front::Row<PreCandidate, PreVoteWon,      Candidate>,
+        Front::Row<Follower,     LeadershipOffered, Candidate>,
         Front::Row<Candidate,    ElectionWon,     Leader>,
         Front::Row<Follower,     SteppedDown,     Follower>,
         Front::Row<PreCandidate, SteppedDown,     Follower>,
@@ -82,6 +84,9 @@
         case RaftRoleEvent::PreVoteWon:
             machine.process_event(PreVoteWon());
             break;
+        case RaftRoleEvent::LeadershipOffered:
+            machine.process_event(LeadershipOffered());
+            break;
         case RaftRoleEvent::ElectionWon:
             machine.process_event(ElectionWon());
             break;
--- a/src/replication/raft_role.h
+++ b/src/replication/raft_role.h
@@ -10,6 +10,7 @@
 enum class RaftRoleEvent : std::uint8_t {
     ElectionTimeout, ///< No leader was heard in time.
     PreVoteWon, ///< A majority would vote for this replica.
+    LeadershipOffered, ///< The leader has stepped down in favour of this replica.
     ElectionWon, ///< A majority has voted for this replica.
     SteppedDown, ///< A leader or a higher term was seen, or the quorum was lost.
     Removed, ///< The membership in force does not list this replica as voter.
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -250,7 +250,47 @@
     }
 };
 
-using RaftBody = std::variant<VoteRequest, VoteAnswer, AppendRequest, AppendAnswer, SnapshotChunk, SnapshotAnswer, JoinRequest, FetchRequest, FetchAnswer>;
+/** Tells the successor to stand for election at once; its sender was the leader of the message's term and has renounced its lease. */
+struct TimeoutNow {
+    template<class Archive>
+    void serialize(Archive &)
+    {
+    }
+};
+
+/** Asks for a vote in the term after that of a leader that has renounced its lease, so that a recent contact with that leader is no reason to refuse. */
+struct TransferVoteRequest {
+    std::uint64_t lastIndex = 0;
+    std::uint64_t lastTerm = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->lastIndex, this->lastTerm);
+    }
+};
+
+/** Sent to the leader beside the answers to it by a voter that could not carry out the duties of a leader now. */
+struct NotServing {
+    template<class Archive>
+    void serialize(Archive &)
+    {
+    }
+};
+
+/** New kinds come last: an earlier version drops a message of a kind that it doesn't know. */
+using RaftBody = std::variant<VoteRequest,
+                              VoteAnswer,
+                              AppendRequest,
+                              AppendAnswer,
+                              SnapshotChunk,
+                              SnapshotAnswer,
+                              JoinRequest,
+                              FetchRequest,
+                              FetchAnswer,
+                              TimeoutNow,
+                              TransferVoteRequest,
+                              NotServing>;
 
 /** A message between replicas. */
 struct RaftMessage {
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -53,6 +53,7 @@
     bool syncsCommitIndex = true;
     HardState syncedVote; ///< Hard state that was last synced.
     std::atomic<std::int64_t> leaseEndMs{0}; ///< End of the leader's lease, for other threads.
+    bool isTransferring = false; ///< A transfer of leadership was under way after the last actions.
     RaftState raft;
     std::uint64_t lastToken = 0;
     std::unordered_map<std::uint64_t, std::function<void(ReadReady)>> reads;
@@ -62,6 +63,7 @@
     /** Carries out actions in their order: disk first, then messages, then the state machine. */
     void carryOut(RaftActions actions)
     {
+        this->shortenLease();
         const bool sendsFirst = this->mayOverlap(actions);
         if (sendsFirst) {
             this->sendAll(actions);
@@ -82,9 +84,19 @@
             this->finishRead(ready);
         }
         this->leaseEndMs = leaderLeaseEnd(this->raft).ms;
+        this->logTransfer(actions.send);
         this->reportStatus();
     }
 
+    /** Withdraws a lease before a message can let another replica begin one. */
+    void shortenLease()
+    {
+        const std::int64_t endMs = leaderLeaseEnd(this->raft).ms;
+        if (endMs < this->leaseEndMs) {
+            this->leaseEndMs = endMs;
+        }
+    }
+
     /**
      * Returns whether a leader may send its new entries while it syncs them. Its own copy counts towards a majority only once an answer
      * is handled, and this thread handles none before the sync has ended; term and vote of the messages must be on the disk already.
@@ -162,8 +174,10 @@
         status.leaderSince = this->raft.leaderSince;
         status.membership = currentMembership(this->raft);
         status.self = this->raft.settings.self;
+        status.hasSuccessor = hasSuccessor(this->raft, steadyNow());
         const bool changed = status.role != this->reported.role || status.term != this->reported.term || status.leader != this->reported.leader
-            || status.commitIndex != this->reported.commitIndex || status.membership != this->reported.membership;
+            || status.commitIndex != this->reported.commitIndex || status.membership != this->reported.membership
+            || status.hasSuccessor != this->reported.hasSuccessor;
         if (!changed) {
             return;
         }
@@ -180,6 +194,36 @@
         this->hooks.snapshotWanted(this->raft.appliedIndex);
     }
 
+    /** Logs the begin and the end of a transfer of leadership. */
+    void logTransfer(const std::vector<RaftEnvelope> &sent)
+    {
+        for (const RaftEnvelope &envelope : sent) {
+            if (std::holds_alternative<TimeoutNow>(envelope.message.body)) {
+                logLine(LogArea::Replication, LogLevel::Info, "leadership_transferred", {{"term", envelope.message.term}, {"successor", envelope.to}});
+                this->isTransferring = false;
+            }
+        }
+        const bool isUnderWay = this->raft.transferDue.has_value();
+        if (isUnderWay != this->isTransferring) {
+            const std::string_view event = isUnderWay ? "leadership_transfer_begins" : "leadership_transfer_without_successor";
+            logLine(LogArea::Replication, isUnderWay ? LogLevel::Info : LogLevel::Warn, event, {{"term", this->raft.term}});
+        }
+        this->isTransferring = isUnderWay;
+    }
+
+    /** Handles a message, and logs what an offer of leadership led to. */
+    void receive(const RaftMessage &message)
+    {
+        RaftActions actions = raftReceive(this->raft, message, steadyNow());
+        if (std::holds_alternative<TimeoutNow>(message.body)) {
+            logLine(LogArea::Replication,
+                    LogLevel::Info,
+                    "leadership_offered",
+                    {{"from", message.from.daemon}, {"term", message.term}, {"role", roleName(this->raft.role)}});
+        }
+        this->carryOut(std::move(actions));
+    }
+
     void tick()
     {
         this->carryOut(raftTick(this->raft, steadyNow()));
@@ -283,7 +327,7 @@
 void ReplicationDriver::receive(RaftMessage message)
 {
     asio::post(this->core->context, [state = this->core.get(), message = std::move(message)] {
-        state->carryOut(raftReceive(state->raft, message, steadyNow()));
+        state->receive(message);
     });
 }
 
@@ -295,4 +339,18 @@
     });
 }
 
+void ReplicationDriver::setServing(bool isServing)
+{
+    asio::post(this->core->context, [state = this->core.get(), isServing] {
+        state->carryOut(raftSetServing(state->raft, isServing, steadyNow()));
+    });
+}
+
+void ReplicationDriver::transferLeadership()
+{
+    asio::post(this->core->context, [state = this->core.get()] {
+        state->carryOut(raftTransferLeadership(state->raft, steadyNow()));
+    });
+}
+
 } // namespace Filbertlanding
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -33,6 +33,7 @@
     TimePoint leaderSince; ///< Start of this replica's leadership; meaningful for the leader only.
     Membership membership; ///< Who replicates the log.
     VoterId self; ///< Identity of this replica.
+    bool hasSuccessor = false; ///< Leader: another voter that is serving has answered recently, so a transfer of leadership makes sense.
 };
 
 /** Where a proposal stands in the log. */
@@ -48,7 +49,7 @@
     std::function<void(const DaemonName &to, const RaftMessage &message)> send; ///< Sends a message to another replica.
     std::function<void(Snapshot snapshot)> install; ///< Replaces the state machine's state.
     std::function<void(std::vector<LogEntry> entries)> apply; ///< Applies accepted entries.
-    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index or membership has changed.
+    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index, membership or hasSuccessor has changed.
     std::function<void(std::uint64_t index)> snapshotWanted; ///< The state machine should hand over a snapshot of at least this index.
     std::function<void(std::int64_t microseconds)> synced; ///< Entries were written and synced in this time.
     std::function<void(ResultCode code)> failed; ///< The disk has failed; the process has to stop.
@@ -96,6 +97,15 @@
     /** Hands over a snapshot of the state machine. */
     void snapshotTaken(std::uint64_t index, std::string state);
 
+    /** Tells whether this daemon could carry out the duties of a leader now; at first it does. Others come first in an election while it doesn't. */
+    void setServing(bool isServing);
+
+    /**
+     * Hands the leadership to another voter. The owner has ended its work as leader before: leaseEnd() is the epoch before the successor is
+     * told, and no proposal is taken from now on. Does nothing on a replica that doesn't lead and on the only voter.
+     */
+    void transferLeadership();
+
 private:
     struct Core;
     std::unique_ptr<Core> core;
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -56,6 +56,7 @@
     KeyValues values; ///< State machine.
     std::uint64_t applied = 0;
     std::size_t snapshotsInstalled = 0;
+    TimePoint ownerLease; ///< End of the leader's lease as its owner last saw it, on the node's clock; the owner may act until then.
 };
 
 /** Thrown when a guarantee is broken. */
@@ -79,6 +80,7 @@
     std::uint64_t maxDelay = 5; ///< Milliseconds; messages overtake each other when above the smallest delay.
     std::int64_t now = 0;
     Random random;
+    bool guardsLeaderLease = false; ///< As in the settings of a replica; no two owners may then hold a lease at once.
     Membership bootstrap;
     std::uint64_t snapshotEvery = 40;
     std::uint64_t maxBatchBytes = 200;
@@ -92,8 +94,9 @@
     std::uint64_t readsAnswered = 0;
     std::uint64_t proposals = 0;
 
-    explicit TestCluster(std::uint64_t seed, std::size_t voters = 3, std::size_t learners = 1)
+    explicit TestCluster(std::uint64_t seed, std::size_t voters = 3, std::size_t learners = 1, bool checksLeases = false)
         : random{seed}
+        , guardsLeaderLease(checksLeases)
     {
         for (std::size_t i = 0; i < voters + learners; ++i) {
             auto node = std::make_unique<TestNode>();
@@ -153,7 +156,7 @@
         settings.maxBatchBytes = this->maxBatchBytes;
         settings.seed = this->random.next();
         settings.admitsNewVoters = this->admitsNewVoters;
-        settings.guardsLeaderLease = this->admitsNewVoters;
+        settings.guardsLeaderLease = this->admitsNewVoters || this->guardsLeaderLease;
         settings.zoneVoters = node.hasDisk ? std::vector<DaemonName>() : std::vector<DaemonName>{"a"};
         PersistedState persisted;
         if (node.hasDisk) {
@@ -177,6 +180,7 @@
     void stop(TestNode &node, bool losesPower)
     {
         node.raft.reset();
+        node.ownerLease = {};
         node.folder = {};
         node.disk.endProcess();
         if (losesPower) {
@@ -230,9 +234,27 @@
         require(node.values == first.after, "the replicated map differs from the plain map");
     }
 
+    /** Lets the owner of a leader see its lease; an owner that has asked for a transfer acts no more. */
+    void showLease(TestNode &node) const
+    {
+        if (node.raft && node.raft->role == RaftRole::Leader && !node.raft->transferDue) {
+            node.ownerLease = std::max(node.ownerLease, leaderLeaseEnd(*node.raft));
+        }
+    }
+
+    void checkLeases() const
+    {
+        const auto holders = std::count_if(this->nodes.begin(), this->nodes.end(), [this](const auto &node) {
+            return node->ownerLease > this->clockOf(*node);
+        });
+        require(!this->guardsLeaderLease || holders <= 1, "the leases of two leaders overlap");
+    }
+
     /** Carries actions out in their order. Stops the node when its disk fails. */
     void carryOut(TestNode &node, const RaftActions &actions)
     {
+        this->showLease(node);
+        this->checkLeases();
         if (node.hasDisk && persistActions(node.folder, actions) != ResultCode::Ok) {
             this->stop(node, true);
             return;
@@ -305,6 +327,7 @@
         for (const std::int64_t end = this->now + ms; this->now < end;) {
             this->now += 5;
             this->deliver();
+            this->checkLeases();
             for (auto &node : this->nodes) {
                 if (this->now % 20 == 0 && this->isUp(*node)) {
                     this->carryOut(*node, raftTick(*node->raft, this->clockOf(*node)));
@@ -353,6 +376,34 @@
         return this->propose(*node, "key" + std::to_string(this->proposals % 7) + "=" + std::to_string(this->proposals)).index;
     }
 
+    /** Lets the owner of a node end its work and ask for a transfer of the leadership. */
+    void transfer(TestNode &node)
+    {
+        node.ownerLease = node.raft->role == RaftRole::Leader ? TimePoint() : node.ownerLease;
+        this->carryOut(node, raftTransferLeadership(*node.raft, this->clockOf(node)));
+    }
+
+    void setServing(TestNode &node, bool isServing)
+    {
+        this->carryOut(node, raftSetServing(*node.raft, isServing, this->clockOf(node)));
+    }
+
+    void setElectable(TestNode &node, bool isElectable)
+    {
+        this->carryOut(node, raftSetElectable(*node.raft, isElectable, this->clockOf(node)));
+    }
+
+    /** Returns the node to which an offer of leadership is on its way, or nullptr. */
+    TestNode *offeredNode()
+    {
+        for (const auto &[time, envelope] : this->network) {
+            if (std::holds_alternative<TimeoutNow>(envelope.message.body)) {
+                return &this->nodeNamed(envelope.to);
+            }
+        }
+        return nullptr;
+    }
+
     void read(TestNode &node)
     {
         ++this->lastRead;
@@ -412,6 +463,8 @@
             node->isPaused = false;
             node->disk.failAfter = -1;
             this->start(*node);
+            this->setServing(*node, true);
+            this->setElectable(*node, true);
         }
     }
 };
--- a/tests/raft_property_test.cpp
+++ b/tests/raft_property_test.cpp
@@ -24,6 +24,9 @@
     Resume,
     BadNetwork,
     RestartAll,
+    Transfer,
+    Serving,
+    Electable,
     Count,
 };
 
@@ -70,6 +73,52 @@
     }
 }
 
+/** Transfers the leadership, at times twice; the successor, the old leader or another node may be paused before the offer arrives. */
+void transferLeadership(TestCluster &cluster, TestNode &node, std::uint16_t length)
+{
+    TestNode *leader = cluster.leader();
+    if (leader == nullptr) {
+        return;
+    }
+    cluster.transfer(*leader);
+    TestNode *successor = cluster.offeredNode();
+    switch (length % 6) {
+    case 0:
+        cluster.transfer(*leader);
+        break;
+    case 1:
+        leader->isPaused = true;
+        break;
+    case 2:
+    case 3:
+        if (successor != nullptr) {
+            successor->isPaused = true;
+        }
+        break;
+    case 4:
+        node.isPaused = true;
+        break;
+    default:
+        break;
+    }
+}
+
+void disturbFitness(TestCluster &cluster, Fault fault, TestNode &node, std::uint16_t length)
+{
+    if (fault == Fault::Transfer) {
+        transferLeadership(cluster, node, length);
+        return;
+    }
+    if (!cluster.isUp(node)) {
+        return;
+    }
+    if (fault == Fault::Serving) {
+        cluster.setServing(node, length % 2 == 0);
+        return;
+    }
+    cluster.setElectable(node, length % 2 == 0);
+}
+
 void disturb(TestCluster &cluster, const Step &step)
 {
     const auto fault = static_cast<Fault>(std::get<0>(step) % static_cast<std::uint8_t>(Fault::Count));
@@ -101,6 +150,11 @@
         cluster.doublePercent = length % 20;
         cluster.maxDelay = 1 + length % 300;
         break;
+    case Fault::Transfer:
+    case Fault::Serving:
+    case Fault::Electable:
+        disturbFitness(cluster, fault, node, length);
+        break;
     default:
         disturbProcess(cluster, fault, node, length);
         break;
@@ -143,11 +197,11 @@
     }));
 }
 
-void checkCluster(std::size_t voters, std::size_t learners)
+void checkCluster(std::size_t voters, std::size_t learners, bool guardsLeaderLease = false)
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto steps = *rc::gen::resize(60, rc::gen::arbitrary<std::vector<Step>>());
-    TestCluster cluster(seed, voters, learners);
+    TestCluster cluster(seed, voters, learners, guardsLeaderLease);
     cluster.run(3000);
     for (const auto &step : steps) {
         disturb(cluster, step);
@@ -174,6 +228,20 @@
             checkCluster(5, 1);
         }));
     }
+
+    SUBCASE("with three voters that guard the leader's lease, so that the leases of two leaders never overlap")
+    {
+        CHECK(rc::check("leases of three voters", [] {
+            checkCluster(3, 1, true);
+        }));
+    }
+
+    SUBCASE("with five voters that guard the leader's lease")
+    {
+        CHECK(rc::check("leases of five voters", [] {
+            checkCluster(5, 0, true);
+        }));
+    }
 }
 
 TEST_CASE("Disks are lost one after the other, each right after the repair of the one before")
