Fix: a leader whose event loop does not run keeps the leadership

Cause: the replication thread sends heartbeats whatever the event loop does that should carry out the leader's duties. Change: ReplicationConfig::ownerTimeout and confirmOwnerAlive. After that time without a confirmation the replica steps down by an ordinary step-down, with `owner_silent` in the log and ReplicationStatus::isOwnerSilent, and stands for no election until the owner confirms again. No offer is sent: the owner may be between a check of the lease and an action, so the others elect once the lease has ended. Off by default; filbertlandingd does not use it.

--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -5,6 +5,7 @@
 #include "core/clock_func.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
+#include "runtime/owner_watch.h"
 #include "storage/data_folder.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -53,6 +54,9 @@
     bool syncsCommitIndex = true;
     HardState syncedVote; ///< Hard state that was last synced.
     std::atomic<std::int64_t> leaseEndMs{0}; ///< End of the leader's lease, for other threads.
+    std::atomic<std::uint64_t> ownerConfirmations{0};
+    OwnerWatch ownerWatch;
+    bool isOwnerSilent = false;
     bool isTransferring = false; ///< A transfer of leadership was under way after the last actions.
     RaftState raft;
     std::uint64_t lastToken = 0;
@@ -175,9 +179,10 @@
         status.membership = currentMembership(this->raft);
         status.self = this->raft.settings.self;
         status.hasSuccessor = hasSuccessor(this->raft, steadyNow());
+        status.isOwnerSilent = this->isOwnerSilent;
         const bool changed = status.role != this->reported.role || status.term != this->reported.term || status.leader != this->reported.leader
             || status.commitIndex != this->reported.commitIndex || status.membership != this->reported.membership
-            || status.hasSuccessor != this->reported.hasSuccessor;
+            || status.hasSuccessor != this->reported.hasSuccessor || status.isOwnerSilent != this->reported.isOwnerSilent;
         if (!changed) {
             return;
         }
@@ -211,6 +216,21 @@
         this->isTransferring = isUnderWay;
     }
 
+    /** Gives up the leadership while the owner's event loop doesn't run: its duties are not carried out, and only the others can take them over. */
+    void watchOwner()
+    {
+        const bool isSilent = checkOwner(this->ownerWatch, this->ownerConfirmations, steadyNow());
+        if (isSilent == this->isOwnerSilent) {
+            return;
+        }
+        this->isOwnerSilent = isSilent;
+        logLine(LogArea::Replication,
+                isSilent ? LogLevel::Warn : LogLevel::Info,
+                isSilent ? "owner_silent" : "owner_returned",
+                {{"role", roleName(this->raft.role)}, {"term", this->raft.term}, {"timeoutMs", this->ownerWatch.timeout.ms}});
+        this->carryOut(raftSetElectable(this->raft, !isSilent, steadyNow()));
+    }
+
     /** Handles a message, and logs what an offer of leadership led to. */
     void receive(const RaftMessage &message)
     {
@@ -226,6 +246,7 @@
 
     void tick()
     {
+        this->watchOwner();
         this->carryOut(raftTick(this->raft, steadyNow()));
         this->askForSnapshot();
         this->timer.expires_after(TickInterval);
@@ -283,6 +304,7 @@
         return result;
     }
     state.raft = std::move(started.state);
+    state.ownerWatch = startOwnerWatch(config.ownerTimeout, steadyNow());
     asio::post(state.context, [&state] {
         state.tick();
     });
@@ -353,4 +375,9 @@
     });
 }
 
+void ReplicationDriver::confirmOwnerAlive()
+{
+    ++this->core->ownerConfirmations;
+}
+
 } // namespace Filbertlanding
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -20,6 +20,7 @@
     std::string dataFolder; ///< Folder of a voter; empty without a disk.
     bool votesAtOnce = false; ///< An empty data folder has lost nothing, because the installation starts for the first time.
     Duration openRetryTime{3'000}; ///< Time for which start() tries again to open a data folder that is in use or whose disk refuses.
+    Duration ownerTimeout{0}; ///< Silence of the owner after which the replica neither leads nor stands for election; 0 when the owner isn't watched.
     bool syncsCommitIndex = true; ///< Syncs a commit index that came without entries, so that a restarted voter without a quorum knows it.
 };
 
@@ -34,6 +35,7 @@
     Membership membership; ///< Who replicates the log.
     VoterId self; ///< Identity of this replica.
     bool hasSuccessor = false; ///< Leader: another voter that is serving has answered recently, so a transfer of leadership makes sense.
+    bool isOwnerSilent = false; ///< The owner has not confirmed for the time of ReplicationConfig::ownerTimeout; an election has to do without this replica.
 };
 
 /** Where a proposal stands in the log. */
@@ -49,7 +51,7 @@
     std::function<void(const DaemonName &to, const RaftMessage &message)> send; ///< Sends a message to another replica.
     std::function<void(Snapshot snapshot)> install; ///< Replaces the state machine's state.
     std::function<void(std::vector<LogEntry> entries)> apply; ///< Applies accepted entries.
-    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index, membership or hasSuccessor has changed.
+    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index, membership, hasSuccessor or isOwnerSilent has changed.
     std::function<void(std::uint64_t index)> snapshotWanted; ///< The state machine should hand over a snapshot of at least this index.
     std::function<void(std::int64_t microseconds)> synced; ///< Entries were written and synced in this time.
     std::function<void(ResultCode code)> failed; ///< The disk has failed; the process has to stop.
@@ -106,6 +108,9 @@
      */
     void transferLeadership();
 
+    /** Tells that the owner's event loop runs. Cheap; call it several times within ReplicationConfig::ownerTimeout. */
+    void confirmOwnerAlive();
+
 private:
     struct Core;
     std::unique_ptr<Core> core;
--- a/tests/replication_driver_test.cpp
+++ b/tests/replication_driver_test.cpp
@@ -1,5 +1,6 @@
 /** @file replication_driver_test.cpp Tests of the thread of the replicated log: its start on a real folder, and who leads when owners stop or hand over. */
 
+#include "runtime/owner_watch.h"
 #include "runtime/replication_driver.h"
 #include "storage/file_functions.h"
 
@@ -39,21 +40,30 @@
 
 constexpr std::chrono::milliseconds PollInterval{5};
 constexpr std::chrono::seconds ElectionBound{10}; ///< Many election timeouts, for a busy machine.
+constexpr Duration OwnerTimeout{400};
 
-/** Three replicas in this process. */
+/** Three replicas in this process, each with an owner whose event loop can be held up. */
 class DriverTrio
 {
 public:
-    DriverTrio()
+    explicit DriverTrio(Duration ownerTimeout)
         : parent(std::filesystem::temp_directory_path() / ("replication-trio-" + std::to_string(::getpid())))
     {
         for (std::size_t i = 0; i < Size; ++i) {
-            this->startOne(i);
+            this->startOne(i, ownerTimeout);
         }
+        this->owners = std::thread([this] {
+            while (!this->isEnding) {
+                this->confirmAll();
+                std::this_thread::sleep_for(PollInterval);
+            }
+        });
     }
 
     ~DriverTrio()
     {
+        this->isEnding = true;
+        this->owners.join();
         for (auto &driver : this->drivers) {
             driver.stop();
         }
@@ -97,11 +107,12 @@
 
     static constexpr std::size_t Size = 3;
     std::array<ReplicationDriver, Size> drivers;
+    std::array<std::atomic<bool>, Size> isOwnerHeldUp{};
     std::atomic<int> offers{0}; ///< Offers of leadership that were sent.
     std::atomic<int> offersUnderLease{0}; ///< Those of them that were sent while the sender's lease was in force.
 
 private:
-    void startOne(std::size_t i)
+    void startOne(std::size_t i, Duration ownerTimeout)
     {
         ReplicationConfig config;
         config.raft.self.daemon = nameOf(i);
@@ -113,6 +124,7 @@
         config.raft.seed = i;
         config.dataFolder = (this->parent / nameOf(i)).string();
         config.votesAtOnce = true;
+        config.ownerTimeout = ownerTimeout;
         std::filesystem::create_directories(config.dataFolder);
         ReplicationHooks hooks;
         hooks.send = [this, i](const DaemonName &to, const RaftMessage &message) {
@@ -139,9 +151,20 @@
         return std::string(1, static_cast<char>('a' + i));
     }
 
+    void confirmAll()
+    {
+        for (std::size_t i = 0; i < Size; ++i) {
+            if (!this->isOwnerHeldUp[i]) {
+                this->drivers[i].confirmOwnerAlive();
+            }
+        }
+    }
+
     std::filesystem::path parent;
     std::mutex mutex;
     std::array<ReplicationStatus, Size> statuses;
+    std::atomic<bool> isEnding{false};
+    std::thread owners;
 };
 
 } // namespace
@@ -183,10 +206,90 @@
     std::filesystem::remove_all(parent);
 }
 
+TEST_CASE("An owner counts as stopped when it alone stands still")
+{
+    std::uint64_t confirmations = 0;
+    OwnerWatch watch = startOwnerWatch({1000}, {0});
+    std::int64_t now = 0;
+    for (; now < 5000; now += 20) {
+        CHECK_FALSE(checkOwner(watch, ++confirmations, {now}));
+    }
+
+    SUBCASE("after the time that was set, until it confirms again")
+    {
+        const std::int64_t last = now - 20;
+        while (!checkOwner(watch, confirmations, {now})) {
+            now += 20;
+        }
+        CHECK(now == last + 1000);
+        CHECK(checkOwner(watch, confirmations, {now + 20}));
+        CHECK_FALSE(checkOwner(watch, ++confirmations, {now + 40}));
+    }
+
+    SUBCASE("not when the whole process was paused")
+    {
+        // Guards against an election for each pause that the leader's lease survives.
+        CHECK_FALSE(checkOwner(watch, confirmations, {now + 60000}));
+        CHECK_FALSE(checkOwner(watch, ++confirmations, {now + 60020}));
+    }
+
+    SUBCASE("never when it is not watched")
+    {
+        watch.timeout = {0};
+        for (; now < 60000; now += 20) {
+            CHECK_FALSE(checkOwner(watch, confirmations, {now}));
+        }
+    }
+}
+
+TEST_CASE("A leader whose owner does not run gives the leadership up")
+{
+    // Guards against a leader that sends heartbeats while its event loop, which should carry out its duties, hangs.
+    DriverTrio trio(OwnerTimeout);
+    const std::size_t old = trio.waitForLeader();
+    REQUIRE(old < DriverTrio::Size);
+    const std::uint64_t term = trio.status(old).term;
+    trio.isOwnerHeldUp[old] = true;
+    const std::size_t next = trio.waitForLeader(old);
+    REQUIRE(next < DriverTrio::Size);
+    CHECK(trio.drivers[old].leaseEnd() == TimePoint());
+    CHECK(trio.offers == 0);
+    CHECK(trio.status(next).term > term);
+    CHECK(trio.status(old).isOwnerSilent);
+
+    SUBCASE("it leads again only once its owner runs")
+    {
+        trio.isOwnerHeldUp[next] = true;
+        const std::size_t third = 3 - old - next;
+        CHECK(trio.waitForLeader(next) == third);
+        trio.isOwnerHeldUp[old] = false;
+        CHECK(trio.waitForStatus(old, [](const ReplicationStatus &status) {
+            return !status.isOwnerSilent;
+        }));
+        trio.isOwnerHeldUp[third] = true;
+        CHECK(trio.waitForLeader(third) == old);
+    }
+}
+
+TEST_CASE("A replica whose owner is not watched leads on")
+{
+    // Guards against a change for owners that never confirm.
+    DriverTrio trio(Duration{0});
+    for (auto &isHeldUp : trio.isOwnerHeldUp) {
+        isHeldUp = true;
+    }
+    const std::size_t leader = trio.waitForLeader();
+    REQUIRE(leader < DriverTrio::Size);
+    const std::uint64_t term = trio.status(leader).term;
+    std::this_thread::sleep_for(std::chrono::milliseconds(3 * OwnerTimeout.ms));
+    CHECK(trio.waitForLeader() == leader);
+    CHECK(trio.status(leader).term == term);
+}
+
 TEST_CASE("A leader that hands over has renounced its lease before the successor is told")
 {
     // Guards against two owners that act as leader at once.
-    DriverTrio trio;
+    DriverTrio trio(Duration{0});
     const std::size_t old = trio.waitForLeader();
     REQUIRE(old < DriverTrio::Size);
     const auto hasSuccessor = [](const ReplicationStatus &status) {
