--- a/src/fleetd/daemon_listeners.cpp
+++ b/src/fleetd/daemon_listeners.cpp
@@ -13,19 +13,6 @@
 
     constexpr int AttemptsPerLine = 50; ///< Failures of an endpoint are logged once in this many attempts, which is every 10 s.
 
-    HttpServerSettings serverSettings(const DaemonListener &listener, boost::asio::io_context &loop)
-    {
-        HttpServerSettings server;
-        const auto parts = splitAddress(listener.endpoint);
-        server.loop = &loop;
-        server.address = parts->first;
-        server.port = parts->second;
-        server.maxBodyBytes = listener.maxBodyBytes;
-        server.maxConnections = 3'500;
-        server.idleTimeout = {15'000};
-        return server;
-    }
-
 } // namespace
 
 bool mayComeFree(const std::error_code &error)
@@ -51,16 +38,32 @@
     ++this->failures;
 }
 
-DaemonListeners::DaemonListeners(boost::asio::io_context &loop, NetworkCounters &networkCounters)
+DaemonListeners::DaemonListeners(boost::asio::io_context &loop, NetworkCounters &networkCounters, DescriptorPool &descriptorPool)
     : io(loop)
     , network(networkCounters)
+    , descriptors(descriptorPool)
+{
+}
+
+HttpServerSettings DaemonListeners::serverSettings(const DaemonListener &listener) const
 {
+    const DescriptorShares &shares = this->descriptors.shares();
+    const auto parts = splitAddress(listener.endpoint);
+    HttpServerSettings server;
+    server.loop = &this->io;
+    server.address = parts->first;
+    server.port = parts->second;
+    server.maxBodyBytes = listener.maxBodyBytes;
+    server.maxConnections = listener.share == ListenerShare::Main ? shares.main : shares.auxiliary;
+    server.descriptors = &this->descriptors;
+    server.idleTimeout = {15'000};
+    return server;
 }
 
 void DaemonListeners::add(DaemonListener listener)
 {
     if (splitAddress(listener.endpoint)) {
-        this->entries.push_back({std::move(listener), {}, nullptr});
+        this->entries.push_back({std::move(listener), {}, nullptr, nullptr});
     }
 }
 
@@ -81,10 +84,19 @@
     if (entry.server != nullptr) {
         return {};
     }
-    auto server = std::make_unique<HttpServer>(serverSettings(entry.listener, this->io), entry.listener.handler, this->network);
+    auto shortageLog = std::make_unique<ShortageLog>(this->io, entry.listener.endpoint);
+    HttpServerSettings settings = this->serverSettings(entry.listener);
+    settings.onShortage = [log = shortageLog.get()](ShortageEvent event) {
+        log->record(event);
+    };
+    auto server = std::make_unique<HttpServer>(std::move(settings), entry.listener.handler, this->network);
     const std::error_code error = server->start();
     entry.attempts.record(entry.listener.endpoint, error, !entry.listener.isRequired || mayComeFree(error));
     if (!error) {
+        shortageLog->setSummary([source = server.get()] {
+            return source->connectionSummary();
+        });
+        entry.shortageLog = std::move(shortageLog);
         entry.server = std::move(server);
     }
     return error;
@@ -104,6 +116,13 @@
     });
 }
 
+bool DaemonListeners::isAccepting() const
+{
+    return std::all_of(this->entries.begin(), this->entries.end(), [](const Entry &entry) {
+        return entry.server == nullptr || !entry.listener.isRequired || entry.server->isAccepting();
+    });
+}
+
 void DaemonListeners::stopAccepting()
 {
     for (const Entry &entry : this->entries) {
--- a/src/fleetd/daemon_listeners.h
+++ b/src/fleetd/daemon_listeners.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "fleetd/shortage_log.h"
+#include "network/descriptor_pool.h"
 #include "network/http_server.h"
 
 #include <functional>
@@ -12,11 +14,18 @@
 
 namespace Filbertlanding {
 
+/** Part of the descriptors that the connections of a listener may take. */
+enum class ListenerShare {
+    Main, ///< For callers, or for workers and operators.
+    Auxiliary, ///< For readiness checks or metrics.
+};
+
 /** One listener. */
 struct DaemonListener {
     std::string endpoint; ///< IP address and port; empty for none.
     HttpHandler handler; ///< Handles the requests.
     std::size_t maxBodyBytes = 0; ///< Maximum body size of a request.
+    ListenerShare share = ListenerShare::Main; ///< Bounds the connections.
     bool isRequired = true; ///< Whether the daemon is only ready with it.
 };
 
@@ -38,7 +47,7 @@
 class DaemonListeners
 {
 public:
-    DaemonListeners(boost::asio::io_context &loop, NetworkCounters &networkCounters);
+    DaemonListeners(boost::asio::io_context &loop, NetworkCounters &networkCounters, DescriptorPool &descriptorPool);
 
     /** Adds a listener, which open() opens. Does nothing if it has no endpoint. */
     void add(DaemonListener listener);
@@ -52,6 +61,9 @@
     /** Returns whether all required listeners that were added are open. */
     bool areRequiredOpen() const;
 
+    /** Returns whether the open required listeners accept connections; false once accepts of one have failed for MaxAcceptFailureTime without a success. */
+    bool isAccepting() const;
+
     /** Closes the open listeners; connections end after their requests. */
     void stopAccepting();
 
@@ -59,13 +71,16 @@
     struct Entry {
         DaemonListener listener;
         ListenAttempts attempts;
+        std::unique_ptr<ShortageLog> shortageLog; ///< Null until it is open.
         std::unique_ptr<HttpServer> server; ///< Null until it is open.
     };
 
     std::error_code open(Entry &entry);
+    HttpServerSettings serverSettings(const DaemonListener &listener) const;
 
     boost::asio::io_context &io;
     NetworkCounters &network;
+    DescriptorPool &descriptors;
     std::vector<Entry> entries;
 };
 
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -67,10 +67,11 @@
         return result;
     }
 
-    HttpClientSettings clientSettings(asio::io_context &loop)
+    HttpClientSettings clientSettings(asio::io_context &loop, DescriptorPool &descriptors)
     {
         HttpClientSettings settings;
         settings.loop = &loop;
+        settings.descriptors = &descriptors;
         settings.connectTimeout = {400};
         settings.silentTimeout = {4'000};
         // One connection carries the long poll, the others starts and stops. About 500 workers must leave file descriptors for other clients.
@@ -86,11 +87,12 @@
                      const FleetDaemonSettings &daemonSettings,
                      const ProtocolAdapter &protocolAdapter,
                      NetworkCounters &networkCounters,
+                     DescriptorPool &descriptors,
                      LoopTimes &loopTimes)
     : io(loop)
     , settings(daemonSettings)
     , adapter(protocolAdapter)
-    , client(clientSettings(loop), networkCounters)
+    , client(clientSettings(loop, descriptors), networkCounters)
     , tickTimer(loop)
     , times(loopTimes)
 {
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -10,6 +10,7 @@
 #include "fleetd/fleet_message.h"
 #include "fleetd/loop_time.h"
 #include "fleetd/protocol_adapter.h"
+#include "network/descriptor_pool.h"
 #include "network/http_client.h"
 #include "network/http_server.h"
 #include "network/peer_link.h"
@@ -58,6 +59,7 @@
               const FleetDaemonSettings &daemonSettings,
               const ProtocolAdapter &protocolAdapter,
               NetworkCounters &networkCounters,
+              DescriptorPool &descriptors,
               LoopTimes &loopTimes);
     FleetCore(const FleetCore &) = delete;
     FleetCore &operator=(const FleetCore &) = delete;
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -31,9 +31,11 @@
         return addresses;
     }
 
-    PeerLinkSettings linkSettings(const FleetDaemonSettings &settings, boost::asio::io_context &loop)
+    PeerLinkSettings linkSettings(const FleetDaemonSettings &settings, boost::asio::io_context &loop, DescriptorPool &descriptors)
     {
         PeerLinkSettings link;
+        link.maxHandshakes = descriptors.shares().handshakes;
+        link.descriptors = &descriptors;
         link.self = settings.address;
         link.address = settings.address;
         link.port = static_cast<std::uint16_t>(settings.peerListenPort > 0 ? settings.peerListenPort : settings.peerPort);
@@ -67,14 +69,16 @@
     : settings(std::move(validatedSettings))
     , adapter(std::move(protocolAdapter))
     , readSettings(std::move(settingsReload))
+    , descriptors(processDescriptorLimit())
     , signals(this->io)
     , startTimer(this->io)
     , reloadTimer(this->io)
     , stopTimer(this->io)
-    , loadMonitor(this->io, this->network)
+    , loadMonitor(this->io, this->network, this->descriptors)
     , finder(this->io, static_cast<std::uint16_t>(this->settings.peerPort))
     , relay(this->io, this->adapter)
-    , listeners(this->io, this->network)
+    , linkShortage(this->io, "peer")
+    , listeners(this->io, this->network, this->descriptors)
 {
 }
 
@@ -100,8 +104,12 @@
 
 void FleetDaemon::prepare()
 {
+    PeerLinkSettings link = linkSettings(this->settings, this->io, this->descriptors);
+    link.onShortage = [this](ShortageEvent event) {
+        this->linkShortage.record(event);
+    };
     this->peers = std::make_unique<PeerLinks>(
-        linkSettings(this->settings, this->io),
+        std::move(link),
         [this](const DaemonName &peer, std::uint8_t kind, const std::string &payload, PeerReply reply) {
             this->onPeerMessage(peer, kind, payload, std::move(reply));
         },
@@ -109,8 +117,11 @@
     this->peers->setLinkHook([](const DaemonName &peer, bool open) {
         logLine(LogArea::Peer, LogLevel::Info, open ? "link_opened" : "link_closed", {{"peer", peer}});
     });
+    this->linkShortage.setSummary([this] {
+        return this->peers->handshakeSummary();
+    });
     if (!this->settings.dataFolder.empty()) {
-        this->core = std::make_unique<FleetCore>(this->io, this->settings, this->adapter, this->network, this->loadMonitor.loopTimes());
+        this->core = std::make_unique<FleetCore>(this->io, this->settings, this->adapter, this->network, this->descriptors, this->loadMonitor.loopTimes());
         this->core->onFatalError = [this](ResultCode code) {
             this->onCoreFailed(code);
         };
@@ -121,8 +132,8 @@
     const auto metricsHandler = [this](HttpRequest &&, const HttpRespond &respond) {
         respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics()});
     };
-    this->listeners.add({this->settings.listenReadiness, readiness, MaxCallerBodyBytes});
-    this->listeners.add({this->settings.listenMetrics, metricsHandler, MaxCallerBodyBytes, false});
+    this->listeners.add({this->settings.listenReadiness, readiness, MaxCallerBodyBytes, ListenerShare::Auxiliary});
+    this->listeners.add({this->settings.listenMetrics, metricsHandler, MaxCallerBodyBytes, ListenerShare::Auxiliary, false});
     this->armReload();
     this->loadMonitor.start();
 }
@@ -184,7 +195,7 @@
 ResultCode FleetDaemon::openLinks()
 {
     const std::error_code error = this->peers->start();
-    const int port = linkSettings(this->settings, this->io).port;
+    const int port = linkSettings(this->settings, this->io, this->descriptors).port;
     this->linkAttempts.record(this->settings.address + ":" + std::to_string(port), error, mayComeFree(error));
     if (error) {
         return mayComeFree(error) ? ResultCode::Ok : ResultCode::BadAddress;
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -63,6 +63,7 @@
     FleetDaemonSettings settings;
     ProtocolAdapter adapter;
     SettingsReload readSettings;
+    DescriptorPool descriptors; ///< Declared before the event loop, whose handlers keep connections.
     boost::asio::io_context io{1};
     NetworkCounters network;
     boost::asio::signal_set signals;
@@ -73,6 +74,7 @@
     LoadMonitor loadMonitor;
     LeaderFinder finder;
     CallerRelay relay;
+    ShortageLog linkShortage;
     std::unique_ptr<PeerLinks> peers;
     ListenAttempts linkAttempts;
     DaemonListeners listeners;
--- a/src/fleetd/load_monitor.cpp
+++ b/src/fleetd/load_monitor.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-LoadMonitor::LoadMonitor(boost::asio::io_context &loop, const NetworkCounters &networkCounters)
+LoadMonitor::LoadMonitor(boost::asio::io_context &loop, const NetworkCounters &networkCounters, const DescriptorPool &descriptorPool)
     : counters(networkCounters)
+    , descriptors(descriptorPool)
     , timer(loop)
 {
 }
@@ -68,6 +69,7 @@
             "load",
             {{"connections", this->counters.httpConnectionsOpen.load()},
              {"accepted", accepted - this->acceptedAtLastLine},
+             {"displaced", this->counters.httpConnectionsDisplaced.load()},
              {"refused", this->counters.httpConnectionsRefused.load()},
              {"acceptFailures", this->counters.httpAcceptsFailed.load()},
              {"requests", this->counters.httpRequests.load()},
@@ -104,7 +106,14 @@
     appendMetric(text, "filbertlanding_http_connections", this->counters.httpConnectionsOpen);
     appendMetric(text, "filbertlanding_http_connections_accepted_total", this->counters.httpConnectionsAccepted);
     appendMetric(text, "filbertlanding_http_connections_refused_total", this->counters.httpConnectionsRefused);
+    appendMetric(text, "filbertlanding_http_connections_displaced_total", this->counters.httpConnectionsDisplaced);
     appendMetric(text, "filbertlanding_http_accepts_failed_total", this->counters.httpAcceptsFailed);
+    appendMetric(text, "filbertlanding_peer_handshakes_displaced_total", this->counters.peerHandshakesDisplaced);
+    appendMetric(text, "filbertlanding_peer_accepts_failed_total", this->counters.peerAcceptsFailed);
+    appendMetric(text, "filbertlanding_worker_connections_displaced_total", this->counters.clientIdleDisplaced);
+    appendMetric(text, "filbertlanding_open_connections", this->descriptors.open());
+    appendMetric(text, "filbertlanding_connection_limit", this->descriptors.shares().connections);
+    appendMetric(text, "filbertlanding_descriptor_limit", this->descriptors.limit());
     appendMetric(text, "filbertlanding_http_requests_total", this->counters.httpRequests);
     for (const auto &row : LoopPartNames.rows) {
         appendMetric(text, "filbertlanding_loop_microseconds_total{part=\"" + std::string(row.name) + "\"}", this->times[static_cast<std::size_t>(row.value)]);
--- a/src/fleetd/load_monitor.h
+++ b/src/fleetd/load_monitor.h
@@ -4,6 +4,7 @@
 
 #include "core/clock_type.h"
 #include "fleetd/loop_time.h"
+#include "network/descriptor_pool.h"
 #include "network/network_counters.h"
 #include "runtime/histogram.h"
 
@@ -19,7 +20,7 @@
 class LoadMonitor
 {
 public:
-    LoadMonitor(boost::asio::io_context &loop, const NetworkCounters &networkCounters);
+    LoadMonitor(boost::asio::io_context &loop, const NetworkCounters &networkCounters, const DescriptorPool &descriptorPool);
 
     /** Begins to measure and to log. */
     void start();
@@ -40,6 +41,7 @@
     void logLoopTimes();
 
     const NetworkCounters &counters;
+    const DescriptorPool &descriptors;
     boost::asio::steady_timer timer;
     TimePoint expectedAt; ///< Time at which the timer is due.
     TimePoint nextLine;
--- a/src/network/frame_stream.cpp
+++ b/src/network/frame_stream.cpp
@@ -3,6 +3,7 @@
 #include "network/frame_stream.h"
 
 #include "network/chrono_func.h"
+#include "network/descriptor_pool.h"
 #include "network/peer_handshake.h"
 #include "network/socket_options.h"
 
@@ -53,6 +54,7 @@
             , counters(networkCounters)
             , io(context)
             , socket(std::move(connected))
+            , descriptor(linkSettings.descriptors)
             , tickTimer(context)
             , hooks(std::move(streamHooks))
             , chunk(ReadChunkBytes)
@@ -66,6 +68,12 @@
         ResultCode push(Frame frame) override;
         void close(ResultCode reason) override;
 
+        bool hasUnreadInput() const override
+        {
+            Error ignored;
+            return this->socket.available(ignored) > 0;
+        }
+
         const DaemonName &peer() const override
         {
             return this->handshake.peer;
@@ -91,6 +99,7 @@
         NetworkCounters &counters;
         net::io_context &io;
         Tcp::socket socket;
+        DescriptorUse descriptor;
         net::steady_timer tickTimer;
         FrameStreamHooks hooks;
         Handshake handshake;
@@ -341,6 +350,7 @@
         }
         Error ignored;
         this->socket.close(ignored);
+        this->descriptor.end();
         this->tickTimer.cancel();
         this->hooks.closed(reason);
     }
--- a/src/network/frame_stream.h
+++ b/src/network/frame_stream.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "network/connection_table.h"
 #include "network/frame_codec.h"
 #include "network/peer_link.h"
 
@@ -24,14 +25,9 @@
 };
 
 /** One connection. But for push() all calls are made on the link thread. */
-class FrameStream
+class FrameStream : public TrackedConnection
 {
 public:
-    FrameStream() = default;
-    FrameStream(const FrameStream &) = delete;
-    FrameStream &operator=(const FrameStream &) = delete;
-    virtual ~FrameStream() = default;
-
     /** Begins the handshake. */
     virtual void start() = 0;
 
--- a/src/network/http_client.h
+++ b/src/network/http_client.h
@@ -17,10 +17,13 @@
 
 namespace Filbertlanding {
 
+class DescriptorPool;
+
 /** Settings of the HTTP client. */
 struct HttpClientSettings {
     unsigned threads = 1; ///< Event loops; all connections to one target live on the same one.
     boost::asio::io_context *loop = nullptr; ///< Event loop of the owner to run on instead of threads of the client; all calls are then made on it.
+    DescriptorPool *descriptors = nullptr; ///< Descriptors that are shared with other users on the loop of the owner; null for none.
     std::size_t maxConnectionsPerTarget = 60; ///< Connections to one target, idle, busy or being opened.
     std::size_t maxWaitingPerTarget = 1024; ///< Requests that wait for a connection to one target.
     std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< Largest body of a response.
--- a/src/network/http_client_loop.cpp
+++ b/src/network/http_client_loop.cpp
@@ -3,6 +3,7 @@
 #include "network/http_client_loop.h"
 
 #include "network/chrono_func.h"
+#include "network/descriptor_pool.h"
 #include "network/socket_options.h"
 
 #include <boost/asio/io_context.hpp>
@@ -10,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/intrusive/list.hpp>
 
 #include <deque>
 #include <map>
@@ -24,6 +26,8 @@
     using Tcp = net::ip::tcp;
     using Error = boost::system::error_code;
 
+    using IdleHook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
     struct Target;
     struct ClientConnection;
 
@@ -44,15 +48,18 @@
 
     /** One connection. */
     struct ClientConnection {
-        ClientConnection(net::io_context &io, Target &itsTarget)
+        ClientConnection(net::io_context &io, Target &itsTarget, DescriptorPool *descriptors)
             : target(itsTarget)
             , socket(io)
+            , descriptor(descriptors)
             , timer(io)
         {
         }
 
         Target &target;
         Tcp::socket socket;
+        DescriptorUse descriptor;
+        IdleHook idleHook; ///< Among all idle connections.
         net::steady_timer timer; ///< Bounds connecting, silence or idling, depending on the state.
         std::uint64_t round = 0; ///< Changes with each state, so that handlers of an earlier state do nothing.
         boost::beast::flat_buffer buffer;
@@ -60,9 +67,13 @@
         std::optional<http::response_parser<http::string_body>> parser;
         std::shared_ptr<Call> call; ///< Call that it is opened for or carries.
         bool extra = false; ///< Opened beyond the pool for one call.
+        bool isRetried = false; ///< Opened again after a first attempt found no descriptor.
         bool closed = false;
     };
 
+    using IdleList = boost::intrusive::list<ClientConnection,
+                                            boost::intrusive::member_hook<ClientConnection, IdleHook, &ClientConnection::idleHook>,
+                                            boost::intrusive::constant_time_size<false>>;
     using ConnectionPointer = std::shared_ptr<ClientConnection>;
     using CallPointer = std::shared_ptr<Call>;
 
@@ -86,6 +97,19 @@
             , io(clientSettings.loop == nullptr ? *this->ownIo : *clientSettings.loop)
             , work(net::make_work_guard(this->io))
         {
+            if (this->settings.descriptors != nullptr) {
+                this->releaser = this->settings.descriptors->addReleaser([this](ConnectionPhase phase) {
+                    return phase == ConnectionPhase::Idle && this->releaseIdle();
+                });
+            }
+        }
+
+        ClientLoop(const ClientLoop &) = delete;
+        ClientLoop &operator=(const ClientLoop &) = delete;
+
+        ~ClientLoop() override
+        {
+            this->endRelease();
         }
 
         void begin(HttpCall &&begun) override;
@@ -100,6 +124,9 @@
     private:
         void dispatch(Target &target, const CallPointer &call);
         void open(Target &target, const CallPointer &call, bool extra);
+        void connect(const ConnectionPointer &connection);
+        bool releaseIdle();
+        void endRelease();
         void onConnected(const ConnectionPointer &connection, Error error);
         void onConnectFailed(const ConnectionPointer &connection);
         void startExchange(const ConnectionPointer &connection, const CallPointer &call);
@@ -127,6 +154,8 @@
         std::map<HttpAddress, Target> targets;
         std::unordered_map<std::uint64_t, CallPointer> calls;
         std::map<ClientConnection *, ConnectionPointer> openConnections; ///< All open connections.
+        IdleList idleConnections; ///< Idle connections of all targets; the one that has been idle longest is first.
+        std::optional<DescriptorPool::ReleaserId> releaser; ///< This client among the owners of the shared descriptors.
         bool stopping = false;
     };
 
@@ -192,12 +221,12 @@
     void ClientLoop::open(Target &target, const CallPointer &call, bool extra)
     {
         Error error;
-        const auto address = net::ip::make_address(target.address.address, error);
+        net::ip::make_address(target.address.address, error);
         if (error) {
             this->finish(call, ResultCode::ConnectFailed);
             return;
         }
-        const auto connection = std::make_shared<ClientConnection>(this->io, target);
+        const auto connection = std::make_shared<ClientConnection>(this->io, target, this->settings.descriptors);
         connection->extra = extra;
         connection->call = call;
         call->connection = connection;
@@ -207,16 +236,46 @@
         this->armTimer(connection, this->settings.connectTimeout, [this, connection] {
             this->onConnectFailed(connection);
         });
-        connection->socket.async_connect({address, target.address.port}, [this, connection](Error connectError) {
-            this->onConnected(connection, connectError);
+        this->connect(connection);
+    }
+
+    void ClientLoop::connect(const ConnectionPointer &connection)
+    {
+        const HttpAddress &address = connection->target.address;
+        connection->socket.async_connect({net::ip::make_address(address.address), address.port}, [this, connection](Error error) {
+            this->onConnected(connection, error);
         });
     }
 
+    /** Closes the connection that has been idle longest. Returns false if there is none. */
+    bool ClientLoop::releaseIdle()
+    {
+        if (this->idleConnections.empty()) {
+            return false;
+        }
+        ++this->counters.clientIdleDisplaced;
+        const ConnectionPointer connection = this->openConnections.at(&this->idleConnections.front());
+        this->close(connection);
+        return true;
+    }
+
+    void ClientLoop::endRelease()
+    {
+        if (this->releaser) {
+            this->settings.descriptors->removeReleaser(*this->releaser);
+            this->releaser.reset();
+        }
+    }
+
     void ClientLoop::onConnected(const ConnectionPointer &connection, Error error)
     {
         if (connection->closed) {
             return;
         }
+        if (error == net::error::no_descriptors && !std::exchange(connection->isRetried, true) && releaseDescriptor(this->settings.descriptors)) {
+            this->connect(connection);
+            return;
+        }
         if (error) {
             if (connection->call != nullptr) {
                 connection->call->isConnectionRefused = error == net::error::connection_refused || error == net::error::connection_reset;
@@ -243,6 +302,7 @@
     void ClientLoop::startExchange(const ConnectionPointer &connection, const CallPointer &call)
     {
         ++connection->round;
+        connection->idleHook.unlink();
         connection->call = call;
         call->connection = connection;
         auto &message = connection->request;
@@ -369,6 +429,7 @@
     void ClientLoop::makeIdle(const ConnectionPointer &connection)
     {
         connection->target.idle.push_back(connection);
+        this->idleConnections.push_back(*connection);
         const auto closeStale = [this, connection] {
             ++this->counters.clientStaleClosed;
             this->close(connection);
@@ -397,9 +458,11 @@
         }
         connection->closed = true;
         ++connection->round;
+        connection->idleHook.unlink();
         connection->timer.cancel();
         Error ignored;
         connection->socket.close(ignored);
+        connection->descriptor.end();
         Target &target = connection->target;
         std::erase(target.idle, connection);
         target.connections -= connection->extra ? 0 : 1;
@@ -464,6 +527,7 @@
     void ClientLoop::shutDown()
     {
         this->stopping = true;
+        this->endRelease();
         const auto pending = this->calls;
         for (const auto &[number, call] : pending) {
             this->endCall(call, ResultCode::BrokenBeforeSend);
--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -3,6 +3,8 @@
 #include "network/http_connection.h"
 
 #include "network/chrono_func.h"
+#include "network/descriptor_pool.h"
+#include "network/http_message.h"
 #include "network/socket_options.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -48,12 +50,15 @@
     {
     public:
         Connection(HttpServerShared &serverShared,
+                   ConnectionTable &connectionTable,
                    net::io_context &loop,
                    Tcp::socket acceptedSocket,
                    std::function<void(const std::shared_ptr<HttpConnection> &)> closedHook)
             : shared(serverShared)
+            , table(connectionTable)
             , io(loop)
             , socket(std::move(acceptedSocket))
+            , descriptor(serverShared.settings.descriptors)
             , readTimer(loop)
             , writeTimer(loop)
             , onClosed(std::move(closedHook))
@@ -63,7 +68,9 @@
 
         void start() override;
         void drain() override;
+        void displace() override;
         void close() override;
+        bool hasUnreadInput() const override;
         void respond(std::uint64_t number, HttpResponse response);
 
         net::io_context &context()
@@ -81,7 +88,8 @@
         void onRequest(Error error);
         void onReadError(Error error);
         void refuse(ResultCode code, unsigned status, std::string_view message);
-        bool isFramingAcceptable() const;
+        void endWithError(ResultCode code, unsigned status, std::string_view message);
+        void updatePhase();
         void takeRequest();
         void callHandler(HttpRequest &&request, std::uint64_t number);
         void armReadTimer(Duration timeout);
@@ -94,8 +102,10 @@
         void discardInput();
 
         HttpServerShared &shared;
+        ConnectionTable &table;
         net::io_context &io;
         Tcp::socket socket;
+        DescriptorUse descriptor;
         net::steady_timer readTimer;
         net::steady_timer writeTimer;
         std::function<void(const std::shared_ptr<HttpConnection> &)> onClosed;
@@ -191,6 +201,37 @@
         }
     }
 
+    bool Connection::hasUnreadInput() const
+    {
+        Error ignored;
+        return this->socket.available(ignored) > 0;
+    }
+
+    void Connection::displace()
+    {
+        if (this->closed) {
+            return;
+        }
+        if (this->readState == ReadState::Waiting) {
+            this->inputEnded = true;
+            this->linger();
+            return;
+        }
+        this->endWithError(ResultCode::QueueFull, resultCodeRow(ResultCode::QueueFull).httpStatus, "too many connections are open; the request was not run");
+    }
+
+    /** Tells the table what the connection does, unless it is about to close. */
+    void Connection::updatePhase()
+    {
+        ConnectionPhase phase = ConnectionPhase::Busy;
+        if (this->slots.empty()) {
+            phase = this->readState == ReadState::Waiting ? ConnectionPhase::Idle : ConnectionPhase::Receiving;
+        }
+        if (phase != ConnectionTable::phaseOf(*this)) {
+            this->table.setPhase(*this, phase);
+        }
+    }
+
     void Connection::close()
     {
         if (this->closed) {
@@ -200,6 +241,7 @@
         this->closed = true;
         Error ignored;
         this->socket.close(ignored);
+        this->descriptor.end();
         this->readTimer.cancel();
         this->writeTimer.cancel();
         this->onClosed(self);
@@ -241,6 +283,7 @@
     void Connection::startHeader()
     {
         this->readState = ReadState::Header;
+        this->updatePhase();
         this->parser.emplace();
         this->parser->header_limit(static_cast<std::uint32_t>(this->shared.settings.maxHeaderBytes));
         this->parser->body_limit(this->shared.settings.maxBodyBytes);
@@ -250,18 +293,6 @@
         });
     }
 
-    /** Returns whether the length of the body is stated in one way only. Beast itself refuses a chunked body together with a content length. */
-    bool Connection::isFramingAcceptable() const
-    {
-        const auto &message = this->parser->get();
-        const auto codings = message.count(http::field::transfer_encoding);
-        if (codings == 0) {
-            return true;
-        }
-        // Another coding than chunked, or chunked in HTTP/1.0, leaves open where the message ends; two hosts could read it differently.
-        return codings == 1 && message.version() == 11 && boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
-    }
-
     void Connection::onHeader(Error error)
     {
         if (this->closed || this->inputEnded) {
@@ -271,7 +302,7 @@
             this->onReadError(error);
             return;
         }
-        if (!this->isFramingAcceptable()) {
+        if (!isFramingAcceptable(this->parser->get())) {
             this->refuse(ResultCode::BadRequest, 400, "the transfer encoding is not supported");
             return;
         }
@@ -306,21 +337,14 @@
     {
         auto message = this->parser->release();
         this->parser.reset();
-        HttpRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        request.remote = this->remote;
-        for (const auto &field : message) {
-            request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-        }
-        request.body = std::move(message.body());
         ResponseSlot slot;
         slot.headOnly = message.method() == http::verb::head;
         slot.closeAfter = !message.keep_alive();
         this->inputEnded = slot.closeAfter;
         this->slots.push_back(std::move(slot));
+        this->updatePhase();
         ++this->shared.counters.httpRequests;
-        this->callHandler(std::move(request), this->firstSlot + this->slots.size() - 1);
+        this->callHandler(makeHttpRequest(std::move(message), this->remote), this->firstSlot + this->slots.size() - 1);
     }
 
     void Connection::callHandler(HttpRequest &&request, std::uint64_t number)
@@ -367,6 +391,11 @@
     void Connection::refuse(ResultCode code, unsigned status, std::string_view message)
     {
         ++this->shared.counters.httpMalformed;
+        this->endWithError(code, status, message);
+    }
+
+    void Connection::endWithError(ResultCode code, unsigned status, std::string_view message)
+    {
         this->inputEnded = true;
         this->readState = ReadState::Paused;
         this->readTimer.cancel();
@@ -376,6 +405,7 @@
         slot.response = errorResponse(code, message);
         slot.response.status = status;
         this->slots.push_back(std::move(slot));
+        this->updatePhase();
         this->writeNext();
     }
 
@@ -502,6 +532,7 @@
         } else if (this->readState == ReadState::Waiting && this->slots.empty()) {
             this->armReadTimer(this->drainEnd ? this->shared.settings.drainIdleTimeout : this->shared.settings.idleTimeout);
         }
+        this->updatePhase();
         this->writeNext();
     }
 
@@ -518,6 +549,7 @@
             this->close();
             return;
         }
+        this->table.setPhase(*this, ConnectionPhase::Closing);
         this->discarded.resize(4096);
         this->writeTimer.expires_after(chronoOf(this->shared.settings.lingerTimeout));
         this->writeTimer.async_wait([self = this->shared_from_this()](Error timerError) {
@@ -543,13 +575,17 @@
 
 } // namespace
 
-std::shared_ptr<HttpConnection> makeHttpConnection(
-    HttpServerShared &shared, net::io_context &context, int nativeSocket, bool isIpv6, std::function<void(const std::shared_ptr<HttpConnection> &)> closed)
+std::shared_ptr<HttpConnection> makeHttpConnection(HttpServerShared &shared,
+                                                   ConnectionTable &table,
+                                                   net::io_context &context,
+                                                   int nativeSocket,
+                                                   bool isIpv6,
+                                                   std::function<void(const std::shared_ptr<HttpConnection> &)> closed)
 {
     Tcp::socket socket(context);
     Error ignored;
     socket.assign(isIpv6 ? Tcp::v6() : Tcp::v4(), nativeSocket, ignored);
-    return std::make_shared<Connection>(shared, context, std::move(socket), std::move(closed));
+    return std::make_shared<Connection>(shared, table, context, std::move(socket), std::move(closed));
 }
 
 } // namespace Filbertlanding
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -1,9 +1,10 @@
 /** @file http_server.cpp Acceptor, event loops and graceful stop of the HTTP server. */
 
 #include "network/http_server.h"
-#include "network/listen_socket.h"
 
+#include "network/descriptor_pool.h"
 #include "network/http_connection.h"
+#include "network/listen_socket.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +23,8 @@
     using Error = boost::system::error_code;
     using ConnectionPointer = std::shared_ptr<HttpConnection>;
 
+    constexpr std::size_t ClosingDivisor = 8; ///< Beyond the limit, this part of it may wait for the other side to close.
+
     /** One event loop with its thread and the connections that live on it. */
     struct ServerLoop {
         explicit ServerLoop(net::io_context *ownersLoop)
@@ -33,6 +36,7 @@
         std::unique_ptr<net::io_context> ownIo; ///< Empty on a loop of the owner.
         net::io_context &io; ///< Event loop; run by one thread only.
         std::unordered_set<ConnectionPointer> connections; ///< Open connections; touched on the thread only.
+        ConnectionTable table; ///< The same connections by phase; touched on the thread only.
         bool stopping = false; ///< Set by stop(); touched on the thread only.
         std::optional<net::executor_work_guard<net::io_context::executor_type>> work; ///< Keeps the loop running.
         std::thread thread; ///< Runs the loop.
@@ -50,6 +54,9 @@
     std::error_code listen();
     void run();
     void handOver(Tcp::socket socket);
+    void adopt(ServerLoop &loop, Tcp::socket socket);
+    bool makeRoom(ServerLoop &loop);
+    bool releaseOne(ConnectionPhase phase);
     void onListenerClosed();
     void onClosed(ServerLoop &loop, const ConnectionPointer &connection);
     void beginDrain();
@@ -63,6 +70,7 @@
     std::atomic<bool> listening{false}; ///< Whether the listener is open or one of its handlers has not ended.
     std::mutex stopMutex; ///< Guards stopped.
     std::function<void()> stopped; ///< Told when the graceful stop is complete.
+    std::optional<DescriptorPool::ReleaserId> releaser; ///< This server among the owners of the shared descriptors.
     std::size_t nextLoop = 0; ///< Loop of the next connection; used on the first loop.
     std::uint16_t port = 0;
     bool running = false;
@@ -76,6 +84,10 @@
     };
     hooks.acceptFailed = [this] {
         ++this->shared.counters.httpAcceptsFailed;
+        this->shared.settings.onShortage(ShortageEvent::AcceptFailed);
+    };
+    hooks.makeRoom = [this] {
+        return releaseDescriptor(this->shared.settings.descriptors);
     };
     hooks.closed = [this] {
         this->onListenerClosed();
@@ -89,6 +101,11 @@
 {
     this->running = true;
     this->listening = true;
+    if (this->shared.settings.descriptors != nullptr) {
+        this->releaser = this->shared.settings.descriptors->addReleaser([this](ConnectionPhase phase) {
+            return this->releaseOne(phase);
+        });
+    }
     for (const auto &loop : this->loops) {
         loop->work.emplace(loop->io.get_executor());
     }
@@ -105,28 +122,85 @@
 
 void HttpServer::Core::handOver(Tcp::socket socket)
 {
-    if (this->open >= this->shared.settings.maxConnections) {
-        ++this->shared.counters.httpConnectionsRefused;
-        return;
-    }
-    ++this->open;
-    ++this->shared.counters.httpConnectionsAccepted;
-    ++this->shared.counters.httpConnectionsOpen;
     ServerLoop &loop = *this->loops[this->nextLoop];
     this->nextLoop = (this->nextLoop + 1) % this->loops.size();
+    ++this->open;
+    if (this->shared.settings.loop != nullptr) {
+        this->adopt(loop, std::move(socket));
+        return;
+    }
     net::post(loop.io, [this, &loop, moved = std::make_shared<Tcp::socket>(std::move(socket))] {
-        Error ignored;
-        const bool isIpv6 = moved->local_endpoint(ignored).address().is_v6();
-        const auto connection = makeHttpConnection(this->shared, loop.io, moved->release(ignored), isIpv6, [this, &loop](const ConnectionPointer &closed) {
+        this->adopt(loop, std::move(*moved));
+    });
+}
+
+/** Makes the connection of a socket, on the thread of its loop. */
+void HttpServer::Core::adopt(ServerLoop &loop, Tcp::socket socket)
+{
+    if (!this->makeRoom(loop)) {
+        ++this->shared.counters.httpConnectionsRefused;
+        this->shared.settings.onShortage(ShortageEvent::Refused);
+        --this->open;
+        this->checkStopped();
+        return;
+    }
+    Error ignored;
+    const bool isIpv6 = socket.local_endpoint(ignored).address().is_v6();
+    const RemoteAddress remote = remoteAddressOf(socket.native_handle());
+    const auto connection =
+        makeHttpConnection(this->shared, loop.table, loop.io, socket.release(ignored), isIpv6, [this, &loop](const ConnectionPointer &closed) {
             this->onClosed(loop, closed);
         });
-        loop.connections.insert(connection);
-        if (loop.stopping) {
-            connection->close();
-            return;
+    ++this->shared.counters.httpConnectionsAccepted;
+    ++this->shared.counters.httpConnectionsOpen;
+    loop.table.add(*connection, remote);
+    loop.connections.insert(connection);
+    if (loop.stopping) {
+        connection->close();
+        return;
+    }
+    connection->start();
+}
+
+/** Ends a connection if there are too many for another one. Returns false if no room can be made. */
+bool HttpServer::Core::makeRoom(ServerLoop &loop)
+{
+    const std::size_t limit = std::max<std::size_t>(1, this->shared.settings.maxConnections / this->loops.size());
+    ConnectionTable &table = loop.table;
+    if (table.size() - table.countOf(ConnectionPhase::Closing) >= limit) {
+        TrackedConnection *displaced = table.leastValuable();
+        if (displaced == nullptr) {
+            return false;
         }
-        connection->start();
-    });
+        ++this->shared.counters.httpConnectionsDisplaced;
+        static_cast<HttpConnection *>(displaced)->displace();
+        this->shared.settings.onShortage(ShortageEvent::Displaced);
+    }
+    if (table.size() < limit + limit / ClosingDivisor + 1) {
+        return true;
+    }
+    TrackedConnection *closing = table.oldest(ConnectionPhase::Closing);
+    if (closing == nullptr) {
+        return false;
+    }
+    static_cast<HttpConnection *>(closing)->close();
+    return true;
+}
+
+/** Closes a connection of a phase at once, for the sake of another user of the descriptors. */
+bool HttpServer::Core::releaseOne(ConnectionPhase phase)
+{
+    ConnectionTable &table = this->loops.front()->table;
+    TrackedConnection *found = phase == ConnectionPhase::Closing ? table.oldest(phase) : table.leastValuable(phase);
+    if (found == nullptr) {
+        return false;
+    }
+    if (phase != ConnectionPhase::Closing) {
+        ++this->shared.counters.httpConnectionsDisplaced;
+        this->shared.settings.onShortage(ShortageEvent::Displaced);
+    }
+    static_cast<HttpConnection *>(found)->close();
+    return true;
 }
 
 void HttpServer::Core::onListenerClosed()
@@ -137,6 +211,7 @@
 
 void HttpServer::Core::onClosed(ServerLoop &loop, const ConnectionPointer &connection)
 {
+    loop.table.remove(*connection);
     loop.connections.erase(connection);
     --this->shared.counters.httpConnectionsOpen;
     --this->open;
@@ -184,6 +259,10 @@
     }
     this->running = false;
     this->shared.draining = true;
+    if (this->releaser) {
+        this->shared.settings.descriptors->removeReleaser(*this->releaser);
+        this->releaser.reset();
+    }
     net::post(this->loops.front()->io, [this] {
         this->listener->close();
     });
@@ -243,6 +322,21 @@
     return this->core->port;
 }
 
+ConnectionSummary HttpServer::connectionSummary() const
+{
+    const ConnectionTable &table = this->core->loops.front()->table;
+    return {.open = table.size(),
+            .limit = this->core->shared.settings.maxConnections,
+            .silent = table.countOf(ConnectionPhase::Silent),
+            .busy = table.countOf(ConnectionPhase::Busy),
+            .busiest = table.busiestAddress()};
+}
+
+bool HttpServer::isAccepting() const
+{
+    return this->core->listener->isAccepting();
+}
+
 void HttpServer::stopAccepting(std::function<void()> stopped)
 {
     Core &state = *this->core;
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "network/connection_shortage.h"
 #include "network/http_type.h"
 #include "network/network_counters.h"
 
@@ -18,13 +19,17 @@
 
 namespace Filbertlanding {
 
+class DescriptorPool;
+
 /** Settings of the HTTP server. */
 struct HttpServerSettings {
     std::string address = "127.0.0.1"; ///< IP number to listen on.
     std::uint16_t port = 0; ///< TCP port; 0 takes a free one.
     unsigned threads = 2; ///< Request threads, each with its own event loop.
     boost::asio::io_context *loop = nullptr; ///< Event loop of the owner to run on instead of threads of the server; all calls are then made on it.
-    std::size_t maxConnections = 4096; ///< Connections beyond this number are closed at once.
+    std::size_t maxConnections = 4096; ///< Open connections; for a further one, one without a whole request is closed, or the new one if there is none.
+    DescriptorPool *descriptors = nullptr; ///< Descriptors that are shared with other users on the loop of the owner; null for none.
+    std::function<void(ShortageEvent)> onShortage = [](ShortageEvent) {}; ///< Told that connections or descriptors are short, on any request thread.
     std::size_t maxHeaderBytes = std::size_t{16} * 1024; ///< Largest request line and headers together.
     std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; ///< Largest body.
     std::size_t maxPipelined = 32; ///< Requests of one connection that are handled at the same time; further ones wait in the socket.
@@ -62,6 +67,12 @@
     /** Returns the TCP port that the server listens on. */
     std::uint16_t port() const;
 
+    /** Returns the connections in brief; only on the loop of the owner. */
+    ConnectionSummary connectionSummary() const;
+
+    /** Returns whether new connections can be accepted; only on the loop of the owner. */
+    bool isAccepting() const;
+
     /**
      * Graceful stop: accepts what is already connected, closes the listener, answers every request that has begun to arrive with
      * `Connection: close` on the last one, and closes the connections.
--- a/src/network/listen_socket.cpp
+++ b/src/network/listen_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "network/listen_socket.h"
 
+#include "core/clock_func.h"
 #include "core/result_code.h"
 
 #include <limits>
@@ -45,6 +46,11 @@
         return error == net::error::connection_aborted || error == net::error::connection_reset;
     }
 
+    bool isDescriptorShortage(const Error &error)
+    {
+        return error == net::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system;
+    }
+
 } // namespace
 
 Listener::Listener(net::io_context &loop, ListenerHooks listenerHooks)
@@ -103,11 +109,17 @@
         Tcp::socket socket(this->acceptor.get_executor());
         this->acceptor.accept(socket, error);
         if (error == net::error::would_block || error == net::error::try_again) {
+            this->failingSince.reset();
             return true;
         }
         if (!error) {
+            this->failingSince.reset();
             this->hooks.accepted(std::move(socket));
-        } else if (!isOfConnection(error)) {
+            continue;
+        }
+        const bool canRetry = isOfConnection(error) || (isDescriptorShortage(error) && this->hooks.makeRoom());
+        if (!canRetry) {
+            this->failingSince = this->failingSince.value_or(steadyNow());
             return false;
         }
     }
@@ -134,6 +146,11 @@
     this->retryTimer.cancel();
 }
 
+bool Listener::isAccepting() const
+{
+    return !this->failingSince || steadyNow() - *this->failingSince < MaxAcceptFailureTime;
+}
+
 bool Listener::isOpen() const
 {
     return this->acceptor.is_open();
--- a/src/network/listen_socket.h
+++ b/src/network/listen_socket.h
@@ -6,18 +6,26 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/clock_type.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <system_error>
 
 namespace Filbertlanding {
 
+constexpr Duration MaxAcceptFailureTime{1'000}; ///< After this time of failed accepts a listener does not count as accepting.
+
 /** Hooks of a listener; called on its event loop. */
 struct ListenerHooks {
     std::function<void(boost::asio::ip::tcp::socket)> accepted; ///< Takes an accepted connection.
     std::function<void()> acceptFailed = [] {}; ///< An accept failed, for example for want of file descriptors; it is tried again after a while.
+    std::function<bool()> makeRoom = [] { ///< Closes a connection, since no descriptor is left. Returns whether it did; then the accept is tried again at once.
+        return false;
+    };
     std::function<void()> closed = [] {}; ///< The listener is closed and none of its handlers is left. Not called unless start() was.
 };
 
@@ -50,6 +58,9 @@
     /** Returns whether the socket is open. */
     bool isOpen() const;
 
+    /** Returns whether accepts succeed; false once they have failed for MaxAcceptFailureTime without a success in between. */
+    bool isAccepting() const;
+
 private:
     void waitForConnections();
     void onReady();
@@ -59,6 +70,7 @@
     ListenerHooks hooks;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer retryTimer;
+    std::optional<TimePoint> failingSince; ///< Time of the first of the accepts that have failed in a row.
 };
 
 } // namespace Filbertlanding
--- a/src/network/network_counters.h
+++ b/src/network/network_counters.h
@@ -13,7 +13,8 @@
 
     Count httpConnectionsAccepted{0}; ///< Connections that the HTTP server accepted.
     Count httpConnectionsOpen{0}; ///< Current number of connections of the HTTP server.
-    Count httpConnectionsRefused{0}; ///< Connections closed at once, since too many were open.
+    Count httpConnectionsRefused{0}; ///< Connections closed at once, since too many were open and all were busy.
+    Count httpConnectionsDisplaced{0}; ///< Connections without a request under way that were closed for new ones, since too many were open.
     Count httpAcceptsFailed{0}; ///< Failed accepts, for example for want of file descriptors; no connection is accepted for a while after one.
     Count httpRequests{0}; ///< Whole requests that were given to the handler.
     Count httpResponses{0}; ///< Responses that were written whole.
@@ -30,6 +31,7 @@
     Count clientOutcomeUnknown{0}; ///< Exchanges that broke or timed out after a byte may have been sent.
     Count clientNotSent{0}; ///< Exchanges that ended before any byte was sent.
     Count clientStaleClosed{0}; ///< Idle connections closed since they were readable, at EOF or suspect.
+    Count clientIdleDisplaced{0}; ///< Idle connections closed for other connections of the process, since too many descriptors were in use.
     Count clientSilent{0}; ///< Times that a connection gave no byte of an answer within the bound.
 
     Count peerBytesSent{0}; ///< Bytes written to peer links, without TCP/IP headers.
@@ -39,6 +41,8 @@
     Count peerLinksOpened{0}; ///< Links that this process opened and that completed the handshake.
     Count peerLinksAccepted{0}; ///< Links of peers that completed the handshake.
     Count peerLinksRefused{0}; ///< Handshakes refused: wrong key, unknown peer, unsupported version or malformed.
+    Count peerHandshakesDisplaced{0}; ///< Connections closed in the handshake for new ones, since too many were open.
+    Count peerAcceptsFailed{0}; ///< Failed accepts of peers, for example for want of file descriptors.
     Count peerLinksSilent{0}; ///< Links replaced because no byte arrived within the bound.
     Count peerSendDropped{0}; ///< Messages refused since the send queue of the link was full.
     Count peerRequestTimeouts{0}; ///< Requests to peers that were not answered in time.
--- a/src/network/peer_link.cpp
+++ b/src/network/peer_link.cpp
@@ -1,12 +1,14 @@
 /** @file peer_link.cpp Links to all peers of a daemon: listening, dialing with backoff, requests and answers. */
 
 #include "network/peer_link.h"
-#include "network/listen_socket.h"
 
 #include "core/clock_func.h"
 #include "core/random.h"
 #include "network/chrono_func.h"
+#include "network/descriptor_pool.h"
 #include "network/frame_stream.h"
+#include "network/handshake_table.h"
+#include "network/listen_socket.h"
 #include "network/peer_request.h"
 
 #include <boost/asio/io_context.hpp>
@@ -59,6 +61,7 @@
         , random{stableHash(this->settings.self)}
         , ownIo(this->settings.loop == nullptr ? std::make_unique<net::io_context>(1) : nullptr)
         , io(this->settings.loop == nullptr ? *this->ownIo : *this->settings.loop)
+        , handshakes(this->settings, networkCounters)
     {
     }
 
@@ -96,6 +99,7 @@
     std::optional<Listener> listener;
     std::map<DaemonName, PeerPointer> peers;
     std::set<StreamPointer> acceptedStreams; ///< All accepted connections, with or without a complete handshake.
+    HandshakeTable handshakes; ///< Accepted connections without a complete handshake.
     PeerRequestTable requests;
     net::steady_timer requestTimer{io}; ///< Runs until the earliest deadline of a request.
     std::atomic<std::uint64_t> nextCorrelation{1};
@@ -113,6 +117,12 @@
     hooks.accepted = [this](Tcp::socket socket) {
         this->onAccepted(std::move(socket));
     };
+    hooks.acceptFailed = [this] {
+        this->handshakes.onAcceptFailed();
+    };
+    hooks.makeRoom = [this] {
+        return releaseDescriptor(this->settings.descriptors);
+    };
     this->port = this->settings.port;
     this->listener.emplace(this->io, std::move(hooks));
     return this->listener->open(this->settings.address, this->port);
@@ -120,19 +130,18 @@
 
 void PeerLinks::Core::onAccepted(Tcp::socket socket)
 {
-    const auto handshakes = std::count_if(this->acceptedStreams.begin(), this->acceptedStreams.end(), [](const StreamPointer &stream) {
-        return !stream->isOpen();
-    });
-    if (static_cast<std::size_t>(handshakes) >= this->settings.maxHandshakes) {
+    if (!this->handshakes.makeRoom()) {
         ++this->counters.peerLinksRefused;
         return;
     }
+    const RemoteAddress remote = remoteAddressOf(socket.native_handle());
     Error ignored;
     const bool isIpv6 = socket.local_endpoint(ignored).address().is_v6();
     const auto self = std::make_shared<std::weak_ptr<FrameStream>>();
     const StreamPointer stream = makeFrameStream(this->settings, this->counters, this->io, socket.release(ignored), isIpv6, {}, this->hooksFor(nullptr, self));
     *self = stream;
     this->acceptedStreams.insert(stream);
+    this->handshakes.add(*stream, remote);
     stream->start();
 }
 
@@ -160,6 +169,7 @@
             return;
         }
         const StreamPointer stream = self->lock();
+        this->handshakes.remove(*stream);
         ++this->counters.peerLinksAccepted;
         const auto found = this->peers.find(stream->peer());
         if (found == this->peers.end()) {
@@ -189,6 +199,7 @@
 
 void PeerLinks::Core::onAcceptedClosed(const StreamPointer &stream, ResultCode)
 {
+    this->handshakes.remove(*stream);
     this->acceptedStreams.erase(stream);
     const auto found = this->peers.find(stream->peer());
     if (found != this->peers.end() && found->second->accepted == stream) {
@@ -298,6 +309,9 @@
         return;
     }
     if (error || !peer->socket.is_open()) {
+        if (error == net::error::no_descriptors) {
+            releaseDescriptor(this->settings.descriptors);
+        }
         this->dialLater(peer);
         return;
     }
@@ -441,6 +455,7 @@
 
 void PeerLinks::Core::shutDown()
 {
+    this->handshakes.stop();
     if (this->listener) {
         this->listener->close();
     }
@@ -497,6 +512,11 @@
     this->core->refusalHook = std::move(hook);
 }
 
+ConnectionSummary PeerLinks::handshakeSummary() const
+{
+    return this->core->handshakes.summary();
+}
+
 std::error_code PeerLinks::start()
 {
     Core &state = *this->core;
--- a/src/network/peer_link.h
+++ b/src/network/peer_link.h
@@ -5,6 +5,7 @@
 #include "core/clock_type.h"
 #include "core/names_type.h"
 #include "core/result_code.h"
+#include "network/connection_shortage.h"
 #include "network/network_counters.h"
 
 #include <cstddef>
@@ -21,6 +22,8 @@
 
 namespace Filbertlanding {
 
+class DescriptorPool;
+
 /** One configured peer. */
 struct PeerAddress {
     DaemonName name; ///< Name of the daemon.
@@ -38,12 +41,14 @@
     std::size_t maxQueuedBytes = std::size_t{16} * 1024 * 1024; ///< Bytes that wait to be sent on one link.
     std::size_t maxQueuedMessages = 4096; ///< Messages that wait to be sent on one link.
     std::size_t maxHandshakes = 512; ///< Accepted connections that have not completed the handshake; all hosts dial a new leader at the same moment.
+    DescriptorPool *descriptors = nullptr; ///< Descriptors that are shared with other users on the loop of the owner; null for none.
     Duration connectTimeout{2'000}; ///< Time to connect, and time to complete the handshake.
     Duration heartbeatInterval{1'000}; ///< A heartbeat is sent when nothing else was for this time.
     Duration silentTimeout{3'500}; ///< Time without a received byte after which a link is replaced.
     Duration backoffMin{100}; ///< Wait before the first new try to connect; doubles with each failure, with random variation.
     Duration backoffMax{3'000}; ///< Longest wait before a new try.
     bool acceptsUnlisted = false; ///< Also daemons that are no configured peers may open links, if they have the key; they get answers on them.
+    std::function<void(ShortageEvent)> onShortage = [](ShortageEvent) {}; ///< Told that handshakes or descriptors are short, on the link thread.
     boost::asio::io_context *loop = nullptr; ///< Event loop of the owner to run on instead of an own thread; all calls are then made on it.
 };
 
@@ -85,6 +90,9 @@
      */
     void setRefusalHook(std::function<void(const DaemonName &peer, ResultCode code)> hook);
 
+    /** Returns the connections in the handshake in brief; only on the link thread. */
+    ConnectionSummary handshakeSummary() const;
+
     /** Binds, listens and starts the thread. Returns BadAddress, ConflictingSettings or the error of the system. */
     std::error_code start();
 
--- a/tests/fleet_installation.cpp
+++ b/tests/fleet_installation.cpp
@@ -101,7 +101,10 @@
 
 void FleetInstallation::start(FleetProcess &daemon)
 {
-    const std::vector<std::string> arguments{fleetDaemonProgram(), "--settings", this->settingsPath(daemon).string()};
+    std::vector<std::string> arguments{fleetDaemonProgram(), "--settings", this->settingsPath(daemon).string()};
+    if (this->descriptorLimit > 0) {
+        arguments.insert(arguments.begin(), {"/bin/sh", "-c", R"(ulimit -n "$0" && exec "$@")", std::to_string(this->descriptorLimit)});
+    }
     daemon.process = std::make_unique<ChildProcess>(arguments, this->logPath(daemon));
 }
 
--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -65,6 +65,7 @@
 
     FleetProcess core;
     FleetProcess entry;
+    int descriptorLimit = 0; ///< Limit on the descriptors of daemons that are started from now on; 0 for that of this process.
 
 private:
     std::filesystem::path folder;
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -83,11 +84,32 @@
         return address;
     }
 
+    /** Connects to an endpoint. Returns whether that succeeded. */
+    bool connect(const sockaddr_in &endpoint) const
+    {
+        return ::connect(this->fd, reinterpret_cast<const sockaddr *>(&endpoint), sizeof(endpoint)) == 0;
+    }
+
+    /** Bounds the time of each connect, send and receive. */
+    void setTimeLimit(const timeval &limit) const
+    {
+        setsockopt(this->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        setsockopt(this->fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    }
+
     bool isOpen() const
     {
         return this->fd >= 0;
     }
 
+    /** Returns whether the other side has ended the connection and all that it sent has been read. */
+    bool hasEnded() const
+    {
+        char byte = 0;
+        const auto count = ::recv(this->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno != EAGAIN);
+    }
+
     bool sendAll(std::string_view bytes) const
     {
         while (!bytes.empty()) {
