Fix: a leader whose disk has failed goes on leading, and an entry is accepted that a single disk holds

Cause: after a failed write the driver carried out no action that needs the disk, but a leader's heartbeats need none. Until the process ended (up to 2 s in the fleet daemon) it went on leading and accepted nothing. Its Raft state counted its own disk towards the majority, and its next heartbeat passed on a commit index that relied on it. With one more voter away, a follower applied what only its own disk held; the next leader may lack that entry, and the follower keeps it for good: a change or a job that is there on one daemon and not on the others. Evidence: replication_driver_test, each write of the leader's disk fails. Before: no other leader in the 10 s of the test, the lease still in force, and with the third voter away a follower applied the command (3 checks red, 1 of 1 run). After: green in 5 of 5 runs. Change: once the disk has failed nothing is carried out any more, not even a send, and the lease counts as ended.

--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -67,6 +67,10 @@
     /** Carries out actions in their order: disk first, then messages, then the state machine. */
     void carryOut(RaftActions actions)
     {
+        if (this->diskFailed) {
+            // Raft counts this disk towards a majority: a heartbeat would pass on a commit index that relies on it.
+            return;
+        }
         this->shortenLease();
         const bool sendsFirst = this->mayOverlap(actions);
         if (sendsFirst) {
@@ -133,9 +137,6 @@
     /** Returns false when the disk has failed: nothing may be acknowledged from then on. */
     bool persist(const RaftActions &actions)
     {
-        if (this->diskFailed) {
-            return false;
-        }
         if (this->isCommitOnly(actions)) {
             return true;
         }
@@ -152,6 +153,7 @@
             return true;
         }
         this->diskFailed = true;
+        this->leaseEndMs = TimePoint().ms;
         this->hooks.failed(code);
         return false;
     }
--- a/tests/replication_driver_test.cpp
+++ b/tests/replication_driver_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <array>
@@ -105,9 +106,26 @@
         return condition(this->status(i));
     }
 
+    /** Lets each write of a replica fail from now on. */
+    void failDisk(std::size_t i) const
+    {
+        const std::string folder = (this->parent / nameOf(i)).string() + "/";
+        for (const auto &entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+            std::error_code error;
+            const std::string target = std::filesystem::read_symlink(entry.path(), error).string();
+            if (!error && target.starts_with(folder)) {
+                const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+                ::dup2(full, std::stoi(entry.path().filename().string()));
+                ::close(full);
+            }
+        }
+    }
+
     static constexpr std::size_t Size = 3;
     std::array<ReplicationDriver, Size> drivers;
     std::array<std::atomic<bool>, Size> isOwnerHeldUp{};
+    std::array<std::atomic<int>, Size> entriesApplied{}; ///< Commands that each replica has applied.
+    std::atomic<int> failures{0}; ///< Disks that have failed.
     std::atomic<int> offers{0}; ///< Offers of leadership that were sent.
     std::atomic<int> offersUnderLease{0}; ///< Those of them that were sent while the sender's lease was in force.
 
@@ -135,14 +153,20 @@
             this->drivers[static_cast<std::size_t>(to[0] - 'a')].receive(message);
         };
         hooks.install = [](const Snapshot &) {};
-        hooks.apply = [](const std::vector<LogEntry> &) {};
+        hooks.apply = [this, i](const std::vector<LogEntry> &entries) {
+            for (const LogEntry &entry : entries) {
+                this->entriesApplied[i] += entry.kind == EntryKind::Command ? 1 : 0;
+            }
+        };
         hooks.statusChanged = [this, i](ReplicationStatus status) {
             const std::lock_guard guard(this->mutex);
             this->statuses[i] = std::move(status);
         };
         hooks.snapshotWanted = [](std::uint64_t) {};
         hooks.synced = [](std::int64_t) {};
-        hooks.failed = [](ResultCode) {};
+        hooks.failed = [this](ResultCode) {
+            ++this->failures;
+        };
         REQUIRE(this->drivers[i].start(std::move(config), std::move(hooks)).code == ResultCode::Ok);
     }
 
@@ -320,3 +344,37 @@
         CHECK(trio.waitForStatus(old, hasSuccessor));
     }
 }
+
+TEST_CASE("A leader whose disk has failed leads no longer")
+{
+    DriverTrio trio(Duration{0});
+    const std::size_t old = trio.waitForLeader();
+    REQUIRE(old < DriverTrio::Size);
+    const std::size_t second = (old + 1) % DriverTrio::Size;
+    const std::size_t third = (old + 2) % DriverTrio::Size;
+    const auto propose = [&trio, old] {
+        trio.drivers[old].propose("command", [](const ProposedEntry &) {});
+    };
+
+    SUBCASE("and another one is elected")
+    {
+        // Guards against a leader that can accept nothing and sends heartbeats until its process ends.
+        trio.failDisk(old);
+        propose();
+        CHECK(trio.waitForLeader(old) < DriverTrio::Size);
+        CHECK(trio.failures == 1);
+        CHECK(trio.drivers[old].leaseEnd() == TimePoint());
+    }
+
+    SUBCASE("and counts towards no majority")
+    {
+        // Guards against an accepted entry that a single disk holds.
+        trio.drivers[third].stop();
+        trio.failDisk(old);
+        propose();
+        propose();
+        std::this_thread::sleep_for(std::chrono::milliseconds(2 * OwnerTimeout.ms));
+        CHECK(trio.failures == 1);
+        CHECK(trio.entriesApplied[second] == 0);
+    }
+}
