Fix: no connection is closed for another one before its bytes were looked at

A listener without descriptors closed the connection that it had accepted just before, with the request still unread in the socket: the kernel looks for a descriptor before it looks whether a connection waits, so an accept fails with EMFILE also when none does. And a call that arrived in one turn of the loop with a burst of half requests was refused, since nothing in the table had been read yet.

--- a/src/network/connection_table.cpp
+++ b/src/network/connection_table.cpp
@@ -13,6 +13,7 @@
 namespace {
 
     constexpr std::size_t MaxAddressesTried = 8; ///< Bounds the search for the address that has the most connections among those with one in a phase.
+    constexpr std::size_t MaxReceivingSkipped = 16; ///< Bounds the search for a receiving connection of which no bytes wait.
 
     std::size_t indexOf(ConnectionPhase phase)
     {
@@ -126,8 +127,12 @@
 
 TrackedConnection *ConnectionTable::leastValuable(ConnectionPhase phase)
 {
+    std::size_t skips = std::min(this->countOf(ConnectionPhase::Receiving), MaxReceivingSkipped);
     TrackedConnection *found = this->candidate(phase);
-    while (found != nullptr && phase != ConnectionPhase::Receiving && found->hasUnreadInput()) {
+    while (found != nullptr && found->hasUnreadInput()) {
+        if (phase == ConnectionPhase::Receiving && skips-- == 0) {
+            return nullptr;
+        }
         this->setPhase(*found, ConnectionPhase::Receiving);
         found = this->candidate(phase);
     }
@@ -147,16 +152,21 @@
 /** Returns the oldest connection of the address with the most connections. A receiving one speaks, so there only the time counts. */
 TrackedConnection *ConnectionTable::candidate(ConnectionPhase phase)
 {
-    if (phase != ConnectionPhase::Receiving) {
-        std::size_t tried = 0;
-        for (auto next = this->byCount.rbegin(); next != this->byCount.rend() && tried < MaxAddressesTried; ++next, ++tried) {
-            auto &list = next->second->phases[indexOf(phase)];
-            if (!list.empty()) {
-                return &list.front();
-            }
+    TrackedConnection *first = this->oldest(phase);
+    if (first == nullptr || phase == ConnectionPhase::Receiving) {
+        return first;
+    }
+    std::size_t tried = 0;
+    for (auto next = this->byCount.rbegin(); next != this->byCount.rend() && tried < MaxAddressesTried; ++next, ++tried) {
+        auto &list = next->second->phases[indexOf(phase)];
+        if (next->first == first->address->count) {
+            break;
+        }
+        if (!list.empty()) {
+            return &list.front();
         }
     }
-    return this->oldest(phase);
+    return first;
 }
 
 BusiestAddress ConnectionTable::busiestAddress() const
--- a/src/network/connection_table.h
+++ b/src/network/connection_table.h
@@ -97,7 +97,7 @@
 
     /**
      * Returns the silent, idle or receiving connection of a phase that is the first to be closed for a new one, or null if there is none. A connection
-     * whose bytes have arrived without having been read is not silent or idle any more and counts as receiving from now on.
+     * whose bytes have arrived without having been read is left out, and counts as one that receives since now.
      */
     TrackedConnection *leastValuable(ConnectionPhase phase);
 
--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -218,6 +218,7 @@
             return;
         }
         this->endWithError(ResultCode::QueueFull, resultCodeRow(ResultCode::QueueFull).httpStatus, "too many connections are open; the request was not run");
+        this->table.setPhase(*this, ConnectionPhase::Closing);
     }
 
     /** Tells the table what the connection does, unless it is about to close. */
--- a/src/network/listen_socket.cpp
+++ b/src/network/listen_socket.cpp
@@ -5,6 +5,8 @@
 #include "core/clock_func.h"
 #include "core/result_code.h"
 
+#include <poll.h>
+
 #include <limits>
 
 namespace Filbertlanding {
@@ -16,7 +18,6 @@
     using Error = boost::system::error_code;
 
     constexpr std::chrono::milliseconds AcceptRetryDelay{100}; ///< Wait after a failed accept.
-    constexpr std::size_t MaxAcceptsPerTurn = 256; ///< Leaves time for the other handlers of the loop.
 
     /** Binds and listens; stops at the first error. */
     void bindAndListen(Tcp::acceptor &acceptor, const Tcp::endpoint &endpoint, Error &error)
@@ -53,8 +54,9 @@
 
 } // namespace
 
-Listener::Listener(net::io_context &loop, ListenerHooks listenerHooks)
+Listener::Listener(net::io_context &loop, ListenerHooks listenerHooks, std::size_t maxPerTurn)
     : hooks(std::move(listenerHooks))
+    , acceptsPerTurn(maxPerTurn)
     , acceptor(loop)
     , retryTimer(loop)
 {
@@ -88,7 +90,7 @@
 
 void Listener::onReady()
 {
-    const bool hasFailed = this->isOpen() && !this->acceptUpTo(MaxAcceptsPerTurn);
+    const bool hasFailed = this->isOpen() && !this->acceptUpTo(this->acceptsPerTurn);
     if (!this->isOpen()) {
         this->hooks.closed();
         return;
@@ -117,6 +119,11 @@
             this->hooks.accepted(std::move(socket));
             continue;
         }
+        // The kernel looks for a descriptor first, so the error does not say that a connection waits.
+        if (isDescriptorShortage(error) && !this->hasWaiting()) {
+            this->failingSince.reset();
+            return true;
+        }
         const bool canRetry = isOfConnection(error) || (isDescriptorShortage(error) && this->hooks.makeRoom());
         if (!canRetry) {
             this->failingSince = this->failingSince.value_or(steadyNow());
@@ -126,6 +133,13 @@
     return true;
 }
 
+/** Returns whether a connection waits to be accepted. */
+bool Listener::hasWaiting()
+{
+    pollfd waiting{.fd = this->acceptor.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&waiting, 1, 0) > 0;
+}
+
 void Listener::retryLater()
 {
     this->retryTimer.expires_after(AcceptRetryDelay);
--- a/src/network/listen_socket.h
+++ b/src/network/listen_socket.h
@@ -17,6 +17,7 @@
 
 namespace Filbertlanding {
 
+constexpr std::size_t MaxAcceptsPerTurn = 256; ///< Leaves time for the other handlers of the loop.
 constexpr Duration MaxAcceptFailureTime{1'000}; ///< After this time of failed accepts a listener does not count as accepting.
 
 /** Hooks of a listener; called on its event loop. */
@@ -36,7 +37,8 @@
 class Listener
 {
 public:
-    Listener(boost::asio::io_context &loop, ListenerHooks listenerHooks);
+    /** @param maxPerTurn Connections that are accepted in one turn of the loop. */
+    Listener(boost::asio::io_context &loop, ListenerHooks listenerHooks, std::size_t maxPerTurn = MaxAcceptsPerTurn);
 
     /**
      * Opens, binds and listens.
@@ -65,9 +67,11 @@
     void waitForConnections();
     void onReady();
     bool acceptUpTo(std::size_t limit);
+    bool hasWaiting();
     void retryLater();
 
     ListenerHooks hooks;
+    std::size_t acceptsPerTurn;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer retryTimer;
     std::optional<TimePoint> failingSince; ///< Time of the first of the accepts that have failed in a row.
