Add: plays of fleet installations with several cores, under a steady load

The installation of the process tests had one core and one entry; who leads cannot be played with it. It takes a number of cores and entries now (one of each as before).

Two cases, both green on this code, stay as guards: callers are served while no core has its control port; another core leads while the event loop of the leader stands still (settings file replaced by a pipe without a writer).

--- a/tests/fleet_installation.cpp
+++ b/tests/fleet_installation.cpp
@@ -1,4 +1,4 @@
-/** @file fleet_installation.cpp One core and one entry of the fleet daemon as real processes. */
+/** @file fleet_installation.cpp Cores and entries of the fleet daemon as real processes. */
 
 #include "fleet_installation.h"
 
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -19,6 +20,9 @@
     namespace json = boost::json;
 
     constexpr Duration RequestTimeout{8'000};
+    constexpr Duration MetricsTimeout{500}; ///< A daemon whose event loop stands still gives no answer.
+    constexpr std::size_t MaxContacts = 3;
+    constexpr std::size_t AddressesPerPair = 10; ///< Distance between the addresses of two cores.
 
     std::string loopbackNetwork()
     {
@@ -26,13 +30,26 @@
         return "127." + std::to_string(10 + id % 240) + "." + std::to_string(id / 240 % 250) + ".";
     }
 
-    std::string endpoint(const FleetProcess &daemon, std::uint16_t port)
+    std::vector<FleetProcess> makeDaemons(const std::string &name, std::size_t count, std::size_t firstAddress, bool isCore)
     {
-        return daemon.address + ":" + std::to_string(port);
+        std::vector<FleetProcess> daemons;
+        for (std::size_t i = 0; i < count; ++i) {
+            FleetProcess daemon;
+            daemon.name = i == 0 ? name : name + "-" + std::to_string(i + 1);
+            daemon.address = loopbackNetwork() + std::to_string(firstAddress + AddressesPerPair * i);
+            daemon.isCore = isCore;
+            daemons.push_back(std::move(daemon));
+        }
+        return daemons;
     }
 
 } // namespace
 
+std::string endpointOf(const FleetProcess &daemon, std::uint16_t port)
+{
+    return daemon.address + ":" + std::to_string(port);
+}
+
 void writeText(const std::filesystem::path &path, std::string_view text)
 {
     std::ofstream file(path, std::ios::binary | std::ios::trunc);
@@ -44,28 +61,32 @@
     return FILBERTLANDING_PLATFORM;
 }
 
-FleetInstallation::FleetInstallation()
-    : client({.threads = 1, .maxConnectionsPerTarget = 256}, counters)
+FleetInstallation::FleetInstallation(FleetShape fleetShape)
+    : cores(makeDaemons("core", fleetShape.cores, 1, true))
+    , entries(makeDaemons("entry", fleetShape.entries, 2, false))
+    , core(this->cores.front())
+    , entry(this->entries.front())
+    , shape(fleetShape)
+    , client({.threads = 1, .maxConnectionsPerTarget = 256}, counters)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "filbertlanding-fleet-XXXXXX").string();
     if (::mkdtemp(pattern.data()) == nullptr) {
         throw std::runtime_error("no temporary folder");
     }
     this->folder = pattern;
-    this->core.name = "core";
-    this->core.address = loopbackNetwork() + "1";
-    this->core.isCore = true;
-    this->entry.name = "entry";
-    this->entry.address = loopbackNetwork() + "2";
-    std::filesystem::create_directories(this->folder / "core-data");
-    writeText(this->settingsPath(this->core), this->settingsText(this->core));
-    writeText(this->settingsPath(this->entry), this->settingsText(this->entry));
+    for (const FleetProcess *daemon : this->daemons()) {
+        if (daemon->isCore) {
+            std::filesystem::create_directories(this->folder / (daemon->name + "-data"));
+        }
+        writeText(this->settingsPath(*daemon), this->settingsText(*daemon));
+    }
 }
 
 FleetInstallation::~FleetInstallation()
 {
-    this->entry.process.reset();
-    this->core.process.reset();
+    for (FleetProcess *daemon : this->daemons()) {
+        daemon->process.reset();
+    }
     this->client.stop();
     if (std::getenv("FILBERTLANDING_KEEP_FILES") == nullptr) {
         std::error_code ignored;
@@ -85,17 +106,21 @@
 
 std::string FleetInstallation::settingsText(const FleetProcess &daemon) const
 {
-    json::object listen{{"readiness", endpoint(daemon, ReadinessPort)}, {"metrics", endpoint(daemon, MetricsPort)}};
-    listen[daemon.isCore ? "control" : "callers"] = endpoint(daemon, daemon.isCore ? ControlPort : CallerPort);
+    json::array contacts;
+    for (std::size_t i = 0; i < std::min(this->cores.size(), MaxContacts); ++i) {
+        contacts.emplace_back(endpointOf(this->cores[i], ControlPort));
+    }
+    json::object listen{{"readiness", endpointOf(daemon, ReadinessPort)}, {"metrics", endpointOf(daemon, MetricsPort)}};
+    listen[daemon.isCore ? "control" : "callers"] = endpointOf(daemon, daemon.isCore ? ControlPort : CallerPort);
     const json::object settings{{"daemon", daemon.name},
                                 {"address", daemon.address},
-                                {"dataFolder", daemon.isCore ? (this->folder / "core-data").string() : std::string()},
+                                {"dataFolder", daemon.isCore ? (this->folder / (daemon.name + "-data")).string() : std::string()},
                                 {"firstStart", true},
-                                {"contacts", {endpoint(this->core, ControlPort)}},
+                                {"contacts", contacts},
                                 {"listen", listen},
                                 {"peer", {{"port", PeerPort}, {"fromOwnAddress", true}, {"key", "key of the test"}}},
-                                {"tolerated", {{"hosts", 0}}},
-                                {"stopGraceMs", 2'500}};
+                                {"tolerated", {{"hosts", (this->cores.size() - 1) / 2}}},
+                                {"stopGraceMs", this->shape.stopGraceMs}};
     return json::serialize(settings);
 }
 
@@ -118,23 +143,68 @@
 
 bool FleetInstallation::startAll()
 {
-    this->start(this->core);
-    this->start(this->entry);
+    for (FleetProcess *daemon : this->daemons()) {
+        this->start(*daemon);
+    }
+    return this->areAllReady();
+}
+
+bool FleetInstallation::areAllReady()
+{
     return eventually([this] {
-        return this->isReady(this->core) && this->isReady(this->entry);
+        const std::vector<FleetProcess *> all = this->daemons();
+        return std::all_of(all.begin(), all.end(), [this](const FleetProcess *daemon) {
+            return this->isReady(*daemon);
+        });
     });
 }
 
-unsigned FleetInstallation::get(const FleetProcess &daemon, std::uint16_t port, const std::string &target)
+FleetProcess *FleetInstallation::leader()
+{
+    for (FleetProcess &daemon : this->cores) {
+        const HttpExchange metrics = this->exchange(daemon, MetricsPort, {"GET", "/metrics", {}, {}, {}}, {.timeout = MetricsTimeout, .freshConnection = true});
+        if (metrics.response.body.find("filbertlanding_is_leading 1") != std::string::npos) {
+            return &daemon;
+        }
+    }
+    return nullptr;
+}
+
+FleetProcess *FleetInstallation::awaitLeader()
+{
+    FleetProcess *found = nullptr;
+    eventually([&] {
+        found = this->leader();
+        return found != nullptr;
+    });
+    return found;
+}
+
+std::vector<FleetProcess *> FleetInstallation::daemons()
+{
+    std::vector<FleetProcess *> all;
+    for (std::vector<FleetProcess> *list : {&this->cores, &this->entries}) {
+        for (FleetProcess &daemon : *list) {
+            all.push_back(&daemon);
+        }
+    }
+    return all;
+}
+
+HttpExchange FleetInstallation::exchange(const FleetProcess &daemon, std::uint16_t port, HttpRequest request, HttpSendOptions options)
 {
     std::promise<HttpExchange> promise;
     auto answer = promise.get_future();
-    this->client.send(
-        {daemon.address, port}, {"GET", target, {}, {}, {}}, {.timeout = RequestTimeout, .freshConnection = true}, [&promise](HttpExchange exchange) {
-            promise.set_value(std::move(exchange));
-        });
-    const HttpExchange exchange = answer.get();
-    return exchange.code == ResultCode::Ok ? exchange.response.status : 0;
+    this->client.send({daemon.address, port}, std::move(request), options, [&promise](HttpExchange outcome) {
+        promise.set_value(std::move(outcome));
+    });
+    return answer.get();
+}
+
+unsigned FleetInstallation::get(const FleetProcess &daemon, std::uint16_t port, const std::string &target)
+{
+    const HttpExchange outcome = this->exchange(daemon, port, {"GET", target, {}, {}, {}}, {.timeout = RequestTimeout, .freshConnection = true});
+    return outcome.code == ResultCode::Ok ? outcome.response.status : 0;
 }
 
 std::function<int()> FleetInstallation::sendMany(const FleetProcess &daemon, std::uint16_t port, int count)
--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -1,11 +1,13 @@
-/** @file fleet_installation.h One core and one entry of the fleet daemon as real processes on loopback addresses of their own. */
+/** @file fleet_installation.h Cores and entries of the fleet daemon as real processes on loopback addresses of their own. */
 
 #pragma once
 
 #include "network/http_client.h"
 #include "process_cluster.h"
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Filbertlanding {
 
@@ -17,7 +19,14 @@
     std::unique_ptr<ChildProcess> process; ///< Null while it is down.
 };
 
-/** A core and an entry. The addresses are derived from the process id, so that concurrent runs use different ones. */
+/** How many daemons an installation of the test has. */
+struct FleetShape {
+    std::size_t cores = 1;
+    std::size_t entries = 1;
+    std::int64_t stopGraceMs = 2'500; ///< Time between the signal to stop and the end of a process.
+};
+
+/** Cores and entries. The addresses are derived from the process id, so that concurrent runs use different ones. */
 class FleetInstallation
 {
 public:
@@ -27,7 +36,7 @@
     static constexpr std::uint16_t ReadinessPort = 8'102;
     static constexpr std::uint16_t MetricsPort = 8'103;
 
-    FleetInstallation();
+    explicit FleetInstallation(FleetShape fleetShape = {});
     FleetInstallation(const FleetInstallation &) = delete;
     FleetInstallation &operator=(const FleetInstallation &) = delete;
     /** Ends all processes by their ids and removes the files. */
@@ -42,9 +51,24 @@
     /** Returns whether the readiness check of a daemon says 200. */
     bool isReady(const FleetProcess &daemon);
 
-    /** Starts both daemons and waits until they are ready. */
+    /** Starts all daemons and waits until they are ready. */
     bool startAll();
 
+    /** Waits until all daemons are ready. */
+    bool areAllReady();
+
+    /** Returns the core that says that it leads, or null. */
+    FleetProcess *leader();
+
+    /** Waits until a core says that it leads, and returns it; null if none does. */
+    FleetProcess *awaitLeader();
+
+    /** Returns the cores and the entries. */
+    std::vector<FleetProcess *> daemons();
+
+    /** Sends a request and waits for its outcome. */
+    HttpExchange exchange(const FleetProcess &daemon, std::uint16_t port, HttpRequest request, HttpSendOptions options);
+
     /** Sends a request and waits for the answer; the status is 0 if none came. */
     unsigned get(const FleetProcess &daemon, std::uint16_t port, const std::string &target);
 
@@ -63,15 +87,21 @@
     std::filesystem::path settingsPath(const FleetProcess &daemon) const;
     std::filesystem::path logPath(const FleetProcess &daemon) const;
 
-    FleetProcess core;
-    FleetProcess entry;
+    std::vector<FleetProcess> cores;
+    std::vector<FleetProcess> entries;
+    FleetProcess &core; ///< The first core.
+    FleetProcess &entry; ///< The first entry.
 
 private:
+    FleetShape shape;
     std::filesystem::path folder;
     NetworkCounters counters;
     HttpClient client;
 };
 
+/** Returns the IP address and port of a daemon as text. */
+std::string endpointOf(const FleetProcess &daemon, std::uint16_t port);
+
 /** Replaces the content of a file. */
 void writeText(const std::filesystem::path &path, std::string_view text);
 
--- /dev/null
+++ b/tests/fleet_leader_test.cpp
@@ -0,0 +1,149 @@
+/** @file fleet_leader_test.cpp Leadership of core daemons that cannot serve, as real processes. */
+
+#include "core/clock_func.h"
+#include "fleet_installation.h"
+#include "fleet_load.h"
+#include "raw_socket.h"
+
+#include <doctest/doctest.h>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+
+#include <csignal>
+
+using namespace Filbertlanding;
+
+namespace {
+
+constexpr Duration ServiceLimit{5'000}; ///< An election with its retries, and the takeover.
+constexpr Duration EndLimit{10'000}; ///< Far above the grace period.
+constexpr FleetShape ThreeCores{.cores = 3, .entries = 2, .stopGraceMs = 6'000};
+
+void sleepMs(int milliseconds)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+/** Listens on an address in place of a daemon; the socket is not open if that fails. */
+RawSocket listenOn(const FleetProcess &daemon, std::uint16_t port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int reuse = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    sockaddr_in endpoint = RawSocket::loopback(port);
+    ::inet_pton(AF_INET, daemon.address.c_str(), &endpoint.sin_addr);
+    if (::bind(descriptor, reinterpret_cast<sockaddr *>(&endpoint), sizeof(endpoint)) != 0 || ::listen(descriptor, 1) != 0) {
+        ::close(descriptor);
+        return RawSocket(-1);
+    }
+    return RawSocket(descriptor);
+}
+
+/** Returns the core after this one. */
+FleetProcess &nextCore(FleetInstallation &installation, const FleetProcess &core)
+{
+    const auto index = static_cast<std::size_t>(&core - installation.cores.data());
+    return installation.cores[(index + 1) % installation.cores.size()];
+}
+
+/** Returns how long it takes until a call has this status; the limit if it does not come. */
+std::int64_t msUntil(const std::function<unsigned()> &call, unsigned status, Duration limit)
+{
+    const TimePoint begin = steadyNow();
+    while (steadyNow() - begin < limit && call() != status) {
+        sleepMs(20);
+    }
+    return (steadyNow() - begin).ms;
+}
+
+/** Replaces the settings file by a pipe without a writer, so that the daemon's event loop blocks when it reads the file. */
+void blockEventLoop(const FleetInstallation &installation, FleetProcess &daemon)
+{
+    const std::filesystem::path path = installation.settingsPath(daemon);
+    std::filesystem::rename(path, path.string() + ".whole");
+    REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+    daemon.process->signal(SIGHUP);
+}
+
+/** Lets the event loop go on. */
+void unblockEventLoop(const FleetInstallation &installation, const FleetProcess &daemon)
+{
+    const std::filesystem::path path = installation.settingsPath(daemon);
+    const int pipe = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+    REQUIRE(pipe >= 0);
+    std::filesystem::rename(path.string() + ".whole", path);
+    ::close(pipe);
+}
+
+} // namespace
+
+// Guards against a ban in place of a preference: somebody has to lead.
+TEST_CASE("callers are served while no core has its control port")
+{
+    FleetInstallation installation(ThreeCores);
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    std::vector<RawSocket> holders;
+    for (FleetProcess &core : installation.cores) {
+        core.process.reset();
+        holders.push_back(listenOn(core, FleetInstallation::ControlPort));
+        REQUIRE(holders.back().isOpen());
+    }
+    for (FleetProcess &core : installation.cores) {
+        installation.start(core);
+    }
+    CHECK(msUntil(
+              [&] {
+                  return load.submitOnce(installation.entry);
+              },
+              200,
+              EndLimit)
+          < EndLimit.ms);
+    holders.clear();
+    CHECK(installation.areAllReady());
+    CHECK(msUntil(
+              [&] {
+                  return load.readOnce(installation.core);
+              },
+              200,
+              ServiceLimit)
+          < ServiceLimit.ms);
+}
+
+// Guards against a leader whose other threads keep the leadership while its event loop stands still.
+TEST_CASE("another core leads while the event loop of the leader stands still")
+{
+    FleetInstallation installation(ThreeCores);
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    constexpr int Rounds = 3;
+    for (int round = 0; round < Rounds; ++round) {
+        CAPTURE(round);
+        FleetProcess *leader = installation.awaitLeader();
+        REQUIRE(leader != nullptr);
+        blockEventLoop(installation, *leader);
+        sleepMs(300);
+        const auto read = [&] {
+            return load.readOnce(nextCore(installation, *leader));
+        };
+        const std::int64_t readMs = msUntil(read, 200, ServiceLimit);
+        CHECK(readMs < ServiceLimit.ms);
+        const auto submit = [&] {
+            return load.submitOnce(installation.entry);
+        };
+        const std::int64_t submitMs = msUntil(submit, 200, ServiceLimit);
+        CHECK(submitMs < ServiceLimit.ms);
+        MESSAGE("read after " << readMs << " ms, caller served after " << submitMs << " ms more");
+        unblockEventLoop(installation, *leader);
+        CHECK(eventually([&] {
+            return installation.isReady(*leader) && load.readOnce(*leader) == 200;
+        }));
+        FleetProcess *next = installation.awaitLeader();
+        CHECK(next != leader);
+        CHECK(installation.areAllReady());
+        sleepMs(500);
+    }
+}
