Fix: the cluster is led by a daemon whose control port is taken

Cause: FleetDaemon started replication before the control listener and told nobody whether it opened. Change: the control listener is opened before replication starts. FleetDaemon tells FleetCore ten times a second whether the required ports are open, FleetCore tells the replica (setServing), and a leader that cannot serve for 500 ms ends its leadership in order if another voter can (leader_handover): no new calls and orders, what is proposed is committed (for the shortest election timeout at most), the scheduler ends, then transferLeadership(). Somebody has to lead: without a successor it leads on, with leads_without_control in the log and in the metrics.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -91,6 +91,7 @@
     , settings(daemonSettings)
     , adapter(protocolAdapter)
     , client(clientSettings(loop), networkCounters)
+    , handoverTimer(loop)
     , tickTimer(loop)
     , times(loopTimes)
 {
@@ -173,7 +174,7 @@
 
 bool FleetCore::isLeading() const
 {
-    return this->scheduler.has_value() && !this->isStopping && steadyNow() < this->replication.leaseEnd();
+    return this->scheduler.has_value() && !this->isStopping && this->handover.stage == HandoverStage::None && steadyNow() < this->replication.leaseEnd();
 }
 
 void FleetCore::onApplied(const std::vector<LogEntry> &entries)
@@ -303,6 +304,9 @@
     if (this->scheduler && (this->status.role != RaftRole::Leader || this->status.term != this->scheduler->term)) {
         this->endLeadership("the term ended");
     }
+    if (this->status.role != RaftRole::Leader) {
+        this->handover = {};
+    }
     this->beginLeadershipIfReady();
 }
 
@@ -310,7 +314,7 @@
 {
     // Once the empty entry that starts the term is applied, all entries committed by earlier leaders are applied too.
     const bool isReady = this->status.role == RaftRole::Leader && this->appliedTerm == this->status.term;
-    if (this->scheduler || !isReady || this->isStopping) {
+    if (this->scheduler || !isReady || this->isStopping || this->handover.stage != HandoverStage::None) {
         return;
     }
     this->ordersInLastTerm = this->status.term == this->lastLeaderTerm ? this->ordersInLastTerm : 0;
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -8,6 +8,7 @@
 #include "fleet/fleet_scheduler_func.h"
 #include "fleet/held_tasks.h"
 #include "fleetd/fleet_message.h"
+#include "fleetd/leader_handover.h"
 #include "fleetd/loop_time.h"
 #include "fleetd/protocol_adapter.h"
 #include "network/http_client.h"
@@ -81,6 +82,12 @@
     /** Discards the scheduler's state after an error in it; a new scheduler starts from the replicated state. */
     void restartScheduler(std::string_view reason);
 
+    /**
+     * Tells whether workers and operators can reach this daemon. To be called regularly: a leader that cannot serve hands its leadership
+     * over if another voter can serve.
+     */
+    void setServing(bool canServe);
+
     /** Ends the leadership and stops replication. */
     void stop();
 
@@ -107,6 +114,11 @@
     void onStatus(ReplicationStatus next);
     void beginLeadershipIfReady();
     void endLeadership(std::string_view reason);
+    void leaveIfNotServing();
+    void beginHandover(std::string_view reason);
+    void continueHandover();
+    void transferLeadership();
+    void armHandoverTimer();
     void propose(FleetCommand command, std::function<void(bool)> done = {});
     void flush();
     void executeActions(SchedulerActions actions);
@@ -156,6 +168,11 @@
     std::uint64_t lastBatch = 0; ///< Number of the last proposal.
     std::deque<Batch> inFlight; ///< Proposed entries that are not applied yet, in log order.
     std::multimap<std::uint64_t, std::function<void()>> pendingReads; ///< Reads waiting for a log index to be applied.
+    LeaderHandover handover;
+    bool isServing = true; ///< Whether workers and operators can reach this daemon.
+    TimePoint servingChangedAt;
+    std::uint64_t loggedUnservedTerm = 0; ///< Last term whose log has a line that this daemon leads although it cannot serve.
+    boost::asio::steady_timer handoverTimer;
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
     LoopTimes &times;
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -124,6 +124,9 @@
     this->listeners.add({this->settings.listenReadiness, readiness, MaxCallerBodyBytes});
     this->listeners.add({this->settings.listenMetrics, metricsHandler, MaxCallerBodyBytes, false});
     this->armReload();
+    this->loadMonitor.sampled = [this] {
+        this->updateServing();
+    };
     this->loadMonitor.start();
 }
 
@@ -214,6 +217,17 @@
         addresses.push_back({address, address, static_cast<std::uint16_t>(this->settings.peerPort)});
     }
     this->peers->setPeers(std::move(addresses));
+    if (!this->isControlAdded) {
+        this->isControlAdded = true;
+        const auto control = [this](HttpRequest &&request, HttpRespond respond) {
+            this->core->handleControlRequest(request, std::move(respond));
+        };
+        this->listeners.add({this->settings.listenControl, control, MaxControlBodyBytes});
+    }
+    // Before replication starts, so that it knows whether this daemon can serve before it may become a candidate.
+    if (this->listeners.open()) {
+        return ResultCode::BadAddress;
+    }
     const ControlSignalBlock blockInThreads;
     const ResultCode code = this->core->start(*this->peers);
     if (code != ResultCode::Ok) {
@@ -223,10 +237,7 @@
         return mayPass && steadyNow() < *this->dataFolderDeadline ? ResultCode::Ok : code;
     }
     this->isCoreStarted = true;
-    const auto control = [this](HttpRequest &&request, HttpRespond respond) {
-        this->core->handleControlRequest(request, std::move(respond));
-    };
-    this->listeners.add({this->settings.listenControl, control, MaxControlBodyBytes});
+    this->updateServing();
     return ResultCode::Ok;
 }
 
@@ -351,6 +362,14 @@
     }
 }
 
+/** Tells the core whether this daemon could carry out the duties of a leader. */
+void FleetDaemon::updateServing()
+{
+    if (this->isCoreStarted) {
+        this->core->setServing(this->listeners.areRequiredOpen());
+    }
+}
+
 void FleetDaemon::beginStop()
 {
     if (this->isStopping) {
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -56,6 +56,7 @@
     void waitForSignal();
     void armReload();
     void reload();
+    void updateServing();
     void beginStop();
     void onCoreFailed(ResultCode code);
     void finishRun(ResultCode code);
@@ -76,6 +77,7 @@
     std::unique_ptr<PeerLinks> peers;
     ListenAttempts linkAttempts;
     DaemonListeners listeners;
+    bool isControlAdded = false; ///< Whether the listeners have the one for workers and operators.
     bool isCoreStarted = false;
     std::optional<TimePoint> dataFolderDeadline; ///< Time until which a data folder that cannot be opened is tried again.
     bool areLinksOpen = false; ///< Whether the port for peer links is open.
--- a/src/fleetd/fleet_metrics.cpp
+++ b/src/fleetd/fleet_metrics.cpp
@@ -39,6 +39,7 @@
     appendMetric(text, "filbertlanding_runs_crashed_total", this->counters.runsCrashed);
     appendMetric(text, "filbertlanding_jobs_given_up_total", this->counters.jobsGivenUp);
     appendMetric(text, "filbertlanding_is_leading", this->isLeading() ? 1 : 0);
+    appendMetric(text, "filbertlanding_leads_without_control", this->isLeading() && !this->isServing ? 1 : 0);
     appendMetric(text, "filbertlanding_term", this->status.term);
     appendMetric(text, "filbertlanding_jobs_open", this->scheduler ? this->scheduler->jobs.size() : 0);
     appendMetric(text, "filbertlanding_jobs_held", this->scheduler ? this->waitingSteps.heldJobs : 0);
--- a/src/fleetd/fleet_orders.cpp
+++ b/src/fleetd/fleet_orders.cpp
@@ -58,7 +58,7 @@
 
 void FleetCore::handleOrderResponse(const WorkerOrder &order, const OrderResponse &response)
 {
-    if (!this->scheduler || this->scheduler->term != order.term) {
+    if (!this->scheduler || this->scheduler->term != order.term || this->handover.stage != HandoverStage::None) {
         return;
     }
     if (response.outcome != OrderOutcome::Done) {
@@ -85,7 +85,7 @@
     if (!this->scheduler) {
         return;
     }
-    if (!this->isStopping) {
+    if (!this->isStopping && this->handover.stage == HandoverStage::None) {
         const LoopTimer timer(this->times, LoopPart::SchedulerTick);
         this->executeActions(schedulerTick(*this->scheduler, this->state, steadyNow(), wallNow(), this->replication.leaseEnd()));
         if (this->scheduler) {
--- /dev/null
+++ b/src/fleetd/leader_handover.cpp
@@ -0,0 +1,99 @@
+/** @file leader_handover.cpp Hand-over of the leadership by a core daemon that cannot serve. */
+
+#include "fleetd/leader_handover.h"
+
+#include "core/clock_func.h"
+#include "fleetd/fleet_core.h"
+#include "runtime/log_func.h"
+
+#include <algorithm>
+
+namespace Filbertlanding {
+
+namespace {
+
+    constexpr std::chrono::milliseconds CheckInterval{10};
+    constexpr Duration NotServingTime{500}; ///< A leader that cannot serve for this time gives up its leadership; a new leader first hears who else can.
+
+} // namespace
+
+void FleetCore::setServing(bool canServe)
+{
+    if (canServe != this->isServing) {
+        this->isServing = canServe;
+        this->servingChangedAt = steadyNow();
+        logLine(LogArea::Replication, canServe ? LogLevel::Info : LogLevel::Warn, "serving_changed", {{"serving", canServe}, {"term", this->status.term}});
+        this->replication.setServing(canServe);
+    }
+    this->leaveIfNotServing();
+}
+
+void FleetCore::leaveIfNotServing()
+{
+    const TimePoint due = std::max(this->servingChangedAt, this->status.leaderSince) + NotServingTime;
+    if (this->isServing || !this->scheduler || this->handover.stage != HandoverStage::None || steadyNow() < due) {
+        return;
+    }
+    if (this->status.hasSuccessor) {
+        this->beginHandover("its listeners take no connections");
+    } else if (this->loggedUnservedTerm != this->status.term) {
+        this->loggedUnservedTerm = this->status.term;
+        logLine(LogArea::Replication, LogLevel::Warn, "leads_without_control", {{"term", this->status.term}, {"reason", "no other voter can serve"}});
+    }
+}
+
+void FleetCore::beginHandover(std::string_view reason)
+{
+    this->handover = {HandoverStage::Finishing, std::string(reason), steadyNow() + Duration{this->settings.electionTimeoutMinMs}};
+    logLine(LogArea::Replication,
+            LogLevel::Info,
+            "handover_begins",
+            {{"term", this->status.term}, {"reason", reason}, {"openProposals", this->inFlight.size()}, {"waitingCommands", this->outbox.size()}});
+    this->flush();
+    this->continueHandover();
+    this->armHandoverTimer();
+}
+
+void FleetCore::continueHandover()
+{
+    const bool isDue = steadyNow() >= this->handover.deadline;
+    if (this->handover.stage == HandoverStage::Finishing && (isDue || (this->outbox.empty() && this->inFlight.empty()))) {
+        this->transferLeadership();
+    } else if (this->handover.stage == HandoverStage::Transferring && isDue) {
+        // Replication steps down before; this daemon is still the leader only if it has become the only voter.
+        this->handover = {};
+        this->beginLeadershipIfReady();
+    }
+}
+
+/** Ends the scheduler first, so that nothing is done under the lease that the transfer renounces. */
+void FleetCore::transferLeadership()
+{
+    this->handover.stage = HandoverStage::Transferring;
+    this->handover.deadline = steadyNow() + Duration{this->settings.electionTimeoutMaxMs};
+    const std::size_t openProposals = this->inFlight.size();
+    if (this->scheduler) {
+        this->endLeadership(this->handover.reason);
+    }
+    this->replication.transferLeadership();
+    logLine(LogArea::Replication,
+            LogLevel::Info,
+            "leadership_handed_over",
+            {{"term", this->status.term}, {"reason", this->handover.reason}, {"openProposals", openProposals}});
+}
+
+void FleetCore::armHandoverTimer()
+{
+    this->handoverTimer.expires_after(CheckInterval);
+    this->handoverTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        this->continueHandover();
+        if (this->handover.stage != HandoverStage::None) {
+            this->armHandoverTimer();
+        }
+    });
+}
+
+} // namespace Filbertlanding
--- a/src/fleetd/load_monitor.cpp
+++ b/src/fleetd/load_monitor.cpp
@@ -57,6 +57,9 @@
         }
         this->nextLine = now + LineInterval;
     }
+    if (this->sampled) {
+        this->sampled();
+    }
     this->armTimer();
 }
 
--- a/src/fleetd/load_monitor.h
+++ b/src/fleetd/load_monitor.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace Filbertlanding {
@@ -30,6 +31,8 @@
     /** Returns the times of the parts of the daemon's work, to be added to by their timers. */
     LoopTimes &loopTimes();
 
+    std::function<void()> sampled; ///< Called on the event loop with each measurement, ten times a second.
+
     /** Appends the metrics in Prometheus text format. */
     void appendMetrics(std::string &text) const;
 
--- a/tests/fleet_leader_test.cpp
+++ b/tests/fleet_leader_test.cpp
@@ -40,6 +40,17 @@
     return RawSocket(descriptor);
 }
 
+/** Returns the core that is neither of two others. */
+FleetProcess &otherCore(FleetInstallation &installation, const FleetProcess &first, const FleetProcess &second)
+{
+    for (FleetProcess &core : installation.cores) {
+        if (&core != &first && &core != &second) {
+            return core;
+        }
+    }
+    throw std::logic_error("there are only two cores");
+}
+
 /** Returns the core after this one. */
 FleetProcess &nextCore(FleetInstallation &installation, const FleetProcess &core)
 {
@@ -78,6 +89,49 @@
 
 } // namespace
 
+// Guards against a cluster that is led by a daemon whose control port another program has.
+TEST_CASE("the configuration can be read when a core without its control port is there and the leader ends")
+{
+    FleetInstallation installation(ThreeCores);
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    constexpr int Rounds = 6;
+    for (int round = 0; round < Rounds; ++round) {
+        CAPTURE(round);
+        FleetProcess *leader = installation.awaitLeader();
+        REQUIRE(leader != nullptr);
+        FleetProcess &withoutPort = nextCore(installation, *leader);
+        FleetProcess &sound = otherCore(installation, *leader, withoutPort);
+        withoutPort.process.reset();
+        {
+            const RawSocket holder = listenOn(withoutPort, FleetInstallation::ControlPort);
+            REQUIRE(holder.isOpen());
+            const int found = installation.countEvents(withoutPort, "role_changed");
+            installation.start(withoutPort);
+            REQUIRE(eventually([&] {
+                return installation.countEvents(withoutPort, "role_changed") > found;
+            }));
+            sleepMs(500);
+            leader->process.reset();
+            const auto read = [&] {
+                return load.readOnce(sound);
+            };
+            CHECK(msUntil(read, 200, ServiceLimit) < ServiceLimit.ms);
+            CHECK(msUntil(
+                      [&] {
+                          return load.submitOnce(installation.entry);
+                      },
+                      200,
+                      ServiceLimit)
+                  < ServiceLimit.ms);
+        }
+        installation.start(*leader);
+        REQUIRE(installation.areAllReady());
+        sleepMs(500);
+    }
+}
+
 // Guards against a ban in place of a preference: somebody has to lead.
 TEST_CASE("callers are served while no core has its control port")
 {
@@ -101,6 +155,29 @@
               200,
               EndLimit)
           < EndLimit.ms);
+    FleetProcess *leader = installation.awaitLeader();
+    REQUIRE(leader != nullptr);
+    CHECK(eventually([&] {
+        return installation.countEvents(*leader, "leads_without_control") > 0;
+    }));
+    // The leadership moves to a core that gets its port, although the leader's is still taken.
+    FleetProcess &next = nextCore(installation, *leader);
+    holders[static_cast<std::size_t>(&next - installation.cores.data())].close();
+    CHECK(msUntil(
+              [&] {
+                  return load.readOnce(next);
+              },
+              200,
+              ServiceLimit)
+          < ServiceLimit.ms);
+    CHECK(installation.awaitLeader() == &next);
+    CHECK(msUntil(
+              [&] {
+                  return load.submitOnce(installation.entry);
+              },
+              200,
+              ServiceLimit)
+          < ServiceLimit.ms);
     holders.clear();
     CHECK(installation.areAllReady());
     CHECK(msUntil(
--- a/tests/fleet_load.cpp
+++ b/tests/fleet_load.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json.hpp>
 
+#include <array>
 #include <future>
 #include <iomanip>
 #include <sstream>
@@ -15,6 +16,7 @@
 namespace {
 
     constexpr Duration CallTimeout{3'000};
+    constexpr Duration ControlTimeout{1'000};
     constexpr std::chrono::milliseconds CallerInterval{8};
     constexpr std::chrono::milliseconds ReadInterval{20};
     constexpr std::chrono::milliseconds ChangeInterval{70};
@@ -33,8 +35,28 @@
         return exchange.code == ResultCode::Ok ? exchange.response.status : 0;
     }
 
+    constexpr std::array CallCountMembers{
+        &CallCounts::answered, &CallCounts::refused, &CallCounts::unknown, &CallCounts::cut, &CallCounts::unreachable, &CallCounts::lost, &CallCounts::stale};
+
 } // namespace
 
+CallCounts &operator+=(CallCounts &counts, const CallCounts &more)
+{
+    for (const auto member : CallCountMembers) {
+        counts.*member += more.*member;
+    }
+    return counts;
+}
+
+CallCounts operator-(const CallCounts &now, const CallCounts &before)
+{
+    CallCounts difference = now;
+    for (const auto member : CallCountMembers) {
+        difference.*member -= before.*member;
+    }
+    return difference;
+}
+
 FleetLoad::FleetLoad(FleetInstallation &fleetInstallation)
     : installation(fleetInstallation)
     , client({.threads = 1, .maxConnectionsPerTarget = 64, .connectTimeout = {500}}, counters)
@@ -173,7 +195,7 @@
 {
     std::promise<HttpExchange> promise;
     auto answer = promise.get_future();
-    sendToLeader(this->client, endpointOf(core, FleetInstallation::ControlPort), std::move(request), CallTimeout, [&promise](const HttpExchange &exchange) {
+    sendToLeader(this->client, endpointOf(core, FleetInstallation::ControlPort), std::move(request), ControlTimeout, [&promise](const HttpExchange &exchange) {
         promise.set_value(exchange);
     });
     return answer.get();
--- a/tests/fleet_load.h
+++ b/tests/fleet_load.h
@@ -25,6 +25,12 @@
     int stale = 0; ///< A read older than a change that was acknowledged before it.
 };
 
+/** Adds the counts of other calls. */
+CallCounts &operator+=(CallCounts &counts, const CallCounts &more);
+
+/** Returns the counts of the calls since an earlier moment. */
+CallCounts operator-(const CallCounts &now, const CallCounts &before);
+
 /** Threads that call an installation until stop(). */
 class FleetLoad
 {
