--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -5,6 +5,7 @@
 #include "core/clock_func.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
+#include "runtime/owner_watch.h"
 #include "storage/data_folder.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -53,6 +54,9 @@
     bool syncsCommitIndex = true;
     HardState syncedVote; ///< Hard state that was last synced.
     std::atomic<std::int64_t> leaseEndMs{0}; ///< End of the leader's lease, for other threads.
+    std::atomic<std::uint64_t> ownerConfirmations{0};
+    OwnerWatch ownerWatch;
+    bool isOwnerSilent = false;
     bool isTransferring = false; ///< A transfer of leadership was under way after the last actions.
     RaftState raft;
     std::uint64_t lastToken = 0;
@@ -63,6 +67,10 @@
     /** Carries out actions in their order: disk first, then messages, then the state machine. */
     void carryOut(RaftActions actions)
     {
+        if (this->diskFailed) {
+            // Raft counts this disk towards a majority: a heartbeat would pass on a commit index that relies on it.
+            return;
+        }
         this->shortenLease();
         const bool sendsFirst = this->mayOverlap(actions);
         if (sendsFirst) {
@@ -129,9 +137,6 @@
     /** Returns false when the disk has failed: nothing may be acknowledged from then on. */
     bool persist(const RaftActions &actions)
     {
-        if (this->diskFailed) {
-            return false;
-        }
         if (this->isCommitOnly(actions)) {
             return true;
         }
@@ -148,6 +153,7 @@
             return true;
         }
         this->diskFailed = true;
+        this->leaseEndMs = TimePoint().ms;
         this->hooks.failed(code);
         return false;
     }
@@ -175,9 +181,10 @@
         status.membership = currentMembership(this->raft);
         status.self = this->raft.settings.self;
         status.hasSuccessor = hasSuccessor(this->raft, steadyNow());
+        status.isOwnerSilent = this->isOwnerSilent;
         const bool changed = status.role != this->reported.role || status.term != this->reported.term || status.leader != this->reported.leader
             || status.commitIndex != this->reported.commitIndex || status.membership != this->reported.membership
-            || status.hasSuccessor != this->reported.hasSuccessor;
+            || status.hasSuccessor != this->reported.hasSuccessor || status.isOwnerSilent != this->reported.isOwnerSilent;
         if (!changed) {
             return;
         }
@@ -211,6 +218,21 @@
         this->isTransferring = isUnderWay;
     }
 
+    /** Gives up the leadership while the owner's event loop doesn't run: its duties are not carried out, and only the others can take them over. */
+    void watchOwner()
+    {
+        const bool isSilent = checkOwner(this->ownerWatch, this->ownerConfirmations, steadyNow());
+        if (isSilent == this->isOwnerSilent) {
+            return;
+        }
+        this->isOwnerSilent = isSilent;
+        logLine(LogArea::Replication,
+                isSilent ? LogLevel::Warn : LogLevel::Info,
+                isSilent ? "owner_silent" : "owner_returned",
+                {{"role", roleName(this->raft.role)}, {"term", this->raft.term}, {"timeoutMs", this->ownerWatch.timeout.ms}});
+        this->carryOut(raftSetElectable(this->raft, !isSilent, steadyNow()));
+    }
+
     /** Handles a message, and logs what an offer of leadership led to. */
     void receive(const RaftMessage &message)
     {
@@ -226,6 +248,7 @@
 
     void tick()
     {
+        this->watchOwner();
         this->carryOut(raftTick(this->raft, steadyNow()));
         this->askForSnapshot();
         this->timer.expires_after(TickInterval);
@@ -283,6 +306,7 @@
         return result;
     }
     state.raft = std::move(started.state);
+    state.ownerWatch = startOwnerWatch(config.ownerTimeout, steadyNow());
     asio::post(state.context, [&state] {
         state.tick();
     });
@@ -353,4 +377,9 @@
     });
 }
 
+void ReplicationDriver::confirmOwnerAlive()
+{
+    ++this->core->ownerConfirmations;
+}
+
 } // namespace Filbertlanding
