--- a/src/fleetd/load_monitor.cpp
+++ b/src/fleetd/load_monitor.cpp
@@ -58,6 +58,9 @@
         }
         this->nextLine = now + LineInterval;
     }
+    if (this->sampled) {
+        this->sampled();
+    }
     this->armTimer();
 }
 
