Add: faults of the soak that leave daemons out of reach, and planned stops of the leader

The soak had no fault of this class: a port was taken for a second at most, and no descriptors ran out. New connections to each port are tried five times a second: while a majority of the cores is undisturbed for 5 s (3 s of contact and 2 s until a change is in force), a read of the configuration must be answered, and a daemon that is undisturbed must answer at its ports. In runs of planned stops only, each 503, each 504 and each call that is cut is a violation.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -140,7 +140,14 @@
     request.headers.push_back({"Content-Type", "application/json"});
     request.headers.push_back({"X-Deadline-Ms", std::to_string(timeout.ms)});
     const std::string &entry = this->entries[this->random.below(this->entries.size())];
-    this->client.send(soakAddressOf(entry), std::move(request), {.timeout = timeout}, std::move(done));
+    const TimePoint sentAt = steadyNow();
+    this->client.send(soakAddressOf(entry), std::move(request), {.timeout = timeout}, [this, sentAt, timeout, done = std::move(done)](HttpExchange exchange) {
+        const bool isAnswered = exchange.code == ResultCode::Ok;
+        if (isAnswered || (exchange.bytesSent && steadyNow() - sentAt < timeout)) {
+            this->checks.onCallEnded(sentAt, isAnswered ? exchange.response.status : 0);
+        }
+        done(std::move(exchange));
+    });
 }
 
 void SoakCallers::sendToControl(HttpRequest request, HttpDone done)
@@ -221,7 +228,7 @@
 void SoakCallers::armCrashingJobs()
 {
     constexpr std::uint64_t Percent = 100;
-    if (!this->settings.hasFaults || this->crashRandom.below(Percent) >= CrashingRunPercent) {
+    if (!this->settings.hasFaults || this->settings.hasReachFaults || this->crashRandom.below(Percent) >= CrashingRunPercent) {
         return;
     }
     const std::uint64_t count = 1 + this->crashRandom.below(MaxCrashingJobs);
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -245,6 +245,13 @@
     }
 }
 
+void SoakChecks::onCallEnded(TimePoint sentAt, unsigned status) const
+{
+    if (this->onCallAnswered) {
+        this->onCallAnswered(sentAt, status);
+    }
+}
+
 void SoakChecks::checkAllJobsEnded()
 {
     for (const auto &[id, job] : this->jobs) {
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -5,6 +5,7 @@
 #include "fakes/model_worker.h"
 #include "soak/soak_type.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -60,11 +61,16 @@
     /** An operator has read the manifest. */
     void onManifestRead(std::uint64_t version, TimePoint sentAt);
 
+    /** A call that was sent ended with a status, or with 0 if its connection ended without an answer. */
+    void onCallEnded(TimePoint sentAt, unsigned status) const;
+
     /** Reports each accepted job that has not ended at the end of the run. */
     void checkAllJobsEnded();
 
     void addViolation(const std::string &text);
 
+    std::function<void(TimePoint, unsigned)> onCallAnswered; ///< Told about each answer to a caller or operator: when it was sent, and its status or 0.
+
     std::map<JobId, SoakJob> jobs;
     std::vector<std::string> violations;
     std::uint64_t starts = 0;
--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -84,6 +84,7 @@
     const SoakDaemon &daemon = this->daemons.daemons[entry];
     if (exchange.code == ResultCode::Ok) {
         ++this->answered;
+        this->checks.onCallEnded(sentAt, exchange.response.status);
         if (exchange.response.status == 404) {
             this->checks.addViolation("a confirmed route is not served: " + path + " at " + daemon.name);
         }
@@ -93,6 +94,9 @@
         return;
     }
     const Duration waited = steadyNow() - sentAt;
+    if (waited < Timeout) {
+        this->checks.onCallEnded(sentAt, 0);
+    }
     if (this->mayBeLost(daemon, sentAt, waited)) {
         ++this->excused;
         return;
--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -243,6 +243,13 @@
     limited.process->limit(RLIMIT_FSIZE, limit);
 }
 
+void SoakDaemons::setDescriptorLimit(std::size_t daemon, rlim_t limit)
+{
+    if (this->daemons[daemon].process != nullptr) {
+        this->daemons[daemon].process->limit(RLIMIT_NOFILE, {limit, limit});
+    }
+}
+
 bool SoakDaemons::areCoresHealthy(Duration time) const
 {
     return std::all_of(this->daemons.begin(), this->daemons.end(), [time](const SoakDaemon &daemon) {
@@ -253,9 +260,17 @@
 std::string SoakDaemons::addressOf(std::size_t daemon, SoakPort port) const
 {
     const SoakDaemon &found = this->daemons[daemon];
-    const std::uint16_t requestPort = found.hasDisk ? ControlPort : CallerPort;
-    const std::uint16_t otherPort = port == SoakPort::Metrics ? MetricsPort : PeerPort + 1;
-    return endpoint(found.address, port == SoakPort::Requests ? requestPort : otherPort);
+    switch (port) {
+    case SoakPort::Metrics:
+        return endpoint(found.address, MetricsPort);
+    case SoakPort::Peer:
+        return endpoint(found.address, PeerPort + 1);
+    case SoakPort::Readiness:
+        return endpoint(found.address, ReadinessPort);
+    case SoakPort::Requests:
+        break;
+    }
+    return endpoint(found.address, found.hasDisk ? ControlPort : CallerPort);
 }
 
 std::vector<std::string> SoakDaemons::callerAddresses() const
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -19,6 +19,7 @@
     std::string zone;
     bool hasDisk = false;
     bool isSuspended = false; ///< By SIGSTOP.
+    bool isPortTaken = false; ///< Another program has the port for requests.
     std::unique_ptr<ChildProcess> process; ///< Null while the daemon is down.
     std::optional<TimePoint> upSince;
     std::vector<std::size_t> contacts; ///< Numbers of the core daemons in its settings file.
@@ -38,6 +39,7 @@
 enum class SoakPort : std::uint8_t {
     Metrics,
     Peer,
+    Readiness,
     Requests, ///< Of callers at an entry, of operators and workers at a core.
 };
 
@@ -91,6 +93,9 @@
     /** Sets or removes a file size limit of 0 for a daemon, which makes writes fail as on a full disk. */
     void setFileSizeLimited(std::size_t daemon, bool isLimited);
 
+    /** Sets the limit of open descriptors of a daemon that is running. */
+    void setDescriptorLimit(std::size_t daemon, rlim_t limit);
+
     /** Returns whether all cores have been running undisturbed for at least a given time. */
     bool areCoresHealthy(Duration time) const;
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -11,6 +11,8 @@
 #include "soak/soak_odd_reports.h"
 #include "soak/soak_operators.h"
 #include "soak/soak_process_faults.h"
+#include "soak/soak_reach.h"
+#include "soak/soak_reach_faults.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio.hpp>
@@ -53,6 +55,8 @@
         , processFaults(this->io, this->settings, this->daemons)
         , operators(this->io, this->settings, this->manifests, this->checks)
         , connections(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
+        , reach(this->io, this->daemons, this->checks)
+        , reachFaults(this->io, this->settings, this->daemons, this->reach)
         , pollTimer(this->io)
         , phaseTimer(this->io)
     {
@@ -76,11 +80,16 @@
 private:
     void startFaults()
     {
-        if (this->settings.hasFaults) {
+        if (this->settings.hasReachFaults) {
+            this->reach.start();
+            this->reachFaults.start();
+        } else if (this->settings.hasFaults) {
             this->faults.start();
+            this->processFaults.start();
+        }
+        if (this->settings.hasFaults) {
             this->capacityChanges.start();
             this->oddReports.start(this->daemons.controlAddresses());
-            this->processFaults.start();
             this->operators.start(this->daemons.controlAddresses());
             this->connections.start();
         }
@@ -88,6 +97,8 @@
         this->phaseTimer.async_wait([this](const boost::system::error_code &) {
             this->processFaults.stop();
             this->faults.revertAll();
+            this->reachFaults.stop();
+            this->reach.stop();
             this->capacityChanges.stop();
             this->oddReports.stop();
             this->operators.stop();
@@ -140,6 +151,21 @@
                   << " requests lost by faults, accepted within " << (times.empty() ? 0 : times[times.size() / 2]) << " ms (half), "
                   << (times.empty() ? 0 : times[times.size() * 99 / 100]) << " ms (99 of 100), " << this->checks.violations.size() << " violations"
                   << std::endl;
+        if (this->settings.hasReachFaults) {
+            this->printReach();
+        }
+    }
+
+    void printReach() const
+    {
+        int faultCount = 0;
+        for (const auto &[fault, count] : this->reachFaults.injected) {
+            faultCount += count;
+        }
+        const SoakStopCosts &costs = this->reach.costs;
+        std::cout << "seed " << this->settings.seed << ": " << faultCount << " reach faults, " << this->reach.reads << " reads, longest time without one "
+                  << this->reach.longestUnread.ms << " ms, " << costs.stops << " planned stops of the leader with " << costs.unavailable << " answers 503 and "
+                  << costs.timedOut << " answers 504, " << costs.cut << " calls cut, " << costs.cutEarly << " more at once" << std::endl;
     }
 
     SoakSettings settings;
@@ -157,6 +183,8 @@
     SoakProcessFaults processFaults;
     SoakOperators operators;
     SoakConnections connections;
+    SoakReach reach;
+    SoakReachFaults reachFaults;
     boost::asio::steady_timer pollTimer;
     boost::asio::steady_timer phaseTimer;
     std::optional<TimePoint> settleDeadline;
@@ -184,6 +212,8 @@
     app.add_option("--folder", folder, "folder for settings, data and logs; a temporary folder by default");
     app.add_flag("--calm", isFaultFree, "run without faults");
     app.add_flag("--worker-crashes", settings.hasOnlyWorkerCrashes, "crash workers at short intervals, and inject no other faults");
+    app.add_flag(
+        "--reach-faults", settings.hasReachFaults, "leave daemons running but out of reach, stop the leader as planned, and inject no other faults in them");
     app.add_flag("--verbose", settings.isVerbose, "print each injected fault");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
--- a/tests/soak/soak_type.h
+++ b/tests/soak/soak_type.h
@@ -21,6 +21,7 @@
     double jobsPerSecond = 3;
     bool hasFaults = true;
     bool hasOnlyWorkerCrashes = false; ///< All faults are crashes of workers, at shorter intervals.
+    bool hasReachFaults = false; ///< All faults of daemons leave them running but out of reach, or are planned stops of the leader.
     bool isVerbose = false; ///< Prints each fault as it is injected.
     std::string program; ///< Path of the fleet daemon.
     std::filesystem::path folder; ///< Settings, data folders and logs of the daemons.
