--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -19,7 +19,6 @@
     namespace asio = boost::asio;
     namespace json = boost::json;
 
-    constexpr std::string_view QueuePrefix = "/jobs/";
     constexpr int SubmitAttempts = 5;
     constexpr int CancelAttempts = 8;
     constexpr int ManifestAttempts = 12;
@@ -89,6 +88,7 @@
     , client(soakClientSettings(loop), counters)
     , random{soakSettings.seed ^ 0xca11ULL}
     , crashRandom{soakSettings.seed ^ 0xf00dULL}
+    , queueRandom{soakSettings.seed ^ 0x9e0eULL}
     , submitTimer(loop)
     , statusPollTimer(loop)
     , operatorTimer(loop)
@@ -97,6 +97,9 @@
 
 void SoakCallers::start()
 {
+    if (this->settings.hasMovingQueue) {
+        this->manifests.addMovingQueue();
+    }
     this->putManifest(this->manifests.next(1), ManifestAttempts);
     this->armSubmit();
     this->armStatusPoll();
@@ -193,6 +196,9 @@
 {
     const JobId id = formatJobId(this->random.next());
     this->checks.jobs[id].spec = this->makeRandomJob();
+    if (this->settings.hasMovingQueue && this->queueRandom.below(2) == 0) {
+        this->checks.jobs[id].queue = SoakManifests::MovingQueue;
+    }
     this->submit(id, SubmitAttempts);
 }
 
@@ -228,7 +234,7 @@
 void SoakCallers::armCrashingJobs()
 {
     constexpr std::uint64_t Percent = 100;
-    if (!this->settings.hasFaults || this->settings.hasReachFaults || this->crashRandom.below(Percent) >= CrashingRunPercent) {
+    if (!this->settings.hasFaults || this->settings.hasReachFaults || this->settings.hasSilentLinks || this->crashRandom.below(Percent) >= CrashingRunPercent) {
         return;
     }
     const std::uint64_t count = 1 + this->crashRandom.below(MaxCrashingJobs);
@@ -251,7 +257,7 @@
     }
     const json::object body{{"spec", job.spec.payload}, {"steps", std::move(steps)}};
     const TimePoint sentAt = steadyNow();
-    HttpRequest request{"POST", std::string(QueuePrefix) + id, {}, json::serialize(body), {}};
+    HttpRequest request{"POST", job.queue + id, {}, json::serialize(body), {}};
     this->sendToEntry(std::move(request), CallTimeout, [this, id, attemptsLeft, mayBeAcceptedBefore, sentAt](const HttpExchange &exchange) {
         SoakJob &later = this->checks.jobs.at(id);
         const unsigned status = exchange.code == ResultCode::Ok ? exchange.response.status : 0;
@@ -284,7 +290,7 @@
 void SoakCallers::queryState(const JobId &id)
 {
     const TimePoint sentAt = steadyNow();
-    this->sendToEntry({"GET", std::string(QueuePrefix) + id, {}, {}, {}}, CallTimeout, [this, id, sentAt](const HttpExchange &exchange) {
+    this->sendToEntry({"GET", this->checks.jobs.at(id).queue + id, {}, {}, {}}, CallTimeout, [this, id, sentAt](const HttpExchange &exchange) {
         if (exchange.code != ResultCode::Ok) {
             return;
         }
@@ -308,7 +314,7 @@
         return;
     }
     job.cancelSentAt = job.cancelSentAt.value_or(steadyNow());
-    this->sendToEntry({"DELETE", std::string(QueuePrefix) + id, {}, {}, {}}, CallTimeout, [this, id, attemptsLeft](const HttpExchange &exchange) {
+    this->sendToEntry({"DELETE", job.queue + id, {}, {}, {}}, CallTimeout, [this, id, attemptsLeft](const HttpExchange &exchange) {
         const unsigned status = exchange.code == ResultCode::Ok ? exchange.response.status : 0;
         if (status == 200 || status == 410) {
             SoakJob &later = this->checks.jobs.at(id);
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -71,6 +71,7 @@
     HttpClient client;
     Random random;
     Random crashRandom; ///< For jobs that crash their workers, so that the other jobs of a seed stay the same.
+    Random queueRandom; ///< For the queues of jobs.
     boost::asio::steady_timer submitTimer;
     boost::asio::steady_timer statusPollTimer;
     boost::asio::steady_timer operatorTimer;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -13,20 +13,21 @@
 
 namespace {
 
-    /** Returns what all runs of a worker reserve. */
-    Resources reservedOn(const ModelWorker &worker)
-    {
-        Resources reserved;
-        for (const auto &[name, run] : worker.running) {
-            Resources request = run.task.request;
-            request.cpuMillis = run.task.usesSpareCapacity ? 0 : request.cpuMillis;
-            reserved = reserved + request;
-        }
-        return reserved;
-    }
+    constexpr Duration RestartTime{6'000}; ///< Time in which a task of a long-running job may wait after its run has ended.
 
 } // namespace
 
+Resources reservedOn(const ModelWorker &worker)
+{
+    Resources reserved;
+    for (const auto &[name, run] : worker.running) {
+        Resources request = run.task.request;
+        request.cpuMillis = run.task.usesSpareCapacity ? 0 : request.cpuMillis;
+        reserved = reserved + request;
+    }
+    return reserved;
+}
+
 std::string formatTaskName(const TaskName &task)
 {
     return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." + std::to_string(task.index);
@@ -122,6 +123,7 @@
 {
     ObservedTask &observed = this->tasks[task];
     observed.runningOn.erase(worker);
+    observed.endedAt = steadyNow();
     if (end == RunOutcome::Done) {
         observed.doneRuns.emplace(run, false);
         ++this->doneEnds;
@@ -173,7 +175,7 @@
 void SoakChecks::onWorkerExited(const WorkerName &worker)
 {
     for (auto &[task, observed] : this->tasks) {
-        observed.runningOn.erase(worker);
+        observed.endedAt = observed.runningOn.erase(worker) == 0 ? observed.endedAt : steadyNow();
     }
 }
 
@@ -234,6 +236,46 @@
     this->acknowledgedManifests.emplace(version, at);
 }
 
+std::uint64_t SoakChecks::newestAcknowledgedBefore(TimePoint time) const
+{
+    const auto found = std::find_if(this->acknowledgedManifests.rbegin(), this->acknowledgedManifests.rend(), [time](const auto &item) {
+        return item.second < time;
+    });
+    return found == this->acknowledgedManifests.rend() ? 0 : found->first;
+}
+
+std::vector<TaskName> SoakChecks::waitingTasks(const JobId &id) const
+{
+    const JobSpec &spec = this->jobs.at(id).spec;
+    std::vector<TaskName> waiting;
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        const auto &dependsOn = spec.steps[step].dependsOn;
+        const bool canRun = std::all_of(dependsOn.begin(), dependsOn.end(), [this, &id](std::uint32_t earlier) {
+            return this->isStepDone({id, 0, earlier, 0}, earlier);
+        });
+        std::optional<TaskName> first;
+        for (std::uint32_t index = 0; canRun && index < spec.steps[step].taskCount; ++index) {
+            const TaskName task{id, 0, step, index};
+            const auto found = this->tasks.find(task);
+            const bool isRunning = found != this->tasks.end() && !found->second.runningOn.empty();
+            const bool isDone = found != this->tasks.end() && !found->second.doneRuns.empty();
+            if (spec.steps[step].isLongRunning) {
+                if (!isRunning && (found == this->tasks.end() || steadyNow() - found->second.endedAt > RestartTime)) {
+                    waiting.push_back(task);
+                }
+            } else if (isRunning) {
+                return {};
+            } else if (!isDone && !first) {
+                first = task;
+            }
+        }
+        if (first) {
+            waiting.push_back(*first);
+        }
+    }
+    return waiting;
+}
+
 void SoakChecks::onManifestRead(std::uint64_t version, TimePoint sentAt)
 {
     for (const auto &[acknowledged, at] : this->acknowledgedManifests) {
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -15,6 +15,7 @@
 /** What callers know about a job. */
 struct SoakJob {
     JobSpec spec;
+    std::string queue = "/jobs/"; ///< Path prefix of its queue.
     std::optional<Duration> crashesAfter; ///< Run time after which the first task of the last step crashes its worker.
     bool isAccepted = false; ///< A submission was acknowledged.
     bool mayBeAccepted = false; ///< A submission had no response, or one that leaves the outcome unknown.
@@ -64,6 +65,15 @@
     /** A call that was sent ended with a status, or with 0 if its connection ended without an answer. */
     void onCallEnded(TimePoint sentAt, unsigned status) const;
 
+    /** Returns the highest version acknowledged before a time; 0 if none was. */
+    std::uint64_t newestAcknowledgedBefore(TimePoint time) const;
+
+    /**
+     * Returns the tasks that could start and keep their job waiting: one of each step that can run if nothing of the job runs, or each task of a
+     * long-running job that does not run and whose last run ended some seconds ago.
+     */
+    std::vector<TaskName> waitingTasks(const JobId &id) const;
+
     /** Reports each accepted job that has not ended at the end of the run. */
     void checkAllJobsEnded();
 
@@ -84,6 +94,7 @@
     struct ObservedTask {
         std::map<WorkerName, std::uint32_t> runningOn;
         std::map<std::uint32_t, bool> doneRuns; ///< Runs that completed successfully, and whether the task was started again afterwards.
+        TimePoint endedAt; ///< End of the last run.
         std::uint32_t crashes = 0; ///< Workers that the task has crashed.
         std::uint32_t startsAfterCrashes = 0; ///< Starts after the limit of crashes was reached.
         bool isDoneRecorded = false; ///< The end of such a run was recorded in the log, so that the worker may discard it.
@@ -97,6 +108,9 @@
     std::map<TaskName, ObservedTask, TaskNameOrder> tasks;
 };
 
+/** Returns what all runs of a worker reserve. */
+Resources reservedOn(const ModelWorker &worker);
+
 /** Returns the textual form of a task name. */
 std::string formatTaskName(const TaskName &task);
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -13,6 +13,9 @@
 #include "soak/soak_process_faults.h"
 #include "soak/soak_reach.h"
 #include "soak/soak_reach_faults.h"
+#include "soak/soak_services.h"
+#include "soak/soak_silences.h"
+#include "soak/soak_starvation.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio.hpp>
@@ -57,6 +60,9 @@
         , connections(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
         , reach(this->io, this->daemons, this->checks)
         , reachFaults(this->io, this->settings, this->daemons, this->reach)
+        , services(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
+        , silences(this->io, this->settings, this->daemons, this->workers, this->relay)
+        , starvation(this->io, this->daemons, this->workers, this->manifests, this->checks)
         , pollTimer(this->io)
         , phaseTimer(this->io)
     {
@@ -64,6 +70,9 @@
 
     bool run()
     {
+        this->workers.onStarted = [this](const ServiceName &service, const TaskName &task) {
+            this->services.onStarted(service, task);
+        };
         this->daemons.startAll();
         this->workers.start(this->daemons.controlAddresses());
         this->callers.start();
@@ -80,9 +89,15 @@
 private:
     void startFaults()
     {
+        if (this->settings.hasMovingQueue) {
+            this->services.start();
+        }
         if (this->settings.hasReachFaults) {
             this->reach.start();
             this->reachFaults.start();
+        } else if (this->settings.hasSilentLinks) {
+            this->reach.start();
+            this->startSilences();
         } else if (this->settings.hasFaults) {
             this->faults.start();
             this->processFaults.start();
@@ -99,10 +114,33 @@
             this->faults.revertAll();
             this->reachFaults.stop();
             this->reach.stop();
+            this->silences.stop();
             this->capacityChanges.stop();
             this->oddReports.stop();
             this->operators.stop();
             this->connections.stop();
+            this->startCalmPhase();
+        });
+    }
+
+    void startSilences()
+    {
+        this->silences.onInjected = [this] {
+            this->reach.onLinksDisturbed();
+            this->starvation.onDisturbance();
+        };
+        this->starvation.start();
+        this->silences.start();
+    }
+
+    void startCalmPhase()
+    {
+        if (!this->settings.hasSilentLinks) {
+            this->starvation.start();
+        }
+        this->phaseTimer.expires_after(std::chrono::milliseconds(this->settings.calmTime.ms));
+        this->phaseTimer.async_wait([this](const boost::system::error_code &) {
+            this->services.stop();
             this->callers.stopSubmitting();
             this->settleDeadline = steadyNow() + this->settings.settleTime;
         });
@@ -151,7 +189,9 @@
                   << " requests lost by faults, accepted within " << (times.empty() ? 0 : times[times.size() / 2]) << " ms (half), "
                   << (times.empty() ? 0 : times[times.size() * 99 / 100]) << " ms (99 of 100), " << this->checks.violations.size() << " violations"
                   << std::endl;
-        if (this->settings.hasReachFaults) {
+        std::cout << "seed " << this->settings.seed << ": longest wait with room in calm phases " << this->starvation.longestWait.ms << " ms, "
+                  << this->services.moves << " changes of a service with " << this->services.checkedStarts << " starts checked" << std::endl;
+        if (this->settings.hasReachFaults || this->settings.hasSilentLinks) {
             this->printReach();
         }
     }
@@ -163,9 +203,10 @@
             faultCount += count;
         }
         const SoakStopCosts &costs = this->reach.costs;
-        std::cout << "seed " << this->settings.seed << ": " << faultCount << " reach faults, " << this->reach.reads << " reads, longest time without one "
-                  << this->reach.longestUnread.ms << " ms, " << costs.stops << " planned stops of the leader with " << costs.unavailable << " answers 503 and "
-                  << costs.timedOut << " answers 504, " << costs.cut << " calls cut, " << costs.cutEarly << " more at once" << std::endl;
+        std::cout << "seed " << this->settings.seed << ": " << faultCount << " reach faults, " << this->silences.injected << " silences, " << this->reach.reads
+                  << " reads, longest time without one " << this->reach.longestUnread.ms << " ms, " << costs.stops << " planned stops of the leader with "
+                  << costs.unavailable << " answers 503 and " << costs.timedOut << " answers 504, " << costs.cut << " calls cut, " << costs.cutEarly
+                  << " more at once" << std::endl;
     }
 
     SoakSettings settings;
@@ -185,6 +226,9 @@
     SoakConnections connections;
     SoakReach reach;
     SoakReachFaults reachFaults;
+    SoakServices services;
+    SoakSilences silences;
+    SoakStarvation starvation;
     boost::asio::steady_timer pollTimer;
     boost::asio::steady_timer phaseTimer;
     std::optional<TimePoint> settleDeadline;
@@ -197,6 +241,7 @@
     SoakSettings settings;
     settings.program = FILBERTLANDING_PLATFORM;
     std::int64_t seconds = settings.faultTime.ms / 1000;
+    std::int64_t calmSeconds = 0;
     int runs = 1;
     bool isFaultFree = false;
     std::string folder;
@@ -214,10 +259,14 @@
     app.add_flag("--worker-crashes", settings.hasOnlyWorkerCrashes, "crash workers at short intervals, and inject no other faults");
     app.add_flag(
         "--reach-faults", settings.hasReachFaults, "leave daemons running but out of reach, stop the leader as planned, and inject no other faults in them");
+    app.add_option("--calm-seconds", calmSeconds, "duration of the calm phase after the faults in seconds");
+    app.add_flag("--moving-queue", settings.hasMovingQueue, "add a queue whose route changes its service, and workers of both services");
+    app.add_flag("--silent-links", settings.hasSilentLinks, "let open connections go silent in series, and inject no other faults in daemons");
     app.add_flag("--verbose", settings.isVerbose, "print each injected fault");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     settings.faultTime = {seconds * 1000};
+    settings.calmTime = {calmSeconds * 1000};
     settings.hasFaults = !isFaultFree;
     const std::filesystem::path base = folder.empty() ? std::filesystem::temp_directory_path() : std::filesystem::path(folder);
     bool hasPassed = true;
--- a/tests/soak/soak_manifests.cpp
+++ b/tests/soak/soak_manifests.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace Filbertlanding {
 
 namespace {
@@ -12,7 +14,7 @@
 
     constexpr std::size_t MaxRoutes = 40;
 
-    json::object writeRoute(const std::string &pathPrefix, std::uint64_t version)
+    json::object writeRoute(const std::string &pathPrefix, std::uint64_t version, std::string_view service)
     {
         const std::string name = pathPrefix.substr(1, pathPrefix.size() - 2);
         return {{"name", name},
@@ -22,13 +24,48 @@
                 {"timeoutMs", 3000 + version},
                 {"targetLatencyMs", 250},
                 {"priority", 0},
-                {"service", "quote-desk"},
+                {"service", service},
                 {"maxAttempts", 3},
                 {"stretch", 2.0}};
     }
 
+    json::object writeService(std::string_view name)
+    {
+        return {{"name", name}, {"admissionCheck", true}, {"standby", false}};
+    }
+
 } // namespace
 
+void SoakManifests::addMovingQueue()
+{
+    this->hasMovingQueue = true;
+    this->routes.push_back({std::string(MovingQueue), 0, {}});
+}
+
+void SoakManifests::moveRoute()
+{
+    this->moves.push_back(this->lastVersion + 1);
+}
+
+std::string_view SoakManifests::serviceOf(std::string_view queue, std::uint64_t version) const
+{
+    const auto moved = std::count_if(this->moves.begin(), this->moves.end(), [version](std::uint64_t first) {
+        return first <= version;
+    });
+    return queue == MovingQueue && moved % 2 == 1 ? OtherService : MainService;
+}
+
+std::set<std::string> SoakManifests::servicesOf(std::string_view queue, std::uint64_t oldestVersion) const
+{
+    std::set<std::string> services{std::string(this->serviceOf(queue, oldestVersion))};
+    for (const std::uint64_t first : this->moves) {
+        if (first > oldestVersion && first <= this->lastVersion) {
+            services.emplace(this->serviceOf(queue, first));
+        }
+    }
+    return services;
+}
+
 std::uint64_t SoakManifests::next(std::uint64_t step)
 {
     this->lastVersion += step;
@@ -47,11 +84,14 @@
     json::array written;
     for (const Route &route : this->routes) {
         if (route.addedBy <= version) {
-            written.push_back(writeRoute(route.pathPrefix, version));
+            written.push_back(writeRoute(route.pathPrefix, version, this->serviceOf(route.pathPrefix, version)));
         }
     }
-    const json::object service{{"name", "quote-desk"}, {"admissionCheck", true}, {"standby", false}};
-    return json::serialize(json::object{{"version", version}, {"routes", std::move(written)}, {"services", json::array{service}}, {"limits", json::object()}});
+    json::array services{writeService(MainService)};
+    if (this->hasMovingQueue) {
+        services.push_back(writeService(OtherService));
+    }
+    return json::serialize(json::object{{"version", version}, {"routes", std::move(written)}, {"services", std::move(services)}, {"limits", json::object()}});
 }
 
 std::string SoakManifests::invalidDocument(std::uint64_t version, ManifestFault fault)
--- a/tests/soak/soak_manifests.h
+++ b/tests/soak/soak_manifests.h
@@ -32,6 +32,19 @@
 {
 public:
     static constexpr std::string_view QueueHost = "quotes.example";
+    static constexpr std::string_view MainQueue = "/jobs/";
+    static constexpr std::string_view MovingQueue = "/moving/"; ///< Its route changes its service.
+    static constexpr std::string_view MainService = "quote-desk";
+    static constexpr std::string_view OtherService = "survey-desk";
+
+    /** Adds the queue whose route changes its service, and that service, to all versions. */
+    void addMovingQueue();
+
+    /** Changes the service of that route from the next version on. */
+    void moveRoute();
+
+    /** Returns the services to which the manifests from a version on send a queue. */
+    std::set<std::string> servicesOf(std::string_view queue, std::uint64_t oldestVersion) const;
 
     /** Returns a version that is higher than all others by the given step. */
     std::uint64_t next(std::uint64_t step);
@@ -60,8 +73,12 @@
         std::optional<TimePoint> confirmedAt;
     };
 
+    std::string_view serviceOf(std::string_view queue, std::uint64_t version) const;
+
     std::uint64_t lastVersion = 0;
-    std::vector<Route> routes{{"/jobs/", 0, {}}};
+    std::vector<std::uint64_t> moves; ///< First version after each change of the moving route.
+    bool hasMovingQueue = false;
+    std::vector<Route> routes{{std::string(MainQueue), 0, {}}};
     std::set<std::uint64_t> invalidVersions;
 };
 
--- a/tests/soak/soak_reach.cpp
+++ b/tests/soak/soak_reach.cpp
@@ -62,6 +62,11 @@
     this->disturbedAt = steadyNow();
 }
 
+void SoakReach::onLinksDisturbed()
+{
+    this->linksDisturbedAt = steadyNow();
+}
+
 void SoakReach::arm()
 {
     this->timer.expires_after(CallInterval);
@@ -137,7 +142,7 @@
         cores += daemon.hasDisk ? 1 : 0;
         undisturbed += daemon.hasDisk && this->isUndisturbed(daemon) ? 1 : 0;
     }
-    const Duration unread = steadyNow() - this->lastRead;
+    const Duration unread = steadyNow() - std::max(this->lastRead, this->linksDisturbedAt);
     if (undisturbed * 2 <= cores || unread <= ReachLimit || std::exchange(this->isUnreadReported, true)) {
         return;
     }
--- a/tests/soak/soak_reach.h
+++ b/tests/soak/soak_reach.h
@@ -48,6 +48,9 @@
     /** A fault that may cost callers something began or ended now. */
     void onDisturbance();
 
+    /** Connections between daemons were disturbed now. */
+    void onLinksDisturbed();
+
     SoakStopCosts costs;
     std::uint64_t reads = 0; ///< Reads of the configuration that were answered.
     Duration longestUnread; ///< Longest time without such a read.
@@ -81,6 +84,7 @@
     TimePoint lastRead;
     TimePoint plannedStopAt;
     TimePoint disturbedAt;
+    TimePoint linksDisturbedAt;
     bool isUnreadReported = false;
     bool hasStopped = false;
 };
--- a/tests/soak/soak_relay.cpp
+++ b/tests/soak/soak_relay.cpp
@@ -211,10 +211,10 @@
     });
 }
 
-void SoakRelay::blackhole(const std::string &address)
+void SoakRelay::blackhole(const std::string &address, std::uint16_t port)
 {
-    this->impl->forEach([&address](RelayedConnection &connection) {
-        connection.isBlackholed = connection.isBlackholed || connection.involves(address);
+    this->impl->forEach([&address, port](RelayedConnection &connection) {
+        connection.isBlackholed = connection.isBlackholed || connection.matches(address, port);
     });
 }
 
--- a/tests/soak/soak_relay.h
+++ b/tests/soak/soak_relay.h
@@ -35,8 +35,8 @@
     /** Closes all connections to a port of an address, or with port 0 all connections from or to the address. */
     void resetConnections(const std::string &address, std::uint16_t port = 0);
 
-    /** Stops forwarding on the open connections from or to an address without closing them; new connections work. */
-    void blackhole(const std::string &address);
+    /** Stops forwarding on open connections, chosen as for resetConnections(), without closing them; new connections work. */
+    void blackhole(const std::string &address, std::uint16_t port = 0);
 
 private:
     struct Impl;
--- a/tests/soak/soak_type.h
+++ b/tests/soak/soak_type.h
@@ -14,6 +14,7 @@
 struct SoakSettings {
     std::uint64_t seed = 1;
     Duration faultTime{20'000}; ///< Time during which faults are injected.
+    Duration calmTime{0}; ///< Time without faults in which callers go on.
     Duration settleTime{45'000}; ///< Maximum time after the faults until all accepted jobs have ended.
     int cores = 3; ///< Number of daemons with a data folder.
     int entries = 2; ///< Number of daemons that relay callers' requests.
@@ -22,6 +23,8 @@
     bool hasFaults = true;
     bool hasOnlyWorkerCrashes = false; ///< All faults are crashes of workers, at shorter intervals.
     bool hasReachFaults = false; ///< All faults of daemons leave them running but out of reach, or are planned stops of the leader.
+    bool hasMovingQueue = false; ///< A second queue, whose route changes its service; every second worker is of the second service.
+    bool hasSilentLinks = false; ///< All faults are open connections that go silent.
     bool isVerbose = false; ///< Prints each fault as it is injected.
     std::string program; ///< Path of the fleet daemon.
     std::filesystem::path folder; ///< Settings, data folders and logs of the daemons.
--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -5,6 +5,7 @@
 #include "core/clock_func.h"
 #include "core/name_table.h"
 #include "soak/soak_client.h"
+#include "soak/soak_manifests.h"
 
 #include <boost/json.hpp>
 
@@ -168,6 +169,22 @@
     return this->slots.size();
 }
 
+std::vector<SoakRoom> SoakWorkers::rooms() const
+{
+    constexpr std::int64_t Percent = 100;
+    std::vector<SoakRoom> rooms;
+    for (const WorkerSlot &slot : this->slots) {
+        if (slot.worker == nullptr) {
+            continue;
+        }
+        Resources capacity = slot.worker->profile.capacity;
+        capacity.cpuMillis = capacity.cpuMillis * slot.reportedCapacity.percent / Percent;
+        capacity.memoryMb = capacity.memoryMb * slot.reportedCapacity.percent / Percent;
+        rooms.push_back({slot.worker->profile.service, capacity, capacity - reservedOn(*slot.worker)});
+    }
+    return rooms;
+}
+
 WorkerProfile SoakWorkers::profileOf(std::size_t index) const
 {
     WorkerProfile profile;
@@ -176,7 +193,7 @@
     profile.startedAtMs = wallNow().ms;
     profile.address = this->address + ":" + std::to_string(this->slots[index].port);
     profile.availabilityZone = "z" + std::to_string(index % 3);
-    profile.service = "quote-desk";
+    profile.service = this->settings.hasMovingQueue && index % 2 == 1 ? SoakManifests::OtherService : SoakManifests::MainService;
     profile.capacity = {32'000, 125'000, 0};
     profile.rack = "r" + std::to_string(index / 4);
     return profile;
@@ -192,6 +209,7 @@
         this->checks.onStarted(name, task, run, started.payload, started.isDelayedOrder);
         if (!started.isDelayedOrder) {
             this->checks.checkCapacity(*started.worker, started.reportedCapacity, task);
+            this->onStarted(started.worker->profile.service, task);
         }
         started.mayCrash = started.mayCrash || this->checks.crashDelayOf(task).has_value();
     };
@@ -230,6 +248,7 @@
 {
     WorkerSlot &slot = this->slots[worker];
     if (slot.worker != nullptr) {
+        this->lastExitAt = steadyNow();
         this->checks.onWorkerExited(slot.worker->profile.worker);
         slot.worker.reset();
         slot.server->stop();
@@ -292,6 +311,11 @@
     this->relay.resetConnections(this->address, static_cast<std::uint16_t>(this->slots[worker].port + PortDistance));
 }
 
+void SoakWorkers::silenceConnections(std::size_t worker)
+{
+    this->relay.blackhole(this->address, static_cast<std::uint16_t>(this->slots[worker].port + PortDistance));
+}
+
 void SoakWorkers::setHanging(std::size_t worker, bool isHanging)
 {
     if (this->slots[worker].worker != nullptr) {
--- a/tests/soak/soak_workers.h
+++ b/tests/soak/soak_workers.h
@@ -18,6 +18,13 @@
 
 namespace Filbertlanding {
 
+/** Capacity that a worker has reported, and what of it is free. */
+struct SoakRoom {
+    ServiceName service;
+    Resources capacity;
+    Resources free;
+};
+
 /** Simulates all workers. They share one address and use two ports each: the worker's own port and the relay port in front of it. */
 class SoakWorkers
 {
@@ -42,6 +49,9 @@
     /** Resets all connections to a worker. */
     void resetConnections(std::size_t worker);
 
+    /** Lets the open connections to a worker go silent without closing them; new ones work. */
+    void silenceConnections(std::size_t worker);
+
     /** Makes the tasks of a worker hang, or lets them continue. */
     void setHanging(std::size_t worker, bool isHanging);
 
@@ -50,6 +60,12 @@
 
     std::size_t count() const;
 
+    /** Returns the capacities of all workers that run. */
+    std::vector<SoakRoom> rooms() const;
+
+    std::function<void(const ServiceName &, const TaskName &)> onStarted; ///< Told about each start on an order that was not delayed.
+    TimePoint lastExitAt; ///< Last end of a worker process.
+
     /** Returns the body of a status report of a worker. */
     boost::json::object reportBody(std::size_t index) const;
 
