Fix: the only voter, whose owner has stopped, keeps the leadership after others have joined

Found by thinking through who may take over: raftSetElectable looked at the membership only when the owner stopped or returned. Evidence: raft_fitness_test, "leads on as the only voter, until another one has joined": before, no other leader within 10 s of the join (red); now another one leads. Change: the leader's tick checks it. It waits until the addition is accepted, since the new voter may not know of it before.

--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -89,7 +89,7 @@
 
 void leaderTick(RaftState &state, RaftActions &actions, TimePoint now)
 {
-    if (!hasRecentQuorum(state, now)) {
+    if (!hasRecentQuorum(state, now) || !mayLead(state)) {
         becomeFollower(state, actions, state.term, now);
         return;
     }
--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -53,8 +53,8 @@
 RaftActions raftSetServing(RaftState &state, bool isServing, TimePoint now);
 
 /**
- * Tells whether this replica may lead. One that may not steps down, unless it is the only voter, and stands for no election; its lease stays
- * in force for the others, since an action under it may be under way.
+ * Tells whether this replica may lead. One that may not steps down, unless it is the only voter (or until a change of the membership is accepted), and stands
+ * for no election; its lease stays in force for the others, since an action under it may be under way.
  */
 RaftActions raftSetElectable(RaftState &state, bool isElectable, TimePoint now);
 
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -93,6 +93,8 @@
 /** Checks the sender of an answer and notes that it follows; returns its progress, or nothing for a refused answer. */
 RaftProgress *noteAnswer(RaftState &state, RaftActions &actions, const RaftMessage &message, std::uint64_t round, TimePoint now);
 
+/** Returns whether this replica may be the leader: it is electable, or nobody else could take over. */
+bool mayLead(const RaftState &state);
 /** Ends a transfer of leadership that is under way if a successor has the whole log, or if it has taken too long. */
 void continueTransfer(RaftState &state, RaftActions &actions, TimePoint now);
 /** Sends NotServing to the leader, once in a while, if this voter should not be its successor. */
--- a/src/replication/raft_transfer.cpp
+++ b/src/replication/raft_transfer.cpp
@@ -72,6 +72,13 @@
 
 } // namespace
 
+bool mayLead(const RaftState &state)
+{
+    // A voter whose addition is not accepted yet may not know that it is one.
+    const bool isChanging = state.memberships.back().index > state.commitIndex;
+    return state.isElectable || isChanging || !hasOtherVoter(state);
+}
+
 RaftActions raftSetServing(RaftState &state, bool isServing, TimePoint now)
 {
     RaftActions actions;
@@ -95,8 +102,8 @@
     state.isElectable = isElectable;
     state.notServingDue = now;
     const bool isCandidate = state.role == RaftRole::PreCandidate || state.role == RaftRole::Candidate;
-    const bool isReplaceable = state.role == RaftRole::Leader && hasOtherVoter(state);
-    if (!isElectable && (isCandidate || isReplaceable)) {
+    const bool mustStepDown = state.role == RaftRole::Leader && !mayLead(state);
+    if (mustStepDown || (!isElectable && isCandidate)) {
         becomeFollower(state, actions, state.term, now);
     }
     finishActions(state, actions);
--- a/tests/raft_fitness_test.cpp
+++ b/tests/raft_fitness_test.cpp
@@ -111,6 +111,22 @@
         CHECK(grantsVote(raftReceive(*old.raft, request, leaseEnd)));
     }
 
+    SUBCASE("leads on as the only voter, until another one has joined")
+    {
+        // Guards against a leader that keeps a duty since nobody could take it over when its owner stopped.
+        TestCluster small(32, 1, 0, true);
+        small.admitsNewVoters = true;
+        TestNode &only = *small.nodes.front();
+        small.stop(only, false);
+        small.start(only);
+        REQUIRE(&waitForLeader(small) == &only);
+        small.setElectable(only, false);
+        small.run(UsualElection);
+        CHECK(small.leader() == &only);
+        small.addNode();
+        waitForOther(small, only, ElectionBound);
+    }
+
     SUBCASE("does not stand while the others are away, and stands again once it may")
     {
         cluster.setElectable(old, false);
