Fix: a peer connection takes its read buffer when its handshake is complete

Anyone can open a connection to the peer port, and each took a zeroed buffer of 64 KiB before it had shown the key, so 512 silent ones took 42 MB (resident memory 9.3 MB before, 51.6 MB with 512 open; limit of 4,100 descriptors). Measured by hand with the daemon as a process; no test bounds it.

--- a/src/network/frame_stream.cpp
+++ b/src/network/frame_stream.cpp
@@ -57,7 +57,7 @@
             , descriptor(linkSettings.descriptors)
             , tickTimer(context)
             , hooks(std::move(streamHooks))
-            , chunk(ReadChunkBytes)
+            , chunk(HandshakeFrameBytes)
         {
             this->handshake.self = linkSettings.self;
             this->handshake.peer = dialedPeer;
@@ -106,7 +106,7 @@
         LinkKeys keys{};
         std::uint64_t sendSequence = 0;
         std::uint64_t receiveSequence = 0;
-        std::vector<char> chunk;
+        std::vector<char> chunk; ///< Small until the handshake is complete, since anyone can open a connection.
         std::string input; ///< Received bytes that have not made a frame yet.
         std::string output; ///< Bytes that wait until the write under way is done.
         std::string inWrite; ///< Bytes of the write under way.
@@ -303,6 +303,7 @@
         this->sendSequence = 0;
         this->receiveSequence = 0;
         this->open = true;
+        this->chunk.resize(ReadChunkBytes);
         {
             const std::lock_guard lock(this->queueMutex);
             this->accepting = true;
