Fix: busy connections leave descriptors for files

With all connections busy nothing can be closed, and further ones were still accepted until no descriptor was left for the files of the data folder, whose failure ends the daemon. Now a new connection of a caller, worker or operator is refused, and a connection to a worker is not opened (ConnectFailed, nothing sent), once as many are open as the limit less the files allows. Links of peers may use what is kept.

connection_room_test failed before (4 of 156 checks: 33 connections with room for 32, and a 34th to a worker); now 156 of 156.

--- a/src/network/descriptor_pool.cpp
+++ b/src/network/descriptor_pool.cpp
@@ -60,12 +60,14 @@
     this->releasers.erase(id);
 }
 
+bool DescriptorPool::makeRoom()
+{
+    return this->connections < this->divided.connections || this->releaseOne();
+}
+
 void DescriptorPool::take()
 {
     ++this->connections;
-    if (this->connections > this->divided.connections) {
-        this->releaseOne();
-    }
 }
 
 void DescriptorPool::giveBack()
@@ -105,6 +107,11 @@
     return pool != nullptr && pool->releaseOne();
 }
 
+bool makeDescriptorRoom(DescriptorPool *pool)
+{
+    return pool == nullptr || pool->makeRoom();
+}
+
 DescriptorUse::DescriptorUse(DescriptorPool *descriptorPool)
     : pool(descriptorPool)
 {
--- a/src/network/descriptor_pool.h
+++ b/src/network/descriptor_pool.h
@@ -45,13 +45,16 @@
     /** Removes an owner of connections. */
     void removeReleaser(ReleaserId id);
 
-    /** Counts a connection that was opened, and closes another one if there are too many now. */
+    /** Closes the least valuable connection if there is no room for another one. Returns whether there is room now. */
+    bool makeRoom();
+
+    /** Counts a connection that was opened. */
     void take();
 
     /** Counts a connection that was closed. */
     void giveBack();
 
-    /** Closes the least valuable connection. Returns false if all are busy. */
+    /** Closes the least valuable connection at once. Returns false if all are busy. */
     bool releaseOne();
 
     /** Returns the limit of the process. */
@@ -70,9 +73,12 @@
     std::list<Releaser> releasers;
 };
 
-/** Closes the least valuable connection of a pool, which may be null. Returns false if there is none. */
+/** Calls DescriptorPool::releaseOne() of a pool; returns false if the pool is null. */
 bool releaseDescriptor(DescriptorPool *pool);
 
+/** Calls DescriptorPool::makeRoom() of a pool; returns true if the pool is null. */
+bool makeDescriptorRoom(DescriptorPool *pool);
+
 /** One connection that is counted in a pool. */
 class DescriptorUse
 {
--- a/src/network/handshake_table.cpp
+++ b/src/network/handshake_table.cpp
@@ -22,6 +22,8 @@
 
 bool HandshakeTable::makeRoom()
 {
+    // Without links a daemon takes no part in the installation, so they may use descriptors that are kept for files.
+    makeDescriptorRoom(this->settings.descriptors);
     const bool hasRoom =
         this->table.size() < this->settings.maxHandshakes || this->releaseOne(ConnectionPhase::Silent) || this->releaseOne(ConnectionPhase::Receiving);
     if (!hasRoom) {
--- a/src/network/http_client_loop.cpp
+++ b/src/network/http_client_loop.cpp
@@ -222,7 +222,7 @@
     {
         Error error;
         net::ip::make_address(target.address.address, error);
-        if (error) {
+        if (error || !makeDescriptorRoom(this->settings.descriptors)) {
             this->finish(call, ResultCode::ConnectFailed);
             return;
         }
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -139,7 +139,7 @@
 /** Makes the connection of a socket, on the thread of its loop. */
 void HttpServer::Core::adopt(ServerLoop &loop, Tcp::socket socket)
 {
-    if (!this->makeRoom(loop)) {
+    if (!this->makeRoom(loop) || !makeDescriptorRoom(this->shared.settings.descriptors)) {
         ++this->shared.counters.httpConnectionsRefused;
         this->shared.settings.onShortage(ShortageEvent::Refused);
         --this->open;
--- a/tests/connection_room_test.cpp
+++ b/tests/connection_room_test.cpp
@@ -324,6 +324,37 @@
         }));
         CHECK(holding.server.isAccepting());
     }
+    SUBCASE("and keeps some for its files when all connections are busy")
+    {
+        // Guards against a data folder that cannot be written because connections have taken all descriptors.
+        DescriptorPool descriptors(64);
+        const std::size_t most = descriptors.shares().connections;
+        HoldingServer holding(100, &descriptors);
+        std::vector<RawSocket> busy;
+        busy.reserve(most);
+        for (std::size_t i = 0; i < most; ++i) {
+            busy.push_back(holding.connect(WholeRequest));
+        }
+        const RawSocket refused = holding.connect(WholeRequest);
+        CHECK(holding.held.size() == most);
+        CHECK(descriptors.open() == most);
+        CHECK(holding.counters.httpConnectionsRefused == 1);
+
+        HttpClientSettings settings;
+        settings.loop = &holding.loop;
+        settings.descriptors = &descriptors;
+        NetworkCounters counters;
+        HttpClient client(settings, counters);
+        ResultCode code = ResultCode::Ok;
+        client.send({"127.0.0.1", holding.server.port()}, {"GET", "/a", {}, {}, {}}, {.timeout = {500}}, [&code](const HttpExchange &exchange) {
+            code = exchange.code;
+        });
+        CHECK(runUntil(holding.loop, [&code] {
+            return code != ResultCode::Ok;
+        }));
+        CHECK(code == ResultCode::ConnectFailed);
+        client.stop();
+    }
     SUBCASE("and its client gives up the connection that has been idle longest")
     {
         // Guards against a leader whose connections to workers shut out callers.
