Fix: a planned stop of the leader costs callers an election and cuts calls that were read

Cause: a core daemon ended at once on SIGTERM, with all that it was answering, and the others had to wait for the election timeout. Change: on SIGTERM a core turns unready, finishes what is proposed, ends its scheduler and transfers the leadership (leader_handover); as a follower it sends workers and operators to the new leader for 200 ms, closes its ports, answers what it has read (1.5 s at most), and ends, all within the grace period. A call of a worker or an operator that comes while no leader is known waits for 400 ms at most (held_calls) before the 503; a read that the end of a leadership has interrupted is sent to the next leader. A leader without a successor leads on while it drains. Entries search for the leader after 20, 40, 80 and then every 150 ms instead of every 150 ms.

--- a/src/fleetd/daemon_listeners.cpp
+++ b/src/fleetd/daemon_listeners.cpp
@@ -104,13 +104,21 @@
     });
 }
 
-void DaemonListeners::stopAccepting()
+void DaemonListeners::stopAccepting(std::function<void()> drained)
 {
+    const auto remaining = std::make_shared<std::size_t>(1); // The servers, and this function while it runs.
+    const auto onStopped = [remaining, drained = std::move(drained)] {
+        if (--*remaining == 0) {
+            drained();
+        }
+    };
     for (const Entry &entry : this->entries) {
         if (entry.server != nullptr) {
-            entry.server->stopAccepting([] {});
+            ++*remaining;
+            entry.server->stopAccepting(onStopped);
         }
     }
+    onStopped();
 }
 
 } // namespace Filbertlanding
--- a/src/fleetd/daemon_listeners.h
+++ b/src/fleetd/daemon_listeners.h
@@ -52,8 +52,11 @@
     /** Returns whether all required listeners that were added are open. */
     bool areRequiredOpen() const;
 
-    /** Closes the open listeners; connections end after their requests. */
-    void stopAccepting();
+    /**
+     * Closes the open listeners; connections end after their requests.
+     * @param drained Called once all connections have ended.
+     */
+    void stopAccepting(std::function<void()> drained);
 
 private:
     struct Entry {
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -91,6 +91,7 @@
     , settings(daemonSettings)
     , adapter(protocolAdapter)
     , client(clientSettings(loop), networkCounters)
+    , heldCalls(loop)
     , handoverTimer(loop)
     , tickTimer(loop)
     , times(loopTimes)
@@ -308,13 +309,15 @@
         this->handover = {};
     }
     this->beginLeadershipIfReady();
+    this->continueStop();
+    this->releaseHeldCalls();
 }
 
 void FleetCore::beginLeadershipIfReady()
 {
     // Once the empty entry that starts the term is applied, all entries committed by earlier leaders are applied too.
     const bool isReady = this->status.role == RaftRole::Leader && this->appliedTerm == this->status.term;
-    if (this->scheduler || !isReady || this->isStopping || this->handover.stage != HandoverStage::None) {
+    if (this->scheduler || !isReady || this->isStopping || this->isStopBegun || this->handover.stage != HandoverStage::None) {
         return;
     }
     this->ordersInLastTerm = this->status.term == this->lastLeaderTerm ? this->ordersInLastTerm : 0;
@@ -329,6 +332,7 @@
         {{"term", this->status.term}, {"index", this->appliedIndex}, {"jobs", this->scheduler->jobs.size()}, {"workers", this->scheduler->sessions.size()}});
     this->armTick();
     this->runScheduler();
+    this->releaseHeldCalls();
 }
 
 void FleetCore::endLeadership(std::string_view reason)
@@ -401,6 +405,7 @@
     if (this->scheduler) {
         this->endLeadership("the daemon is shutting down");
     }
+    this->heldCalls.release();
     this->replication.stop();
     this->client.stop();
 }
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -8,6 +8,7 @@
 #include "fleet/fleet_scheduler_func.h"
 #include "fleet/held_tasks.h"
 #include "fleetd/fleet_message.h"
+#include "fleetd/held_calls.h"
 #include "fleetd/leader_handover.h"
 #include "fleetd/loop_time.h"
 #include "fleetd/protocol_adapter.h"
@@ -88,6 +89,13 @@
      */
     void setServing(bool canServe);
 
+    /**
+     * Hands the leadership over, if there is one, and goes on as a follower.
+     * @param limit Time until `replaced` is called in any case.
+     * @param replaced Called once another leader is known, or if there is no other voter.
+     */
+    void beginStop(Duration limit, std::function<void()> replaced);
+
     /** Ends the leadership and stops replication. */
     void stop();
 
@@ -106,6 +114,13 @@
         TimePoint proposedAt;
     };
 
+    /** A call of a worker or an operator. */
+    struct ControlCall {
+        ControlRequest request;
+        std::string target; ///< Path, for a redirect.
+        std::function<void(ApiResponse)> reply;
+    };
+
     void onApplied(const std::vector<LogEntry> &entries);
     void applyEntry(const LogEntry &entry);
     bool applyCommand(const FleetCommand &command);
@@ -119,6 +134,7 @@
     void continueHandover();
     void transferLeadership();
     void armHandoverTimer();
+    void continueStop();
     void propose(FleetCommand command, std::function<void(bool)> done = {});
     void flush();
     void executeActions(SchedulerActions actions);
@@ -138,6 +154,8 @@
     ApiResponse showJob(const JobId &id) const;
 
     void logNotLeading(const ControlRequest &request) const;
+    void routeControlCall(const ControlCall &call, bool mayWait);
+    void releaseHeldCalls();
     void dispatchControlRequest(const ControlRequest &request, std::function<void(ApiResponse)> done);
     void handleReport(const WorkerReportRequest &request, std::function<void(ApiResponse)> done);
     void putManifest(const PutManifestRequest &request, std::function<void(ApiResponse)> done);
@@ -145,6 +163,7 @@
     void proposeAndAnswer(FleetCommand command, std::function<void(ApiResponse)> done);
     std::string controlAddressOf(const DaemonName &daemon) const;
     bool isLeading() const;
+    bool isOtherLeaderKnown() const;
 
     boost::asio::io_context &io;
     const FleetDaemonSettings &settings;
@@ -168,10 +187,14 @@
     std::uint64_t lastBatch = 0; ///< Number of the last proposal.
     std::deque<Batch> inFlight; ///< Proposed entries that are not applied yet, in log order.
     std::multimap<std::uint64_t, std::function<void()>> pendingReads; ///< Reads waiting for a log index to be applied.
+    HeldCalls heldCalls; ///< Calls of workers and operators that wait for a leader.
     LeaderHandover handover;
     bool isServing = true; ///< Whether workers and operators can reach this daemon.
     TimePoint servingChangedAt;
     std::uint64_t loggedUnservedTerm = 0; ///< Last term whose log has a line that this daemon leads although it cannot serve.
+    bool isStopBegun = false; ///< The daemon is stopping; it leads only until another one does.
+    TimePoint stopDeadline;
+    std::function<void()> onReplaced; ///< Set while a stop waits for another leader.
     boost::asio::steady_timer handoverTimer;
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -18,6 +18,8 @@
     constexpr std::size_t MaxCallerBodyBytes = std::size_t{1024} * 1024; ///< Maximum body size of a caller's request.
     constexpr std::size_t MaxControlBodyBytes = std::size_t{4} * 1024 * 1024; ///< Maximum body size of a request of a worker or an operator.
     constexpr std::chrono::milliseconds DiskFailureExitDelay{2'000}; ///< Delay between a disk failure and the exit of the process.
+    constexpr Duration LingerTime{200}; ///< A core that stops sends calls to the new leader for this time before it closes its ports.
+    constexpr Duration DrainTime{1'500}; ///< Longer than a call waits, and than idle connections are kept for a call that is under way.
     constexpr Duration StopMargin{1'500}; ///< The process exits this long before the end of the grace period, when it would be killed.
 
     std::vector<std::string> addressesOf(const std::vector<std::string> &contacts)
@@ -71,6 +73,7 @@
     , startTimer(this->io)
     , reloadTimer(this->io)
     , stopTimer(this->io)
+    , drainTimer(this->io)
     , loadMonitor(this->io, this->network)
     , finder(this->io, static_cast<std::uint16_t>(this->settings.peerPort))
     , relay(this->io, this->adapter)
@@ -377,16 +380,21 @@
     }
     this->isStopping = true;
     logLine(LogArea::Daemon, LogLevel::Info, "stopping", {{"graceMs", this->settings.stopGraceMs}});
+    const Duration grace{this->settings.stopGraceMs - StopMargin.ms};
+    this->stopEnd = steadyNow() + grace;
+    if (this->isCoreStarted) {
+        this->stopCore();
+        return;
+    }
     // An entry serves callers as soon as its peer links are open, also while another port is taken.
     if (this->core != nullptr || !this->areLinksOpen) {
         this->finishRun(ResultCode::Ok);
         return;
     }
     // The load balancer sends new connections until two readiness checks have failed.
-    const Duration grace{this->settings.stopGraceMs - StopMargin.ms};
     this->stopTimer.expires_after(std::chrono::milliseconds(grace.ms / 2));
     this->stopTimer.async_wait([this, grace](const boost::system::error_code &) {
-        this->listeners.stopAccepting();
+        this->listeners.stopAccepting([] {});
         this->stopTimer.expires_after(std::chrono::milliseconds(grace.ms / 2));
         this->stopTimer.async_wait([this](const boost::system::error_code &) {
             this->finishRun(ResultCode::Ok);
@@ -394,6 +402,42 @@
     });
 }
 
+/** Hands the leadership over, answers what is under way, and ends the process. */
+void FleetDaemon::stopCore()
+{
+    const Duration left = std::max(Duration{0}, this->stopEnd - steadyNow());
+    this->core->beginStop({left.ms / 2}, [this] {
+        this->drainTimer.expires_after(std::chrono::milliseconds(LingerTime.ms));
+        this->drainTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                this->drainConnections();
+            }
+        });
+    });
+    this->stopTimer.expires_after(std::chrono::milliseconds(left.ms));
+    this->waitForStopEnd();
+}
+
+void FleetDaemon::waitForStopEnd()
+{
+    this->stopTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->finishRun(ResultCode::Ok);
+        }
+    });
+}
+
+void FleetDaemon::drainConnections()
+{
+    logLine(LogArea::Daemon, LogLevel::Info, "draining", {{"connections", this->network.httpConnectionsOpen.load()}});
+    this->listeners.stopAccepting([this] {
+        this->finishRun(ResultCode::Ok);
+    });
+    const Duration left = std::clamp(this->stopEnd - steadyNow(), Duration{0}, DrainTime);
+    this->stopTimer.expires_after(std::chrono::milliseconds(left.ms));
+    this->waitForStopEnd();
+}
+
 void FleetDaemon::onCoreFailed(ResultCode code)
 {
     if (this->isStopping) {
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -58,6 +58,9 @@
     void reload();
     void updateServing();
     void beginStop();
+    void stopCore();
+    void drainConnections();
+    void waitForStopEnd();
     void onCoreFailed(ResultCode code);
     void finishRun(ResultCode code);
 
@@ -70,6 +73,7 @@
     boost::asio::steady_timer startTimer;
     boost::asio::steady_timer reloadTimer;
     boost::asio::steady_timer stopTimer;
+    boost::asio::steady_timer drainTimer;
     std::unique_ptr<FleetCore> core; ///< Only set if a data folder is configured.
     LoadMonitor loadMonitor;
     LeaderFinder finder;
@@ -83,6 +87,7 @@
     bool areLinksOpen = false; ///< Whether the port for peer links is open.
     bool isStarted = false; ///< Whether all that the daemon needs is open.
     bool isStopping = false;
+    TimePoint stopEnd; ///< When the process ends at the latest after the signal to stop.
     ResultCode result = ResultCode::Ok;
 };
 
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -185,10 +185,10 @@
 void FleetCore::handleControlRequest(const HttpRequest &request, HttpRespond respond)
 {
     const LoopTimer timer(this->times, LoopPart::ControlRequests);
-    const auto reply = [this, respond = std::move(respond)](const ApiResponse &response) {
+    const std::function<void(ApiResponse)> reply = [this, respond = std::move(respond)](const ApiResponse &response) {
         respond(this->adapter.serializeResponse(response));
     };
-    const ControlRequest parsed = this->adapter.parseControlRequest(request);
+    ControlRequest parsed = this->adapter.parseControlRequest(request);
     if (const auto *malformed = std::get_if<MalformedRequest>(&parsed)) {
         logLine(LogArea::Intent,
                 LogLevel::Info,
@@ -199,20 +199,48 @@
         reply(isInForce ? makeResponse(ResultCode::Ok) : makeResponse(malformed->code, malformed->message));
         return;
     }
+    this->routeControlCall({std::move(parsed), request.target, reply}, true);
+}
+
+/** Handles a call, or sends it to the leader. If there is none, the call waits for one for a moment, once. */
+void FleetCore::routeControlCall(const ControlCall &call, bool mayWait)
+{
+    const auto retry = [this, call] {
+        this->routeControlCall(call, false);
+    };
     if (this->isLeading()) {
-        this->dispatchControlRequest(parsed, reply);
+        const bool mayReadElsewhere = mayWait && std::holds_alternative<GetManifestRequest>(call.request);
+        this->dispatchControlRequest(call.request, [this, call, retry, mayReadElsewhere](const ApiResponse &response) {
+            // A read that the end of the leadership has interrupted has no effect, so the next leader may answer it.
+            const bool isInterrupted = mayReadElsewhere && response.code != ResultCode::Ok && !this->isLeading() && !this->isStopping;
+            if (isInterrupted && this->isOtherLeaderKnown()) {
+                retry();
+            } else if (!isInterrupted || !this->heldCalls.hold(retry)) {
+                call.reply(response);
+            }
+        });
         return;
     }
-    this->logNotLeading(parsed);
-    const bool isOtherLeaderKnown = !this->status.leader.empty() && this->status.leader != this->settings.address;
-    if (!isOtherLeaderKnown || this->isStopping) {
-        reply(makeRetryLaterResponse(ResultCode::NoQuorum, "no leader is known"));
+    if (mayWait) {
+        this->logNotLeading(call.request);
+    }
+    if (this->isOtherLeaderKnown() && !this->isStopping) {
+        ApiResponse response = makeResponse(ResultCode::NotLeader);
+        response.redirect = this->controlAddressOf(this->status.leader);
+        response.path = call.target;
+        call.reply(response);
         return;
     }
-    ApiResponse response = makeResponse(ResultCode::NotLeader);
-    response.redirect = this->controlAddressOf(this->status.leader);
-    response.path = request.target;
-    reply(response);
+    if (!mayWait || this->isStopping || !this->heldCalls.hold(retry)) {
+        call.reply(makeRetryLaterResponse(ResultCode::NoQuorum, "no leader is known"));
+    }
+}
+
+void FleetCore::releaseHeldCalls()
+{
+    if (this->isLeading() || this->isOtherLeaderKnown()) {
+        this->heldCalls.release();
+    }
 }
 
 void FleetCore::dispatchControlRequest(const ControlRequest &request, std::function<void(ApiResponse)> done)
--- a/src/fleetd/leader_finder.cpp
+++ b/src/fleetd/leader_finder.cpp
@@ -5,12 +5,15 @@
 #include "core/clock_func.h"
 #include "runtime/log_func.h"
 
+#include <algorithm>
+
 namespace Filbertlanding {
 
 namespace {
 
     constexpr std::chrono::milliseconds ConfirmInterval{500}; ///< Interval at which the known leader is asked to confirm its leadership.
-    constexpr std::chrono::milliseconds SearchInterval{150}; ///< Interval at which all daemons are queried while no leader is known.
+    constexpr std::chrono::milliseconds MinSearchInterval{20}; ///< First interval of the queries to all daemons after the loss of the leader; it doubles.
+    constexpr std::chrono::milliseconds MaxSearchInterval{150}; ///< Longest interval of these queries.
     constexpr Duration QueryTimeout{600}; ///< Timeout of a query.
 
 } // namespace
@@ -24,6 +27,7 @@
 void LeaderFinder::start(PeerLinks &links, const std::vector<std::string> &addresses)
 {
     this->peers = &links;
+    this->searchInterval = MaxSearchInterval;
     this->setContacts(addresses);
     this->armTimer();
 }
@@ -48,7 +52,8 @@
 
 void LeaderFinder::armTimer()
 {
-    this->timer.expires_after(this->currentLeader.empty() ? SearchInterval : ConfirmInterval);
+    this->timer.expires_after(this->currentLeader.empty() ? this->searchInterval : ConfirmInterval);
+    this->searchInterval = std::min(this->searchInterval * 2, MaxSearchInterval);
     this->timer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
@@ -116,6 +121,7 @@
     }
     logLine(LogArea::Peer, LogLevel::Info, "leader_lost", {{"leader", daemon}});
     this->currentLeader.clear();
+    this->searchInterval = MinSearchInterval;
     this->queryLeader();
     this->armTimer();
 }
--- a/src/fleetd/leader_finder.h
+++ b/src/fleetd/leader_finder.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
 #include <set>
 #include <string>
@@ -56,6 +57,7 @@
     std::set<DaemonName> contacts; ///< Configured in the settings.
     std::set<DaemonName> voters; ///< Voters reported by the last leader, and leaders reported by followers.
     DaemonName currentLeader;
+    std::chrono::milliseconds searchInterval{0}; ///< Interval of the next query while no leader is known.
     TimePoint lastConfirmedAt;
 };
 
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -1,4 +1,4 @@
-/** @file leader_handover.cpp Hand-over of the leadership by a core daemon that cannot serve. */
+/** @file leader_handover.cpp Hand-over of the leadership by a core daemon that stops or cannot serve. */
 
 #include "fleetd/leader_handover.h"
 
@@ -23,7 +23,7 @@
         this->isServing = canServe;
         this->servingChangedAt = steadyNow();
         logLine(LogArea::Replication, canServe ? LogLevel::Info : LogLevel::Warn, "serving_changed", {{"serving", canServe}, {"term", this->status.term}});
-        this->replication.setServing(canServe);
+        this->replication.setServing(canServe && !this->isStopBegun);
     }
     this->leaveIfNotServing();
 }
@@ -90,10 +90,39 @@
             return;
         }
         this->continueHandover();
-        if (this->handover.stage != HandoverStage::None) {
+        this->continueStop();
+        if (this->handover.stage != HandoverStage::None || this->onReplaced) {
             this->armHandoverTimer();
         }
     });
 }
 
+void FleetCore::beginStop(Duration limit, std::function<void()> replaced)
+{
+    this->isStopBegun = true;
+    this->stopDeadline = steadyNow() + limit;
+    this->onReplaced = std::move(replaced);
+    this->replication.setServing(false);
+    this->armHandoverTimer();
+}
+
+void FleetCore::continueStop()
+{
+    if (!this->onReplaced) {
+        return;
+    }
+    if (this->scheduler && this->handover.stage == HandoverStage::None && this->status.hasSuccessor) {
+        this->beginHandover("the daemon is stopping");
+    }
+    const bool isOnlyVoter = this->status.membership.voters.size() <= 1;
+    if (this->isOtherLeaderKnown() || isOnlyVoter || steadyNow() >= this->stopDeadline) {
+        std::exchange(this->onReplaced, {})();
+    }
+}
+
+bool FleetCore::isOtherLeaderKnown() const
+{
+    return !this->status.leader.empty() && this->status.leader != this->settings.address;
+}
+
 } // namespace Filbertlanding
--- a/tests/fleet_leader_test.cpp
+++ b/tests/fleet_leader_test.cpp
@@ -1,9 +1,11 @@
-/** @file fleet_leader_test.cpp Leadership of core daemons that cannot serve, as real processes. */
+/** @file fleet_leader_test.cpp Leadership of core daemons that cannot serve, and planned stops of the leader, as real processes. */
 
 #include "core/clock_func.h"
+#include "core/random.h"
 #include "fleet_installation.h"
 #include "fleet_load.h"
 #include "raw_socket.h"
+#include "test_seed.h"
 
 #include <doctest/doctest.h>
 
@@ -18,6 +20,7 @@
 
 constexpr Duration ServiceLimit{5'000}; ///< An election with its retries, and the takeover.
 constexpr Duration EndLimit{10'000}; ///< Far above the grace period.
+constexpr Duration CallLimit{1'000}; ///< Time after which an entry has answered each call.
 constexpr FleetShape ThreeCores{.cores = 3, .entries = 2, .stopGraceMs = 6'000};
 
 void sleepMs(int milliseconds)
@@ -87,6 +90,30 @@
     ::close(pipe);
 }
 
+/** Sends SIGTERM and waits for the end. Returns the time until then. */
+std::int64_t stopInOrder(FleetProcess &daemon)
+{
+    const TimePoint begin = steadyNow();
+    daemon.process->signal(SIGTERM);
+    CHECK(daemon.process->waitForEnd(EndLimit) == 0);
+    return (steadyNow() - begin).ms;
+}
+
+void checkNothingLost(const CallCounts &counts)
+{
+    CHECK(counts.lost == 0);
+    CHECK(counts.stale == 0);
+}
+
+void checkAllAnswered(const CallCounts &counts)
+{
+    CHECK(counts.answered > 100);
+    CHECK(counts.refused == 0);
+    CHECK(counts.unknown == 0);
+    CHECK(counts.cut == 0);
+    checkNothingLost(counts);
+}
+
 } // namespace
 
 // Guards against a cluster that is led by a daemon whose control port another program has.
@@ -189,6 +216,173 @@
           < ServiceLimit.ms);
 }
 
+// Guards against planned stops that cost an election and cut what was being answered.
+TEST_CASE("a planned stop of the leader costs callers and operators nothing")
+{
+    FleetInstallation installation(ThreeCores);
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    load.start();
+    sleepMs(500);
+    CallCounts callers;
+    CallCounts operators;
+    const auto stopAndStart = [&](FleetProcess &core) {
+        const CallCounts callersBefore = load.callers();
+        const CallCounts operatorsBefore = load.operators();
+        CHECK(stopInOrder(core) < ThreeCores.stopGraceMs);
+        sleepMs(static_cast<int>(CallLimit.ms));
+        callers += load.callers() - callersBefore;
+        operators += load.operators() - operatorsBefore;
+        installation.start(core);
+        REQUIRE(installation.areAllReady());
+        sleepMs(1'000);
+    };
+    SUBCASE("the leader, several times")
+    {
+        constexpr int Rounds = 5;
+        for (int round = 0; round < Rounds; ++round) {
+            FleetProcess *leader = installation.awaitLeader();
+            REQUIRE(leader != nullptr);
+            stopAndStart(*leader);
+        }
+    }
+    SUBCASE("all cores in turn")
+    {
+        for (FleetProcess &core : installation.cores) {
+            stopAndStart(core);
+        }
+    }
+    load.stop();
+    checkAllAnswered(callers);
+    checkAllAnswered(operators);
+    checkNothingLost(load.callers());
+    checkNothingLost(load.operators());
+    MESSAGE("not sent because no process listened: " << callers.unreachable << " calls of callers, " << operators.unreachable << " of operators");
+}
+
+// Guards against a stop that waits for a successor that never comes.
+TEST_CASE("core daemons end within their grace period")
+{
+    FleetInstallation installation(FleetShape{.cores = 3, .entries = 1, .stopGraceMs = 4'000});
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    load.start();
+    FleetProcess *leader = installation.awaitLeader();
+    REQUIRE(leader != nullptr);
+    constexpr std::int64_t GraceMs = 4'000;
+    const auto stopAll = [&] {
+        const TimePoint begin = steadyNow();
+        for (FleetProcess &core : installation.cores) {
+            core.process->signal(SIGTERM);
+        }
+        for (FleetProcess &core : installation.cores) {
+            CHECK(core.process->waitForEnd(EndLimit) == 0);
+        }
+        CHECK((steadyNow() - begin).ms < GraceMs);
+    };
+    SUBCASE("all at once")
+    {
+        stopAll();
+    }
+    SUBCASE("all at once, each of them told twice")
+    {
+        for (FleetProcess &core : installation.cores) {
+            core.process->signal(SIGTERM);
+        }
+        sleepMs(100);
+        stopAll();
+    }
+    SUBCASE("the others are paused")
+    {
+        for (FleetProcess &core : installation.cores) {
+            if (&core != leader) {
+                core.process->signal(SIGSTOP);
+            }
+        }
+        CHECK(stopInOrder(*leader) < GraceMs);
+    }
+    SUBCASE("the others are gone")
+    {
+        for (FleetProcess &core : installation.cores) {
+            if (&core != leader) {
+                core.process.reset();
+            }
+        }
+        CHECK(stopInOrder(*leader) < GraceMs);
+    }
+    SUBCASE("the others come back in the middle of the stop")
+    {
+        for (FleetProcess &core : installation.cores) {
+            if (&core != leader) {
+                installation.restart(core);
+            }
+        }
+        CHECK(stopInOrder(*leader) < GraceMs);
+    }
+    load.stop();
+    checkNothingLost(load.callers());
+    checkNothingLost(load.operators());
+}
+
+// Guards against a stop that answers calls with 503 although no other daemon could answer them.
+TEST_CASE("the only core answers what it has read before it ends")
+{
+    FleetInstallation installation(FleetShape{.cores = 1, .entries = 1, .stopGraceMs = 4'000});
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    load.start();
+    sleepMs(500);
+    CHECK(stopInOrder(installation.core) < 4'000);
+    const CallCounts operators = load.operators();
+    load.stop();
+    CHECK(operators.answered > 10);
+    CHECK(operators.refused == 0);
+    CHECK(operators.unknown == 0);
+    CHECK(operators.cut == 0);
+    checkNothingLost(load.callers());
+}
+
+// Guards against a lease that outlives a hand-over, and against an old offer of leadership that takes effect late.
+TEST_CASE("no read goes back and no job is lost when a successor is paused around a hand-over")
+{
+    FleetInstallation installation(ThreeCores);
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    load.start();
+    sleepMs(500);
+    constexpr int Rounds = 6;
+    Random random{testSeed()};
+    for (int round = 0; round < Rounds; ++round) {
+        CAPTURE(round);
+        FleetProcess *leader = installation.awaitLeader();
+        REQUIRE(leader != nullptr);
+        FleetProcess &paused = round % 2 == 0 ? nextCore(installation, *leader) : otherCore(installation, *leader, nextCore(installation, *leader));
+        leader->process->signal(SIGTERM);
+        std::this_thread::sleep_for(std::chrono::microseconds(random.below(30'000)));
+        paused.process->signal(SIGSTOP);
+        CHECK(leader->process->waitForEnd(EndLimit) == 0);
+        installation.start(*leader);
+        CHECK(msUntil(
+                  [&] {
+                      return load.readOnce(*leader);
+                  },
+                  200,
+                  ServiceLimit)
+              < ServiceLimit.ms);
+        paused.process->signal(SIGCONT);
+        REQUIRE(installation.areAllReady());
+        sleepMs(700);
+    }
+    load.stop();
+    CHECK(load.operators().answered > 100);
+    checkNothingLost(load.callers());
+    checkNothingLost(load.operators());
+}
+
 // Guards against a leader whose other threads keep the leadership while its event loop stands still.
 TEST_CASE("another core leads while the event loop of the leader stands still")
 {
