--- a/src/network/frame_stream.cpp
+++ b/src/network/frame_stream.cpp
@@ -3,6 +3,7 @@
 #include "network/frame_stream.h"
 
 #include "network/chrono_func.h"
+#include "network/descriptor_pool.h"
 #include "network/peer_handshake.h"
 #include "network/socket_options.h"
 
@@ -53,9 +54,10 @@
             , counters(networkCounters)
             , io(context)
             , socket(std::move(connected))
+            , descriptor(linkSettings.descriptors)
             , tickTimer(context)
             , hooks(std::move(streamHooks))
-            , chunk(ReadChunkBytes)
+            , chunk(HandshakeFrameBytes)
         {
             this->handshake.self = linkSettings.self;
             this->handshake.peer = dialedPeer;
@@ -66,6 +68,12 @@
         ResultCode push(Frame frame) override;
         void close(ResultCode reason) override;
 
+        bool hasUnreadInput() const override
+        {
+            Error ignored;
+            return this->socket.available(ignored) > 0;
+        }
+
         const DaemonName &peer() const override
         {
             return this->handshake.peer;
@@ -91,13 +99,14 @@
         NetworkCounters &counters;
         net::io_context &io;
         Tcp::socket socket;
+        DescriptorUse descriptor;
         net::steady_timer tickTimer;
         FrameStreamHooks hooks;
         Handshake handshake;
         LinkKeys keys{};
         std::uint64_t sendSequence = 0;
         std::uint64_t receiveSequence = 0;
-        std::vector<char> chunk;
+        std::vector<char> chunk; ///< Small until the handshake is complete, since anyone can open a connection.
         std::string input; ///< Received bytes that have not made a frame yet.
         std::string output; ///< Bytes that wait until the write under way is done.
         std::string inWrite; ///< Bytes of the write under way.
@@ -294,6 +303,7 @@
         this->sendSequence = 0;
         this->receiveSequence = 0;
         this->open = true;
+        this->chunk.resize(ReadChunkBytes);
         {
             const std::lock_guard lock(this->queueMutex);
             this->accepting = true;
@@ -341,6 +351,7 @@
         }
         Error ignored;
         this->socket.close(ignored);
+        this->descriptor.end();
         this->tickTimer.cancel();
         this->hooks.closed(reason);
     }
--- a/src/network/listen_socket.cpp
+++ b/src/network/listen_socket.cpp
@@ -2,8 +2,11 @@
 
 #include "network/listen_socket.h"
 
+#include "core/clock_func.h"
 #include "core/result_code.h"
 
+#include <poll.h>
+
 #include <limits>
 
 namespace Filbertlanding {
@@ -15,7 +18,6 @@
     using Error = boost::system::error_code;
 
     constexpr std::chrono::milliseconds AcceptRetryDelay{100}; ///< Wait after a failed accept.
-    constexpr std::size_t MaxAcceptsPerTurn = 256; ///< Leaves time for the other handlers of the loop.
 
     /** Binds and listens; stops at the first error. */
     void bindAndListen(Tcp::acceptor &acceptor, const Tcp::endpoint &endpoint, Error &error)
@@ -45,10 +47,16 @@
         return error == net::error::connection_aborted || error == net::error::connection_reset;
     }
 
+    bool isDescriptorShortage(const Error &error)
+    {
+        return error == net::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system;
+    }
+
 } // namespace
 
-Listener::Listener(net::io_context &loop, ListenerHooks listenerHooks)
+Listener::Listener(net::io_context &loop, ListenerHooks listenerHooks, std::size_t maxPerTurn)
     : hooks(std::move(listenerHooks))
+    , acceptsPerTurn(maxPerTurn)
     , acceptor(loop)
     , retryTimer(loop)
 {
@@ -82,7 +90,7 @@
 
 void Listener::onReady()
 {
-    const bool hasFailed = this->isOpen() && !this->acceptUpTo(MaxAcceptsPerTurn);
+    const bool hasFailed = this->isOpen() && !this->acceptUpTo(this->acceptsPerTurn);
     if (!this->isOpen()) {
         this->hooks.closed();
         return;
@@ -103,17 +111,35 @@
         Tcp::socket socket(this->acceptor.get_executor());
         this->acceptor.accept(socket, error);
         if (error == net::error::would_block || error == net::error::try_again) {
+            this->failingSince.reset();
             return true;
         }
         if (!error) {
+            this->failingSince.reset();
             this->hooks.accepted(std::move(socket));
-        } else if (!isOfConnection(error)) {
+            continue;
+        }
+        // The kernel looks for a descriptor first, so the error does not say that a connection waits.
+        if (isDescriptorShortage(error) && !this->hasWaiting()) {
+            this->failingSince.reset();
+            return true;
+        }
+        const bool canRetry = isOfConnection(error) || (isDescriptorShortage(error) && this->hooks.makeRoom());
+        if (!canRetry) {
+            this->failingSince = this->failingSince.value_or(steadyNow());
             return false;
         }
     }
     return true;
 }
 
+/** Returns whether a connection waits to be accepted. */
+bool Listener::hasWaiting()
+{
+    pollfd waiting{.fd = this->acceptor.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&waiting, 1, 0) > 0;
+}
+
 void Listener::retryLater()
 {
     this->retryTimer.expires_after(AcceptRetryDelay);
@@ -134,6 +160,11 @@
     this->retryTimer.cancel();
 }
 
+bool Listener::isAccepting() const
+{
+    return !this->failingSince || steadyNow() - *this->failingSince < MaxAcceptFailureTime;
+}
+
 bool Listener::isOpen() const
 {
     return this->acceptor.is_open();
--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -91,6 +91,7 @@
     std::vector<FleetProcess> entries;
     FleetProcess &core; ///< The first core.
     FleetProcess &entry; ///< The first entry.
+    int descriptorLimit = 0; ///< Limit on the descriptors of daemons that are started from now on; 0 for that of this process.
 
 private:
     FleetShape shape;
