Fix: a leader that can accept no connection goes on leading

Cause: a core counted as serving as long as its listeners were open. Change: DaemonListeners::isAccepting() counts too.

--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -380,7 +380,7 @@
 void FleetDaemon::updateServing()
 {
     if (this->isCoreStarted) {
-        this->core->setServing(this->listeners.areRequiredOpen());
+        this->core->setServing(this->listeners.areRequiredOpen() && (this->isStopping || this->listeners.isAccepting()));
     }
 }
 
--- a/tests/fleet_leader_test.cpp
+++ b/tests/fleet_leader_test.cpp
@@ -216,6 +216,36 @@
           < ServiceLimit.ms);
 }
 
+// Guards against a leader that can take no connection and goes on leading, as without descriptors.
+TEST_CASE("the configuration can be read when the leader can accept no connection")
+{
+    FleetInstallation installation(ThreeCores);
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    FleetProcess *leader = installation.awaitLeader();
+    REQUIRE(leader != nullptr);
+    constexpr rlim_t NoFreeDescriptors = 3;
+    constexpr rlim_t ManyDescriptors = 1'000;
+    leader->process->limit(RLIMIT_NOFILE, {.rlim_cur = NoFreeDescriptors, .rlim_max = ManyDescriptors});
+    const auto read = [&] {
+        return load.readOnce(nextCore(installation, *leader));
+    };
+    const auto newRead = [&] {
+        return installation.exchange(*leader, FleetInstallation::ControlPort, {"GET", "/config", {}, {}, {}}, {.timeout = {200}, .freshConnection = true}).code
+            == ResultCode::Ok;
+    };
+    CHECK(!newRead());
+    CHECK(eventually([&] {
+        newRead();
+        FleetProcess *next = installation.leader();
+        return next != nullptr && next != leader;
+    }));
+    CHECK(msUntil(read, 200, ServiceLimit) < ServiceLimit.ms);
+    leader->process->limit(RLIMIT_NOFILE, {.rlim_cur = ManyDescriptors, .rlim_max = ManyDescriptors});
+    CHECK(installation.areAllReady());
+}
+
 // Guards against planned stops that cost an election and cut what was being answered.
 TEST_CASE("a planned stop of the leader costs callers and operators nothing")
 {
