--- a/src/fleetd/daemon_listeners.h
+++ b/src/fleetd/daemon_listeners.h
@@ -64,8 +64,11 @@
     /** Returns whether the open required listeners accept connections; false once accepts of one have failed for MaxAcceptFailureTime without a success. */
     bool isAccepting() const;
 
-    /** Closes the open listeners; connections end after their requests. */
-    void stopAccepting();
+    /**
+     * Closes the open listeners; connections end after their requests.
+     * @param drained Called once all connections have ended.
+     */
+    void stopAccepting(std::function<void()> drained);
 
 private:
     struct Entry {
