Add: the soak measures the standstills of its own event loop

Change: a timer of 10 ms records each standstill of 50 ms and more with the processor time that the soak used meanwhile. A request without an answer prints the longest one since it was sent, and the summary the longest of the run. No violation is excused by it.

--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -22,11 +22,16 @@
 
 } // namespace
 
-SoakConnections::SoakConnections(
-    boost::asio::io_context &loop, std::uint64_t seed, const SoakDaemons &soakDaemons, const SoakManifests &soakManifests, SoakChecks &soakChecks)
+SoakConnections::SoakConnections(boost::asio::io_context &loop,
+                                 std::uint64_t seed,
+                                 const SoakDaemons &soakDaemons,
+                                 const SoakManifests &soakManifests,
+                                 const SoakLoopWatch &loopWatch,
+                                 SoakChecks &soakChecks)
     : io(loop)
     , daemons(soakDaemons)
     , manifests(soakManifests)
+    , watch(loopWatch)
     , checks(soakChecks)
     , client(soakClientSettings(loop), counters)
     , random{seed ^ 0xc0ecULL}
@@ -102,7 +107,7 @@
         return;
     }
     this->checks.addViolation("a request got no answer: " + path + " at " + daemon.name + ", " + (waited < Timeout ? "connection ended" : "silent") + " after "
-                              + std::to_string(waited.ms) + " ms");
+                              + std::to_string(waited.ms) + " ms; " + this->watch.describeSince(sentAt));
 }
 
 bool SoakConnections::mayBeLost(const SoakDaemon &entry, TimePoint sentAt, Duration waited) const
--- a/tests/soak/soak_connections.h
+++ b/tests/soak/soak_connections.h
@@ -6,6 +6,7 @@
 #include "network/http_client.h"
 #include "soak/soak_checks.h"
 #include "soak/soak_daemons.h"
+#include "soak/soak_loop_watch.h"
 #include "soak/soak_manifests.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,8 +20,12 @@
 class SoakConnections
 {
 public:
-    SoakConnections(
-        boost::asio::io_context &loop, std::uint64_t seed, const SoakDaemons &soakDaemons, const SoakManifests &soakManifests, SoakChecks &soakChecks);
+    SoakConnections(boost::asio::io_context &loop,
+                    std::uint64_t seed,
+                    const SoakDaemons &soakDaemons,
+                    const SoakManifests &soakManifests,
+                    const SoakLoopWatch &loopWatch,
+                    SoakChecks &soakChecks);
 
     void start();
 
@@ -39,6 +44,7 @@
     boost::asio::io_context &io;
     const SoakDaemons &daemons;
     const SoakManifests &manifests;
+    const SoakLoopWatch &watch;
     SoakChecks &checks;
     NetworkCounters counters;
     HttpClient client;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -48,6 +48,7 @@
         : settings(soakSettings)
         , networkPrefix(loopbackNetwork())
         , relay(this->io)
+        , watch(this->io)
         , checks(SoakLimits{})
         , daemons(this->settings, this->networkPrefix, this->relay)
         , workers(this->io, this->settings, this->networkPrefix + "200", this->relay, this->checks)
@@ -57,7 +58,7 @@
         , oddReports(this->io, this->settings, this->workers, this->checks)
         , processFaults(this->io, this->settings, this->daemons)
         , operators(this->io, this->settings, this->manifests, this->checks)
-        , connections(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
+        , connections(this->io, this->settings.seed, this->daemons, this->manifests, this->watch, this->checks)
         , reach(this->io, this->daemons, this->checks)
         , reachFaults(this->io, this->settings, this->daemons, this->reach)
         , services(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
@@ -73,6 +74,8 @@
         this->workers.onStarted = [this](const ServiceName &service, const TaskName &task) {
             this->services.onStarted(service, task);
         };
+        this->startedAt = steadyNow();
+        this->watch.start();
         this->daemons.startAll();
         this->workers.start(this->daemons.controlAddresses());
         this->callers.start();
@@ -190,7 +193,8 @@
                   << (times.empty() ? 0 : times[times.size() * 99 / 100]) << " ms (99 of 100), " << this->checks.violations.size() << " violations"
                   << std::endl;
         std::cout << "seed " << this->settings.seed << ": longest wait with room in calm phases " << this->starvation.longestWait.ms << " ms, "
-                  << this->services.moves << " changes of a service with " << this->services.checkedStarts << " starts checked" << std::endl;
+                  << this->services.moves << " changes of a service with " << this->services.checkedStarts << " starts checked; "
+                  << this->watch.describeSince(this->startedAt) << std::endl;
         if (this->settings.hasReachFaults || this->settings.hasSilentLinks) {
             this->printReach();
         }
@@ -213,6 +217,7 @@
     std::string networkPrefix;
     boost::asio::io_context io;
     SoakRelay relay;
+    SoakLoopWatch watch;
     SoakChecks checks;
     SoakManifests manifests;
     SoakDaemons daemons;
@@ -232,6 +237,7 @@
     boost::asio::steady_timer pollTimer;
     boost::asio::steady_timer phaseTimer;
     std::optional<TimePoint> settleDeadline;
+    TimePoint startedAt;
 };
 
 } // namespace
