Fix: the soak notices an entry that does not drain, and any exit after SIGTERM but an orderly one

Seen: a mutant of the daemon without a drain passed the soak (postmortem of the signals). Any exit code was expected after SIGTERM, and each request that was lost within 200 ms of being sent was excused for 7 s after it. Change: after SIGTERM only code 0 is expected, unless the process had not begun or its writes failed. An entry that has run for 3 s may not end within 2 s of SIGTERM, and no connection may end within these 2 s (the entry serves for half of its grace period).

--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -18,6 +18,7 @@
     constexpr Duration Timeout{4'000}; ///< Time for an answer, which may say that the deadline has expired.
     constexpr Duration RouteVisibilityLimit{2'000}; ///< A route is served at all entries this long after its manifest was acknowledged.
     constexpr Duration StopTime{7'000}; ///< From SIGTERM until the process is gone and its exit is noticed.
+    constexpr Duration ServingTime{2'000}; ///< From SIGTERM; no connection is closed sooner.
     constexpr Duration ClosingRace{200}; ///< A request may cross the end of a connection that a stopping daemon closes.
 
 } // namespace
@@ -119,8 +120,12 @@
     if (waited >= Timeout) {
         return isSlow;
     }
-    // A stopping daemon ends its connections at the end of its grace period.
-    return entry.lastTermination + StopTime >= sentAt && (isSlow || waited < ClosingRace);
+    if (isSlow) {
+        return entry.lastTermination + StopTime >= sentAt;
+    }
+    // A stopping daemon serves for half of its grace period before it closes connections.
+    const bool mayClose = entry.lastTermination + ServingTime <= sentAt + waited && entry.lastTermination + StopTime >= sentAt;
+    return mayClose && waited < ClosingRace;
 }
 
 } // namespace Filbertlanding
--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -23,6 +23,8 @@
     constexpr std::uint16_t ReadinessPort = 8'102;
     constexpr std::uint16_t MetricsPort = 8'103;
     constexpr int MaxContacts = 3;
+    constexpr Duration JoinTime{3'000}; ///< An entry that has run for this long serves callers.
+    constexpr Duration ServingTime{2'000}; ///< An entry that serves callers goes on for this long after SIGTERM.
     constexpr Duration KillTimeout{10'000}; ///< Maximum time until a killed process has exited.
 
     /** Returns whether a set of signals in hexadecimal notation, as in /proc, holds a signal. */
@@ -36,6 +38,13 @@
         return address + ":" + std::to_string(port);
     }
 
+    /** Returns whether a daemon that has just ended after SIGTERM was an entry that served callers, and did not go on to serve them. */
+    bool hasEndedEarly(const SoakDaemon &daemon)
+    {
+        const bool hasServed = daemon.lastTermination - daemon.startedAt >= JoinTime;
+        return !daemon.hasDisk && hasServed && steadyNow() - daemon.lastTermination < ServingTime;
+    }
+
 } // namespace
 
 SoakDaemons::SoakDaemons(const SoakSettings &soakSettings, std::string loopbackPrefix, SoakRelay &soakRelay)
@@ -54,7 +63,7 @@
         soakRelay.listen(daemon.address, PeerPort, PeerPort + 1);
         this->daemons.push_back(std::move(daemon));
     }
-    this->isExitExpected.resize(this->daemons.size());
+    this->expectedExits.resize(this->daemons.size());
 }
 
 std::filesystem::path SoakDaemons::dataFolder(const SoakDaemon &daemon) const
@@ -120,8 +129,9 @@
     const std::vector<std::string> arguments{this->settings.program, "--settings", settingsPath.string()};
     started.process = std::make_unique<ChildProcess>(arguments, this->settings.folder / (started.name + ".log"));
     started.isSuspended = false;
-    started.upSince = steadyNow();
-    this->isExitExpected[daemon] = false;
+    started.startedAt = steadyNow();
+    started.upSince = started.startedAt;
+    this->expectedExits[daemon] = ExpectedExit::None;
     if (this->hasStarted) {
         this->hasStarted(daemon);
     }
@@ -178,12 +188,16 @@
 
 void SoakDaemons::terminate(std::size_t daemon)
 {
-    if (this->daemons[daemon].process != nullptr) {
-        this->isExitExpected[daemon] = true;
-        this->daemons[daemon].upSince = steadyNow();
-        this->daemons[daemon].lastTermination = steadyNow();
-        this->daemons[daemon].process->signal(SIGTERM);
+    SoakDaemon &terminated = this->daemons[daemon];
+    if (terminated.process == nullptr) {
+        return;
+    }
+    if (this->expectedExits[daemon] == ExpectedExit::None) {
+        this->expectedExits[daemon] = this->hasBegun(daemon) ? ExpectedExit::Orderly : ExpectedExit::Any;
+        terminated.lastTermination = steadyNow();
     }
+    terminated.upSince = steadyNow();
+    terminated.process->signal(SIGTERM);
 }
 
 std::vector<std::string> SoakDaemons::restartExited()
@@ -195,8 +209,14 @@
         if (!code) {
             continue;
         }
-        if (!this->isExitExpected[i]) {
-            unexpected.push_back(daemon.name + " with code " + std::to_string(*code));
+        const bool isOrderly = *code == 0 && this->expectedExits[i] == ExpectedExit::Orderly;
+        if (!isOrderly && this->expectedExits[i] != ExpectedExit::Any) {
+            unexpected.push_back(daemon.name + " with code " + std::to_string(*code)
+                                 + (this->expectedExits[i] == ExpectedExit::Orderly ? " after SIGTERM" : ""));
+        }
+        if (isOrderly && hasEndedEarly(daemon)) {
+            unexpected.push_back(daemon.name + " " + std::to_string((steadyNow() - daemon.lastTermination).ms)
+                                 + " ms after SIGTERM, while callers may still be sent to it");
         }
         daemon.process.reset();
         this->start(i);
@@ -238,7 +258,7 @@
         return;
     }
     // A daemon exits after a write error, so that it reopens its data folder on restart.
-    this->isExitExpected[daemon] = true;
+    this->expectedExits[daemon] = ExpectedExit::Any;
     const rlimit limit{isLimited ? 0 : RLIM_INFINITY, RLIM_INFINITY};
     limited.process->limit(RLIMIT_FSIZE, limit);
 }
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -21,10 +21,11 @@
     bool isSuspended = false; ///< By SIGSTOP.
     bool isPortTaken = false; ///< Another program has the port for requests.
     std::unique_ptr<ChildProcess> process; ///< Null while the daemon is down.
+    TimePoint startedAt; ///< Start of the last process.
     std::optional<TimePoint> upSince;
     std::vector<std::size_t> contacts; ///< Numbers of the core daemons in its settings file.
     TimePoint lastKill; ///< End of the last time at which callers could lose a request because of a fault.
-    TimePoint lastTermination; ///< Last SIGTERM.
+    TimePoint lastTermination; ///< First SIGTERM of the last process that got one.
     TimePoint lastSlowDown; ///< Last signal that suspended or resumed the process.
 };
 
@@ -106,11 +107,18 @@
     std::function<void(std::size_t)> hasStarted; ///< Told about each daemon that has started.
 
 private:
+    /** Exits that are no violation. */
+    enum class ExpectedExit : std::uint8_t {
+        None,
+        Orderly, ///< With code 0, after SIGTERM.
+        Any,
+    };
+
     std::filesystem::path dataFolder(const SoakDaemon &daemon) const;
 
     const SoakSettings &settings;
     std::string networkPrefix;
-    std::vector<bool> isExitExpected; ///< For each daemon, whether an exit is expected.
+    std::vector<ExpectedExit> expectedExits; ///< For each daemon.
 };
 
 } // namespace Filbertlanding
--- a/tests/soak/soak_reach_faults.cpp
+++ b/tests/soak/soak_reach_faults.cpp
@@ -36,7 +36,8 @@
                                                                {SoakReachFault::CrowdAtEntry, "crowd at entry"},
                                                                {SoakReachFault::CrowdAtReadiness, "crowd at readiness port"},
                                                                {SoakReachFault::StopLeader, "stop leader"},
-                                                               {SoakReachFault::StopLeaderPauseOther, "stop leader, pause other"}});
+                                                               {SoakReachFault::StopLeaderPauseOther, "stop leader, pause other"},
+                                                               {SoakReachFault::StopEntry, "stop entry"}});
 
     /** Another program at a port. It accepts connections, and closes each at once or lets it wait. */
     class OtherProgram : public std::enable_shared_from_this<OtherProgram>
@@ -155,7 +156,10 @@
 {
     const auto kinds = static_cast<std::uint64_t>(lastEnumerator(SoakReachFault{})) + 1;
     const auto drawn = static_cast<SoakReachFault>(this->random.below(kinds));
-    return this->run == SoakReachRun::PlannedStops ? SoakReachFault::StopLeader : drawn;
+    if (this->run != SoakReachRun::PlannedStops) {
+        return drawn;
+    }
+    return this->random.below(2) == 0 ? SoakReachFault::StopLeader : SoakReachFault::StopEntry;
 }
 
 void SoakReachFaults::inject(SoakReachFault fault)
@@ -185,6 +189,9 @@
     case SoakReachFault::StopLeader:
         this->stopLeader(1 + this->random.below(MaxStops));
         return;
+    case SoakReachFault::StopEntry:
+        this->daemons.terminate(entry);
+        return;
     default:
         this->stopLeaderPauseOther();
         return;
--- a/tests/soak/soak_reach_faults.h
+++ b/tests/soak/soak_reach_faults.h
@@ -26,18 +26,19 @@
     CrowdAtReadiness, ///< Of any daemon.
     StopLeader, ///< Up to three planned stops of the leader in series.
     StopLeaderPauseOther, ///< One planned stop while another core is suspended.
+    StopEntry, ///< One planned stop.
 };
 
 constexpr SoakReachFault lastEnumerator(SoakReachFault)
 {
-    return SoakReachFault::StopLeaderPauseOther;
+    return SoakReachFault::StopEntry;
 }
 
 /** How the faults of a run follow each other. */
 enum class SoakReachRun : std::uint8_t {
     Overlapping,
     OneByOne, ///< A fault begins when no other lasts.
-    PlannedStops, ///< Only planned stops of the leader.
+    PlannedStops, ///< Only planned stops of the leader and of entries.
 };
 
 constexpr SoakReachRun lastEnumerator(SoakReachRun)
