--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -18,15 +18,21 @@
     constexpr Duration Timeout{4'000}; ///< Time for an answer, which may say that the deadline has expired.
     constexpr Duration RouteVisibilityLimit{2'000}; ///< A route is served at all entries this long after its manifest was acknowledged.
     constexpr Duration StopTime{7'000}; ///< From SIGTERM until the process is gone and its exit is noticed.
+    constexpr Duration ServingTime{2'000}; ///< From SIGTERM; no connection is closed sooner.
     constexpr Duration ClosingRace{200}; ///< A request may cross the end of a connection that a stopping daemon closes.
 
 } // namespace
 
-SoakConnections::SoakConnections(
-    boost::asio::io_context &loop, std::uint64_t seed, const SoakDaemons &soakDaemons, const SoakManifests &soakManifests, SoakChecks &soakChecks)
+SoakConnections::SoakConnections(boost::asio::io_context &loop,
+                                 std::uint64_t seed,
+                                 const SoakDaemons &soakDaemons,
+                                 const SoakManifests &soakManifests,
+                                 const SoakLoopWatch &loopWatch,
+                                 SoakChecks &soakChecks)
     : io(loop)
     , daemons(soakDaemons)
     , manifests(soakManifests)
+    , watch(loopWatch)
     , checks(soakChecks)
     , client(soakClientSettings(loop), counters)
     , random{seed ^ 0xc0ecULL}
@@ -102,7 +108,7 @@
         return;
     }
     this->checks.addViolation("a request got no answer: " + path + " at " + daemon.name + ", " + (waited < Timeout ? "connection ended" : "silent") + " after "
-                              + std::to_string(waited.ms) + " ms");
+                              + std::to_string(waited.ms) + " ms; " + this->watch.describeSince(sentAt));
 }
 
 bool SoakConnections::mayBeLost(const SoakDaemon &entry, TimePoint sentAt, Duration waited) const
@@ -114,8 +120,12 @@
     if (waited >= Timeout) {
         return isSlow;
     }
-    // A stopping daemon ends its connections at the end of its grace period.
-    return entry.lastTermination + StopTime >= sentAt && (isSlow || waited < ClosingRace);
+    if (isSlow) {
+        return entry.lastTermination + StopTime >= sentAt;
+    }
+    // A stopping daemon serves for half of its grace period before it closes connections.
+    const bool mayClose = entry.lastTermination + ServingTime <= sentAt + waited && entry.lastTermination + StopTime >= sentAt;
+    return mayClose && waited < ClosingRace;
 }
 
 } // namespace Filbertlanding
