Change: a core whose event loop stands still neither leads nor stands for election

The replication thread takes FleetDaemon's measurement of the loop (ten times a second) as the sign that the loop runs, and gives up after two longest election timeouts without one. Not a fix of something that callers saw: fleet_leader_test has the case of a loop that stands still, and it was green before, because heartbeats travel over the event loop, so the others elect after one election timeout. For the same reason the bound costs a slow machine nothing: it lies above the silence that has cost the leadership already. The only voter leads on. What it adds: the core that stands still says so in its log (owner_silent), and does not stand for election with what is left of its links. Checked: fleet_leader_test 8 of 8 cases, fleet_process_test 9 of 9, once each.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -23,6 +23,8 @@
     constexpr std::size_t MaxEntriesInFlight = 2; ///< One entry is synced to disk while the next one is sent; a higher limit would only make entries smaller.
     /** Long enough to survive a failover or a few seconds without any scheduler; short enough to restart the tasks of a lost worker elsewhere soon. */
     constexpr std::int64_t MaxTaskLeaseMs = 7'000;
+    /** Longest election timeouts for which the event loop may stand still; its silence then has cost the leadership at the other voters already. */
+    constexpr std::int64_t OwnerTimeoutElections = 2;
 
     std::string ipAddressOf(const std::string &contact)
     {
@@ -145,6 +147,7 @@
     config.dataFolder = this->settings.dataFolder;
     config.votesAtOnce = this->settings.firstStart;
     config.syncsCommitIndex = false;
+    config.ownerTimeout = Duration{this->settings.electionTimeoutMaxMs} * OwnerTimeoutElections;
     config.openRetryTime = {0}; // The daemon tries again itself, so that its event loop goes on.
     const ReplicationStart started = this->replication.start(std::move(config), std::move(hooks));
     logLine(LogArea::Replication,
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -85,6 +85,9 @@
     /** Discards the scheduler's state after an error in it; a new scheduler starts from the replicated state. */
     void restartScheduler(std::string_view reason);
 
+    /** Tells that the event loop runs. To be called regularly: a core that does not hear it gives up its leadership. */
+    void confirmAlive();
+
     /**
      * Tells whether workers and operators can reach this daemon. To be called regularly: a leader that cannot serve hands its leadership
      * over if another voter can serve.
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -380,6 +380,7 @@
 void FleetDaemon::updateServing()
 {
     if (this->isCoreStarted) {
+        this->core->confirmAlive();
         this->core->setServing(this->listeners.areRequiredOpen() && (this->isStopping || this->listeners.isAccepting()));
     }
 }
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+void FleetCore::confirmAlive()
+{
+    this->replication.confirmOwnerAlive();
+}
+
 void FleetCore::setServing(bool canServe)
 {
     if (canServe != this->isServing) {
