Change: costs of planned stops in the soak count the calls of operators and workers too

The soak counted answers 503, answers 504 and calls that were cut around planned stops of the leader for callers only. Changes and reads of the manifest and reports of workers go to the cores themselves, and one function now tells the ended calls from those that ran into their timeout.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -287,10 +287,11 @@
     }
 }
 
-void SoakChecks::onCallEnded(TimePoint sentAt, unsigned status) const
+void SoakChecks::onCallEnded(TimePoint sentAt, Duration timeout, const HttpExchange &exchange) const
 {
-    if (this->onCallAnswered) {
-        this->onCallAnswered(sentAt, status);
+    const bool isAnswered = exchange.code == ResultCode::Ok;
+    if (this->onCallAnswered && (isAnswered || (exchange.bytesSent && steadyNow() - sentAt < timeout))) {
+        this->onCallAnswered(sentAt, isAnswered ? exchange.response.status : 0);
     }
 }
 
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "fakes/model_worker.h"
+#include "network/http_client.h"
 #include "soak/soak_type.h"
 
 #include <functional>
@@ -62,8 +63,8 @@
     /** An operator has read the manifest. */
     void onManifestRead(std::uint64_t version, TimePoint sentAt);
 
-    /** A call that was sent ended with a status, or with 0 if its connection ended without an answer. */
-    void onCallEnded(TimePoint sentAt, unsigned status) const;
+    /** A call of a caller, operator or worker has ended. Calls that were not sent or ran into their timeout are not told about. */
+    void onCallEnded(TimePoint sentAt, Duration timeout, const HttpExchange &exchange) const;
 
     /** Returns the highest version acknowledged before a time; 0 if none was. */
     std::uint64_t newestAcknowledgedBefore(TimePoint time) const;
@@ -79,7 +80,7 @@
 
     void addViolation(const std::string &text);
 
-    std::function<void(TimePoint, unsigned)> onCallAnswered; ///< Told about each answer to a caller or operator: when it was sent, and its status or 0.
+    std::function<void(TimePoint, unsigned)> onCallAnswered; ///< Told when each call was sent, and its status or 0 if its connection has ended.
 
     std::map<JobId, SoakJob> jobs;
     std::vector<std::string> violations;
--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -88,9 +88,9 @@
 void SoakConnections::onExchange(std::size_t entry, const std::string &path, TimePoint sentAt, const HttpExchange &exchange)
 {
     const SoakDaemon &daemon = this->daemons.daemons[entry];
+    this->checks.onCallEnded(sentAt, Timeout, exchange);
     if (exchange.code == ResultCode::Ok) {
         ++this->answered;
-        this->checks.onCallEnded(sentAt, exchange.response.status);
         if (exchange.response.status == 404) {
             this->checks.addViolation("a confirmed route is not served: " + path + " at " + daemon.name);
         }
@@ -100,9 +100,6 @@
         return;
     }
     const Duration waited = steadyNow() - sentAt;
-    if (waited < Timeout) {
-        this->checks.onCallEnded(sentAt, 0);
-    }
     if (this->mayBeLost(daemon, sentAt, waited)) {
         ++this->excused;
         return;
--- a/tests/soak/soak_reach.cpp
+++ b/tests/soak/soak_reach.cpp
@@ -94,9 +94,7 @@
             return;
         }
         this->onAnswer(this->targets[target], exchange);
-        if (exchange.code == ResultCode::Ok || (exchange.bytesSent && steadyNow() - sentAt < CallTimeout)) {
-            this->countAnswer(sentAt, exchange.code == ResultCode::Ok ? exchange.response.status : 0);
-        }
+        this->checks.onCallEnded(sentAt, CallTimeout, exchange);
     });
 }
 
--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -20,6 +20,7 @@
 
     constexpr std::chrono::milliseconds StepInterval{5};
     constexpr std::chrono::milliseconds ReportInterval{1'000};
+    constexpr Duration ReportTimeout{1'000};
     constexpr std::chrono::seconds UnansweredRequestLifetime{30}; ///< Time for which an unanswered request is kept; longer than any client timeout.
     constexpr std::chrono::milliseconds PortReleaseTime{50}; ///< Time until the event loop has closed the listener of an earlier process.
     constexpr std::chrono::milliseconds MinRestartTime{1'000}; ///< Of a process that a task has crashed.
@@ -474,8 +475,10 @@
     HttpRequest request{"PUT", "/instances/" + profile.worker, {{"Content-Type", "application/json"}}, json::serialize(body), {}};
     this->client.send(soakAddressOf(to),
                       std::move(request),
-                      {.timeout = {1'000}},
-                      [this, index, attemptsLeft, startedAtMs = profile.startedAtMs, percent = slot.reportedCapacity.percent](const HttpExchange &exchange) {
+                      {.timeout = ReportTimeout},
+                      [this, index, sentAt = steadyNow(), attemptsLeft, startedAtMs = profile.startedAtMs, percent = slot.reportedCapacity.percent](
+                          const HttpExchange &exchange) {
+                          this->checks.onCallEnded(sentAt, ReportTimeout, exchange);
                           WorkerSlot &later = this->slots[index];
                           if (later.worker == nullptr || later.worker->profile.startedAtMs != startedAtMs) {
                               return;
