--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -12,8 +12,13 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
+#include <cstdio>
+#include <sstream>
+#include <string>
 #include <thread>
+#include <vector>
 
 using namespace Filbertlanding;
 
@@ -75,6 +80,22 @@
     }
 }
 
+/** Returns the shared libraries that the dynamic loader loads before the first code of the fleet daemon. */
+std::vector<std::string> librariesAtStart()
+{
+    const std::string command = "LD_TRACE_LOADED_OBJECTS=1 " + fleetDaemonProgram();
+    std::vector<std::string> names;
+    std::FILE *output = ::popen(command.c_str(), "r");
+    REQUIRE(output != nullptr);
+    char line[512];
+    while (std::fgets(line, sizeof line, output) != nullptr) {
+        std::istringstream words(line);
+        words >> names.emplace_back();
+    }
+    ::pclose(output);
+    return names;
+}
+
 } // namespace
 
 // Guards against a signal that takes its default action before the handlers are registered.
@@ -112,6 +133,24 @@
 }
 
 // Guards against a moment without a handler while signals are handled.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+TEST_CASE("The program needs no library but the C library until its signals are blocked")
+{
+    // Guards against a SIGHUP that ends a daemon while the dynamic loader works, which took most of the time before the first code.
+    const std::vector<std::string> libraries = librariesAtStart();
+    CHECK(std::count_if(libraries.begin(),
+                        libraries.end(),
+                        [](const std::string &name) {
+                            return name.starts_with("libc.so");
+                        })
+          == 1);
+    for (const std::string &name : libraries) {
+        const bool isOfSystem = name.starts_with("linux-vdso") || name.starts_with("libc.so") || name.find("/ld-linux") != std::string::npos;
+        CHECK_MESSAGE(isOfSystem, name);
+    }
+}
+#endif
+
 TEST_CASE("volleys of SIGHUP do not end a running fleet daemon")
 {
     FleetInstallation installation;
