--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -132,7 +132,6 @@
     }
 }
 
-// Guards against a moment without a handler while signals are handled.
 #if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
 TEST_CASE("The program needs no library but the C library until its signals are blocked")
 {
@@ -151,6 +150,31 @@
 }
 #endif
 
+// Guards against a program that does not find its module when it is not started by the path of its file.
+TEST_CASE("The program finds its module however it is started")
+{
+    FleetInstallation installation;
+    const std::filesystem::path settings = installation.settingsPath(installation.entry);
+    writeText(settings, installation.settingsText(installation.entry));
+    std::string program = fleetDaemonProgram();
+    SUBCASE("by an absolute path")
+    {
+    }
+    SUBCASE("by a path relative to the working directory")
+    {
+        program = std::filesystem::relative(program).string();
+    }
+    SUBCASE("by a symbolic link in another folder")
+    {
+        const std::filesystem::path link = settings.parent_path() / "daemon";
+        std::filesystem::create_symlink(program, link);
+        program = link.string();
+    }
+    ChildProcess check({program, "--settings", settings.string(), "--check"}, installation.logPath(installation.entry));
+    CHECK(check.waitForEnd(EndLimit) == 0);
+}
+
+// Guards against a moment without a handler while signals are handled.
 TEST_CASE("volleys of SIGHUP do not end a running fleet daemon")
 {
     FleetInstallation installation;
