--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -145,7 +145,7 @@
     const std::string &entry = this->entries[this->random.below(this->entries.size())];
     const TimePoint sentAt = steadyNow();
     this->client.send(soakAddressOf(entry), std::move(request), {.timeout = timeout}, [this, sentAt, timeout, done = std::move(done)](HttpExchange exchange) {
-        this->checks.onCallEnded(sentAt, timeout, exchange);
+        this->checks.onCallEnded(SoakSender::Caller, sentAt, timeout, exchange);
         done(std::move(exchange));
     });
 }
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -287,11 +287,11 @@
     }
 }
 
-void SoakChecks::onCallEnded(TimePoint sentAt, Duration timeout, const HttpExchange &exchange) const
+void SoakChecks::onCallEnded(SoakSender sender, TimePoint sentAt, Duration timeout, const HttpExchange &exchange) const
 {
     const bool isAnswered = exchange.code == ResultCode::Ok;
     if (this->onCallAnswered && (isAnswered || (exchange.bytesSent && steadyNow() - sentAt < timeout))) {
-        this->onCallAnswered(sentAt, isAnswered ? exchange.response.status : 0);
+        this->onCallAnswered(sender, sentAt, isAnswered ? exchange.response.status : 0);
     }
 }
 
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -26,6 +26,12 @@
     TimePoint finalStateAt; ///< First report of a final state.
 };
 
+/** Who has sent a call. */
+enum class SoakSender : std::uint8_t {
+    Caller, ///< To an entry.
+    Other, ///< An operator or worker, to a core.
+};
+
 /** Records the observed events and reports each violated guarantee. */
 class SoakChecks
 {
@@ -64,7 +70,7 @@
     void onManifestRead(std::uint64_t version, TimePoint sentAt);
 
     /** A call of a caller, operator or worker has ended. Calls that were not sent or ran into their timeout are not told about. */
-    void onCallEnded(TimePoint sentAt, Duration timeout, const HttpExchange &exchange) const;
+    void onCallEnded(SoakSender sender, TimePoint sentAt, Duration timeout, const HttpExchange &exchange) const;
 
     /** Returns the highest version acknowledged before a time; 0 if none was. */
     std::uint64_t newestAcknowledgedBefore(TimePoint time) const;
@@ -80,7 +86,7 @@
 
     void addViolation(const std::string &text);
 
-    std::function<void(TimePoint, unsigned)> onCallAnswered; ///< Told when each call was sent, and its status or 0 if its connection has ended.
+    std::function<void(SoakSender, TimePoint, unsigned)> onCallAnswered; ///< Told when each call was sent, and its status or 0 if its connection has ended.
 
     std::map<JobId, SoakJob> jobs;
     std::vector<std::string> violations;
--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -88,7 +88,7 @@
 void SoakConnections::onExchange(std::size_t entry, const std::string &path, TimePoint sentAt, const HttpExchange &exchange)
 {
     const SoakDaemon &daemon = this->daemons.daemons[entry];
-    this->checks.onCallEnded(sentAt, Timeout, exchange);
+    this->checks.onCallEnded(SoakSender::Caller, sentAt, Timeout, exchange);
     if (exchange.code == ResultCode::Ok) {
         ++this->answered;
         if (exchange.response.status == 404) {
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -209,8 +209,8 @@
         const SoakStopCosts &costs = this->reach.costs;
         std::cout << "seed " << this->settings.seed << ": " << faultCount << " reach faults, " << this->silences.injected << " silences, " << this->reach.reads
                   << " reads, longest time without one " << this->reach.longestUnread.ms << " ms, " << costs.stops << " planned stops of the leader with "
-                  << costs.unavailable << " answers 503 and " << costs.timedOut << " answers 504, " << costs.cut << " calls cut, " << costs.cutEarly
-                  << " more at once" << std::endl;
+                  << costs.unavailable << " answers 503 to callers, " << costs.unavailableAtCores << " to others, " << costs.timedOut << " answers 504, "
+                  << costs.cut << " calls cut, " << costs.cutEarly << " more at once" << std::endl;
     }
 
     SoakSettings settings;
--- a/tests/soak/soak_operators.cpp
+++ b/tests/soak/soak_operators.cpp
@@ -95,7 +95,7 @@
     HttpRequest request{"PUT", "/config", {{"Content-Type", "application/json"}}, this->manifests.document(version), {}};
     const TimePoint sentAt = steadyNow();
     sendToLeader(this->client, control, std::move(request), Timeout, [this, version, sentAt](const HttpExchange &exchange) {
-        this->checks.onCallEnded(sentAt, Timeout, exchange);
+        this->checks.onCallEnded(SoakSender::Other, sentAt, Timeout, exchange);
         const unsigned status = exchange.code == ResultCode::Ok ? exchange.response.status : 0;
         if (status == 200) {
             ++this->acknowledged;
@@ -125,7 +125,7 @@
 {
     const TimePoint sentAt = steadyNow();
     sendToLeader(this->client, control, {"GET", "/config", {}, {}, {}}, Timeout, [this, sentAt](const HttpExchange &exchange) {
-        this->checks.onCallEnded(sentAt, Timeout, exchange);
+        this->checks.onCallEnded(SoakSender::Other, sentAt, Timeout, exchange);
         if (exchange.code != ResultCode::Ok || exchange.response.status != 200) {
             return;
         }
--- a/tests/soak/soak_reach.cpp
+++ b/tests/soak/soak_reach.cpp
@@ -33,8 +33,8 @@
         this->targets.push_back({i, SoakPort::Requests, now, {}, false});
         this->targets.push_back({i, SoakPort::Readiness, now, {}, false});
     }
-    this->checks.onCallAnswered = [this](TimePoint sentAt, unsigned status) {
-        this->countAnswer(sentAt, status);
+    this->checks.onCallAnswered = [this](SoakSender sender, TimePoint sentAt, unsigned status) {
+        this->countAnswer(sender, sentAt, status);
     };
     this->arm();
 }
@@ -94,7 +94,8 @@
             return;
         }
         this->onAnswer(this->targets[target], exchange);
-        this->checks.onCallEnded(sentAt, CallTimeout, exchange);
+        const bool isEntry = !this->daemons.daemons[this->targets[target].daemon].hasDisk;
+        this->checks.onCallEnded(isEntry ? SoakSender::Caller : SoakSender::Other, sentAt, CallTimeout, exchange);
     });
 }
 
@@ -160,7 +161,7 @@
     return text;
 }
 
-void SoakReach::countAnswer(TimePoint sentAt, unsigned status)
+void SoakReach::countAnswer(SoakSender sender, TimePoint sentAt, unsigned status)
 {
     const TimePoint now = steadyNow();
     const bool isAfterStop = this->plannedStopAt <= now && sentAt <= this->plannedStopAt + StopWindow;
@@ -168,7 +169,9 @@
     if (this->costs.stops == 0 || !isAfterStop || isDisturbed) {
         return;
     }
-    this->costs.unavailable += status == 503 ? 1 : 0;
+    if (status == 503) {
+        ++(sender == SoakSender::Caller ? this->costs.unavailable : this->costs.unavailableAtCores);
+    }
     this->costs.timedOut += status == 504 ? 1 : 0;
     if (status == 0) {
         ++(now - sentAt < ClosingRace ? this->costs.cutEarly : this->costs.cut);
@@ -177,9 +180,10 @@
 
 void SoakReach::checkPlannedStops()
 {
-    if (this->costs.unavailable + this->costs.timedOut + this->costs.cut > 0) {
-        this->checks.addViolation("planned stops of the leader cost callers and operators " + std::to_string(this->costs.unavailable) + " answers 503, "
-                                  + std::to_string(this->costs.timedOut) + " answers 504, and " + std::to_string(this->costs.cut) + " answers that were cut");
+    if (this->costs.unavailable + this->costs.unavailableAtCores + this->costs.timedOut + this->costs.cut > 0) {
+        this->checks.addViolation("planned stops of the leader cost callers " + std::to_string(this->costs.unavailable) + " and others "
+                                  + std::to_string(this->costs.unavailableAtCores) + " answers 503, " + std::to_string(this->costs.timedOut)
+                                  + " answers 504, and " + std::to_string(this->costs.cut) + " answers that were cut");
     }
 }
 
--- a/tests/soak/soak_reach.h
+++ b/tests/soak/soak_reach.h
@@ -16,7 +16,8 @@
 /** Answers within some seconds after a planned stop of the leader, while nothing else disturbed the daemons. */
 struct SoakStopCosts {
     std::uint64_t stops = 0;
-    std::uint64_t unavailable = 0; ///< HTTP status 503.
+    std::uint64_t unavailable = 0; ///< HTTP status 503 to a caller.
+    std::uint64_t unavailableAtCores = 0; ///< The same to an operator or worker.
     std::uint64_t timedOut = 0; ///< HTTP status 504.
     std::uint64_t cut = 0; ///< The request was sent, and the connection ended without an answer.
     std::uint64_t cutEarly = 0; ///< The same so soon that the daemon may not have read the request.
@@ -70,7 +71,7 @@
     void onAnswer(Target &target, const HttpExchange &exchange);
     void checkTarget(Target &target);
     void checkReads();
-    void countAnswer(TimePoint sentAt, unsigned status);
+    void countAnswer(SoakSender sender, TimePoint sentAt, unsigned status);
     bool isUndisturbed(const SoakDaemon &daemon) const;
     std::string describeCores() const;
 
--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -478,7 +478,7 @@
                       {.timeout = ReportTimeout},
                       [this, index, sentAt = steadyNow(), attemptsLeft, startedAtMs = profile.startedAtMs, percent = slot.reportedCapacity.percent](
                           const HttpExchange &exchange) {
-                          this->checks.onCallEnded(sentAt, ReportTimeout, exchange);
+                          this->checks.onCallEnded(SoakSender::Other, sentAt, ReportTimeout, exchange);
                           WorkerSlot &later = this->slots[index];
                           if (later.worker == nullptr || later.worker->profile.startedAtMs != startedAtMs) {
                               return;
