Fix: before the first manifest an unknown service no longer replaces a worker

Under the name of a sound worker and with a later start such a report ended that worker's registration, and until it started again nothing was placed on it.

Cause: without a manifest each service was taken, also one that differs from that of the worker's registered process.

Change: without a manifest a start under a known name must be of the service that the worker had; otherwise it gets 404 until a manifest names the service. Workers with new names are still taken, since they start before the first manifest; a 503 there would let the first jobs wait for the next reports.

--- a/src/fleetd/worker_report_check.cpp
+++ b/src/fleetd/worker_report_check.cpp
@@ -52,21 +52,32 @@
         return std::nullopt;
     }
 
-    /** Returns the incarnation that the reporting process is registered as, or nullptr. */
-    const WorkerIncarnation *findIncarnation(const FleetState &state, const WorkerProfile &profile)
+    /** Returns the latest incarnation of a worker, or nullptr. */
+    const WorkerIncarnation *findLatest(const FleetState &state, const WorkerName &worker)
     {
-        const auto latest = state.latestIncarnation.find(profile.worker);
+        const auto latest = state.latestIncarnation.find(worker);
         const auto found = latest == state.latestIncarnation.end() ? state.incarnations.end() : state.incarnations.find(latest->second);
-        return found == state.incarnations.end() || found->second.profile.startedAtMs != profile.startedAtMs ? nullptr : &found->second;
+        return found == state.incarnations.end() ? nullptr : &found->second;
     }
 
-    Error checkService(const WorkerProfile &profile, const FleetManifest &manifest)
+    /** Checks the service of a process that is not registered. */
+    Error checkService(const WorkerProfile &profile, const FleetState &state)
     {
-        const bool isNamed = std::any_of(manifest.services.begin(), manifest.services.end(), [&profile](const FleetService &service) {
+        const std::vector<FleetService> &services = state.manifest.services;
+        const bool isNamed = std::any_of(services.begin(), services.end(), [&profile](const FleetService &service) {
             return service.name == profile.service;
         });
-        // Workers may start before the first manifest is uploaded.
-        return isNamed || manifest.version == 0 ? std::nullopt : Error(WorkerReportError{ResultCode::ServiceUnknown, "the manifest has no such service"});
+        if (isNamed) {
+            return std::nullopt;
+        }
+        if (state.manifest.version > 0) {
+            return WorkerReportError{ResultCode::ServiceUnknown, "the manifest has no such service"};
+        }
+        // Workers may start before the first manifest is uploaded, and no task is placed on one whose service is not named later.
+        const WorkerIncarnation *predecessor = findLatest(state, profile.worker);
+        const bool hasChanged = predecessor != nullptr && predecessor->profile.service != profile.service;
+        return hasChanged ? Error(WorkerReportError{ResultCode::ServiceUnknown, "the worker had another service, and no manifest names this one yet"})
+                          : std::nullopt;
     }
 
     /** Checks a report of a registered process, which cannot have moved. Its service may have left the manifest meanwhile. */
@@ -85,7 +96,8 @@
     if (auto error = checkTexts(profile)) {
         return error;
     }
-    if (const WorkerIncarnation *known = findIncarnation(state, profile)) {
+    const WorkerIncarnation *known = findLatest(state, profile.worker);
+    if (known != nullptr && known->profile.startedAtMs == profile.startedAtMs) {
         return checkUnchanged(profile, known->profile);
     }
     if (auto error = checkAddress(profile.address)) {
@@ -97,7 +109,7 @@
     if (profile.startedAtMs > now.ms + MaxClockLead.ms) {
         return WorkerReportError{ResultCode::BadRequest, "the start time is in the future"};
     }
-    return checkService(profile, state.manifest);
+    return checkService(profile, state);
 }
 
 } // namespace Filbertlanding
--- a/tests/worker_report_test.cpp
+++ b/tests/worker_report_test.cpp
@@ -137,6 +137,27 @@
     }
 }
 
+TEST_CASE("Before the first manifest a report with another service does not replace a worker")
+{
+    // Guards against a sound worker that counts as ended because of a service that no manifest will name.
+    FleetState state = soundState();
+    state.manifest = {};
+    FleetWorkerReport restarted = soundReport();
+    restarted.profile.startedAtMs += 1'000;
+    CHECK_FALSE(isRefused(restarted, state));
+    FleetWorkerReport other = soundReport();
+    other.profile.worker = "i-2";
+    other.profile.service = "s2";
+    CHECK_FALSE(isRefused(other, state));
+    restarted.profile.service = "s2";
+    CHECK(isRefused(restarted, state));
+    FleetManifest manifest;
+    manifest.version = 1;
+    manifest.services.push_back({"s2", true, false});
+    applyFleetCommand(state, PutManifest{manifest});
+    CHECK_FALSE(isRefused(restarted, state));
+}
+
 TEST_CASE("A sequence number out of line does not hide that a worker drains")
 {
     // Guards against tasks that are started on a draining worker because a report of another writer had a higher sequence number.
