Fix: a daemon with a new disk never rejoins when the entry that took it in is lost with its leader

Cause: a leader took the new incarnation in, in an entry that only the two of them held, and was replaced. The daemon found itself in its own membership, so it asked nobody to join; the next leader did not know of it and sent it nothing. Evidence: raft_membership_test, five voters: before, not repaired within 10 s of the heal (red); now green. Change: a learner without a leader asks to join whatever its membership says. A leader that lists the identity ignores the request.

--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -321,9 +321,8 @@
     state.leader.reset();
     state.requestDue = now + state.settings.heartbeatInterval * 2;
     sendFetch(state, actions);
-    if (!isMember(currentMembership(state), state.settings.self)) {
-        sendJoinRequests(state, actions);
-    }
+    // Also when the own membership names this replica: the entry may be lost, or a later one may have removed it.
+    sendJoinRequests(state, actions);
 }
 
 void askToJoin(RaftState &state, RaftActions &actions, TimePoint now)
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -213,7 +213,7 @@
     }
 };
 
-/** Sent by a replica that finds its identity in no membership it knows. */
+/** Sent by a replica without a leader that no membership may list; the leader ignores it where its membership lists the identity. */
 struct JoinRequest {
     bool hasDisk = false;
 
--- a/tests/raft_membership_test.cpp
+++ b/tests/raft_membership_test.cpp
@@ -137,3 +137,30 @@
         CHECK(canCommit(cluster));
     }
 }
+
+TEST_CASE("A lost disk whose request to join is lost with its leader asks again")
+{
+    // Guards against a daemon that stays out of the membership for good, since an entry that nobody accepted names it.
+    TestCluster cluster(41, 5, 0);
+    TestNode &old = waitForLeader(cluster);
+    TestNode &lost = otherVoter(cluster, old);
+    cluster.loseDisk(lost);
+    for (const auto &node : cluster.nodes) {
+        for (const auto &inside : {old.name, lost.name}) {
+            const bool isOutside = node->name != old.name && node->name != lost.name;
+            if (isOutside) {
+                cluster.blocked.insert({inside, node->name});
+                cluster.blocked.insert({node->name, inside});
+            }
+        }
+    }
+    cluster.start(lost);
+    cluster.run(1000);
+    REQUIRE(isMember(currentMembership(*lost.raft), lost.raft->settings.self));
+    cluster.run(ElectionBound);
+    REQUIRE(cluster.leader() != &old);
+    cluster.blocked.clear();
+    CHECK(cluster.runUntil(ElectionBound, [&cluster] {
+        return cluster.isRepaired();
+    }));
+}
