Fix: a core that stops while it gets the leadership keeps it without a scheduler

Cause: a core that stops starts no scheduler, and handed the leadership over only if it had one. Change: a core that stops hands over whenever it is the leader of the replicated log.

--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -116,7 +116,8 @@
     if (!this->onReplaced) {
         return;
     }
-    if (this->scheduler && this->handover.stage == HandoverStage::None && this->status.hasSuccessor) {
+    // Another daemon that stops may have offered the leadership to this one, which starts no scheduler any more.
+    if (this->status.role == RaftRole::Leader && this->handover.stage == HandoverStage::None && this->status.hasSuccessor) {
         this->beginHandover("the daemon is stopping");
     }
     const bool isOnlyVoter = this->status.membership.voters.size() <= 1;
--- a/tests/fleet_leader_test.cpp
+++ b/tests/fleet_leader_test.cpp
@@ -292,6 +292,43 @@
 }
 
 // Guards against a stop that waits for a successor that never comes.
+TEST_CASE("a core that stops while the leadership is handed to it passes it on")
+{
+    // Guards against a stopping daemon that is elected, starts no scheduler and leads until its grace period ends.
+    FleetInstallation installation(FleetShape{.cores = 3, .entries = 1, .stopGraceMs = 6'000});
+    REQUIRE(installation.startAll());
+    FleetLoad load(installation);
+    REQUIRE(load.putFirstManifest());
+    constexpr Duration WatchTime{4'000};
+    for (const int gapMs : {10, 11, 12}) {
+        CAPTURE(gapMs);
+        FleetProcess *leader = installation.awaitLeader();
+        REQUIRE(leader != nullptr);
+        FleetProcess &successor = leader == installation.cores.data() ? installation.cores[1] : installation.cores[0];
+        const TimePoint begin = steadyNow();
+        leader->process->signal(SIGTERM);
+        sleepMs(gapMs);
+        successor.process->signal(SIGTERM);
+        int failed = 0;
+        std::thread caller([&] {
+            while (steadyNow() - begin < WatchTime) {
+                const unsigned status = load.submitOnce(installation.entry);
+                failed += status >= 200 && status < 300 ? 0 : 1;
+                sleepMs(30);
+            }
+        });
+        // A process ends with the thread that has started it.
+        for (FleetProcess *core : {leader, &successor}) {
+            CHECK(core->process->waitForEnd(EndLimit) == 0);
+            core->process.reset();
+            installation.start(*core);
+        }
+        caller.join();
+        CHECK(failed == 0);
+        REQUIRE(installation.areAllReady());
+    }
+}
+
 TEST_CASE("core daemons end within their grace period")
 {
     FleetInstallation installation(FleetShape{.cores = 3, .entries = 1, .stopGraceMs = 4'000});
