Fix: an entry may hold as many callers as its descriptors allow

Cause: the main port got half of the limit, also where nothing else needs it. Change: it gets what handshakes, readiness, metrics and files leave (2,816 at 4,096; 195 at 300, where it was 150). connection_room_test checks that it is above half of the limit and that the shares together keep within the connections; the former failed before.

--- a/src/network/descriptor_pool.cpp
+++ b/src/network/descriptor_pool.cpp
@@ -29,9 +29,10 @@
     const std::size_t kept = std::clamp(processLimit / 16, MinKeptForFiles, MaxKeptForFiles);
     DescriptorShares shares;
     shares.connections = std::max(processLimit, kept + MinShare) - kept;
-    shares.main = shareOf(processLimit, 2, MaxListenerConnections);
     shares.auxiliary = shareOf(processLimit, 16, MaxListenerConnections);
     shares.handshakes = shareOf(processLimit, 8, MaxHandshakes);
+    const std::size_t others = shares.handshakes + 2 * shares.auxiliary;
+    shares.main = std::clamp(shares.connections - std::min(shares.connections, others), MinShare, MaxListenerConnections);
     return shares;
 }
 
--- a/tests/connection_room_test.cpp
+++ b/tests/connection_room_test.cpp
@@ -394,6 +394,10 @@
         CHECK(shares.main <= 3'500);
         CHECK(shares.auxiliary <= shares.main);
         CHECK(shares.handshakes <= 512);
+        if (limit >= 300 && limit < 10'000) {
+            CHECK(shares.main > limit / 2);
+            CHECK(shares.main + shares.handshakes + 2 * shares.auxiliary <= shares.connections);
+        }
     }
     CHECK(descriptorShares(1'000'000).main == 3'500);
     CHECK(descriptorShares(1'000'000).handshakes == 512);
