Fix: findings of the review on the hand-over, and the build with sanitizers

Two files lacked standard headers. A test function that the sanitizers' build doesn't use broke that build.

--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -168,6 +168,7 @@
     void proposeAndAnswer(FleetCommand command, std::function<void(ApiResponse)> done);
     std::string controlAddressOf(const DaemonName &daemon) const;
     bool isLeading() const;
+    bool isOnlyVoter() const;
     bool isOtherLeaderKnown() const;
 
     boost::asio::io_context &io;
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -64,8 +64,8 @@
     const bool isDue = steadyNow() >= this->handover.deadline;
     if (this->handover.stage == HandoverStage::Finishing && (isDue || (this->outbox.empty() && this->inFlight.empty()))) {
         this->transferLeadership();
-    } else if (this->handover.stage == HandoverStage::Transferring && isDue) {
-        // Replication steps down before; this daemon is still the leader only if it has become the only voter.
+    } else if (this->handover.stage == HandoverStage::Transferring && isDue && this->isOnlyVoter()) {
+        // Replication steps down as soon as its thread runs, unless nobody else can lead.
         this->handover = {};
         this->beginLeadershipIfReady();
     }
@@ -120,12 +120,16 @@
     if (this->status.role == RaftRole::Leader && this->handover.stage == HandoverStage::None && this->status.hasSuccessor) {
         this->beginHandover("the daemon is stopping");
     }
-    const bool isOnlyVoter = this->status.membership.voters.size() <= 1;
-    if (this->isOtherLeaderKnown() || isOnlyVoter || steadyNow() >= this->stopDeadline) {
+    if (this->isOtherLeaderKnown() || this->isOnlyVoter() || steadyNow() >= this->stopDeadline) {
         std::exchange(this->onReplaced, {})();
     }
 }
 
+bool FleetCore::isOnlyVoter() const
+{
+    return this->status.membership.voters.size() <= 1;
+}
+
 bool FleetCore::isOtherLeaderKnown() const
 {
     return !this->status.leader.empty() && this->status.leader != this->settings.address;
--- a/src/network/connection_table.cpp
+++ b/src/network/connection_table.cpp
@@ -6,7 +6,9 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstring>
+#include <string_view>
 
 namespace Filbertlanding {
 
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <mutex>
 #include <thread>
 #include <unordered_set>
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -80,6 +80,7 @@
     }
 }
 
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
 /** Returns the shared libraries that the dynamic loader loads before the first code of the fleet daemon. */
 std::vector<std::string> librariesAtStart()
 {
@@ -95,6 +96,7 @@
     ::pclose(output);
     return names;
 }
+#endif
 
 } // namespace
 
