Fix: the soak counts the readiness answer of a daemon that stops as a cost of planned stops

Seen: soak_planned_stops_test on, 8 answers 503 to callers and 6 to others in 6 planned stops, 9 and 11 in a second play. Traced: each came 1 to 4 ms after its request, 200 ms apart, and no entry had given a call up; they are the soak's own readiness checks of daemons that stop, which are to be answered 503. Change: a 503 at a readiness port is not counted; a readiness check without an answer still is.

--- a/tests/soak/soak_reach.cpp
+++ b/tests/soak/soak_reach.cpp
@@ -94,6 +94,11 @@
             return;
         }
         this->onAnswer(this->targets[target], exchange);
+        // A daemon that stops is not ready, so 503 is its answer there.
+        const bool isNotReady = this->targets[target].port == SoakPort::Readiness && exchange.response.status == 503;
+        if (isNotReady) {
+            return;
+        }
         const bool isEntry = !this->daemons.daemons[this->targets[target].daemon].hasDisk;
         this->checks.onCallEnded(isEntry ? SoakSender::Caller : SoakSender::Other, sentAt, CallTimeout, exchange);
     });
