--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -23,7 +23,7 @@
     constexpr std::size_t MaxEntriesInFlight = 2; ///< One entry is synced to disk while the next one is sent; a higher limit would only make entries smaller.
     /** Long enough to survive a failover or a few seconds without any scheduler; short enough to restart the tasks of a lost worker elsewhere soon. */
     constexpr std::int64_t MaxTaskLeaseMs = 7'000;
-    /** Longest election timeouts for which the event loop may stand still; its silence then has cost the leadership at the other voters already. */
+    /** Time, in units of the longest election timeout, for which the event loop may stand still. The other voters have elected a leader by then. */
     constexpr std::int64_t OwnerTimeoutElections = 2;
 
     std::string ipAddressOf(const std::string &contact)
--- a/src/network/connection_table.cpp
+++ b/src/network/connection_table.cpp
@@ -151,7 +151,7 @@
     return nullptr;
 }
 
-/** Returns the oldest connection of the address with the most connections. A receiving one speaks, so there only the time counts. */
+/** Returns the oldest connection of the address with the most connections. Receiving connections are ordered by age only. */
 TrackedConnection *ConnectionTable::candidate(ConnectionPhase phase)
 {
     TrackedConnection *first = this->oldest(phase);
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -94,7 +94,7 @@
         this->onListenerClosed();
     };
     this->port = this->shared.settings.port;
-    // Connections that were accepted in this turn have not been read, so that their worth is unknown; most of the open ones must be older.
+    // Connections that were accepted in this turn have not been read, so their phase is not known yet; most of the open ones must be older.
     const std::size_t acceptsPerTurn = std::clamp<std::size_t>(this->shared.settings.maxConnections / ClosingDivisor, 1, MaxAcceptsPerTurn);
     this->listener.emplace(this->loops.front()->io, std::move(hooks), acceptsPerTurn);
     return this->listener->open(this->shared.settings.address, this->port);
--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -70,7 +70,7 @@
     bool isElectable = true; ///< Whether this replica may stand for election and lead.
     TimePoint notServingDue; ///< Follower that isn't serving: next NotServing.
     TimePoint electionDue; ///< Follower or candidate: next election.
-    TimePoint voteDue; ///< Before, no vote in an ordinary election: an action under this replica's last lease may be under way.
+    TimePoint voteDue; ///< Earliest time of a vote in an ordinary election: before, an action under this replica's last lease may be under way.
     std::optional<TimePoint> leaderContact; ///< Last message from the leader of the current term.
     std::set<VoterId> votes; ///< Promises or votes for this replica.
     TimePoint requestDue; ///< Next JoinRequest or FetchRequest.
@@ -84,7 +84,7 @@
     std::optional<TimePoint> answeredRoundStart; ///< Leader: start of the newest round that a quorum has answered.
     TimePoint heartbeatDue;
     std::vector<RaftPendingRead> reads;
-    std::optional<TimePoint> transferDue; ///< Leader: latest end of the transfer of leadership that is under way.
+    std::optional<TimePoint> transferDue; ///< Leader: deadline of the transfer of leadership that is under way.
     TimePoint leaderSince; ///< Leader: start of its term; running leases count from here.
 };
 
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /** Longest election timeouts by which a follower that isn't serving stands later than others. */
+    /** Delay, in units of the longest election timeout, by which a follower that isn't serving stands later than others. */
     constexpr std::int64_t NotServingDelay = 2;
 
     /** Returns whether a candidate's log holds at least what the own one does. */
--- a/src/replication/raft_transfer.cpp
+++ b/src/replication/raft_transfer.cpp
@@ -1,4 +1,4 @@
-/** @file raft_transfer.cpp Transfer of leadership (Ongaro's dissertation, 3.10), and who is fit to lead. */
+/** @file raft_transfer.cpp Transfer of leadership (Ongaro's dissertation, 3.10), and who is eligible to lead. */
 
 #include "replication/raft_internal.h"
 
