Change: the steps to place are found in a module of their own

The first one, with due occurrences, starved jobs and the count and spread of the tasks of a step, is now in scheduler_ready.cpp; functions that held_tasks.cpp, fleet_load.cpp and scheduler_supervision.cpp use too are there and no longer among those of a placement pass. The code is moved as it was. Behaviour is unchanged.

All programs that link the fleet library build. These tests pass: fleet_place_test, fleet_scheduler_test, fleet_capacity_test, fleet_held_test, fleet_overload_test, fleet_fault_test, fleet_retention_test, fleet_admission_test, fleet_incarnation_test, fleet_crash_test, fleet_outage_test, fleet_snapshot_test, fleet_run_time_test, crash_evidence_test, job_admission_test, fleet_peers_test, worker_report_test; the linter and the format check too.

--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -103,6 +103,12 @@
 /** Starts tasks of ready steps on workers with sufficient capacity. */
 void placeTasks(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions);
 
+/** Proposes to open the occurrences that are due, and returns the steps with tasks to place, job by job. */
+std::vector<ReadyStep> collectReadySteps(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions);
+
+/** Returns whether a task is a strong suspect that is held until it is known whether its worker has crashed. */
+bool isHeld(const FleetScheduler &scheduler, const TaskRef &ref, TimePoint now);
+
 /** Returns whether a task waits for its start to be proposed. */
 bool isPending(const FleetScheduler &scheduler, const TaskRef &ref, const TaskRecord &task, TimePoint now);
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <set>
-#include <span>
 #include <utility>
 
 namespace Filbertlanding {
@@ -31,136 +30,6 @@
         FailedPlacements failedPlacements;
     };
 
-    bool isHeld(const FleetScheduler &scheduler, const TaskRef &ref, TimePoint now)
-    {
-        const auto held = scheduler.heldSuspects.find(ref);
-        return held != scheduler.heldSuspects.end() && now < held->second;
-    }
-
-} // namespace
-
-bool isPending(const FleetScheduler &scheduler, const TaskRef &ref, const TaskRecord &task, TimePoint now)
-{
-    return !task.isDone && task.active.empty() && !scheduler.proposedStarts.contains(ref) && !isHeld(scheduler, ref, now);
-}
-
-std::uint32_t countPendingTasks(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t occurrence, std::uint32_t step)
-{
-    const StepRecord &record = job.occurrences.at(occurrence).steps[step];
-    const auto first = scheduler.proposedStarts.lower_bound({job.number, occurrence, step, 0});
-    const auto last = scheduler.proposedStarts.lower_bound({job.number, occurrence, step + 1, 0});
-    const auto proposed = static_cast<std::uint32_t>(std::distance(first, last));
-    const std::uint32_t taken = record.doneCount + record.activeCount + proposed;
-    return job.spec.steps[step].taskCount - std::min(taken, job.spec.steps[step].taskCount);
-}
-
-namespace {
-
-    /** Returns whether a task of a job runs, or its start is proposed. */
-    bool hasRuns(const FleetScheduler &scheduler, const FleetJob &job)
-    {
-        const auto proposed = scheduler.proposedStarts.lower_bound({job.number, 0, 0, 0});
-        if (proposed != scheduler.proposedStarts.end() && proposed->first.job == job.number) {
-            return true;
-        }
-        return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &item) {
-            return std::any_of(item.second.steps.begin(), item.second.steps.end(), [](const StepRecord &step) {
-                return step.activeCount > 0;
-            });
-        });
-    }
-
-    /**
-     * Marks the steps of a job that has had nothing running for too long. A job on time waits for a better worker in its own interest, and becomes late
-     * while it does.
-     */
-    void markStarvedSteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::span<ReadyStep> steps)
-    {
-        constexpr Duration MaxIdleTime{1'500}; // Longer than the gap between two runs of a job.
-        if (steps.empty() || hasRuns(scheduler, job)) {
-            view.idleSince.reset();
-            return;
-        }
-        view.idleSince = view.idleSince.value_or(now);
-        for (ReadyStep &step : steps) {
-            step.isStarved = now - *view.idleSince >= MaxIdleTime && deadlineStatus(step, now) != DeadlineStatus::OnTime;
-        }
-    }
-
-    /** CPU seconds of an occurrence. */
-    struct OccurrenceWork {
-        double total = 0;
-        double started = 0; ///< Part of it that is done or under way.
-    };
-
-    OccurrenceWork workOf(const FleetJob &job, const JobView &view, const Occurrence &occurrence)
-    {
-        OccurrenceWork work;
-        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-            const StepRecord &record = occurrence.steps[i];
-            work.total += view.taskSeconds[i] * job.spec.steps[i].taskCount;
-            work.started += view.taskSeconds[i] * (record.doneCount + record.activeCount);
-        }
-        return work;
-    }
-
-    void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::vector<ReadyStep> &ready)
-    {
-        if (view.isStale) {
-            refreshJobView(scheduler, job, view);
-        }
-        const std::size_t before = ready.size();
-        for (const auto &[number, occurrence] : job.occurrences) {
-            if (occurrence.isComplete) {
-                continue;
-            }
-            const OccurrenceWork work = workOf(job, view, occurrence);
-            for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
-                const StepRecord &record = occurrence.steps[i];
-                const StepSpec &spec = job.spec.steps[i];
-                if (record.doneCount + record.activeCount >= spec.taskCount || !isStepReady(job, occurrence, i)) {
-                    view.waitingSince.erase({number, i});
-                    continue;
-                }
-                ReadyStep step{.job = job.number, .occurrence = number, .step = i, .priority = job.queue.priority};
-                step.pendingTasks = countPendingTasks(scheduler, job, number, i);
-                if (step.pendingTasks == 0) {
-                    continue;
-                }
-                step.isLongRunning = spec.isLongRunning;
-                step.waitedFor = spec.isLongRunning ? now - view.waitingSince.try_emplace({number, i}, now).first->second : Duration{};
-                step.usesSpareCapacity = spec.usesSpareCapacity;
-                step.acceptedAt = view.acceptedAt;
-                step.objectiveDeadline = view.objectiveDeadline;
-                step.remainingCriticalPath = view.criticalPathFrom[i];
-                step.startedShare = work.started / work.total;
-                step.valueDensity = valueDensity(work.total, work.started);
-                ready.push_back(step);
-            }
-        }
-        markStarvedSteps(scheduler, job, view, now, std::span(ready).subspan(before));
-    }
-
-} // namespace
-
-StepSpread spreadOf(const FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step)
-{
-    StepSpread spread;
-    for (const TaskRecord &task : job.occurrences.at(step.occurrence).steps[step.step].tasks) {
-        for (const ActiveRun &run : task.active) {
-            ++spread[run.incarnation];
-        }
-    }
-    const auto first = scheduler.proposedStarts.lower_bound({step.job, step.occurrence, step.step, 0});
-    const auto last = scheduler.proposedStarts.lower_bound({step.job, step.occurrence, step.step + 1, 0});
-    for (auto proposed = first; proposed != last; ++proposed) {
-        ++spread[proposed->second];
-    }
-    return spread;
-}
-
-namespace {
-
     /** Returns the expected run time of the tasks of a step in the rack of their data. */
     Duration stepTime(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step)
     {
@@ -426,17 +295,6 @@
         }
     }
 
-    /** Proposes to open the occurrences that are due. Any number may be due at once, so the number of incomplete ones is limited. */
-    void openDueOccurrences(JobView &view, const FleetJob &job, WallTime wall, SchedulerActions &actions)
-    {
-        constexpr std::uint32_t MaxIncompleteOccurrences = 64;
-        const std::uint32_t end = std::min(job.spec.repeatCount, job.completeCount + MaxIncompleteOccurrences);
-        while (view.openedOccurrences < end && wall.ms >= job.spec.startAt.ms + job.spec.interval.ms * view.openedOccurrences) {
-            actions.propose.push_back(OpenOccurrence{job.number, view.openedOccurrences});
-            ++view.openedOccurrences;
-        }
-    }
-
     /** Places the tasks of a step within limits, unless it is known that none fits. Returns false if tasks were left to the next pass. */
     bool placeWithin(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
     {
@@ -546,12 +404,7 @@
 
 void placeTasks(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions)
 {
-    std::vector<ReadyStep> ready;
-    for (auto &[number, view] : scheduler.jobs) {
-        const FleetJob &job = state.jobs.at(number);
-        openDueOccurrences(view, job, wall, actions);
-        addReadySteps(scheduler, job, view, now, ready);
-    }
+    std::vector<ReadyStep> ready = collectReadySteps(scheduler, state, now, wall, actions);
     if (ready.empty() && scheduler.requestedCopies.empty()) {
         scheduler.readySteps.clear();
         return;
