Change: one timer for calls that expire, and one decoding of messages

CallerRelay and HeldCalls each had the same timer that runs every 50 ms while calls wait; both use ExpireTimer now, and what each does with a call whose time is over stays with it. The codecs of the peer messages, of the fleet messages and of the handshake each turned a decoded value into an optional; decodeBounded in core does that now. A reader finds the interval and the rule for damaged bytes in one place. Behaviour is unchanged.

The lists of messages in peer_codec.cpp and fleet_message.cpp stay two: they look alike because cereal appears in source files only, but the messages are those of different daemons.

--- a/src/core/bounded_archive.h
+++ b/src/core/bounded_archive.h
@@ -375,6 +375,14 @@
     }
 }
 
+/** Decodes a value that takes up all of the bytes; nothing when they are damaged. */
+template<class Value>
+[[nodiscard]] std::optional<Value> decodeBounded(std::string_view bytes)
+{
+    Value value;
+    return decodeBounded(bytes, value) ? std::optional<Value>(std::move(value)) : std::nullopt;
+}
+
 /** Returns a format version, as the first byte, and the encoded form of a value. */
 template<class Value>
 std::string encodeVersioned(char version, const Value &value)
--- a/src/daemon/peer_codec.cpp
+++ b/src/daemon/peer_codec.cpp
@@ -18,8 +18,7 @@
 template<class Message>
 std::optional<Message> decodePeerMessage(std::string_view bytes)
 {
-    Message message;
-    return decodeBounded(bytes, message) ? std::optional(std::move(message)) : std::nullopt;
+    return decodeBounded<Message>(bytes);
 }
 
 #define PEER_MESSAGE(Type) \
--- a/src/fleetd/caller_relay.cpp
+++ b/src/fleetd/caller_relay.cpp
@@ -17,7 +17,6 @@
     constexpr Duration ForwardTimeout{600}; ///< Time to wait for the leader's response before the request is forwarded again.
     constexpr Duration OutcomeTimeout{1'000}; ///< After this time the caller is told that the outcome is unknown; it resends the request with the same job id.
     constexpr Duration RetryAfterRefusal{1'000}; ///< Longer than an election takes.
-    constexpr std::chrono::milliseconds ExpireInterval{50};
     constexpr std::size_t MaxWaitingRequests = 2'000; ///< Requests waiting for a leader; further ones fail immediately.
 
     /** Returns whether a header is forwarded. Transport-related headers are dropped to keep messages between availability zones small. */
@@ -56,7 +55,9 @@
 
 CallerRelay::CallerRelay(boost::asio::io_context &loop, const ProtocolAdapter &protocolAdapter)
     : adapter(protocolAdapter)
-    , timer(loop)
+    , timer(loop, [this] {
+        this->expireWaiting();
+    })
 {
 }
 
@@ -98,7 +99,7 @@
         return;
     }
     this->waiting.push_back(pending);
-    this->armTimer();
+    this->timer.arm();
 }
 
 void CallerRelay::onAnswer(const RequestPointer &pending, const DaemonName &leader, const PeerAnswer &answer)
@@ -128,21 +129,6 @@
     }
 }
 
-void CallerRelay::armTimer()
-{
-    if (this->isTimerArmed) {
-        return;
-    }
-    this->isTimerArmed = true;
-    this->timer.expires_after(ExpireInterval);
-    this->timer.async_wait([this](const boost::system::error_code &error) {
-        this->isTimerArmed = false;
-        if (!error) {
-            this->expireWaiting();
-        }
-    });
-}
-
 void CallerRelay::expireWaiting()
 {
     const TimePoint now = steadyNow();
@@ -156,7 +142,7 @@
         }
     }
     if (!this->waiting.empty()) {
-        this->armTimer();
+        this->timer.arm();
     }
 }
 
--- a/src/fleetd/caller_relay.h
+++ b/src/fleetd/caller_relay.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "fleetd/expire_timer.h"
 #include "fleetd/leader_finder.h"
 #include "fleetd/protocol_adapter.h"
 #include "network/http_server.h"
@@ -9,7 +10,6 @@
 #include "runtime/histogram.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <deque>
 #include <memory>
@@ -60,14 +60,12 @@
     void onAnswer(const RequestPointer &pending, const DaemonName &leader, const PeerAnswer &answer);
     void expireWaiting();
     void failRequest(const RequestPointer &pending);
-    void armTimer();
 
     const ProtocolAdapter &adapter;
     PeerLinks *peers = nullptr;
     LeaderFinder *finder = nullptr;
     std::deque<RequestPointer> waiting; ///< Requests waiting for a leader.
-    boost::asio::steady_timer timer;
-    bool isTimerArmed = false;
+    ExpireTimer timer;
     CallerRelayCounters relayCounters;
 };
 
--- a/src/fleetd/fleet_message.cpp
+++ b/src/fleetd/fleet_message.cpp
@@ -16,11 +16,7 @@
 template<class Message>
 std::optional<Message> decodeFleetMessage(std::string_view bytes)
 {
-    Message message;
-    if (!decodeBounded(bytes, message)) {
-        return std::nullopt;
-    }
-    return message;
+    return decodeBounded<Message>(bytes);
 }
 
 #define FLEET_MESSAGE(Type) \
--- a/src/fleetd/held_calls.cpp
+++ b/src/fleetd/held_calls.cpp
@@ -11,13 +11,14 @@
 namespace {
 
     constexpr Duration HoldTime{400}; ///< Covers a transfer of leadership; callers still have the time to try elsewhere.
-    constexpr std::chrono::milliseconds ExpireInterval{50};
     constexpr std::size_t MaxCalls = 2'000;
 
 } // namespace
 
 HeldCalls::HeldCalls(boost::asio::io_context &loop)
-    : timer(loop)
+    : timer(loop, [this] {
+        this->expire();
+    })
 {
 }
 
@@ -27,7 +28,7 @@
         return false;
     }
     this->calls.push_back({std::move(resume), steadyNow() + HoldTime});
-    this->armTimer();
+    this->timer.arm();
     return true;
 }
 
@@ -39,21 +40,6 @@
     }
 }
 
-void HeldCalls::armTimer()
-{
-    if (this->isTimerArmed) {
-        return;
-    }
-    this->isTimerArmed = true;
-    this->timer.expires_after(ExpireInterval);
-    this->timer.async_wait([this](const boost::system::error_code &error) {
-        this->isTimerArmed = false;
-        if (!error) {
-            this->expire();
-        }
-    });
-}
-
 void HeldCalls::expire()
 {
     const TimePoint now = steadyNow();
@@ -63,7 +49,7 @@
         call.resume();
     }
     if (!this->calls.empty()) {
-        this->armTimer();
+        this->timer.arm();
     }
 }
 
--- a/src/fleetd/held_calls.h
+++ b/src/fleetd/held_calls.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "fleetd/expire_timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <deque>
 #include <functional>
@@ -35,12 +35,10 @@
         TimePoint deadline;
     };
 
-    void armTimer();
     void expire();
 
-    boost::asio::steady_timer timer;
+    ExpireTimer timer;
     std::deque<Call> calls; ///< In the order of their deadlines.
-    bool isTimerArmed = false;
 };
 
 } // namespace Filbertlanding
--- a/src/network/peer_handshake.cpp
+++ b/src/network/peer_handshake.cpp
@@ -47,8 +47,7 @@
 
     std::optional<HandshakeBody> decodeBody(const std::string &payload)
     {
-        HandshakeBody body;
-        return decodeBounded(payload, body) ? std::optional(body) : std::nullopt;
+        return decodeBounded<HandshakeBody>(payload);
     }
 
     HandshakeBody bodyOf(const Handshake &handshake)
