Fix: cores replaced by new machines lose the quorum for good

Cause: the only sign that a voter is gone was 4 s without an answer, counted anew by each leader, and the removal and the promotion came after it. So redundancy came back after 4.5 to 6 s, where the platform counts a removed machine as replaced 4 s after its successor's start.

Change: a voter that has not answered for the longest election timeout goes as soon as a caught-up newcomer waits, for the shortest one if it has never answered this leader. Cores report their contacts and availability zone; a newcomer whose contacts name it in place of an older core takes its place while both answer, and a leader that is replaced hands over. Changes stay single: a voter that answers stays until the newcomer votes, a silent one goes first. Contacts that are reloaded reach the replicated log. A waiting core that is gone leaves the membership after 4 s. The leader logs each step with its reason.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -44,6 +44,7 @@
         std::sort(raft.bootstrap.voters.begin(), raft.bootstrap.voters.end());
         const auto repeated = std::unique(raft.bootstrap.voters.begin(), raft.bootstrap.voters.end());
         raft.bootstrap.voters.erase(repeated, raft.bootstrap.voters.end());
+        raft.availabilityZone = settings.availabilityZone;
         raft.electionTimeoutMin = {settings.electionTimeoutMinMs};
         raft.electionTimeoutMax = {settings.electionTimeoutMaxMs};
         raft.heartbeatInterval = {settings.raftHeartbeatMs};
@@ -291,15 +292,7 @@
             {{"role", roleName(this->status.role)}, {"term", this->status.term}, {"leader", this->status.leader}, {"commitIndex", this->status.commitIndex}});
     }
     if (membersChanged || leaderChanged) {
-        std::vector<DaemonName> contacts;
-        for (const std::string &contact : this->settings.contacts) {
-            contacts.push_back(ipAddressOf(contact));
-        }
-        std::vector<PeerAddress> addresses;
-        for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, contacts)) {
-            addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
-        }
-        this->peers->setPeers(std::move(addresses));
+        this->setRequiredPeers();
     }
     if (membersChanged) {
         logLine(LogArea::Replication,
@@ -318,6 +311,30 @@
     this->releaseHeldCalls();
 }
 
+std::vector<DaemonName> FleetCore::contactAddresses() const
+{
+    std::vector<DaemonName> contacts;
+    for (const std::string &contact : this->settings.contacts) {
+        contacts.push_back(ipAddressOf(contact));
+    }
+    return contacts;
+}
+
+void FleetCore::setRequiredPeers()
+{
+    std::vector<PeerAddress> addresses;
+    for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, this->contactAddresses())) {
+        addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
+    }
+    this->peers->setPeers(std::move(addresses));
+}
+
+void FleetCore::reloadContacts()
+{
+    this->setRequiredPeers();
+    this->replication.setContacts(this->contactAddresses());
+}
+
 void FleetCore::beginLeadershipIfReady()
 {
     // Once the empty entry that starts the term is applied, all entries committed by earlier leaders are applied too.
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -94,6 +94,9 @@
      */
     void setServing(bool canServe);
 
+    /** Takes over the contacts of the settings, which have changed. */
+    void reloadContacts();
+
     /**
      * Hands the leadership over, if there is one, and goes on as a follower.
      * @param limit Time until `replaced` is called in any case.
@@ -132,9 +135,12 @@
     void completeBatches(std::uint64_t index);
     void onInstalled(Snapshot snapshot);
     void onStatus(ReplicationStatus next);
+    std::vector<DaemonName> contactAddresses() const;
+    void setRequiredPeers();
     void beginLeadershipIfReady();
     void endLeadership(std::string_view reason);
     void leaveIfNotServing();
+    void leaveIfReplaced();
     void beginHandover(std::string_view reason);
     void continueHandover();
     void transferLeadership();
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -374,6 +374,9 @@
     if (this->core == nullptr && this->areLinksOpen) {
         this->finder.setContacts(addressesOf(this->settings.contacts));
     }
+    if (this->isCoreStarted) {
+        this->core->reloadContacts();
+    }
 }
 
 /** Tells the core whether this daemon could carry out the duties of a leader. */
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -31,6 +31,15 @@
         this->replication.setServing(canServe && !this->isStopBegun);
     }
     this->leaveIfNotServing();
+    this->leaveIfReplaced();
+}
+
+/** Hands over to a voter that stays: the host of this daemon is about to be removed. */
+void FleetCore::leaveIfReplaced()
+{
+    if (this->status.isReplaced && this->scheduler && this->handover.stage == HandoverStage::None && this->status.hasSuccessor) {
+        this->beginHandover("a newer core stands in for this one");
+    }
 }
 
 void FleetCore::leaveIfNotServing()
--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -157,6 +157,10 @@
         {
             receiveNotServing(this->state, this->message, this->now);
         }
+        void operator()(const ReplicaReport &body) const
+        {
+            receiveReport(this->state, this->message, body);
+        }
     };
     std::visit(Dispatch{state, actions, message, now}, message.body);
     finishActions(state, actions);
--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -94,6 +94,7 @@
         return;
     }
     continueTransfer(state, actions, now);
+    state.replaced = findReplaced(state, now);
     maintainMembership(state, actions, now);
     if (state.role == RaftRole::Leader && now >= state.heartbeatDue) {
         startRound(state, actions, now);
@@ -144,6 +145,7 @@
     resetElection(state, now);
     // It goes before the answer, so that the leader doesn't take this replica for a successor in between.
     reportNotServing(state, actions, message.from, now);
+    reportSettings(state, actions, message.from, now);
     return true;
 }
 
@@ -225,6 +227,10 @@
         sendAppend(state, actions, message.from, *progress);
     }
     continueTransfer(state, actions, now);
+    if (holdsId(currentMembership(state).joining, message.from)) {
+        // While entries keep coming a joining replica holds all that is accepted only for a moment after its answer.
+        maintainMembership(state, actions, now);
+    }
 }
 
 } // namespace Filbertlanding
--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -18,6 +18,7 @@
     std::uint64_t ackedRound = 0; ///< Last quorum round that it answered.
     TimePoint lastAnswer; ///< Arrival of the last answer in this term.
     std::optional<TimePoint> notServingAt; ///< Arrival of the last NotServing in this term.
+    std::optional<ReplicaReport> report; ///< Last report in this term.
     std::uint64_t snapshotIndex = 0; ///< Snapshot in transfer; 0 for none.
     std::uint64_t snapshotOffset = 0; ///< Bytes of it that were acknowledged.
 };
@@ -69,6 +70,8 @@
     bool isServing = true; ///< Whether this replica could carry out the duties of a leader now; otherwise others come first in an election.
     bool isElectable = true; ///< Whether this replica may stand for election and lead.
     TimePoint notServingDue; ///< Follower that isn't serving: next NotServing.
+    TimePoint reportDue; ///< Next ReplicaReport to the leader.
+    std::uint64_t reportedTerm = 0; ///< Term of the leader that got the last ReplicaReport.
     TimePoint electionDue; ///< Follower or candidate: next election.
     TimePoint voteDue; ///< Earliest time of a vote in an ordinary election: before, an action under this replica's last lease may be under way.
     std::optional<TimePoint> leaderContact; ///< Last message from the leader of the current term.
@@ -77,6 +80,7 @@
     Snapshot incoming; ///< Snapshot in transfer to this replica.
 
     std::map<VoterId, RaftProgress> progress; ///< Leader: all other replicas.
+    std::set<VoterId> replaced; ///< Leader: members that newer replicas stand in for, as of the last tick.
     std::map<DaemonName, RaftJoiner> joinWaiting; ///< Leader: new incarnations that wait for their membership change.
     std::uint64_t termStart = 0; ///< Leader: index of the empty entry of its term.
     std::uint64_t round = 0; ///< Leader: last quorum round started.
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -56,6 +56,7 @@
         state.openRounds.clear();
         state.answeredRoundStart.reset();
         state.joinWaiting.clear();
+        state.replaced.clear();
         state.reads.clear();
         membershipChanged(state, now);
         // Entries of earlier terms are accepted only together with one of the own term (Raft, section 5.4.2).
--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -64,6 +64,12 @@
  */
 RaftActions raftTransferLeadership(RaftState &state, TimePoint now);
 
+/** Tells which daemons the settings name now. */
+RaftActions raftSetContacts(RaftState &state, std::vector<DaemonName> contacts, TimePoint now);
+
+/** Returns whether this replica leads, a newer one stands in for it, and there are enough voters without it: a transfer of leadership is due. */
+bool isReplacedLeader(const RaftState &state);
+
 /** Returns whether this replica leads and another voter that is serving has answered recently. */
 bool hasSuccessor(const RaftState &state, TimePoint now);
 
@@ -85,6 +91,9 @@
 /** Returns the index of the last entry of the log. */
 std::uint64_t lastLogIndex(const RaftState &state);
 
+/** Returns the name of a reason, for logs. */
+std::string_view membershipReasonName(MembershipReason reason);
+
 /** Returns the name of a role, for logs and the status page. */
 std::string_view roleName(RaftRole role);
 
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -101,6 +101,30 @@
 void reportNotServing(RaftState &state, RaftActions &actions, const VoterId &leader, TimePoint now);
 void receiveNotServing(RaftState &state, const RaftMessage &message, TimePoint now);
 
+/** Sends a ReplicaReport to the leader, at the start of its term and once in a while. */
+void reportSettings(RaftState &state, RaftActions &actions, const VoterId &leader, TimePoint now);
+void receiveReport(RaftState &state, const RaftMessage &message, const ReplicaReport &report);
+/**
+ * Returns the members that newer replicas stand in for, by what all report of their settings. Such a member may go for good at any moment and
+ * doesn't count as a lost one then. A wrong result costs a change of the membership and no more: all that votes is alive and caught up.
+ */
+std::set<VoterId> findReplaced(const RaftState &state, TimePoint now);
+
+/** Returns whether a replica has answered the leader within the shortest election timeout. */
+bool isAnswering(const RaftState &state, const VoterId &id, TimePoint now);
+/** Returns whether a replica holds all that is accepted. */
+bool isCaughtUp(const RaftState &state, const VoterId &id);
+/** Returns whether the last change is accepted and the leader has accepted an entry of its own term and stays the leader. */
+bool mayChange(const RaftState &state);
+/** Adds a membership to the log. */
+void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now);
+/** Removes a daemon from a list under any incarnation. */
+void eraseDaemon(std::vector<VoterId> &list, const DaemonName &daemon);
+/** Returns the identity of a daemon in a list, or nullptr. */
+const VoterId *findDaemon(const std::vector<VoterId> &list, const DaemonName &daemon);
+/** Returns the membership with a new incarnation taken in, or nothing when there is nothing to do. */
+std::optional<Membership> withJoiner(const RaftState &state, const VoterId &joiner, bool hasDisk);
+
 /** Returns a part of the last snapshot. */
 SnapshotChunk snapshotPart(const RaftState &state, std::uint64_t offset);
 void receiveChunk(RaftState &state, RaftActions &actions, const RaftMessage &message, const SnapshotChunk &chunk, TimePoint now);
@@ -111,7 +135,7 @@
 /** Asks the voters for a place in the membership: a replica that none lists, or, where voters are removed when silent, one without a leader. */
 void askToJoin(RaftState &state, RaftActions &actions, TimePoint now);
 void receiveJoin(RaftState &state, RaftActions &actions, const RaftMessage &message, const JoinRequest &request);
-/** Lets the leader take the next step of replacing a lost identity. */
+/** Lets the leader take the next step towards voters that answer, of which none is about to go. */
 void maintainMembership(RaftState &state, RaftActions &actions, TimePoint now);
 void receiveFetch(RaftState &state, RaftActions &actions, const RaftMessage &message, const FetchRequest &request);
 void receiveFetchAnswer(RaftState &state, RaftActions &actions, const RaftMessage &message, const FetchAnswer &answer, TimePoint now);
--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -1,9 +1,4 @@
-/**
- * @file raft_membership.cpp Single-server membership changes, replacement of lost identities, and learners without a leader.
- *
- * A lost identity is replaced in two changes, removal and promotion. One change that swaps the two would let majorities of
- * the old and the new membership miss each other when a vote that the lost identity gave before its loss arrives late.
- */
+/** @file raft_membership.cpp Membership in force, changes by operators, requests to join, and learners without a leader. */
 
 #include "replication/raft_internal.h"
 
@@ -13,135 +8,6 @@
 
 namespace {
 
-    void eraseDaemon(std::vector<VoterId> &list, const DaemonName &daemon)
-    {
-        std::erase_if(list, [&daemon](const VoterId &id) {
-            return id.daemon == daemon;
-        });
-    }
-
-    const VoterId *findDaemon(const std::vector<VoterId> &list, const DaemonName &daemon)
-    {
-        for (const auto &id : list) {
-            if (id.daemon == daemon) {
-                return &id;
-            }
-        }
-        return nullptr;
-    }
-
-    /** Returns whether the last change is accepted and the leader has accepted an entry of its own term and stays the leader. */
-    bool mayChange(const RaftState &state)
-    {
-        // The second condition closes the gap in the original rule for single-server changes (Ongaro, raft-dev, 2015).
-        return state.role == RaftRole::Leader && !state.transferDue && state.memberships.back().index <= state.commitIndex
-            && state.commitIndex >= state.termStart;
-    }
-
-    void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now)
-    {
-        appendEntry(state, actions, {lastLogIndex(state) + 1, state.term, EntryKind::Membership, encodeMembership(membership)}, now);
-        startRound(state, actions, now);
-        advanceCommit(state, actions, now);
-    }
-
-    bool isAnswering(const RaftState &state, const VoterId &id, TimePoint now)
-    {
-        const auto found = state.progress.find(id);
-        return found != state.progress.end() && now - found->second.lastAnswer < state.settings.electionTimeoutMin;
-    }
-
-    bool isCaughtUp(const RaftState &state, const VoterId &id)
-    {
-        const auto found = state.progress.find(id);
-        return found != state.progress.end() && found->second.match >= state.commitIndex;
-    }
-
-    /** Returns the membership with a new incarnation taken in, or nothing when there is nothing to do. */
-    std::optional<Membership> withJoiner(const RaftState &state, const VoterId &joiner, bool hasDisk)
-    {
-        const Membership &membership = currentMembership(state);
-        const auto newest = newestIncarnation(membership, joiner.daemon);
-        const bool isNewVoter = !newest && hasDisk && state.settings.admitsNewVoters;
-        if (!isNewVoter && (!newest || *newest >= joiner.incarnation)) {
-            return std::nullopt;
-        }
-        const bool isVoterDisk =
-            isNewVoter || findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
-        Membership next = membership;
-        eraseDaemon(next.learners, joiner.daemon);
-        eraseDaemon(next.joining, joiner.daemon);
-        (isVoterDisk ? next.joining : next.learners).push_back(joiner);
-        return next;
-    }
-
-    /** Returns a voter that has been silent for so long that it may be removed, or nullptr. */
-    const VoterId *silentVoter(const RaftState &state, TimePoint now)
-    {
-        for (const auto &voter : currentMembership(state).voters) {
-            const auto found = state.progress.find(voter);
-            if (found != state.progress.end() && now - found->second.lastAnswer >= state.settings.voterSilence) {
-                return &voter;
-            }
-        }
-        return nullptr;
-    }
-
-    /** Returns the membership without a silent voter, if enough voters remain; for a joining voter that takes its place the bound is one lower. */
-    std::optional<Membership> withoutSilentVoter(const RaftState &state, bool isReplaced, TimePoint now)
-    {
-        const Membership &membership = currentMembership(state);
-        const std::size_t needed = state.settings.minVoters + (isReplaced ? 0 : 1);
-        const VoterId *silent = silentVoter(state, now);
-        if (!state.settings.admitsNewVoters || silent == nullptr || membership.voters.size() < std::max<std::size_t>(needed, 2)) {
-            return std::nullopt;
-        }
-        Membership next = membership;
-        std::erase(next.voters, VoterId(*silent));
-        return next;
-    }
-
-    /**
-     * Returns whether one more voter leaves a majority in one of two halves, or can be followed by another one that does: with an even number
-     * of voters, a cut into halves leaves none. The one that is left over stays joining, caught up, and takes the place of the next silent voter.
-     */
-    bool mayAddVoter(const RaftState &state, TimePoint now)
-    {
-        const Membership &membership = currentMembership(state);
-        const auto ready = std::count_if(membership.joining.begin(), membership.joining.end(), [&state, now](const VoterId &joiner) {
-            return isCaughtUp(state, joiner) && isAnswering(state, joiner, now);
-        });
-        const bool isOdd = membership.voters.size() % 2 == 1;
-        return !state.settings.admitsNewVoters || membership.voters.size() < state.settings.minVoters || !isOdd || ready > 1;
-    }
-
-    /** Returns the membership after the next step for a joining identity, or nothing when it is too early. */
-    std::optional<Membership> withReplacement(const RaftState &state, const VoterId &joiner, TimePoint now)
-    {
-        const Membership &membership = currentMembership(state);
-        if (!isCaughtUp(state, joiner) || !isAnswering(state, joiner, now)) {
-            return std::nullopt;
-        }
-        Membership next = membership;
-        const VoterId *lost = findDaemon(membership.voters, joiner.daemon);
-        if (lost != nullptr) {
-            if (*lost == state.settings.self || isAnswering(state, *lost, now) || membership.voters.size() == 1) {
-                return std::nullopt;
-            }
-            std::erase(next.voters, VoterId(*lost));
-            return next;
-        }
-        if (auto smaller = withoutSilentVoter(state, true, now)) {
-            return smaller;
-        }
-        if (!mayAddVoter(state, now)) {
-            return std::nullopt;
-        }
-        eraseDaemon(next.joining, joiner.daemon);
-        next.voters.push_back(joiner);
-        return next;
-    }
-
     /** Returns how many voters of one list are missing in the other. */
     std::size_t countMissing(const std::vector<VoterId> &list, const std::vector<VoterId> &other)
     {
@@ -169,6 +35,65 @@
     return holdsId(membership.voters, id) || holdsId(membership.learners, id) || holdsId(membership.joining, id);
 }
 
+void eraseDaemon(std::vector<VoterId> &list, const DaemonName &daemon)
+{
+    std::erase_if(list, [&daemon](const VoterId &id) {
+        return id.daemon == daemon;
+    });
+}
+
+const VoterId *findDaemon(const std::vector<VoterId> &list, const DaemonName &daemon)
+{
+    for (const auto &id : list) {
+        if (id.daemon == daemon) {
+            return &id;
+        }
+    }
+    return nullptr;
+}
+
+bool mayChange(const RaftState &state)
+{
+    // The second condition closes the gap in the original rule for single-server changes (Ongaro, raft-dev, 2015).
+    return state.role == RaftRole::Leader && !state.transferDue && state.memberships.back().index <= state.commitIndex && state.commitIndex >= state.termStart;
+}
+
+void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now)
+{
+    appendEntry(state, actions, {lastLogIndex(state) + 1, state.term, EntryKind::Membership, encodeMembership(membership)}, now);
+    startRound(state, actions, now);
+    advanceCommit(state, actions, now);
+}
+
+bool isAnswering(const RaftState &state, const VoterId &id, TimePoint now)
+{
+    const auto found = state.progress.find(id);
+    return found != state.progress.end() && now - found->second.lastAnswer < state.settings.electionTimeoutMin;
+}
+
+bool isCaughtUp(const RaftState &state, const VoterId &id)
+{
+    const auto found = state.progress.find(id);
+    return found != state.progress.end() && found->second.match >= state.commitIndex;
+}
+
+std::optional<Membership> withJoiner(const RaftState &state, const VoterId &joiner, bool hasDisk)
+{
+    const Membership &membership = currentMembership(state);
+    const auto newest = newestIncarnation(membership, joiner.daemon);
+    const bool isNewVoter = !newest && hasDisk && state.settings.admitsNewVoters;
+    if (!isNewVoter && (!newest || *newest >= joiner.incarnation)) {
+        return std::nullopt;
+    }
+    const bool isVoterDisk =
+        isNewVoter || findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
+    Membership next = membership;
+    eraseDaemon(next.learners, joiner.daemon);
+    eraseDaemon(next.joining, joiner.daemon);
+    (isVoterDisk ? next.joining : next.learners).push_back(joiner);
+    return next;
+}
+
 std::optional<std::uint64_t> newestIncarnation(const Membership &membership, const DaemonName &daemon)
 {
     std::optional<std::uint64_t> newest;
@@ -253,32 +178,6 @@
     state.joinWaiting[daemon] = {message.from.incarnation, request.hasDisk};
 }
 
-void maintainMembership(RaftState &state, RaftActions &actions, TimePoint now)
-{
-    if (!mayChange(state)) {
-        return;
-    }
-    while (!state.joinWaiting.empty()) {
-        const auto first = state.joinWaiting.begin();
-        const auto next = withJoiner(state, {first->first, first->second.incarnation}, first->second.hasDisk);
-        state.joinWaiting.erase(first);
-        if (next) {
-            appendMembership(state, actions, *next, now);
-            return;
-        }
-    }
-    for (const auto &joiner : currentMembership(state).joining) {
-        const auto next = withReplacement(state, joiner, now);
-        if (next) {
-            appendMembership(state, actions, *next, now);
-            return;
-        }
-    }
-    if (const auto next = withoutSilentVoter(state, false, now)) {
-        appendMembership(state, actions, *next, now);
-    }
-}
-
 bool isZoneVoter(const RaftState &state, const VoterId &id)
 {
     const auto &voters = state.settings.zoneVoters;
--- a/src/replication/raft_transfer.cpp
+++ b/src/replication/raft_transfer.cpp
@@ -17,8 +17,8 @@
         return !progress.notServingAt || now - *progress.notServingAt >= state.settings.electionTimeoutMax;
     }
 
-    /** Returns the voter with a recent answer that holds most of the log, or nothing. */
-    std::optional<VoterId> mostAdvancedVoter(const RaftState &state, bool mustServe, TimePoint now)
+    /** Returns the voter with a recent answer that holds most of the log, or nothing; a lasting one serves, and no newer replica stands in for it. */
+    std::optional<VoterId> mostAdvancedVoter(const RaftState &state, bool mustLast, TimePoint now)
     {
         std::optional<VoterId> best;
         std::uint64_t bestMatch = 0;
@@ -27,7 +27,7 @@
             if (found == state.progress.end() || !hasAnsweredRecently(state, found->second, now)) {
                 continue;
             }
-            const bool isSuitable = !mustServe || isServing(state, found->second, now);
+            const bool isSuitable = !mustLast || (isServing(state, found->second, now) && !state.replaced.contains(voter));
             if (isSuitable && (!best || found->second.match > bestMatch)) {
                 best = voter;
                 bestMatch = found->second.match;
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -278,6 +278,20 @@
     }
 };
 
+/** Sent to the leader once in a while by a replica with a disk: what its own settings say of the installation. */
+struct ReplicaReport {
+    std::vector<DaemonName> contacts; ///< As in RaftSettings.
+    ZoneName availabilityZone; ///< As in RaftSettings.
+
+    bool operator==(const ReplicaReport &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->contacts, this->availabilityZone);
+    }
+};
+
 /** New kinds come last: an earlier version drops a message of a kind that it doesn't know. */
 using RaftBody = std::variant<VoteRequest,
                               VoteAnswer,
@@ -290,7 +304,8 @@
                               FetchAnswer,
                               TimeoutNow,
                               TransferVoteRequest,
-                              NotServing>;
+                              NotServing,
+                              ReplicaReport>;
 
 /** A message between replicas. */
 struct RaftMessage {
@@ -319,6 +334,27 @@
     std::uint64_t index = 0; ///< The state is current once this index is applied.
 };
 
+/** Why the leader changed the membership by itself. */
+enum class MembershipReason : std::uint8_t {
+    Joined, ///< A replica has asked for a place.
+    DiskLost, ///< The daemon is back under a new incarnation.
+    Silent, ///< The replica has not answered for too long.
+    Replaced, ///< A newer replica stands in for it.
+    Promoted, ///< A caught-up replica votes.
+};
+
+/** Returns the last enumerator, for name tables. */
+constexpr MembershipReason lastEnumerator(MembershipReason)
+{
+    return MembershipReason::Promoted;
+}
+
+/** A change of the membership that the leader has begun by itself. */
+struct MembershipStep {
+    VoterId replica; ///< Whom it concerns.
+    MembershipReason reason = MembershipReason::Joined;
+};
+
 /** What the caller carries out, in the order of the members, before it calls again. */
 struct RaftActions {
     std::optional<std::uint64_t> persistIncarnation; ///< New number of the data folder. Sync it before anything below.
@@ -331,6 +367,7 @@
     std::optional<Snapshot> installSnapshot; ///< State machine: replace the state.
     std::vector<LogEntry> apply; ///< State machine: accepted entries in order.
     std::vector<ReadReady> reads;
+    std::optional<MembershipStep> membershipStep; ///< For the log only.
 };
 
 /** Answer to a proposal. */
@@ -354,10 +391,11 @@
     std::uint64_t seed = 0; ///< Seed of the election timeouts.
     std::vector<DaemonName> zoneVoters; ///< Voters of the own availability zone, for FetchRequest.
     std::vector<DaemonName> contacts; ///< Daemons that may know the leader, for a replica whose membership is out of date.
+    ZoneName availabilityZone; ///< Zone of this replica; empty if not known.
     bool guardsLeaderLease = false; ///< A restarted voter elects nobody for the shortest election timeout, so that leaderLeaseEnd holds also then.
     bool admitsNewVoters = false; ///< A daemon with a disk that no membership names may join and becomes a voter; otherwise the bootstrap names all voters.
     std::size_t minVoters = 3; ///< Voters that are kept even if some are silent; only with admitsNewVoters.
-    Duration voterSilence{4000}; ///< Silence after which a voter beyond minVoters, or one that a joining voter can replace, is removed.
+    Duration voterSilence{4000}; ///< Silence after which a voter beyond minVoters or a joining replica is removed. A ready replica takes the place of a silent voter sooner.
     std::uint64_t maxBatchBytes = 262144; ///< Bound of the payload of one message; frames are bounded to 4 MiB.
 };
 
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -93,6 +93,7 @@
         }
         this->leaseEndMs = leaderLeaseEnd(this->raft).ms;
         this->logTransfer(actions.send);
+        this->logMembershipStep(actions.membershipStep);
         this->reportStatus();
     }
 
@@ -181,10 +182,12 @@
         status.membership = currentMembership(this->raft);
         status.self = this->raft.settings.self;
         status.hasSuccessor = hasSuccessor(this->raft, steadyNow());
+        status.isReplaced = isReplacedLeader(this->raft);
         status.isOwnerSilent = this->isOwnerSilent;
         const bool changed = status.role != this->reported.role || status.term != this->reported.term || status.leader != this->reported.leader
             || status.commitIndex != this->reported.commitIndex || status.membership != this->reported.membership
-            || status.hasSuccessor != this->reported.hasSuccessor || status.isOwnerSilent != this->reported.isOwnerSilent;
+            || status.hasSuccessor != this->reported.hasSuccessor || status.isReplaced != this->reported.isReplaced
+            || status.isOwnerSilent != this->reported.isOwnerSilent;
         if (!changed) {
             return;
         }
@@ -218,6 +221,20 @@
         this->isTransferring = isUnderWay;
     }
 
+    void logMembershipStep(const std::optional<MembershipStep> &step) const
+    {
+        if (step) {
+            logLine(LogArea::Replication,
+                    LogLevel::Info,
+                    "membership_step",
+                    {{"term", this->raft.term},
+                     {"daemon", step->replica.daemon},
+                     {"incarnation", step->replica.incarnation},
+                     {"reason", membershipReasonName(step->reason)},
+                     {"voters", currentMembership(this->raft).voters.size()}});
+        }
+    }
+
     /** Gives up the leadership while the owner's event loop doesn't run: its duties are not carried out, and only the others can take them over. */
     void watchOwner()
     {
@@ -377,6 +394,13 @@
     });
 }
 
+void ReplicationDriver::setContacts(std::vector<DaemonName> contacts)
+{
+    asio::post(this->core->context, [state = this->core.get(), contacts = std::move(contacts)]() mutable {
+        state->carryOut(raftSetContacts(state->raft, std::move(contacts), steadyNow()));
+    });
+}
+
 void ReplicationDriver::confirmOwnerAlive()
 {
     ++this->core->ownerConfirmations;
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -35,6 +35,7 @@
     Membership membership; ///< Who replicates the log.
     VoterId self; ///< Identity of this replica.
     bool hasSuccessor = false; ///< Leader: another voter that is serving has answered recently, so a transfer of leadership makes sense.
+    bool isReplaced = false; ///< Leader: a newer replica stands in for this one, so a transfer of leadership is due.
     bool isOwnerSilent = false; ///< The owner has not confirmed for the time of ReplicationConfig::ownerTimeout; an election has to do without this replica.
 };
 
@@ -51,7 +52,7 @@
     std::function<void(const DaemonName &to, const RaftMessage &message)> send; ///< Sends a message to another replica.
     std::function<void(Snapshot snapshot)> install; ///< Replaces the state machine's state.
     std::function<void(std::vector<LogEntry> entries)> apply; ///< Applies accepted entries.
-    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index, membership, hasSuccessor or isOwnerSilent has changed.
+    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index, membership, hasSuccessor, isReplaced or isOwnerSilent has changed.
     std::function<void(std::uint64_t index)> snapshotWanted; ///< The state machine should hand over a snapshot of at least this index.
     std::function<void(std::int64_t microseconds)> synced; ///< Entries were written and synced in this time.
     std::function<void(ResultCode code)> failed; ///< The disk has failed; the process has to stop.
@@ -108,6 +109,9 @@
      */
     void transferLeadership();
 
+    /** Tells which daemons the settings name now. */
+    void setContacts(std::vector<DaemonName> contacts);
+
     /** Tells that the owner's event loop runs. Cheap; call it several times within ReplicationConfig::ownerTimeout. */
     void confirmOwnerAlive();
 
