--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -85,8 +85,7 @@
     if (!isNewVoter && (!newest || *newest >= joiner.incarnation)) {
         return std::nullopt;
     }
-    const bool isVoterDisk =
-        isNewVoter || findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
+    const bool isVoterDisk = isNewVoter || findDaemon(membership.voters, joiner.daemon) != nullptr || findDaemon(membership.joining, joiner.daemon) != nullptr;
     Membership next = membership;
     eraseDaemon(next.learners, joiner.daemon);
     eraseDaemon(next.joining, joiner.daemon);
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -395,7 +395,8 @@
     bool guardsLeaderLease = false; ///< A restarted voter elects nobody for the shortest election timeout, so that leaderLeaseEnd holds also then.
     bool admitsNewVoters = false; ///< A daemon with a disk that no membership names may join and becomes a voter; otherwise the bootstrap names all voters.
     std::size_t minVoters = 3; ///< Voters that are kept even if some are silent; only with admitsNewVoters.
-    Duration voterSilence{4000}; ///< Silence after which a voter beyond minVoters or a joining replica is removed. A ready replica takes the place of a silent voter sooner.
+    Duration voterSilence{
+        4000}; ///< Silence after which a voter beyond minVoters or a joining replica is removed. A ready replica takes the place of a silent voter sooner.
     std::uint64_t maxBatchBytes = 262144; ///< Bound of the payload of one message; frames are bounded to 4 MiB.
 };
 
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -52,7 +52,8 @@
     std::function<void(const DaemonName &to, const RaftMessage &message)> send; ///< Sends a message to another replica.
     std::function<void(Snapshot snapshot)> install; ///< Replaces the state machine's state.
     std::function<void(std::vector<LogEntry> entries)> apply; ///< Applies accepted entries.
-    std::function<void(ReplicationStatus status)> statusChanged; ///< Role, term, leader, commit index, membership, hasSuccessor, isReplaced or isOwnerSilent has changed.
+    std::function<void(ReplicationStatus status)>
+        statusChanged; ///< Role, term, leader, commit index, membership, hasSuccessor, isReplaced or isOwnerSilent has changed.
     std::function<void(std::uint64_t index)> snapshotWanted; ///< The state machine should hand over a snapshot of at least this index.
     std::function<void(std::int64_t microseconds)> synced; ///< Entries were written and synced in this time.
     std::function<void(ResultCode code)> failed; ///< The disk has failed; the process has to stop.
