Fix: a new leader takes members that have not reported yet for replaced ones

For some milliseconds a new leader knows the reports of a part of the members. One that had not reported could count as the only one that a newcomer's contacts leave out. Only members that have reported in this term, with a known zone, count now; a dead leader is found by its silence.

--- a/src/replication/raft_maintenance.cpp
+++ b/src/replication/raft_maintenance.cpp
@@ -159,11 +159,10 @@
     /** Begins to put a ready replica in the place of a voter that is silent or about to go. */
     NextStep withExchange(const RaftState &state, const std::vector<VoterId> &ready, TimePoint now)
     {
-        const auto &voters = currentMembership(state).voters;
-        const std::size_t needed = std::max<std::size_t>(state.settings.minVoters, 2);
-        if (ready.empty() || voters.size() < needed) {
+        if (ready.empty()) {
             return std::nullopt;
         }
+        const auto &voters = currentMembership(state).voters;
         for (const auto &voter : voters) {
             if (!isSelf(state, voter) && isMissing(state, voter, now)) {
                 return withoutVoter(state, voter, MembershipReason::Silent);
--- a/src/replication/raft_replaced.cpp
+++ b/src/replication/raft_replaced.cpp
@@ -22,13 +22,6 @@
         return found == state.progress.end() ? std::nullopt : found->second.report;
     }
 
-    /** Returns the availability zone of a member; empty if it is not known. */
-    ZoneName zoneOf(const RaftState &state, const VoterId &id)
-    {
-        const auto report = reportOf(state, id);
-        return report ? report->availabilityZone : ZoneName();
-    }
-
     /** Returns voters and joining replicas, the newest last: the number of a new disk comes from the time of day. */
     std::vector<VoterId> membersByAge(const Membership &membership)
     {
@@ -40,15 +33,9 @@
         return members;
     }
 
-    /** Returns the only element of a list, or nothing. */
-    std::optional<VoterId> onlyOne(const std::vector<VoterId> &list)
-    {
-        return list.size() == 1 ? std::optional(list.front()) : std::nullopt;
-    }
-
     /**
-     * Returns the member that a newcomer stands in for. Its contacts name it in place of that member; they may be out of date or name only a part of
-     * all daemons, so that the zone decides which one is meant.
+     * Returns the member that a newcomer stands in for: the only older one of its zone that its contacts don't name. Contacts that don't name the
+     * newcomer either are older than it, so all members of its zone count. Only members that have reported in this term are known well enough.
      */
     std::optional<VoterId> replacedBy(const RaftState &state, const VoterId &newcomer, const std::vector<VoterId> &older)
     {
@@ -57,24 +44,16 @@
             return std::nullopt;
         }
         const bool isCurrent = hasContact(*report, newcomer.daemon);
-        std::vector<VoterId> sameZone;
-        std::vector<VoterId> unknownZone;
+        std::vector<VoterId> candidates;
         for (const auto &member : older) {
+            const auto known = reportOf(state, member);
+            const bool isSameZone = known && known->availabilityZone == report->availabilityZone;
             const bool isNamed = isCurrent && hasContact(*report, member.daemon);
-            if (isNamed || member.incarnation >= newcomer.incarnation) {
-                continue;
+            if (isSameZone && !isNamed && member.incarnation < newcomer.incarnation) {
+                candidates.push_back(member);
             }
-            const ZoneName zone = zoneOf(state, member);
-            if (zone.empty() || report->availabilityZone.empty()) {
-                unknownZone.push_back(member);
-            } else if (zone == report->availabilityZone) {
-                sameZone.push_back(member);
-            }
-        }
-        if (!sameZone.empty() || !isCurrent) {
-            return onlyOne(sameZone);
         }
-        return onlyOne(unknownZone);
+        return candidates.size() == 1 ? std::optional(candidates.front()) : std::nullopt;
     }
 
 } // namespace
