--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -18,6 +18,21 @@
         return missing;
     }
 
+    /** Keeps what is known of the daemons that the membership names. */
+    void noteIncarnations(RaftState &state, const Membership &membership)
+    {
+        std::map<DaemonName, std::uint64_t> first;
+        for (const auto *list : {&membership.voters, &membership.learners, &membership.joining}) {
+            for (const auto &id : *list) {
+                const auto known = state.firstIncarnations.find(id.daemon);
+                const std::uint64_t lowest = known == state.firstIncarnations.end() ? id.incarnation : std::min(known->second, id.incarnation);
+                const auto [item, isNew] = first.emplace(id.daemon, lowest);
+                item->second = std::min(item->second, lowest);
+            }
+        }
+        state.firstIncarnations = std::move(first);
+    }
+
     bool isSingleServerChange(const Membership &from, const Membership &to)
     {
         return isWellFormed(to) && countMissing(from.voters, to.voters) + countMissing(to.voters, from.voters) <= 1;
@@ -109,6 +124,7 @@
 void membershipChanged(RaftState &state, TimePoint now)
 {
     const Membership &membership = currentMembership(state);
+    noteIncarnations(state, membership);
     const bool isVoter = state.settings.hasDisk && holdsId(membership.voters, state.settings.self);
     if (isVoter) {
         state.role = nextRole(state.role, RaftRoleEvent::Promoted);
--- a/src/replication/raft_replaced.cpp
+++ b/src/replication/raft_replaced.cpp
@@ -22,13 +22,21 @@
         return found == state.progress.end() ? std::nullopt : found->second.report;
     }
 
-    /** Returns voters and joining replicas, the newest last: the number of a new disk comes from the time of day. */
-    std::vector<VoterId> membersByAge(const Membership &membership)
+    /** Returns the number of a daemon's first disk, which grows with the time of day. A host that has lost its disk is as old as before. */
+    std::uint64_t firstIncarnation(const RaftState &state, const VoterId &id)
     {
+        const auto found = state.firstIncarnations.find(id.daemon);
+        return found == state.firstIncarnations.end() ? id.incarnation : found->second;
+    }
+
+    /** Returns voters and joining replicas, the newest host last. */
+    std::vector<VoterId> membersByAge(const RaftState &state)
+    {
+        const Membership &membership = currentMembership(state);
         std::vector<VoterId> members = membership.voters;
         members.insert(members.end(), membership.joining.begin(), membership.joining.end());
-        std::stable_sort(members.begin(), members.end(), [](const VoterId &left, const VoterId &right) {
-            return left.incarnation < right.incarnation;
+        std::stable_sort(members.begin(), members.end(), [&state](const VoterId &left, const VoterId &right) {
+            return firstIncarnation(state, left) < firstIncarnation(state, right);
         });
         return members;
     }
@@ -49,7 +57,7 @@
             const auto known = reportOf(state, member);
             const bool isSameZone = known && known->availabilityZone == report->availabilityZone;
             const bool isNamed = isCurrent && hasContact(*report, member.daemon);
-            if (isSameZone && !isNamed && member.incarnation < newcomer.incarnation) {
+            if (isSameZone && !isNamed && firstIncarnation(state, member) < firstIncarnation(state, newcomer)) {
                 candidates.push_back(member);
             }
         }
@@ -65,7 +73,7 @@
         return replaced;
     }
     std::vector<VoterId> older;
-    for (const auto &member : membersByAge(currentMembership(state))) {
+    for (const auto &member : membersByAge(state)) {
         const bool isThere = member == state.settings.self || isAnswering(state, member, now);
         if (const auto found = isThere ? replacedBy(state, member, older) : std::nullopt) {
             replaced.insert(*found);
