--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -50,6 +50,9 @@
     DataFolder folder;
     std::optional<RaftState> raft; ///< Nothing while the process is down.
     bool isPaused = false;
+    bool isGone = false; ///< Ended for good.
+    ZoneName availabilityZone;
+    std::vector<DaemonName> contacts; ///< If there are any, they are the founding voters too, as in the product.
     std::int64_t clockOffset = 0;
     std::int64_t clockPermille = 1000; ///< Speed of the clock; 990 to 1010.
     std::uint64_t newIncarnation = 1; ///< For a new data folder.
@@ -86,6 +89,7 @@
     std::uint64_t maxBatchBytes = 200;
     std::uint64_t lastIncarnation = 1;
     bool admitsNewVoters = false; ///< As in the settings of a replica; takes effect at the next start of a node.
+    RaftSettings common; ///< What the settings of all replicas have in common; takes effect at the next start of a node.
 
     std::vector<Accepted> accepted; ///< Entry i + 1 as first applied by any node.
     std::map<std::uint64_t, VoterId> leaders;
@@ -113,11 +117,19 @@
         }
     }
 
+    /** Returns the name of the node that is added next. */
+    DaemonName nextName() const
+    {
+        return std::string(1, static_cast<char>('a' + this->nodes.size()));
+    }
+
     /** Adds a node with an empty disk that no membership names. */
-    TestNode &addNode()
+    TestNode &addNode(ZoneName availabilityZone = {}, std::vector<DaemonName> contacts = {})
     {
         auto node = std::make_unique<TestNode>();
-        node->name = std::string(1, static_cast<char>('a' + this->nodes.size()));
+        node->availabilityZone = std::move(availabilityZone);
+        node->contacts = std::move(contacts);
+        node->name = this->nextName();
         node->newIncarnation = ++this->lastIncarnation;
         this->nodes.push_back(std::move(node));
         this->start(*this->nodes.back());
@@ -146,13 +158,18 @@
 
     void start(TestNode &node)
     {
-        if (node.raft) {
+        if (node.raft || node.isGone) {
             return;
         }
-        RaftSettings settings;
+        RaftSettings settings = this->common;
         settings.self = {node.name, 0};
         settings.hasDisk = node.hasDisk;
-        settings.bootstrap = this->bootstrap;
+        settings.bootstrap = node.contacts.empty() ? this->bootstrap : Membership();
+        settings.contacts = node.contacts;
+        settings.availabilityZone = node.availabilityZone;
+        for (const DaemonName &contact : node.contacts) {
+            settings.bootstrap.voters.push_back({contact, 1});
+        }
         settings.snapshotEvery = this->snapshotEvery;
         settings.maxBatchBytes = this->maxBatchBytes;
         settings.seed = this->random.next();
@@ -169,6 +186,10 @@
             }
             settings.self.incarnation = node.folder.incarnation;
             persisted = node.folder.persisted;
+            if (this->admitsNewVoters && keepFoundingMembership(node.folder, settings.bootstrap) != ResultCode::Ok) {
+                this->stop(node, true);
+                return;
+            }
         }
         node.values.clear();
         node.applied = 0;
@@ -189,6 +210,13 @@
         }
     }
 
+    /** Ends a node for good. */
+    void remove(TestNode &node, bool losesPower)
+    {
+        this->stop(node, losesPower);
+        node.isGone = true;
+    }
+
     /** Stops a node and replaces its disk by an empty one. */
     void loseDisk(TestNode &node)
     {
@@ -447,6 +475,9 @@
     bool hasConverged(std::uint64_t index)
     {
         for (const auto &node : this->nodes) {
+            if (node->isGone) {
+                continue;
+            }
             if (!this->isUp(*node) || node->applied < index || node->applied != this->accepted.size()) {
                 return false;
             }
