Fix: a new leader adds no voter before it knows who is about to go

An answer of a joining replica starts the next change of the membership before the next tick finds out which members are replaced, and a new leader has no reports at first. So a replica that was about to go became a voter again and ended at the same moment as another voter: the log stopped for good (four cores in three zones, a transfer of leadership just before the loss). The set is found before each step now, and voters beyond the wanted number are added only when all replicas that answer have reported.

--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -94,7 +94,6 @@
         return;
     }
     continueTransfer(state, actions, now);
-    state.replaced = findReplaced(state, now);
     maintainMembership(state, actions, now);
     if (state.role == RaftRole::Leader && now >= state.heartbeatDue) {
         startRound(state, actions, now);
--- a/src/replication/raft_maintenance.cpp
+++ b/src/replication/raft_maintenance.cpp
@@ -178,17 +178,26 @@
         return std::nullopt;
     }
 
+    /** Returns whether all replicas that answer have reported in this term; before, which ones are about to go is not known. */
+    bool knowsWhoStays(const RaftState &state, TimePoint now)
+    {
+        return std::all_of(state.progress.begin(), state.progress.end(), [&state, now](const auto &item) {
+            const bool isCandidate = !holdsId(currentMembership(state).learners, item.first);
+            return !isCandidate || !isAnswering(state, item.first, now) || item.second.report.has_value();
+        });
+    }
+
     /**
      * Adds a voter if that leaves an odd number, or another one can follow that does: with an even number, a cut into halves leaves no majority.
      * The one that is left over stays joining, caught up, and takes the place of the next silent voter.
      */
-    NextStep withFurtherVoter(const RaftState &state, const std::vector<VoterId> &ready)
+    NextStep withFurtherVoter(const RaftState &state, const std::vector<VoterId> &ready, TimePoint now)
     {
         const auto lasting = std::count_if(ready.begin(), ready.end(), [&state](const VoterId &joiner) {
             return !isReplaced(state, joiner);
         });
         const bool mayAdd = hasEvenVoters(state) ? lasting > 0 : lasting > 1;
-        return mayAdd ? NextStep(withVoter(state, ready.front())) : std::nullopt;
+        return mayAdd && knowsWhoStays(state, now) ? NextStep(withVoter(state, ready.front())) : std::nullopt;
     }
 
     /** Drops a voter beyond the wanted number, or a joining replica, that has been silent for long. It asks again when it is back. */
@@ -246,7 +255,7 @@
         if (auto step = withExchange(state, ready, now)) {
             return step;
         }
-        if (auto step = withFurtherVoter(state, ready)) {
+        if (auto step = withFurtherVoter(state, ready, now)) {
             return step;
         }
         return withoutSilentReplica(state, now);
@@ -266,6 +275,7 @@
 
 void maintainMembership(RaftState &state, RaftActions &actions, TimePoint now)
 {
+    state.replaced = findReplaced(state, now);
     if (!mayChange(state)) {
         return;
     }
