Fix: a voter that answers is removed only if the others outlast one more loss

With five voters, one of them gone and not removed yet and another one just lost, the leader removed a third that answered, because a newer replica stands in for it: two of four voters were left. A voter that is missing goes first now, and one that answers goes only if those that have answered in this term are a majority of the rest without one more of them.

--- a/src/replication/raft_maintenance.cpp
+++ b/src/replication/raft_maintenance.cpp
@@ -131,6 +131,18 @@
         return hasPlace && !ready.empty() ? NextStep(withVoter(state, ready.front())) : std::nullopt;
     }
 
+    /** Returns whether the other voters keep a majority that answers even if one more of them is lost; a voter that doesn't answer can always be spared. */
+    bool canSpare(const RaftState &state, const VoterId &spared, TimePoint now)
+    {
+        const auto &voters = currentMembership(state).voters;
+        const auto answering = std::count_if(voters.begin(), voters.end(), [&state, &spared, now](const VoterId &voter) {
+            const bool hasAnswered = isSelf(state, voter) || (isAnswering(state, voter, now) && state.progress.at(voter).ackedRound > 0);
+            return voter != spared && hasAnswered;
+        });
+        const std::size_t left = voters.size() - 1;
+        return !isAnswering(state, spared, now) || static_cast<std::size_t>(answering) > left / 2 + 1;
+    }
+
     /** Ends the time with one voter more than wanted. */
     NextStep withoutSurplusVoter(const RaftState &state, TimePoint now)
     {
@@ -143,14 +155,14 @@
         };
         const auto leaving = std::count_if(voters.begin(), voters.end(), canGo);
         for (const auto &voter : voters) {
-            const bool isWanted = !hasEvenVoters(state) && (leaving < 2 || voters.size() < state.settings.minVoters + 2);
-            if (canGo(voter) && !isWanted) {
-                return withoutVoter(state, voter, isAnswering(state, voter, now) ? MembershipReason::Replaced : MembershipReason::Silent);
+            if (hasEvenVoters(state) && isMissing(state, voter, now)) {
+                return withoutVoter(state, voter, MembershipReason::Silent);
             }
         }
         for (const auto &voter : voters) {
-            if (hasEvenVoters(state) && isMissing(state, voter, now)) {
-                return withoutVoter(state, voter, MembershipReason::Silent);
+            const bool isWanted = !hasEvenVoters(state) && (leaving < 2 || voters.size() < state.settings.minVoters + 2);
+            if (canGo(voter) && !isWanted && canSpare(state, voter, now)) {
+                return withoutVoter(state, voter, isAnswering(state, voter, now) ? MembershipReason::Replaced : MembershipReason::Silent);
             }
         }
         return std::nullopt;
