Fix: without zones only contacts that name the newcomer say whom it replaces

An old core that was started again with settings which no longer name it counted as a newcomer with outdated contacts. With zones unknown every older member was of its zone, so the leader took out a voter that stays.

--- a/src/replication/raft_replaced.cpp
+++ b/src/replication/raft_replaced.cpp
@@ -44,6 +44,9 @@
             return std::nullopt;
         }
         const bool isCurrent = hasContact(*report, newcomer.daemon);
+        if (!isCurrent && report->availabilityZone.empty()) {
+            return std::nullopt;
+        }
         std::vector<VoterId> candidates;
         for (const auto &member : older) {
             const auto known = reportOf(state, member);
