--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -18,6 +18,7 @@
     std::uint64_t ackedRound = 0; ///< Last quorum round that it answered.
     TimePoint lastAnswer; ///< Arrival of the last answer in this term.
     std::optional<TimePoint> notServingAt; ///< Arrival of the last NotServing in this term.
+    std::optional<ReplicaReport> report; ///< Last report in this term.
     std::uint64_t snapshotIndex = 0; ///< Snapshot in transfer; 0 for none.
     std::uint64_t snapshotOffset = 0; ///< Bytes of it that were acknowledged.
 };
@@ -61,6 +62,7 @@
     std::deque<LogEntry> log; ///< Entries from baseIndex + 1.
     Snapshot snapshot; ///< Last snapshot taken or installed.
     std::vector<RaftMembershipAt> memberships; ///< In order of the index; the last one is in force, accepted or not.
+    std::map<DaemonName, std::uint64_t> firstIncarnations; ///< For each daemon that the membership names: the lowest incarnation since it was admitted.
     std::uint64_t commitIndex = 0;
     std::uint64_t appliedIndex = 0; ///< Last entry handed out for applying.
     bool installPending = false; ///< The snapshot must still be handed to the state machine.
@@ -69,6 +71,8 @@
     bool isServing = true; ///< Whether this replica could carry out the duties of a leader now; otherwise others come first in an election.
     bool isElectable = true; ///< Whether this replica may stand for election and lead.
     TimePoint notServingDue; ///< Follower that isn't serving: next NotServing.
+    TimePoint reportDue; ///< Next ReplicaReport to the leader.
+    std::uint64_t reportedTerm = 0; ///< Term of the leader that got the last ReplicaReport.
     TimePoint electionDue; ///< Follower or candidate: next election.
     TimePoint voteDue; ///< Earliest time of a vote in an ordinary election: before, an action under this replica's last lease may be under way.
     std::optional<TimePoint> leaderContact; ///< Last message from the leader of the current term.
@@ -77,6 +81,7 @@
     Snapshot incoming; ///< Snapshot in transfer to this replica.
 
     std::map<VoterId, RaftProgress> progress; ///< Leader: all other replicas.
+    std::set<VoterId> replaced; ///< Leader: members that newer replicas stand in for, as of the last tick or answer of a joining replica.
     std::map<DaemonName, RaftJoiner> joinWaiting; ///< Leader: new incarnations that wait for their membership change.
     std::uint64_t termStart = 0; ///< Leader: index of the empty entry of its term.
     std::uint64_t round = 0; ///< Leader: last quorum round started.
