Add: lines and metrics that tell who leads, who votes and which voters answer

After the incident with replaced cores three hypotheses were left, since no line named the voters, said who leads, or counted the reports of workers that were not handled.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -99,6 +99,7 @@
     , heldCalls(loop)
     , handoverTimer(loop)
     , tickTimer(loop)
+    , statusLog(loop)
     , times(loopTimes)
 {
 }
@@ -151,6 +152,15 @@
     config.ownerTimeout = Duration{this->settings.electionTimeoutMaxMs} * OwnerTimeoutElections;
     config.openRetryTime = {0}; // The daemon tries again itself, so that its event loop goes on.
     const ReplicationStart started = this->replication.start(std::move(config), std::move(hooks));
+    if (started.code == ResultCode::Ok) {
+        const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
+            this->replication.inspect(std::move(done));
+        };
+        const auto activity = [this] {
+            return this->activity();
+        };
+        this->statusLog.start(inspect, activity, {this->settings.electionTimeoutMaxMs});
+    }
     logLine(LogArea::Replication,
             LogLevel::Info,
             "data_folder_opened",
@@ -184,6 +194,18 @@
     return this->scheduler.has_value() && !this->isStopping && this->handover.stage == HandoverStage::None && steadyNow() < this->replication.leaseEnd();
 }
 
+CoreActivity FleetCore::activity() const
+{
+    const TimePoint now = steadyNow();
+    CoreActivity activity;
+    activity.appliedIndex = this->appliedIndex;
+    activity.hasScheduler = this->scheduler.has_value();
+    activity.hasLease = now < this->replication.leaseEnd();
+    activity.openReads = this->openReads.size();
+    activity.oldestRead = this->openReads.empty() ? Duration{0} : now - *this->openReads.begin();
+    return activity;
+}
+
 void FleetCore::onApplied(const std::vector<LogEntry> &entries)
 {
     {
@@ -298,8 +320,12 @@
         logLine(LogArea::Replication,
                 LogLevel::Info,
                 "membership_changed",
-                {{"voters", this->status.membership.voters.size()}, {"joining", this->status.membership.joining.size()}});
+                {{"voters", this->status.membership.voters.size()},
+                 {"joining", this->status.membership.joining.size()},
+                 {"voterNames", joinNames(this->status.membership.voters)},
+                 {"joiningNames", joinNames(this->status.membership.joining)}});
     }
+    this->statusLog.setLeaderKnown(!this->status.leader.empty());
     if (this->scheduler && (this->status.role != RaftRole::Leader || this->status.term != this->scheduler->term)) {
         this->endLeadership("the term ended");
     }
@@ -428,6 +454,7 @@
         this->endLeadership("the daemon is shutting down");
     }
     this->heldCalls.release();
+    this->statusLog.stop();
     this->replication.stop();
     this->client.stop();
 }
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -7,6 +7,7 @@
 
 #include "fleet/fleet_scheduler_func.h"
 #include "fleet/held_tasks.h"
+#include "fleetd/core_status_log.h"
 #include "fleetd/fleet_message.h"
 #include "fleetd/held_calls.h"
 #include "fleetd/leader_handover.h"
@@ -174,6 +175,8 @@
     void proposeAndAnswer(FleetCommand command, std::function<void(ApiResponse)> done);
     std::string controlAddressOf(const DaemonName &daemon) const;
     bool isLeading() const;
+    CoreActivity activity() const;
+    void countReport(const ApiResponse &response);
     bool isOnlyVoter() const;
     bool isOtherLeaderKnown() const;
 
@@ -199,6 +202,7 @@
     std::uint64_t lastBatch = 0; ///< Number of the last proposal.
     std::deque<Batch> inFlight; ///< Proposed entries that are not applied yet, in log order.
     std::multimap<std::uint64_t, std::function<void()>> pendingReads; ///< Reads waiting for a log index to be applied.
+    std::multiset<TimePoint> openReads; ///< When each read of the manifest without an answer came.
     HeldCalls heldCalls; ///< Calls of workers and operators that wait for a leader.
     LeaderHandover handover;
     bool isServing = true; ///< Whether workers and operators can reach this daemon.
@@ -210,6 +214,7 @@
     boost::asio::steady_timer handoverTimer;
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
+    CoreStatusLog statusLog;
     LoopTimes &times;
     bool isTickAdvanced = false; ///< The next tick is scheduled early to process worker responses.
     bool isStopping = false;
--- a/src/fleetd/fleet_metrics.cpp
+++ b/src/fleetd/fleet_metrics.cpp
@@ -44,6 +44,7 @@
     appendMetric(text, "filbertlanding_jobs_open", this->scheduler ? this->scheduler->jobs.size() : 0);
     appendMetric(text, "filbertlanding_jobs_held", this->scheduler ? this->waitingSteps.heldJobs : 0);
     appendMetric(text, "filbertlanding_workers_known", this->scheduler ? this->scheduler->sessions.size() : 0);
+    this->statusLog.appendMetrics(text);
     this->counters.firstStart.appendText(text, "filbertlanding_first_start_seconds");
     this->counters.jobTime.appendText(text, "filbertlanding_job_seconds");
     this->counters.commitTime.appendText(text, "filbertlanding_commit_seconds");
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -182,6 +182,19 @@
             {{"kind", request.index()}, {"role", roleName(this->status.role)}, {"leader", this->status.leader}});
 }
 
+void FleetCore::countReport(const ApiResponse &response)
+{
+    if (response.code == ResultCode::Ok) {
+        this->statusLog.countReport(ReportAnswer::Taken);
+    } else if (!response.redirect.empty()) {
+        this->statusLog.countReport(ReportAnswer::SentElsewhere);
+    } else if (response.code == ResultCode::NoQuorum || response.code == ResultCode::NotLeader) {
+        this->statusLog.countReport(ReportAnswer::WithoutLeader);
+    } else {
+        this->statusLog.countReport(ReportAnswer::Wrong);
+    }
+}
+
 void FleetCore::handleControlRequest(const HttpRequest &request, HttpRespond respond)
 {
     const LoopTimer timer(this->times, LoopPart::ControlRequests);
@@ -199,7 +212,12 @@
         reply(isInForce ? makeResponse(ResultCode::Ok) : makeResponse(malformed->code, malformed->message));
         return;
     }
-    this->routeControlCall({std::move(parsed), request.target, reply}, true);
+    const bool isReport = std::holds_alternative<WorkerReportRequest>(parsed);
+    const std::function<void(ApiResponse)> counted = [this, reply](const ApiResponse &response) {
+        this->countReport(response);
+        reply(response);
+    };
+    this->routeControlCall({std::move(parsed), request.target, isReport ? counted : reply}, true);
 }
 
 /** Handles a call, or sends it to the leader. If there is none, the call waits for one for a moment, once. */
@@ -343,7 +361,10 @@
 
 void FleetCore::getManifest(std::function<void(ApiResponse)> done)
 {
-    const auto logged = [startedAt = steadyNow(), done = std::move(done)](const ApiResponse &response) {
+    const TimePoint startedAt = steadyNow();
+    this->openReads.insert(startedAt);
+    const auto logged = [this, startedAt, done = std::move(done)](const ApiResponse &response) {
+        this->openReads.erase(this->openReads.find(startedAt));
         logLine(LogArea::Intent, LogLevel::Info, "manifest_read", {{"code", resultCodeRow(response.code).name}, {"waitedMs", (steadyNow() - startedAt).ms}});
         done(response);
     };
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 #include <unordered_map>
@@ -25,6 +26,7 @@
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Well below the shortest heartbeat interval, so that elections and heartbeats are on time.
     constexpr std::chrono::milliseconds OpenRetryInterval{100};
+    constexpr std::size_t MaxHeardIdentities = 256; ///< Bounds the table of identities of which messages have come.
 
     /** Opens the data folder. Write errors and a predecessor that is still stopping often last for seconds; exiting at once would cause a restart loop. */
     DataFolder openWithRetries(const std::string &path, std::uint64_t newIncarnation, Duration retryTime)
@@ -59,6 +61,7 @@
     bool isOwnerSilent = false;
     bool isTransferring = false; ///< A transfer of leadership was under way after the last actions.
     RaftState raft;
+    std::map<VoterId, TimePoint> heardAt; ///< Last message from each identity.
     std::uint64_t lastToken = 0;
     std::unordered_map<std::uint64_t, std::function<void(ReadReady)>> reads;
     ReplicationStatus reported;
@@ -170,7 +173,7 @@
         done(ready);
     }
 
-    void reportStatus()
+    ReplicationStatus currentStatus() const
     {
         ReplicationStatus status;
         status.role = this->raft.role;
@@ -184,6 +187,12 @@
         status.hasSuccessor = hasSuccessor(this->raft, steadyNow());
         status.isReplaced = isReplacedLeader(this->raft);
         status.isOwnerSilent = this->isOwnerSilent;
+        return status;
+    }
+
+    void reportStatus()
+    {
+        ReplicationStatus status = this->currentStatus();
         const bool changed = status.role != this->reported.role || status.term != this->reported.term || status.leader != this->reported.leader
             || status.commitIndex != this->reported.commitIndex || status.membership != this->reported.membership
             || status.hasSuccessor != this->reported.hasSuccessor || status.isReplaced != this->reported.isReplaced
@@ -250,9 +259,32 @@
         this->carryOut(raftSetElectable(this->raft, !isSilent, steadyNow()));
     }
 
+    ReplicationDetail detail() const
+    {
+        ReplicationDetail detail;
+        detail.status = this->currentStatus();
+        detail.at = steadyNow();
+        detail.leaderContact = this->raft.leaderContact;
+        detail.heardAt = this->heardAt;
+        detail.openReads = this->raft.reads.size();
+        return detail;
+    }
+
+    void noteSender(const VoterId &sender)
+    {
+        if (this->heardAt.size() >= MaxHeardIdentities && !this->heardAt.contains(sender)) {
+            const auto oldest = std::min_element(this->heardAt.begin(), this->heardAt.end(), [](const auto &left, const auto &right) {
+                return left.second < right.second;
+            });
+            this->heardAt.erase(oldest);
+        }
+        this->heardAt[sender] = steadyNow();
+    }
+
     /** Handles a message, and logs what an offer of leadership led to. */
     void receive(const RaftMessage &message)
     {
+        this->noteSender(message.from);
         RaftActions actions = raftReceive(this->raft, message, steadyNow());
         if (std::holds_alternative<TimeoutNow>(message.body)) {
             logLine(LogArea::Replication,
@@ -365,6 +397,13 @@
     });
 }
 
+void ReplicationDriver::inspect(std::function<void(ReplicationDetail)> done)
+{
+    asio::post(this->core->context, [state = this->core.get(), done = std::move(done)] {
+        done(state->detail());
+    });
+}
+
 void ReplicationDriver::receive(RaftMessage message)
 {
     asio::post(this->core->context, [state = this->core.get(), message = std::move(message)] {
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -6,7 +6,9 @@
 #include "storage/journal.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,15 @@
     bool isOwnerSilent = false; ///< The owner has not confirmed for the time of ReplicationConfig::ownerTimeout; an election has to do without this replica.
 };
 
+/** What the replication thread knows at one moment, for logs and metrics. */
+struct ReplicationDetail {
+    ReplicationStatus status;
+    TimePoint at; ///< When this was read.
+    std::optional<TimePoint> leaderContact; ///< Last message from the leader of the term; nothing on the leader itself.
+    std::map<VoterId, TimePoint> heardAt; ///< Last message from each identity, a lost or removed one included.
+    std::size_t openReads = 0; ///< Reads that wait for their quorum round.
+};
+
 /** Where a proposal stands in the log. */
 struct ProposedEntry {
     ResultCode code = ResultCode::Ok; ///< Ok, or NotLeader.
@@ -95,6 +106,9 @@
     /** Asks for a commit index that a quorum has confirmed after this call; the callback runs on the replication thread. */
     void read(std::function<void(ReadReady)> done);
 
+    /** Reads the state of the replica; the callback runs on the replication thread, and never if that ends before. */
+    void inspect(std::function<void(ReplicationDetail)> done);
+
     /** Hands over a message from another replica. */
     void receive(RaftMessage message);
 
