Fix: a voter that has missed the addition of a candidate cannot answer it

Nothing led for good, although a majority of the voters was there: one of them had missed the entries that made the other a voter.

Cause: a daemon sends only on links that it opens, and it opened links to its contacts, the members of its own log and the leader. The answer to a candidate that it knows from none of these had no way. Its own log is shorter, so it cannot be elected itself.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -4,7 +4,6 @@
 
 #include "core/clock_func.h"
 #include "core/random.h"
-#include "fleetd/fleet_peers.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
 
@@ -168,8 +167,11 @@
     return started.code;
 }
 
-void FleetCore::receiveReplication(const std::string &payload)
+void FleetCore::receiveReplication(const DaemonName &sender, const std::string &payload)
 {
+    if (this->recentSenders.note(sender, steadyNow())) {
+        this->setRequiredPeers();
+    }
     auto message = decodeFleetMessage<RaftMessage>(payload);
     if (!message) {
         logLine(LogArea::Replication, LogLevel::Warn, "message_malformed", {{"bytes", payload.size()}});
@@ -348,8 +350,12 @@
 
 void FleetCore::setRequiredPeers()
 {
+    std::vector<DaemonName> others = this->recentSenders.names(steadyNow());
+    for (const DaemonName &contact : this->contactAddresses()) {
+        others.push_back(contact);
+    }
     std::vector<PeerAddress> addresses;
-    for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, this->contactAddresses())) {
+    for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, others)) {
         addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
     }
     this->peers->setPeers(std::move(addresses));
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -9,6 +9,7 @@
 #include "fleet/held_tasks.h"
 #include "fleetd/core_status_log.h"
 #include "fleetd/fleet_message.h"
+#include "fleetd/fleet_peers.h"
 #include "fleetd/held_calls.h"
 #include "fleetd/leader_handover.h"
 #include "fleetd/loop_time.h"
@@ -71,8 +72,8 @@
     /** Opens the data folder and starts replication. The peer links must already be started. */
     ResultCode start(PeerLinks &links);
 
-    /** Processes a replication message from another replica. */
-    void receiveReplication(const std::string &payload);
+    /** Processes a replication message that another daemon has sent. */
+    void receiveReplication(const DaemonName &sender, const std::string &payload);
 
     /** Returns what this daemon knows about the leader. */
     LeaderInfo leaderInfo() const;
@@ -185,6 +186,7 @@
     const ProtocolAdapter &adapter;
     HttpClient client;
     PeerLinks *peers = nullptr;
+    RecentSenders recentSenders;
     ReplicationDriver replication;
     ReplicationStatus status;
     FleetState state;
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -260,7 +260,7 @@
     switch (static_cast<FleetMessageKind>(kind)) {
     case FleetMessageKind::Replication:
         if (this->isCoreStarted) {
-            this->core->receiveReplication(payload);
+            this->core->receiveReplication(peer, payload);
         }
         return;
     case FleetMessageKind::FindLeader:
--- a/src/fleetd/fleet_peers.h
+++ b/src/fleetd/fleet_peers.h
@@ -2,9 +2,11 @@
 
 #pragma once
 
+#include "core/clock_type.h"
 #include "core/names_type.h"
 #include "replication/raft_type.h"
 
+#include <map>
 #include <set>
 #include <vector>
 
@@ -16,4 +18,21 @@
  */
 std::set<DaemonName> requiredPeers(const Membership &membership, const DaemonName &leader, const std::vector<DaemonName> &contacts);
 
+/**
+ * Daemons that have written recently. They get a link whether or not this daemon knows them as members: a candidate whose addition it has
+ * missed needs its vote, and a daemon sends only on the links that it opens.
+ */
+class RecentSenders
+{
+public:
+    /** Notes a message. Returns whether the daemon had not written recently. */
+    bool note(const DaemonName &daemon, TimePoint now);
+
+    /** Returns the daemons that have written recently. */
+    std::vector<DaemonName> names(TimePoint now) const;
+
+private:
+    std::map<DaemonName, TimePoint> lastMessages;
+};
+
 } // namespace Filbertlanding
--- a/tests/fleet_contacts_test.cpp
+++ b/tests/fleet_contacts_test.cpp
@@ -45,3 +45,49 @@
     CHECK(becomesReady(installation, installation.core));
     CHECK(installation.log(installation.core).find(R"("voters":3)") == std::string::npos);
 }
+
+TEST_CASE("Two of three voters elect a leader although one of them knows the other neither from its log nor from its contacts")
+{
+    // Guards against a vote that cannot be answered: nothing leads for ever although a majority is there.
+    FleetInstallation installation({.cores = 4, .entries = 1});
+    for (std::size_t i = 0; i < 3; ++i) {
+        installation.start(installation.cores[i]);
+    }
+    FleetProcess *leader = installation.awaitLeader();
+    REQUIRE(leader != nullptr);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+    const auto at = static_cast<std::size_t>(leader - installation.cores.data());
+    FleetProcess &behind = installation.cores[(at + 1) % 3];
+    FleetProcess &replaced = installation.cores[(at + 2) % 3];
+    FleetProcess &newcomer = installation.cores[3];
+    boost::json::object settings = boost::json::parse(installation.settingsText(newcomer)).as_object();
+    settings["firstStart"] = false;
+    settings["contacts"] = {endpointOf(*leader, FleetInstallation::ControlPort),
+                            endpointOf(behind, FleetInstallation::ControlPort),
+                            endpointOf(newcomer, FleetInstallation::ControlPort)};
+    writeText(installation.settingsPath(newcomer), boost::json::serialize(settings));
+
+    behind.process.reset();
+    installation.start(newcomer);
+    const auto votes = [&](const FleetProcess &daemon) {
+        const std::string log = installation.log(*leader);
+        const std::string names = log.substr(log.rfind("\"voterNames\":"));
+        return names.substr(0, names.find("joiningNames")).find(daemon.address + (&daemon == &newcomer ? "\"" : ",")) != std::string::npos;
+    };
+    // Later the leader would take the silent voter for the one to replace.
+    const bool isInTime = eventually(
+        [&] {
+            return votes(newcomer) && !votes(replaced);
+        },
+        {3'000});
+    REQUIRE(isInTime);
+    REQUIRE(votes(behind));
+    leader->process.reset();
+    replaced.process.reset();
+    installation.start(behind);
+    CHECK(eventually(
+        [&] {
+            return installation.leader() != nullptr;
+        },
+        {16'000}));
+}
--- a/tests/fleet_peers_test.cpp
+++ b/tests/fleet_peers_test.cpp
@@ -22,3 +22,15 @@
         CHECK(requiredPeers(bootstrap, "", {"10.0.0.1"}) == std::set<DaemonName>{"10.0.0.1", "10.0.0.2", "10.0.0.5", "10.0.0.6"});
     }
 }
+
+TEST_CASE("A daemon that has written recently gets a link for some seconds")
+{
+    // Guards against a candidate whose request for a vote cannot be answered.
+    RecentSenders senders;
+    const TimePoint start{1'000};
+    CHECK(senders.note("10.0.0.4", start));
+    CHECK(!senders.note("10.0.0.4", start + Duration{9'000}));
+    CHECK(senders.names(start + Duration{18'000}) == std::vector<DaemonName>{"10.0.0.4"});
+    CHECK(senders.names(start + Duration{19'000}).empty());
+    CHECK(senders.note("10.0.0.4", start + Duration{19'000}));
+}
