--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -4,7 +4,6 @@
 
 #include "core/clock_func.h"
 #include "core/random.h"
-#include "fleetd/fleet_peers.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
 
@@ -99,6 +98,7 @@
     , heldCalls(loop)
     , handoverTimer(loop)
     , tickTimer(loop)
+    , statusLog(loop)
     , times(loopTimes)
 {
 }
@@ -151,6 +151,15 @@
     config.ownerTimeout = Duration{this->settings.electionTimeoutMaxMs} * OwnerTimeoutElections;
     config.openRetryTime = {0}; // The daemon tries again itself, so that its event loop goes on.
     const ReplicationStart started = this->replication.start(std::move(config), std::move(hooks));
+    if (started.code == ResultCode::Ok) {
+        const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
+            this->replication.inspect(std::move(done));
+        };
+        const auto activity = [this] {
+            return this->activity();
+        };
+        this->statusLog.start(inspect, activity, {this->settings.electionTimeoutMaxMs});
+    }
     logLine(LogArea::Replication,
             LogLevel::Info,
             "data_folder_opened",
@@ -158,8 +167,11 @@
     return started.code;
 }
 
-void FleetCore::receiveReplication(const std::string &payload)
+void FleetCore::receiveReplication(const DaemonName &sender, const std::string &payload)
 {
+    if (this->recentSenders.note(sender, steadyNow())) {
+        this->setRequiredPeers();
+    }
     auto message = decodeFleetMessage<RaftMessage>(payload);
     if (!message) {
         logLine(LogArea::Replication, LogLevel::Warn, "message_malformed", {{"bytes", payload.size()}});
@@ -184,6 +196,18 @@
     return this->scheduler.has_value() && !this->isStopping && this->handover.stage == HandoverStage::None && steadyNow() < this->replication.leaseEnd();
 }
 
+CoreActivity FleetCore::activity() const
+{
+    const TimePoint now = steadyNow();
+    CoreActivity activity;
+    activity.appliedIndex = this->appliedIndex;
+    activity.hasScheduler = this->scheduler.has_value();
+    activity.hasLease = now < this->replication.leaseEnd();
+    activity.openReads = this->openReads.size();
+    activity.oldestRead = this->openReads.empty() ? Duration{0} : now - *this->openReads.begin();
+    return activity;
+}
+
 void FleetCore::onApplied(const std::vector<LogEntry> &entries)
 {
     {
@@ -298,8 +322,12 @@
         logLine(LogArea::Replication,
                 LogLevel::Info,
                 "membership_changed",
-                {{"voters", this->status.membership.voters.size()}, {"joining", this->status.membership.joining.size()}});
+                {{"voters", this->status.membership.voters.size()},
+                 {"joining", this->status.membership.joining.size()},
+                 {"voterNames", joinNames(this->status.membership.voters)},
+                 {"joiningNames", joinNames(this->status.membership.joining)}});
     }
+    this->statusLog.setLeaderKnown(!this->status.leader.empty());
     if (this->scheduler && (this->status.role != RaftRole::Leader || this->status.term != this->scheduler->term)) {
         this->endLeadership("the term ended");
     }
@@ -322,8 +350,12 @@
 
 void FleetCore::setRequiredPeers()
 {
+    std::vector<DaemonName> others = this->recentSenders.names(steadyNow());
+    for (const DaemonName &contact : this->contactAddresses()) {
+        others.push_back(contact);
+    }
     std::vector<PeerAddress> addresses;
-    for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, this->contactAddresses())) {
+    for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, others)) {
         addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
     }
     this->peers->setPeers(std::move(addresses));
@@ -428,6 +460,7 @@
         this->endLeadership("the daemon is shutting down");
     }
     this->heldCalls.release();
+    this->statusLog.stop();
     this->replication.stop();
     this->client.stop();
 }
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -7,7 +7,9 @@
 
 #include "fleet/fleet_scheduler_func.h"
 #include "fleet/held_tasks.h"
+#include "fleetd/core_status_log.h"
 #include "fleetd/fleet_message.h"
+#include "fleetd/fleet_peers.h"
 #include "fleetd/held_calls.h"
 #include "fleetd/leader_handover.h"
 #include "fleetd/loop_time.h"
@@ -70,8 +72,8 @@
     /** Opens the data folder and starts replication. The peer links must already be started. */
     ResultCode start(PeerLinks &links);
 
-    /** Processes a replication message from another replica. */
-    void receiveReplication(const std::string &payload);
+    /** Processes a replication message that another daemon has sent. */
+    void receiveReplication(const DaemonName &sender, const std::string &payload);
 
     /** Returns what this daemon knows about the leader. */
     LeaderInfo leaderInfo() const;
@@ -174,6 +176,8 @@
     void proposeAndAnswer(FleetCommand command, std::function<void(ApiResponse)> done);
     std::string controlAddressOf(const DaemonName &daemon) const;
     bool isLeading() const;
+    CoreActivity activity() const;
+    void countReport(const ApiResponse &response);
     bool isOnlyVoter() const;
     bool isOtherLeaderKnown() const;
 
@@ -182,6 +186,7 @@
     const ProtocolAdapter &adapter;
     HttpClient client;
     PeerLinks *peers = nullptr;
+    RecentSenders recentSenders;
     ReplicationDriver replication;
     ReplicationStatus status;
     FleetState state;
@@ -199,6 +204,7 @@
     std::uint64_t lastBatch = 0; ///< Number of the last proposal.
     std::deque<Batch> inFlight; ///< Proposed entries that are not applied yet, in log order.
     std::multimap<std::uint64_t, std::function<void()>> pendingReads; ///< Reads waiting for a log index to be applied.
+    std::multiset<TimePoint> openReads; ///< When each read of the manifest without an answer came.
     HeldCalls heldCalls; ///< Calls of workers and operators that wait for a leader.
     LeaderHandover handover;
     bool isServing = true; ///< Whether workers and operators can reach this daemon.
@@ -210,6 +216,7 @@
     boost::asio::steady_timer handoverTimer;
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
+    CoreStatusLog statusLog;
     LoopTimes &times;
     bool isTickAdvanced = false; ///< The next tick is scheduled early to process worker responses.
     bool isStopping = false;
