--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -76,13 +76,13 @@
 SoakCallers::SoakCallers(asio::io_context &loop,
                          const SoakSettings &soakSettings,
                          std::vector<std::string> entryAddresses,
-                         std::vector<std::string> controlAddresses,
+                         const std::vector<std::string> &controlAddresses,
                          SoakManifests &soakManifests,
                          SoakChecks &soakChecks)
     : io(loop)
     , settings(soakSettings)
     , entries(std::move(entryAddresses))
-    , controls(std::move(controlAddresses))
+    , controls(controlAddresses)
     , manifests(soakManifests)
     , checks(soakChecks)
     , client(soakClientSettings(loop), counters)
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -18,11 +18,11 @@
 class SoakCallers
 {
 public:
-    /** The entry and control addresses have the form "IP:port". */
+    /** The entry and control addresses have the form "IP:port". The control addresses may change later. */
     SoakCallers(boost::asio::io_context &loop,
                 const SoakSettings &soakSettings,
                 std::vector<std::string> entryAddresses,
-                std::vector<std::string> controlAddresses,
+                const std::vector<std::string> &controlAddresses,
                 SoakManifests &soakManifests,
                 SoakChecks &soakChecks);
 
@@ -64,7 +64,7 @@
     boost::asio::io_context &io;
     const SoakSettings &settings;
     std::vector<std::string> entries;
-    std::vector<std::string> controls;
+    const std::vector<std::string> &controls;
     SoakManifests &manifests;
     SoakChecks &checks;
     NetworkCounters counters;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -278,6 +278,7 @@
 
 void SoakChecks::onManifestRead(std::uint64_t version, TimePoint sentAt)
 {
+    this->lastManifestRead = std::max(this->lastManifestRead, sentAt);
     for (const auto &[acknowledged, at] : this->acknowledgedManifests) {
         if (acknowledged > version && at + this->limits.manifestVisibilityLimit < sentAt) {
             this->addViolation("manifest version " + std::to_string(version) + " was read although version " + std::to_string(acknowledged)
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -95,6 +95,7 @@
     std::uint64_t crashes = 0; ///< Worker processes that tasks have crashed.
     std::uint64_t jobsGivenUp = 0; ///< Jobs with such a task that callers have seen as failed.
     std::map<std::uint64_t, TimePoint> acknowledgedManifests; ///< By version.
+    TimePoint lastManifestRead; ///< Time at which the newest read of the manifest that was served was sent.
 
 private:
     /** Events observed for a task. */
--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -50,6 +50,7 @@
 SoakDaemons::SoakDaemons(const SoakSettings &soakSettings, std::string loopbackPrefix, SoakRelay &soakRelay)
     : settings(soakSettings)
     , networkPrefix(std::move(loopbackPrefix))
+    , relay(soakRelay)
 {
     for (int i = 0; i < this->settings.cores + this->settings.entries; ++i) {
         SoakDaemon daemon;
@@ -61,6 +62,9 @@
             daemon.contacts.push_back(static_cast<std::size_t>(contact));
         }
         soakRelay.listen(daemon.address, PeerPort, PeerPort + 1);
+        if (daemon.hasDisk) {
+            this->controls.push_back(endpoint(daemon.address, ControlPort));
+        }
         this->daemons.push_back(std::move(daemon));
     }
     this->expectedExits.resize(this->daemons.size());
@@ -222,6 +226,7 @@
         daemon.process.reset();
         this->start(i);
     }
+    this->addExitsOfReplaced(unexpected);
     return unexpected;
 }
 
@@ -236,6 +241,49 @@
     }
 }
 
+std::size_t SoakDaemons::replace(std::size_t core)
+{
+    const std::size_t number = this->daemons.size() + this->replaced.size();
+    SoakDaemon successor;
+    successor.hasDisk = true;
+    successor.name = "core-" + std::to_string(number);
+    successor.address = this->networkPrefix + std::to_string(number + 1);
+    successor.zone = this->daemons[core].zone;
+    successor.contacts = this->daemons[core].contacts;
+    this->relay.listen(successor.address, PeerPort, PeerPort + 1);
+    std::filesystem::create_directories(this->dataFolder(successor));
+    this->replaced.push_back(std::exchange(this->daemons[core], std::move(successor)));
+    return this->replaced.size() - 1;
+}
+
+void SoakDaemons::retire(std::size_t number, int signal)
+{
+    SoakDaemon &old = this->replaced[number];
+    if (old.process == nullptr) {
+        return;
+    }
+    old.process->signal(signal);
+    old.lastTermination = steadyNow();
+    if (signal == SIGKILL) {
+        old.process->waitForEnd(KillTimeout);
+        old.process.reset();
+    }
+}
+
+void SoakDaemons::addExitsOfReplaced(std::vector<std::string> &unexpected)
+{
+    for (SoakDaemon &old : this->replaced) {
+        const auto code = old.process == nullptr ? std::optional<int>() : old.process->waitForEnd(Duration{0});
+        if (!code) {
+            continue;
+        }
+        if (*code != 0 || old.lastTermination == TimePoint{}) {
+            unexpected.push_back(old.name + ", which was replaced, with code " + std::to_string(*code));
+        }
+        old.process.reset();
+    }
+}
+
 void SoakDaemons::wipeData(std::size_t daemon) const
 {
     std::filesystem::remove_all(this->dataFolder(this->daemons[daemon]));
@@ -305,15 +353,23 @@
     return result;
 }
 
-std::vector<std::string> SoakDaemons::controlAddresses() const
+const std::vector<std::string> &SoakDaemons::controlAddresses() const
 {
-    std::vector<std::string> result;
-    for (const SoakDaemon &daemon : this->daemons) {
-        if (daemon.hasDisk) {
-            result.push_back(endpoint(daemon.address, ControlPort));
+    return this->controls;
+}
+
+void SoakDaemons::announceCores()
+{
+    this->controls.clear();
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        if (this->daemons[i].hasDisk) {
+            this->controls.push_back(this->addressOf(i, SoakPort::Requests));
+        }
+        this->writeSettings(i, SoakFileWrite::Renamed);
+        if (this->hasBegun(i)) {
+            this->signal(i, SIGHUP);
         }
     }
-    return result;
 }
 
 } // namespace Filbertlanding
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -85,6 +85,13 @@
 
     void pause(std::size_t daemon, bool isPaused);
 
+    /** Puts a new machine of the same zone, which is down and has an empty disk, in the place of a core. Returns the number of the old one among the replaced.
+     */
+    std::size_t replace(std::size_t core);
+
+    /** Ends a core that was replaced, for good. */
+    void retire(std::size_t number, int signal);
+
     /** Deletes the data folder of a daemon that is down. */
     void wipeData(std::size_t daemon) const;
 
@@ -101,7 +108,12 @@
     bool areCoresHealthy(Duration time) const;
 
     std::vector<std::string> callerAddresses() const;
-    std::vector<std::string> controlAddresses() const;
+
+    /** Returns the control addresses that workers and operators know. */
+    const std::vector<std::string> &controlAddresses() const;
+
+    /** Tells all daemons, workers and operators of the cores that are there now. */
+    void announceCores();
 
     std::vector<SoakDaemon> daemons; ///< All daemons; the cores come first.
     std::function<void(std::size_t)> hasStarted; ///< Told about each daemon that has started.
@@ -114,10 +126,14 @@
         Any,
     };
 
+    void addExitsOfReplaced(std::vector<std::string> &unexpected);
     std::filesystem::path dataFolder(const SoakDaemon &daemon) const;
 
     const SoakSettings &settings;
     std::string networkPrefix;
+    std::vector<std::string> controls;
+    SoakRelay &relay;
+    std::vector<SoakDaemon> replaced; ///< Cores in whose place another one is; they may still run.
     std::vector<ExpectedExit> expectedExits; ///< For each daemon.
 };
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -13,6 +13,7 @@
 #include "soak/soak_process_faults.h"
 #include "soak/soak_reach.h"
 #include "soak/soak_reach_faults.h"
+#include "soak/soak_replacements.h"
 #include "soak/soak_services.h"
 #include "soak/soak_silences.h"
 #include "soak/soak_starvation.h"
@@ -61,6 +62,7 @@
         , connections(this->io, this->settings.seed, this->daemons, this->manifests, this->watch, this->checks)
         , reach(this->io, this->daemons, this->checks)
         , reachFaults(this->io, this->settings, this->daemons, this->reach)
+        , replacements(this->io, this->settings, this->daemons, this->reach, this->checks)
         , services(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
         , silences(this->io, this->settings, this->daemons, this->workers, this->relay)
         , starvation(this->io, this->daemons, this->workers, this->manifests, this->checks)
@@ -98,6 +100,9 @@
         if (this->settings.hasReachFaults) {
             this->reach.start();
             this->reachFaults.start();
+        } else if (this->settings.hasReplacements) {
+            this->reach.start();
+            this->replacements.start();
         } else if (this->settings.hasSilentLinks) {
             this->reach.start();
             this->startSilences();
@@ -116,6 +121,7 @@
             this->processFaults.stop();
             this->faults.revertAll();
             this->reachFaults.stop();
+            this->replacements.stop();
             this->reach.stop();
             this->silences.stop();
             this->capacityChanges.stop();
@@ -195,7 +201,7 @@
         std::cout << "seed " << this->settings.seed << ": longest wait with room in calm phases " << this->starvation.longestWait.ms << " ms, "
                   << this->services.moves << " changes of a service with " << this->services.checkedStarts << " starts checked; "
                   << this->watch.describeSince(this->startedAt) << std::endl;
-        if (this->settings.hasReachFaults || this->settings.hasSilentLinks) {
+        if (this->settings.hasReachFaults || this->settings.hasReplacements || this->settings.hasSilentLinks) {
             this->printReach();
         }
     }
@@ -206,11 +212,15 @@
         for (const auto &[fault, count] : this->reachFaults.injected) {
             faultCount += count;
         }
+        int lossCount = 0;
+        for (const auto &[loss, count] : this->replacements.injected) {
+            lossCount += count;
+        }
         const SoakStopCosts &costs = this->reach.costs;
-        std::cout << "seed " << this->settings.seed << ": " << faultCount << " reach faults, " << this->silences.injected << " silences, " << this->reach.reads
-                  << " reads, longest time without one " << this->reach.longestUnread.ms << " ms, " << costs.stops << " planned stops of the leader with "
-                  << costs.unavailable << " answers 503 to callers, " << costs.unavailableAtCores << " to others, " << costs.timedOut << " answers 504, "
-                  << costs.cut << " calls cut, " << costs.cutEarly << " more at once" << std::endl;
+        std::cout << "seed " << this->settings.seed << ": " << faultCount << " reach faults, " << lossCount << " losses of cores, " << this->silences.injected
+                  << " silences, " << this->reach.reads << " reads, longest time without one " << this->reach.longestUnread.ms << " ms, " << costs.stops
+                  << " planned stops of the leader with " << costs.unavailable << " answers 503 to callers, " << costs.unavailableAtCores << " to others, "
+                  << costs.timedOut << " answers 504, " << costs.cut << " calls cut, " << costs.cutEarly << " more at once" << std::endl;
     }
 
     SoakSettings settings;
@@ -231,6 +241,7 @@
     SoakConnections connections;
     SoakReach reach;
     SoakReachFaults reachFaults;
+    SoakReplacements replacements;
     SoakServices services;
     SoakSilences silences;
     SoakStarvation starvation;
@@ -265,6 +276,8 @@
     app.add_flag("--worker-crashes", settings.hasOnlyWorkerCrashes, "crash workers at short intervals, and inject no other faults");
     app.add_flag(
         "--reach-faults", settings.hasReachFaults, "leave daemons running but out of reach, stop the leader as planned, and inject no other faults in them");
+    app.add_flag(
+        "--replace-cores", settings.hasReplacements, "replace cores by new machines among other losses, one at a time, and inject no other faults in daemons");
     app.add_option("--calm-seconds", calmSeconds, "duration of the calm phase after the faults in seconds");
     app.add_flag("--moving-queue", settings.hasMovingQueue, "add a queue whose route changes its service, and workers of both services");
     app.add_flag("--silent-links", settings.hasSilentLinks, "let open connections go silent in series, and inject no other faults in daemons");
--- a/tests/soak/soak_odd_reports.cpp
+++ b/tests/soak/soak_odd_reports.cpp
@@ -46,9 +46,9 @@
 {
 }
 
-void SoakOddReports::start(std::vector<std::string> controlAddresses)
+void SoakOddReports::start(const std::vector<std::string> &controlAddresses)
 {
-    this->controls = std::move(controlAddresses);
+    this->controls = &controlAddresses;
     this->arm();
 }
 
@@ -76,7 +76,7 @@
     const std::uint64_t count = this->random.below(8) == 0 ? LongBurst : 1;
     for (std::uint64_t i = 0; i < count; ++i) {
         const std::string name = hasSoundName ? "w" + std::to_string(worker) : "odd" + std::to_string(this->random.below(LongBurst));
-        const std::string &to = this->controls[this->random.below(this->controls.size())];
+        const std::string &to = this->controls->at(this->random.below(this->controls->size()));
         ++this->sent;
         this->send("/instances/" + name, this->drawBody(hasSoundName, worker), to, MaxRedirects);
     }
--- a/tests/soak/soak_odd_reports.h
+++ b/tests/soak/soak_odd_reports.h
@@ -21,8 +21,8 @@
 public:
     SoakOddReports(boost::asio::io_context &loop, const SoakSettings &soakSettings, const SoakWorkers &soakWorkers, SoakChecks &soakChecks);
 
-    /** Starts to send. The control addresses have the form "IP:port". */
-    void start(std::vector<std::string> controlAddresses);
+    /** Starts to send. The control addresses have the form "IP:port" and may change later. */
+    void start(const std::vector<std::string> &controlAddresses);
 
     /** Sends no more reports. */
     void stop();
@@ -41,7 +41,7 @@
     NetworkCounters counters;
     HttpClient client;
     Random random;
-    std::vector<std::string> controls;
+    const std::vector<std::string> *controls = nullptr; ///< Changes when a core is replaced.
     boost::asio::steady_timer timer;
     bool hasStopped = false;
 };
--- a/tests/soak/soak_operators.cpp
+++ b/tests/soak/soak_operators.cpp
@@ -32,15 +32,15 @@
 {
 }
 
-void SoakOperators::start(std::vector<std::string> controlAddresses)
+void SoakOperators::start(const std::vector<std::string> &controlAddresses)
 {
-    this->controls = std::move(controlAddresses);
-    for (std::size_t i = 0; i < Operators + this->controls.size(); ++i) {
+    this->controls = &controlAddresses;
+    for (std::size_t i = 0; i < Operators + this->controls->size(); ++i) {
         this->timers.push_back(std::make_unique<boost::asio::steady_timer>(this->io));
         if (i < Operators) {
             this->armChange(i);
         } else {
-            this->armReading(i, this->controls[i - Operators]);
+            this->armReading(i);
         }
     }
 }
@@ -64,13 +64,13 @@
     });
 }
 
-void SoakOperators::armReading(std::size_t timer, const std::string &control)
+void SoakOperators::armReading(std::size_t timer)
 {
     this->timers[timer]->expires_after(ReadInterval);
-    this->timers[timer]->async_wait([this, timer, control](const boost::system::error_code &error) {
+    this->timers[timer]->async_wait([this, timer](const boost::system::error_code &error) {
         if (!error && !this->hasStopped) {
-            this->readFrom(control);
-            this->armReading(timer, control);
+            this->readFrom(this->controls->at(timer - Operators));
+            this->armReading(timer);
         }
     });
 }
@@ -81,7 +81,7 @@
         this->manifests.addRoute();
     }
     const std::uint64_t version = this->manifests.next(1 + this->random.below(3));
-    const std::string &control = this->controls[this->random.below(this->controls.size())];
+    const std::string &control = this->controls->at(this->random.below(this->controls->size()));
     ++this->sent;
     if (this->random.below(InvalidEvery) == 0) {
         this->putInvalid(version, control);
--- a/tests/soak/soak_operators.h
+++ b/tests/soak/soak_operators.h
@@ -20,8 +20,8 @@
 public:
     SoakOperators(boost::asio::io_context &loop, const SoakSettings &soakSettings, SoakManifests &soakManifests, SoakChecks &soakChecks);
 
-    /** Starts to send. The control addresses have the form "IP:port". */
-    void start(std::vector<std::string> controlAddresses);
+    /** Starts to send. The control addresses have the form "IP:port" and may change later. */
+    void start(const std::vector<std::string> &controlAddresses);
 
     /** Changes and reads the manifest no more. */
     void stop();
@@ -33,7 +33,7 @@
 
 private:
     void armChange(std::size_t timer);
-    void armReading(std::size_t timer, const std::string &control);
+    void armReading(std::size_t timer);
     void change();
     void putValid(std::uint64_t version, const std::string &control);
     void putInvalid(std::uint64_t version, const std::string &control);
@@ -45,7 +45,7 @@
     NetworkCounters counters;
     HttpClient client;
     Random random;
-    std::vector<std::string> controls;
+    const std::vector<std::string> *controls = nullptr; ///< Changes when a core is replaced.
     std::vector<std::unique_ptr<boost::asio::steady_timer>> timers; ///< Those of the operators come first, then those of the readers.
     bool hasStopped = false;
 };
--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -145,9 +145,9 @@
     this->interference[{"lasting-1", "filling-1"}] = 1.5;
 }
 
-void SoakWorkers::start(std::vector<std::string> controlAddresses)
+void SoakWorkers::start(const std::vector<std::string> &controlAddresses)
 {
-    this->controls = std::move(controlAddresses);
+    this->controls = &controlAddresses;
     this->slots.resize(static_cast<std::size_t>(this->settings.workers));
     for (std::size_t i = 0; i < this->slots.size(); ++i) {
         const auto port = static_cast<std::uint16_t>(FirstPort + i);
@@ -439,7 +439,7 @@
     if (slot.worker == nullptr || slot.isIsolated) {
         return;
     }
-    const std::string to = slot.reportTo.empty() ? this->controls[this->random.below(this->controls.size())] : slot.reportTo;
+    const std::string to = slot.reportTo.empty() ? this->controls->at(this->random.below(this->controls->size())) : slot.reportTo;
     this->sendReport(index, to, 3);
 }
 
@@ -493,7 +493,7 @@
                               return;
                           }
                           later.reportTo.clear();
-                          this->sendReport(index, this->controls[this->random.below(this->controls.size())], attemptsLeft - 1);
+                          this->sendReport(index, this->controls->at(this->random.below(this->controls->size())), attemptsLeft - 1);
                       });
 }
 
--- a/tests/soak/soak_workers.h
+++ b/tests/soak/soak_workers.h
@@ -31,8 +31,8 @@
 public:
     SoakWorkers(boost::asio::io_context &loop, const SoakSettings &soakSettings, std::string workerAddress, SoakRelay &soakRelay, SoakChecks &soakChecks);
 
-    /** Starts all workers. They report to the control addresses, which have the form "IP:port". */
-    void start(std::vector<std::string> controlAddresses);
+    /** Starts all workers. They report to the control addresses, which have the form "IP:port" and may change later. */
+    void start(const std::vector<std::string> &controlAddresses);
 
     /** Ends a worker process. With restart, a new incarnation with the same name starts immediately. */
     void crash(std::size_t worker, bool restart);
@@ -116,7 +116,7 @@
     Random random;
     Random crashRandom; ///< For crashes that tasks cause, so that the other faults of a seed stay the same.
     ModelInterference interference;
-    std::vector<std::string> controls;
+    const std::vector<std::string> *controls = nullptr; ///< Changes when a core is replaced.
     std::vector<WorkerSlot> slots;
     std::vector<std::unique_ptr<HttpServer>> retiredServers; ///< Servers of ended incarnations, kept because their handlers may still be queued.
     std::list<PendingPoll> pendingPolls;
