Fix: the old core stays in its place while its successor runs beside it

The check of reads calls the cores themselves and follows no redirect, so an old core that led beside its successor looked like no leader at all.

--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -256,6 +256,11 @@
     return this->replaced.size() - 1;
 }
 
+void SoakDaemons::exchange(std::size_t core, std::size_t number)
+{
+    std::swap(this->daemons[core], this->replaced[number]);
+}
+
 void SoakDaemons::retire(std::size_t number, int signal)
 {
     SoakDaemon &old = this->replaced[number];
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -85,10 +85,12 @@
 
     void pause(std::size_t daemon, bool isPaused);
 
-    /** Puts a new machine of the same zone, which is down and has an empty disk, in the place of a core. Returns the number of the old one among the replaced.
-     */
+    /** Puts a new machine of the same zone, which is down and has an empty disk, in the place of a core. Returns the number of the old one. */
     std::size_t replace(std::size_t core);
 
+    /** Exchanges a core with the one that it has replaced. Callers, workers and operators know only the one in its place. */
+    void exchange(std::size_t core, std::size_t number);
+
     /** Ends a core that was replaced, for good. */
     void retire(std::size_t number, int signal);
 
@@ -133,7 +135,7 @@
     std::string networkPrefix;
     std::vector<std::string> controls;
     SoakRelay &relay;
-    std::vector<SoakDaemon> replaced; ///< Cores in whose place another one is; they may still run.
+    std::vector<SoakDaemon> replaced; ///< Cores in whose place another one is. They may still run, or already run.
     std::vector<ExpectedExit> expectedExits; ///< For each daemon.
 };
 
--- a/tests/soak/soak_replacements.cpp
+++ b/tests/soak/soak_replacements.cpp
@@ -183,12 +183,7 @@
 {
     const int number = this->random.below(2) == 0 ? SIGKILL : SIGTERM;
     const bool isKilledAgain = this->random.below(4) == 0;
-    const std::size_t old = this->daemons.replace(core);
-    this->daemons.retire(old, number);
-    this->revertAfter(GraceTime, [this, old] {
-        this->daemons.retire(old, SIGKILL);
-    });
-    this->announce();
+    this->end(this->daemons.replace(core), number);
     if (!isKilledAgain) {
         this->startAfter(delay, {core});
         return;
@@ -206,13 +201,20 @@
 
 void SoakReplacements::replacePlanned(std::size_t core)
 {
-    const std::size_t old = this->daemons.replace(core);
+    const std::size_t other = this->daemons.replace(core);
     const int number = this->random.below(2) == 0 ? SIGKILL : SIGTERM;
     const bool isNextReplaced = this->random.below(2) == 0;
+    const Duration time = this->drawDuration(CatchUpTime, MaxPlannedTime);
     this->daemons.start(core);
-    this->announce();
-    this->revertAfter(this->drawDuration(CatchUpTime, MaxPlannedTime), [this, old, core, number, isNextReplaced] {
-        this->daemons.retire(old, this->hasStopped ? SIGKILL : number);
+    this->daemons.exchange(core, other);
+    this->revertAfter(this->drawDuration({0}, MaxNoticeTime), [this, core, other] {
+        this->daemons.exchange(core, other);
+        this->daemons.announceCores();
+        this->daemons.exchange(core, other);
+    });
+    this->revertAfter(time, [this, other, core, number, isNextReplaced] {
+        this->daemons.exchange(core, other);
+        this->end(other, number);
         if (!isNextReplaced || this->hasStopped) {
             this->arm();
             return;
@@ -223,8 +225,16 @@
     });
 }
 
-void SoakReplacements::announce()
+void SoakReplacements::end(std::size_t old, int signal)
 {
+    this->daemons.retire(old, this->hasStopped ? SIGKILL : signal);
+    if (this->hasStopped) {
+        this->daemons.announceCores();
+        return;
+    }
+    this->revertAfter(GraceTime, [this, old] {
+        this->daemons.retire(old, SIGKILL);
+    });
     this->revertAfter(this->drawDuration({0}, MaxNoticeTime), [this] {
         this->daemons.announceCores();
     });
--- a/tests/soak/soak_replacements.h
+++ b/tests/soak/soak_replacements.h
@@ -51,7 +51,7 @@
     void expectRead(SoakLoss loss);
     void replace(std::size_t core, Duration delay);
     void replacePlanned(std::size_t core);
-    void announce();
+    void end(std::size_t old, int signal);
     void killAll(Duration time);
     void startAfter(Duration delay, std::vector<std::size_t> cores);
     void runAfter(Duration delay, std::function<void()> action);
