Fix: the soak's workers end their reports while their state is there

SoakWorkers declared its HTTP client before the workers' state, so that state was destroyed first; the client's end then gives each report under way its outcome, and the handler reads a destroyed slot, clears its string and sends the next report from it. Reports take about 1 ms, so few runs end with one under way; with a leader that does not answer every run does. The client is declared last now.

--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -135,11 +135,11 @@
     , address(std::move(workerAddress))
     , relay(soakRelay)
     , checks(soakChecks)
-    , client(soakClientSettings(loop), counters)
     , random{soakSettings.seed ^ 0x5eedULL}
     , crashRandom{soakSettings.seed ^ 0xdeadULL}
     , stepTimer(loop)
     , reportTimer(loop)
+    , client(soakClientSettings(loop), counters)
 {
     this->interference[{"lasting-0", "filling-0"}] = 2.5;
     this->interference[{"lasting-1", "filling-1"}] = 1.5;
--- a/tests/soak/soak_workers.h
+++ b/tests/soak/soak_workers.h
@@ -112,7 +112,6 @@
     SoakRelay &relay;
     SoakChecks &checks;
     NetworkCounters counters;
-    HttpClient client;
     Random random;
     Random crashRandom; ///< For crashes that tasks cause, so that the other faults of a seed stay the same.
     ModelInterference interference;
@@ -125,6 +124,7 @@
     TimePoint lastStepAt;
     int delayedOrderPercent = 0;
     int droppedResponsePercent = 0;
+    HttpClient client; ///< Declared last: its end ends the reports that are under way, whose handlers use the other members.
 };
 
 } // namespace Filbertlanding
