Test: callers are served after each replacement

Each step of fleet_replacement_test also sends a job of a caller, so that a leader that is elected but serves nothing is red.

--- a/tests/fleet_replacement_test.cpp
+++ b/tests/fleet_replacement_test.cpp
@@ -79,7 +79,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(std::max<std::int64_t>(left, 0)));
     }
 
-    /** Checks that some core serves the manifest in time, and no older one, and that it takes a newer one. */
+    /** Checks that some core serves the manifest in time, and no older one, and that operators and callers are served. */
     void checkServed()
     {
         const TimePoint begin = steadyNow();
@@ -93,6 +93,13 @@
         REQUIRE(isRead);
         CHECK(this->load.operators().stale == 0);
         CHECK(this->load.putManifest());
+        for (const FleetProcess &entry : this->installation.entries) {
+            CHECK(eventually(
+                [&] {
+                    return this->load.submitOnce(entry) == 200;
+                },
+                RecoveryLimit));
+        }
         MESSAGE("read after " << readMs << " ms, newer manifest after " << (steadyNow() - begin).ms << " ms");
     }
 
@@ -101,9 +108,9 @@
     {
         for (int i = 0; i < count; ++i) {
             CAPTURE(i);
+            this->waitUntil(CatchUpMs);
             this->replace(this->next(), endSignal);
             this->checkServed();
-            this->waitUntil(CatchUpMs);
         }
     }
 
@@ -141,12 +148,12 @@
     ReplacedCores cores;
     for (int round = 0; round < 2; ++round) {
         CAPTURE(round);
+        cores.waitUntil(CatchUpMs);
         auto old = cores.startSuccessor(cores.next());
         cores.waitUntil(CatchUpMs);
         old.reset();
         cores.replace(cores.next());
         cores.checkServed();
-        cores.waitUntil(CatchUpMs);
     }
 }
 
@@ -178,6 +185,7 @@
     ReplacedCores cores(FleetShape{.cores = 4, .entries = 2});
     for (const int pauseMs : {2'000, 6'000}) {
         CAPTURE(pauseMs);
+        cores.waitUntil(CatchUpMs);
         FleetProcess &paused = cores.next();
         paused.process->signal(SIGSTOP);
         std::this_thread::sleep_for(std::chrono::milliseconds(pauseMs));
@@ -186,6 +194,5 @@
         cores.waitUntil(CatchUpMs);
         cores.replace(cores.next());
         cores.checkServed();
-        cores.waitUntil(CatchUpMs);
     }
 }
