--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -15,10 +15,10 @@
 struct FleetProcess {
     std::string name;
     std::string address;
-    std::string availabilityZone; ///< Its availability zone.
     bool isCore = false; ///< Whether it has a data folder.
-    bool isFirstStart = true; ///< Whether it starts with the whole installation, all of whose disks are empty.
     std::unique_ptr<ChildProcess> process; ///< Null while it is down.
+    std::string availabilityZone; ///< Its availability zone.
+    bool isFirstStart = true; ///< Whether it starts with the whole installation, all of whose disks are empty.
 };
 
 /** How many daemons an installation of the test has. */
