--- a/tests/raft_property_test.cpp
+++ b/tests/raft_property_test.cpp
@@ -32,10 +32,38 @@
 
 using Step = std::tuple<std::uint8_t, std::uint8_t, std::uint16_t>; ///< Fault, node, length.
 
-void loseDiskIfRepaired(TestCluster &cluster, TestNode &node)
+/** Starts all nodes again, each in a zone of its own. */
+void startWithZones(TestCluster &cluster)
+{
+    for (auto &node : cluster.nodes) {
+        node->availabilityZone = "zone-" + node->name;
+        cluster.stop(*node, false);
+        cluster.start(*node);
+    }
+}
+
+/** Ends a node for good and starts a new one, whose contacts name it in place of the old one, or are out of date. */
+void replaceNode(TestCluster &cluster, TestNode &node, bool isCurrent)
+{
+    std::vector<DaemonName> contacts;
+    for (const auto &other : cluster.nodes) {
+        if (other->hasDisk && !other->isGone) {
+            contacts.push_back(isCurrent && other.get() == &node ? cluster.nextName() : other->name);
+        }
+    }
+    cluster.remove(node, true);
+    cluster.addNode(node.availabilityZone, std::move(contacts));
+}
+
+void loseDiskIfRepaired(TestCluster &cluster, TestNode &node, std::uint16_t length)
 {
     // One loss at a time: the next one only after the lost identity was replaced by an accepted membership.
-    if (node.hasDisk && cluster.isRepaired()) {
+    if (!node.hasDisk || node.isGone || !cluster.isRepaired()) {
+        return;
+    }
+    if (cluster.admitsNewVoters && length % 4 > 0) {
+        replaceNode(cluster, node, length % 4 == 1);
+    } else {
         cluster.loseDisk(node);
     }
 }
@@ -53,7 +81,7 @@
         node.disk.failAfter = length % 7;
         break;
     case Fault::LoseDisk:
-        loseDiskIfRepaired(cluster, node);
+        loseDiskIfRepaired(cluster, node, length);
         break;
     case Fault::Restart:
         cluster.start(node);
@@ -200,11 +228,15 @@
     }));
 }
 
-void checkCluster(std::size_t voters, std::size_t learners, bool guardsLeaderLease = false)
+void checkCluster(std::size_t voters, std::size_t learners, bool guardsLeaderLease = false, bool admitsNewVoters = false)
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
     const auto steps = *rc::gen::resize(60, rc::gen::arbitrary<std::vector<Step>>());
     TestCluster cluster(seed, voters, learners, guardsLeaderLease);
+    cluster.admitsNewVoters = admitsNewVoters;
+    if (admitsNewVoters) {
+        startWithZones(cluster);
+    }
     cluster.run(3000);
     for (const auto &step : steps) {
         disturb(cluster, step);
@@ -212,6 +244,38 @@
     checkRecovery(cluster);
 }
 
+/** Loses disks, or whole machines that new ones replace, each right after the repair of the one before. */
+void checkSequence(bool admitsNewVoters)
+{
+    TestCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), 3, admitsNewVoters ? 0 : 1);
+    cluster.admitsNewVoters = admitsNewVoters;
+    const auto losses = *rc::gen::resize(8, rc::gen::arbitrary<std::vector<std::uint8_t>>());
+    if (admitsNewVoters) {
+        startWithZones(cluster);
+    }
+    cluster.run(3000);
+    std::size_t newest[] = {0, 1, 2};
+    for (const std::uint8_t loss : losses) {
+        for (int i = 0; i < loss; ++i) {
+            cluster.proposeNext();
+        }
+        cluster.run(loss % 50);
+        TestNode &node = *cluster.nodes[newest[loss % 3]];
+        if (admitsNewVoters) {
+            newest[loss % 3] = cluster.nodes.size();
+            replaceNode(cluster, node, loss % 2 == 0);
+        } else {
+            cluster.loseDisk(node);
+        }
+        cluster.run(std::int64_t{10} * loss);
+        cluster.start(node);
+        RC_ASSERT(cluster.runUntil(ElectionBound + RepairBound, [&cluster] {
+            return cluster.isRepaired();
+        }));
+    }
+    checkRecovery(cluster);
+}
+
 } // namespace
 
 TEST_CASE("Random faults never break the replicated log")
@@ -245,28 +309,29 @@
             checkCluster(5, 0, true);
         }));
     }
+
+    SUBCASE("with three voters that new machines replace")
+    {
+        CHECK(rc::check("new machines", [] {
+            checkCluster(3, 0, true, true);
+        }));
+    }
 }
 
 TEST_CASE("Disks are lost one after the other, each right after the repair of the one before")
 {
     // Guards against accepted entries that only lost disks held.
-    CHECK(rc::check("losses in sequence", [] {
-        TestCluster cluster(*rc::gen::arbitrary<std::uint64_t>(), 3, 1);
-        const auto losses = *rc::gen::resize(8, rc::gen::arbitrary<std::vector<std::uint8_t>>());
-        cluster.run(3000);
-        for (const std::uint8_t loss : losses) {
-            for (int i = 0; i < loss; ++i) {
-                cluster.proposeNext();
-            }
-            cluster.run(loss % 50);
-            TestNode &node = *cluster.nodes[loss % 3];
-            cluster.loseDisk(node);
-            cluster.run(std::int64_t{10} * loss);
-            cluster.start(node);
-            RC_ASSERT(cluster.runUntil(ElectionBound + RepairBound, [&cluster] {
-                return cluster.isRepaired();
-            }));
-        }
-        checkRecovery(cluster);
-    }));
+    SUBCASE("at the same addresses")
+    {
+        CHECK(rc::check("losses in sequence", [] {
+            checkSequence(false);
+        }));
+    }
+
+    SUBCASE("with machines that new ones replace")
+    {
+        CHECK(rc::check("replacements in sequence", [] {
+            checkSequence(true);
+        }));
+    }
 }
