Test: cores replaced by new hosts, as real processes

Callers saw: after cores were replaced by new hosts, no core served the manifest any more, although everything that remained was connected.

No test replaced a core by a new host at a new address.

Evidence: real processes, three cores in three availability zones, two entries; 4.2 s after a successor's start the core of the next zone is replaced. A read has to succeed within 12 s, none may be stale, and the entries have to accept a job.

Change: FleetInstallation replaces the host of a core and starts daemons with the contacts of now; FleetLoad counts stale reads outside its threads too.

--- a/tests/fleet_installation.cpp
+++ b/tests/fleet_installation.cpp
@@ -23,6 +23,8 @@
     constexpr Duration MetricsTimeout{500}; ///< A daemon whose event loop stands still gives no answer.
     constexpr std::size_t MaxContacts = 3;
     constexpr std::size_t AddressesPerPair = 10; ///< Distance between the addresses of two cores.
+    constexpr std::size_t FirstNewAddress = 101; ///< Of hosts that replace others.
+    constexpr std::size_t ZoneCount = 3;
 
     std::string loopbackNetwork()
     {
@@ -37,6 +39,7 @@
             FleetProcess daemon;
             daemon.name = i == 0 ? name : name + "-" + std::to_string(i + 1);
             daemon.address = loopbackNetwork() + std::to_string(firstAddress + AddressesPerPair * i);
+            daemon.availabilityZone = "zone-" + std::to_string(i % ZoneCount + 1);
             daemon.isCore = isCore;
             daemons.push_back(std::move(daemon));
         }
@@ -76,7 +79,7 @@
     this->folder = pattern;
     for (const FleetProcess *daemon : this->daemons()) {
         if (daemon->isCore) {
-            std::filesystem::create_directories(this->folder / (daemon->name + "-data"));
+            std::filesystem::create_directories(this->dataPath(*daemon));
         }
         writeText(this->settingsPath(*daemon), this->settingsText(*daemon));
     }
@@ -104,6 +107,11 @@
     return this->folder / (daemon.name + ".log");
 }
 
+std::filesystem::path FleetInstallation::dataPath(const FleetProcess &daemon) const
+{
+    return this->folder / (daemon.name + "-data");
+}
+
 std::string FleetInstallation::settingsText(const FleetProcess &daemon) const
 {
     json::array contacts;
@@ -114,8 +122,9 @@
     listen[daemon.isCore ? "control" : "callers"] = endpointOf(daemon, daemon.isCore ? ControlPort : CallerPort);
     const json::object settings{{"daemon", daemon.name},
                                 {"address", daemon.address},
-                                {"dataFolder", daemon.isCore ? (this->folder / (daemon.name + "-data")).string() : std::string()},
-                                {"firstStart", true},
+                                {"availabilityZone", daemon.availabilityZone},
+                                {"dataFolder", daemon.isCore ? this->dataPath(daemon).string() : std::string()},
+                                {"firstStart", daemon.isFirstStart},
                                 {"contacts", contacts},
                                 {"listen", listen},
                                 {"peer", {{"port", PeerPort}, {"fromOwnAddress", true}, {"key", "key of the test"}}},
@@ -139,6 +148,22 @@
     this->start(daemon);
 }
 
+std::unique_ptr<ChildProcess> FleetInstallation::replaceHost(FleetProcess &daemon)
+{
+    const std::size_t number = FirstNewAddress + this->replacedHosts++;
+    daemon.name = "core-" + std::to_string(number);
+    daemon.address = loopbackNetwork() + std::to_string(number);
+    std::filesystem::create_directories(this->dataPath(daemon));
+    return std::move(daemon.process);
+}
+
+void FleetInstallation::startAgain(FleetProcess &daemon)
+{
+    daemon.isFirstStart = false;
+    writeText(this->settingsPath(daemon), this->settingsText(daemon));
+    this->start(daemon);
+}
+
 bool FleetInstallation::isReady(const FleetProcess &daemon)
 {
     return this->get(daemon, ReadinessPort, "/") == 200;
--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -17,6 +17,8 @@
     std::string address;
     bool isCore = false; ///< Whether it has a data folder.
     std::unique_ptr<ChildProcess> process; ///< Null while it is down.
+    std::string availabilityZone; ///< Its availability zone.
+    bool isFirstStart = true; ///< Whether it starts with the whole installation, all of whose disks are empty.
 };
 
 /** How many daemons an installation of the test has. */
@@ -48,6 +50,12 @@
     /** Kills a daemon and starts a new process in its place. */
     void restart(FleetProcess &daemon);
 
+    /** Puts a new host with another address and an empty disk, which is down, in the place of a core. Returns the process of the old one. */
+    std::unique_ptr<ChildProcess> replaceHost(FleetProcess &daemon);
+
+    /** Starts a daemon that is down again, with the contacts of now. */
+    void startAgain(FleetProcess &daemon);
+
     /** Returns whether the readiness check of a daemon says 200. */
     bool isReady(const FleetProcess &daemon);
 
@@ -86,6 +94,7 @@
 
     std::filesystem::path settingsPath(const FleetProcess &daemon) const;
     std::filesystem::path logPath(const FleetProcess &daemon) const;
+    std::filesystem::path dataPath(const FleetProcess &daemon) const;
 
     std::vector<FleetProcess> cores;
     std::vector<FleetProcess> entries;
@@ -95,6 +104,7 @@
 
 private:
     FleetShape shape;
+    std::size_t replacedHosts = 0;
     std::filesystem::path folder;
     NetworkCounters counters;
     HttpClient client;
--- a/tests/fleet_load.cpp
+++ b/tests/fleet_load.cpp
@@ -70,13 +70,20 @@
 }
 
 bool FleetLoad::putFirstManifest()
+{
+    return this->putManifest();
+}
+
+bool FleetLoad::putManifest()
 {
     const std::uint64_t version = this->manifests.next(1);
     const bool isPut = eventually([&] {
         const FleetProcess &core = this->installation.core;
         return statusOf(this->sendToControl(core, {"PUT", "/config", {{"Content-Type", "application/json"}}, this->manifests.document(version), {}})) == 200;
     });
-    this->acknowledgedVersion = version;
+    if (isPut) {
+        this->acknowledgedVersion = version;
+    }
     return isPut;
 }
 
@@ -128,7 +135,7 @@
 
 unsigned FleetLoad::readOnce(const FleetProcess &core)
 {
-    return statusOf(this->sendToControl(core, {"GET", "/config", {}, {}, {}}));
+    return statusOf(this->readManifest(core));
 }
 
 void FleetLoad::callEntry(const FleetProcess &entry, std::uint64_t caller)
@@ -166,18 +173,23 @@
 void FleetLoad::readManifests(const FleetProcess &core)
 {
     while (!this->isStopping) {
-        const std::uint64_t acknowledged = this->acknowledgedVersion;
-        const HttpExchange read = this->sendToControl(core, {"GET", "/config", {}, {}, {}});
-        this->count(this->operatorCounts, read);
-        if (statusOf(read) == 200) {
-            const auto version = boost::json::parse(read.response.body).at("version").to_number<std::uint64_t>();
-            const std::lock_guard lock(this->mutex);
-            this->operatorCounts.stale += version < acknowledged ? 1 : 0;
-        }
+        this->count(this->operatorCounts, this->readManifest(core));
         std::this_thread::sleep_for(ReadInterval);
     }
 }
 
+HttpExchange FleetLoad::readManifest(const FleetProcess &core)
+{
+    const std::uint64_t acknowledged = this->acknowledgedVersion;
+    HttpExchange read = this->sendToControl(core, {"GET", "/config", {}, {}, {}});
+    if (statusOf(read) == 200) {
+        const auto version = boost::json::parse(read.response.body).at("version").to_number<std::uint64_t>();
+        const std::lock_guard lock(this->mutex);
+        this->operatorCounts.stale += version < acknowledged ? 1 : 0;
+    }
+    return read;
+}
+
 HttpExchange FleetLoad::sendToEntry(const FleetProcess &entry, const std::string &method, const std::string &job)
 {
     HttpRequest request{method, "/jobs/" + job, {}, method == "POST" ? std::string(JobBody) : std::string(), {}};
--- a/tests/fleet_load.h
+++ b/tests/fleet_load.h
@@ -43,6 +43,9 @@
     /** Uploads the first manifest, and waits until it can be read. */
     bool putFirstManifest();
 
+    /** Uploads a newer manifest, and waits until it is acknowledged. */
+    bool putManifest();
+
     /** Begins to call. */
     void start();
 
@@ -58,13 +61,14 @@
     /** Submits a job at an entry. Returns the HTTP status, or 0 without an answer. */
     unsigned submitOnce(const FleetProcess &entry);
 
-    /** Reads the manifest, beginning at this core. Returns the HTTP status, or 0 without an answer. */
+    /** Reads the manifest, beginning at this core. Returns the HTTP status, or 0 without an answer; a stale read is counted. */
     unsigned readOnce(const FleetProcess &core);
 
 private:
     void callEntry(const FleetProcess &entry, std::uint64_t caller);
     void changeManifests();
     void readManifests(const FleetProcess &core);
+    HttpExchange readManifest(const FleetProcess &core);
     HttpExchange sendToEntry(const FleetProcess &entry, const std::string &method, const std::string &job);
     HttpExchange sendToControl(const FleetProcess &core, HttpRequest request);
     void count(CallCounts &counts, const HttpExchange &exchange);
