Fix: a newcomer that leads does not see whom it replaces, and voters gather in one zone

A newcomer took the membership in its own settings for the founding one, so that it counted as old as the core it replaces. The membership before the first entry says nothing about age any more.

If a ready core of a zone without a voter waits while two voters share a zone, it votes, and one of the two waits.

--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -106,10 +106,13 @@
 void receiveReport(RaftState &state, const RaftMessage &message, const ReplicaReport &report);
 /**
  * Returns the members that newer replicas stand in for, by what all report of their settings. Such a member may go for good at any moment and
- * doesn't count as a lost one then. A wrong result costs a change of the membership and no more: all that votes is alive and caught up.
+ * doesn't count as a lost one then. A wrong result never costs an accepted entry, but may leave a member that is about to go among the voters.
  */
 std::set<VoterId> findReplaced(const RaftState &state, TimePoint now);
 
+/** Returns the availability zone that a member has reported in this term; empty if it is not known. */
+ZoneName zoneOf(const RaftState &state, const VoterId &id);
+
 /** Returns whether a replica has answered the leader within the shortest election timeout. */
 bool isAnswering(const RaftState &state, const VoterId &id, TimePoint now);
 /** Returns whether a replica holds all that is accepted. */
--- a/src/replication/raft_maintenance.cpp
+++ b/src/replication/raft_maintenance.cpp
@@ -20,6 +20,7 @@
         {MembershipReason::DiskLost, "disk_lost"},
         {MembershipReason::Silent, "silent"},
         {MembershipReason::Replaced, "replaced"},
+        {MembershipReason::SharedZone, "shared_zone"},
         {MembershipReason::Promoted, "promoted"},
     });
 
@@ -91,6 +92,26 @@
         return ready;
     }
 
+    /** Returns how many voters are known to be in a zone; 0 for an unknown zone. */
+    std::ptrdiff_t countVotersIn(const RaftState &state, const ZoneName &zone)
+    {
+        const auto &voters = currentMembership(state).voters;
+        return std::count_if(voters.begin(), voters.end(), [&state, &zone](const VoterId &voter) {
+            return !zone.empty() && zoneOf(state, voter) == zone;
+        });
+    }
+
+    /** Returns a voter, other than this one, whose zone has another voter; nothing if each zone has one. */
+    std::optional<VoterId> voterOfSharedZone(const RaftState &state)
+    {
+        for (const auto &voter : currentMembership(state).voters) {
+            if (!isSelf(state, voter) && countVotersIn(state, zoneOf(state, voter)) > 1) {
+                return voter;
+            }
+        }
+        return std::nullopt;
+    }
+
     Step withVoter(const RaftState &state, const VoterId &joiner)
     {
         Membership next = currentMembership(state);
@@ -103,7 +124,7 @@
     {
         Membership next = currentMembership(state);
         std::erase(next.voters, VoterId(voter));
-        if (reason == MembershipReason::Replaced) {
+        if (reason == MembershipReason::Replaced || reason == MembershipReason::SharedZone) {
             // It answers, so it stays ready to take the place of another one.
             next.joining.push_back(voter);
         }
@@ -191,7 +212,7 @@
     }
 
     /** Returns whether all replicas that answer have reported in this term; before, which ones are about to go is not known. */
-    bool knowsWhoStays(const RaftState &state, TimePoint now)
+    bool hasAllReports(const RaftState &state, TimePoint now)
     {
         return std::all_of(state.progress.begin(), state.progress.end(), [&state, now](const auto &item) {
             const bool isCandidate = !holdsId(currentMembership(state).learners, item.first);
@@ -209,7 +230,34 @@
             return !isReplaced(state, joiner);
         });
         const bool mayAdd = hasEvenVoters(state) ? lasting > 0 : lasting > 1;
-        return mayAdd && knowsWhoStays(state, now) ? NextStep(withVoter(state, ready.front())) : std::nullopt;
+        return mayAdd && hasAllReports(state, now) ? NextStep(withVoter(state, ready.front())) : std::nullopt;
+    }
+
+    /** Returns a ready replica that stays and whose zone has no voter, while another zone has two: the loss of that zone would cost the majority. */
+    std::optional<VoterId> joinerOfFreeZone(const RaftState &state, const std::vector<VoterId> &ready)
+    {
+        for (const auto &joiner : ready) {
+            const ZoneName zone = zoneOf(state, joiner);
+            if (!zone.empty() && countVotersIn(state, zone) == 0 && !isReplaced(state, joiner)) {
+                return voterOfSharedZone(state) ? std::optional(joiner) : std::nullopt;
+            }
+        }
+        return std::nullopt;
+    }
+
+    /** Spreads the voters over the zones: first the one of a free zone votes, then one of a shared zone waits. */
+    NextStep withSpreadVoters(const RaftState &state, const std::vector<VoterId> &ready, TimePoint now)
+    {
+        if (!hasAllReports(state, now)) {
+            return std::nullopt;
+        }
+        if (!hasEvenVoters(state)) {
+            const auto joiner = joinerOfFreeZone(state, ready);
+            return joiner ? NextStep(withVoter(state, *joiner)) : std::nullopt;
+        }
+        const auto voter = voterOfSharedZone(state);
+        const bool isSpare = voter && hasSpareVoter(state) && isAnswering(state, *voter, now) && canSpare(state, *voter, now);
+        return isSpare ? NextStep(withoutVoter(state, *voter, MembershipReason::SharedZone)) : std::nullopt;
     }
 
     /** Drops a voter beyond the wanted number, or a joining replica, that has been silent for long. It asks again when it is back. */
@@ -270,6 +318,9 @@
         if (auto step = withFurtherVoter(state, ready, now)) {
             return step;
         }
+        if (auto step = withSpreadVoters(state, ready, now)) {
+            return step;
+        }
         return withoutSilentReplica(state, now);
     }
 
--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -21,6 +21,10 @@
     /** Keeps what is known of the daemons that the membership names. */
     void noteIncarnations(RaftState &state, const Membership &membership)
     {
+        if (state.memberships.back().index == 0) {
+            // The membership before the first entry comes from this replica's settings; on a newcomer it is no more than a guess.
+            return;
+        }
         std::map<DaemonName, std::uint64_t> first;
         for (const auto *list : {&membership.voters, &membership.learners, &membership.joining}) {
             for (const auto &id : *list) {
--- a/src/replication/raft_replaced.cpp
+++ b/src/replication/raft_replaced.cpp
@@ -69,6 +69,12 @@
 
 } // namespace
 
+ZoneName zoneOf(const RaftState &state, const VoterId &id)
+{
+    const auto report = reportOf(state, id);
+    return report ? report->availabilityZone : ZoneName();
+}
+
 std::set<VoterId> findReplaced(const RaftState &state, TimePoint now)
 {
     std::set<VoterId> replaced;
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -340,6 +340,7 @@
     DiskLost, ///< The daemon is back under a new incarnation.
     Silent, ///< The replica has not answered for too long.
     Replaced, ///< A newer replica stands in for it.
+    SharedZone, ///< Its availability zone has another voter, and a replica of a zone without one votes.
     Promoted, ///< A caught-up replica votes.
 };
 
