Change: names and functions after the review

The two rules that remove a surplus voter are functions of their own, comments say "replaces" in place of "stands in for", and a sender of replication messages is noted only once its message could be read.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -169,14 +169,14 @@
 
 void FleetCore::receiveReplication(const DaemonName &sender, const std::string &payload)
 {
-    if (this->recentSenders.note(sender, steadyNow())) {
-        this->setRequiredPeers();
-    }
     auto message = decodeFleetMessage<RaftMessage>(payload);
     if (!message) {
         logLine(LogArea::Replication, LogLevel::Warn, "message_malformed", {{"bytes", payload.size()}});
         return;
     }
+    if (this->recentSenders.note(sender, steadyNow())) {
+        this->setRequiredPeers();
+    }
     this->replication.receive(std::move(*message));
 }
 
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -38,7 +38,7 @@
 void FleetCore::leaveIfReplaced()
 {
     if (this->status.isReplaced && this->scheduler && this->handover.stage == HandoverStage::None && this->status.hasSuccessor) {
-        this->beginHandover("a newer core stands in for this one");
+        this->beginHandover("a newer core replaces this one");
     }
 }
 
--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -81,7 +81,7 @@
     Snapshot incoming; ///< Snapshot in transfer to this replica.
 
     std::map<VoterId, RaftProgress> progress; ///< Leader: all other replicas.
-    std::set<VoterId> replaced; ///< Leader: members that newer replicas stand in for, as of the last tick or answer of a joining replica.
+    std::set<VoterId> replaced; ///< Leader: members that newer replicas replace, as of the last tick or answer of a joining replica.
     std::map<DaemonName, RaftJoiner> joinWaiting; ///< Leader: new incarnations that wait for their membership change.
     std::uint64_t termStart = 0; ///< Leader: index of the empty entry of its term.
     std::uint64_t round = 0; ///< Leader: last quorum round started.
--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -67,7 +67,7 @@
 /** Tells which daemons the settings name now. */
 RaftActions raftSetContacts(RaftState &state, std::vector<DaemonName> contacts, TimePoint now);
 
-/** Returns whether this replica leads, a newer one stands in for it, and there are enough voters without it: a transfer of leadership is due. */
+/** Returns whether this replica leads, a newer one replaces it, and there are enough voters without it: a transfer of leadership is due. */
 bool isReplacedLeader(const RaftState &state);
 
 /** Returns whether this replica leads and another voter that is serving has answered recently. */
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -105,8 +105,8 @@
 void reportSettings(RaftState &state, RaftActions &actions, const VoterId &leader, TimePoint now);
 void receiveReport(RaftState &state, const RaftMessage &message, const ReplicaReport &report);
 /**
- * Returns the members that newer replicas stand in for, by what all report of their settings. Such a member may go for good at any moment and
- * doesn't count as a lost one then. A wrong result never costs an accepted entry, but may leave a member that is about to go among the voters.
+ * Returns the members that newer replicas replace, by what all report of their settings. Such a member may go for good at any moment and
+ * doesn't count as a lost one then. A wrong result never costs an accepted entry, but may leave a member that is being replaced among the voters.
  */
 std::set<VoterId> findReplaced(const RaftState &state, TimePoint now);
 
@@ -138,7 +138,7 @@
 /** Asks the voters for a place in the membership: a replica that none lists, or, where voters are removed when silent, one without a leader. */
 void askToJoin(RaftState &state, RaftActions &actions, TimePoint now);
 void receiveJoin(RaftState &state, RaftActions &actions, const RaftMessage &message, const JoinRequest &request);
-/** Lets the leader take the next step towards voters that answer, of which none is about to go. */
+/** Lets the leader take the next step towards voters that answer, of which none is being replaced. */
 void maintainMembership(RaftState &state, RaftActions &actions, TimePoint now);
 void receiveFetch(RaftState &state, RaftActions &actions, const RaftMessage &message, const FetchRequest &request);
 void receiveFetchAnswer(RaftState &state, RaftActions &actions, const RaftMessage &message, const FetchAnswer &answer, TimePoint now);
--- a/src/replication/raft_maintenance.cpp
+++ b/src/replication/raft_maintenance.cpp
@@ -1,5 +1,5 @@
 /**
- * @file raft_maintenance.cpp Steps by which the leader keeps enough voters that answer and are not about to go.
+ * @file raft_maintenance.cpp Steps by which the leader keeps enough voters that answer and are not being replaced.
  *
  * Voters change one at a time. One change that swaps two would let majorities of the old and the new membership miss each other when a vote
  * that a lost identity gave before its loss arrives late. A voter that answers stays until the one in its place votes, so that any voter may
@@ -76,7 +76,7 @@
         return isCaughtUp(state, joiner) && isAnswering(state, joiner, now) && found->second.ackedRound > 0;
     }
 
-    /** Returns the joining replicas that could vote now; those that newer ones stand in for come last. */
+    /** Returns the joining replicas that could vote now; those that are being replaced come last. */
     std::vector<VoterId> readyJoiners(const RaftState &state, TimePoint now)
     {
         const Membership &membership = currentMembership(state);
@@ -164,32 +164,37 @@
         return !isAnswering(state, spared, now) || static_cast<std::size_t>(answering) > left / 2 + 1;
     }
 
-    /** Ends the time with one voter more than wanted. */
-    NextStep withoutSurplusVoter(const RaftState &state, TimePoint now)
+    /** Removes a silent voter that makes the number of voters even. */
+    NextStep withoutMissingSurplus(const RaftState &state, TimePoint now)
     {
-        if (!hasSpareVoter(state)) {
-            return std::nullopt;
+        for (const auto &voter : currentMembership(state).voters) {
+            if (hasSpareVoter(state) && hasEvenVoters(state) && isMissing(state, voter, now)) {
+                return withoutVoter(state, voter, MembershipReason::Silent);
+            }
         }
+        return std::nullopt;
+    }
+
+    /** Removes voters that are being replaced, as long as an odd number of at least minVoters remains in the end. */
+    NextStep withoutReplacedSurplus(const RaftState &state, TimePoint now)
+    {
         const auto &voters = currentMembership(state).voters;
         const auto canGo = [&state](const VoterId &voter) {
             return !isSelf(state, voter) && isReplaced(state, voter);
         };
-        const auto leaving = std::count_if(voters.begin(), voters.end(), canGo);
-        for (const auto &voter : voters) {
-            if (hasEvenVoters(state) && isMissing(state, voter, now)) {
-                return withoutVoter(state, voter, MembershipReason::Silent);
-            }
+        const bool canLosePair = std::count_if(voters.begin(), voters.end(), canGo) >= 2 && voters.size() >= state.settings.minVoters + 2;
+        if (!hasSpareVoter(state) || !(hasEvenVoters(state) || canLosePair)) {
+            return std::nullopt;
         }
         for (const auto &voter : voters) {
-            const bool isWanted = !hasEvenVoters(state) && (leaving < 2 || voters.size() < state.settings.minVoters + 2);
-            if (canGo(voter) && !isWanted && canSpare(state, voter, now)) {
+            if (canGo(voter) && canSpare(state, voter, now)) {
                 return withoutVoter(state, voter, isAnswering(state, voter, now) ? MembershipReason::Replaced : MembershipReason::Silent);
             }
         }
         return std::nullopt;
     }
 
-    /** Begins to put a ready replica in the place of a voter that is silent or about to go. */
+    /** Begins to put a ready replica in the place of a voter that is silent or being replaced. */
     NextStep withExchange(const RaftState &state, const std::vector<VoterId> &ready, TimePoint now)
     {
         if (ready.empty()) {
@@ -205,13 +210,13 @@
             if (!isReplaced(state, voter) || isReplaced(state, ready.front())) {
                 continue;
             }
-            const bool isThere = isSelf(state, voter) || (isAnswering(state, voter, now) && state.progress.at(voter).ackedRound > 0);
-            return isThere ? withVoter(state, ready.front()) : withoutVoter(state, voter, MembershipReason::Silent);
+            const bool hasAnswered = isSelf(state, voter) || (isAnswering(state, voter, now) && state.progress.at(voter).ackedRound > 0);
+            return hasAnswered ? withVoter(state, ready.front()) : withoutVoter(state, voter, MembershipReason::Silent);
         }
         return std::nullopt;
     }
 
-    /** Returns whether all replicas that answer have reported in this term; before, which ones are about to go is not known. */
+    /** Returns whether all replicas that answer have reported in this term; before, which ones are being replaced is not known. */
     bool hasAllReports(const RaftState &state, TimePoint now)
     {
         return std::all_of(state.progress.begin(), state.progress.end(), [&state, now](const auto &item) {
@@ -305,7 +310,10 @@
         if (!state.settings.admitsNewVoters) {
             return std::nullopt;
         }
-        if (auto step = withoutSurplusVoter(state, now)) {
+        if (auto step = withoutMissingSurplus(state, now)) {
+            return step;
+        }
+        if (auto step = withoutReplacedSurplus(state, now)) {
             return step;
         }
         if (isReplacedLeader(state)) {
--- a/src/replication/raft_replaced.cpp
+++ b/src/replication/raft_replaced.cpp
@@ -1,4 +1,4 @@
-/** @file raft_replaced.cpp Finds members that are about to go because newer replicas stand in for them, from the settings that replicas report. */
+/** @file raft_replaced.cpp Finds members that newer replicas replace, from the settings that replicas report. */
 
 #include "replication/raft_internal.h"
 
@@ -42,7 +42,7 @@
     }
 
     /**
-     * Returns the member that a newcomer stands in for: the only older one of its zone that its contacts don't name. Contacts that don't name the
+     * Returns the member that a newcomer replaces: the only older one of its zone that its contacts don't name. Contacts that don't name the
      * newcomer either are older than it, so all members of its zone count. Only members that have reported in this term are known well enough.
      */
     std::optional<VoterId> replacedBy(const RaftState &state, const VoterId &newcomer, const std::vector<VoterId> &older)
@@ -83,10 +83,10 @@
     }
     std::vector<VoterId> older;
     for (const auto &member : membersByAge(state)) {
-        const bool isThere = member == state.settings.self || isAnswering(state, member, now);
-        if (const auto found = isThere ? replacedBy(state, member, older) : std::nullopt) {
+        const bool isAnsweringMember = member == state.settings.self || isAnswering(state, member, now);
+        if (const auto found = isAnsweringMember ? replacedBy(state, member, older) : std::nullopt) {
             replaced.insert(*found);
-            // One member is replaced once, so that the next newcomer stands in for another one.
+            // One member is replaced once, so that the next newcomer replaces another one.
             std::erase(older, VoterId(*found));
         }
         older.push_back(member);
--- a/src/replication/raft_transfer.cpp
+++ b/src/replication/raft_transfer.cpp
@@ -17,7 +17,7 @@
         return !progress.notServingAt || now - *progress.notServingAt >= state.settings.electionTimeoutMax;
     }
 
-    /** Returns the voter with a recent answer that holds most of the log, or nothing; a lasting one serves, and no newer replica stands in for it. */
+    /** Returns the voter with a recent answer that holds most of the log, or nothing; a lasting one serves, and no newer replica replaces it. */
     std::optional<VoterId> mostAdvancedVoter(const RaftState &state, bool mustLast, TimePoint now)
     {
         std::optional<VoterId> best;
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -339,7 +339,7 @@
     Joined, ///< A replica has asked for a place.
     DiskLost, ///< The daemon is back under a new incarnation.
     Silent, ///< The replica has not answered for too long.
-    Replaced, ///< A newer replica stands in for it.
+    Replaced, ///< A newer replica votes in its place.
     SharedZone, ///< Its availability zone has another voter, and a replica of a zone without one votes.
     Promoted, ///< A caught-up replica votes.
 };
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -37,7 +37,7 @@
     Membership membership; ///< Who replicates the log.
     VoterId self; ///< Identity of this replica.
     bool hasSuccessor = false; ///< Leader: another voter that is serving has answered recently, so a transfer of leadership makes sense.
-    bool isReplaced = false; ///< Leader: a newer replica stands in for this one, so a transfer of leadership is due.
+    bool isReplaced = false; ///< Leader: a newer replica replaces this one, so a transfer of leadership is due.
     bool isOwnerSilent = false; ///< The owner has not confirmed for the time of ReplicationConfig::ownerTimeout; an election has to do without this replica.
 };
 
