--- a/tests/fleet_contacts_test.cpp
+++ b/tests/fleet_contacts_test.cpp
@@ -84,13 +84,15 @@
                                 endpointOf(this->newcomer, FleetInstallation::ControlPort)};
         writeText(this->installation.settingsPath(this->newcomer), boost::json::serialize(settings));
         this->installation.start(this->newcomer);
-        // It is added some 400 ms after its start, and a voter counts as answering for 700 ms.
-        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+        const auto hasJoined = [this] {
+            return this->installation.log(*this->leader).find(this->newcomer.address) != std::string::npos;
+        };
+        const bool isKnown = eventually(hasJoined, {3'000});
         this->behind->process.reset();
         const auto isReplaced = [this] {
             return this->votes(this->newcomer) && !this->votes(*this->replaced);
         };
-        return eventually(isReplaced, {3'000}) && this->votes(*this->behind);
+        return isKnown && eventually(isReplaced, {3'000}) && this->votes(*this->behind);
     }
 };
 
