Change: names and comments after a newcomer's reading

Local names say what they hold (isRemovable, staying, mustStay), and comments of the membership steps and of the status log use the usual terms.

--- a/src/fleetd/core_status_log.cpp
+++ b/src/fleetd/core_status_log.cpp
@@ -18,7 +18,7 @@
 
     constexpr std::chrono::milliseconds SampleInterval{500};
     constexpr Duration StateInterval{5'000};
-    constexpr Duration MissingDelay{3'000}; ///< An election after the loss of a leader is over by then, also if it fails once.
+    constexpr Duration MissingDelay{3'000}; ///< Covers an election that fails once.
     constexpr Duration MissingInterval{10'000};
 
     constexpr auto ReportAnswerNames = makeNameTable<ReportAnswer>({
@@ -196,7 +196,7 @@
     const TimePoint now = steadyNow();
     const bool isLeader = status.role == RaftRole::Leader;
     const std::int64_t contactAgeMs = this->detail.leaderContact ? (this->detail.at - *this->detail.leaderContact).ms : -1;
-    // Followers hear nobody but the leader.
+    // A follower receives messages from the leader only.
     const bool hearsVoters = isLeader || status.leader.empty();
     const std::vector<VoterId> heard = hearsVoters ? this->votersHeardSince(this->detail.at - this->electionTime) : std::vector<VoterId>();
     logLine(LogArea::Replication,
--- a/src/fleetd/core_status_log.h
+++ b/src/fleetd/core_status_log.h
@@ -31,7 +31,7 @@
     return ReportAnswer::Wrong;
 }
 
-/** What the owner of the replicated log knows. */
+/** State of the daemon that owns the replica, for the log line and the metrics. */
 struct CoreActivity {
     std::uint64_t appliedIndex = 0;
     bool hasScheduler = false;
@@ -94,7 +94,7 @@
     ReplicationDetail detail; ///< Latest answer of the replication thread.
     bool isInspecting = false; ///< The replication thread has been asked and has not answered yet.
     std::optional<TimePoint> leaderlessSince;
-    std::optional<TimePoint> missingLoggedAt; ///< Last line about a missing quorum in the present time without a leader.
+    std::optional<TimePoint> missingLoggedAt; ///< Last line about a missing quorum since a leader was known.
     TimePoint stateDue;
     ReportCounts reports{};
     ReportCounts reportsAtLastLine{};
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -101,7 +101,7 @@
 void reportNotServing(RaftState &state, RaftActions &actions, const VoterId &leader, TimePoint now);
 void receiveNotServing(RaftState &state, const RaftMessage &message, TimePoint now);
 
-/** Sends a ReplicaReport to the leader, at the start of its term and once in a while. */
+/** Sends a ReplicaReport to the leader at the start of its term and then at intervals of the shortest election timeout. */
 void reportSettings(RaftState &state, RaftActions &actions, const VoterId &leader, TimePoint now);
 void receiveReport(RaftState &state, const RaftMessage &message, const ReplicaReport &report);
 /**
--- a/src/replication/raft_maintenance.cpp
+++ b/src/replication/raft_maintenance.cpp
@@ -24,7 +24,7 @@
         {MembershipReason::Promoted, "promoted"},
     });
 
-    /** A membership and why it comes. */
+    /** The next membership, and what changes in it. */
     struct Step {
         Membership membership;
         MembershipStep change;
@@ -179,15 +179,15 @@
     NextStep withoutReplacedSurplus(const RaftState &state, TimePoint now)
     {
         const auto &voters = currentMembership(state).voters;
-        const auto canGo = [&state](const VoterId &voter) {
+        const auto isRemovable = [&state](const VoterId &voter) {
             return !isSelf(state, voter) && isReplaced(state, voter);
         };
-        const bool canLosePair = std::count_if(voters.begin(), voters.end(), canGo) >= 2 && voters.size() >= state.settings.minVoters + 2;
+        const bool canLosePair = std::count_if(voters.begin(), voters.end(), isRemovable) >= 2 && voters.size() >= state.settings.minVoters + 2;
         if (!hasSpareVoter(state) || !(hasEvenVoters(state) || canLosePair)) {
             return std::nullopt;
         }
         for (const auto &voter : voters) {
-            if (canGo(voter) && canSpare(state, voter, now)) {
+            if (isRemovable(voter) && canSpare(state, voter, now)) {
                 return withoutVoter(state, voter, isAnswering(state, voter, now) ? MembershipReason::Replaced : MembershipReason::Silent);
             }
         }
@@ -231,14 +231,14 @@
      */
     NextStep withFurtherVoter(const RaftState &state, const std::vector<VoterId> &ready, TimePoint now)
     {
-        const auto lasting = std::count_if(ready.begin(), ready.end(), [&state](const VoterId &joiner) {
+        const auto staying = std::count_if(ready.begin(), ready.end(), [&state](const VoterId &joiner) {
             return !isReplaced(state, joiner);
         });
-        const bool mayAdd = hasEvenVoters(state) ? lasting > 0 : lasting > 1;
+        const bool mayAdd = hasEvenVoters(state) ? staying > 0 : staying > 1;
         return mayAdd && hasAllReports(state, now) ? NextStep(withVoter(state, ready.front())) : std::nullopt;
     }
 
-    /** Returns a ready replica that stays and whose zone has no voter, while another zone has two: the loss of that zone would cost the majority. */
+    /** Returns a ready replica whose zone has no voter, if another zone has two voters, whose loss would cost the majority. */
     std::optional<VoterId> joinerOfFreeZone(const RaftState &state, const std::vector<VoterId> &ready)
     {
         for (const auto &joiner : ready) {
--- a/src/replication/raft_transfer.cpp
+++ b/src/replication/raft_transfer.cpp
@@ -17,8 +17,8 @@
         return !progress.notServingAt || now - *progress.notServingAt >= state.settings.electionTimeoutMax;
     }
 
-    /** Returns the voter with a recent answer that holds most of the log, or nothing; a lasting one serves, and no newer replica replaces it. */
-    std::optional<VoterId> mostAdvancedVoter(const RaftState &state, bool mustLast, TimePoint now)
+    /** Returns the voter with a recent answer that holds most of the log, or nothing. With mustStay only one that serves and is not being replaced counts. */
+    std::optional<VoterId> mostAdvancedVoter(const RaftState &state, bool mustStay, TimePoint now)
     {
         std::optional<VoterId> best;
         std::uint64_t bestMatch = 0;
@@ -27,7 +27,7 @@
             if (found == state.progress.end() || !hasAnsweredRecently(state, found->second, now)) {
                 continue;
             }
-            const bool isSuitable = !mustLast || (isServing(state, found->second, now) && !state.replaced.contains(voter));
+            const bool isSuitable = !mustStay || (isServing(state, found->second, now) && !state.replaced.contains(voter));
             if (isSuitable && (!best || found->second.match > bestMatch)) {
                 best = voter;
                 bestMatch = found->second.match;
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -278,7 +278,7 @@
     }
 };
 
-/** Sent to the leader once in a while by a replica with a disk: what its own settings say of the installation. */
+/** Sent to the leader at intervals by a replica with a disk: the contacts and the availability zone in its settings. */
 struct ReplicaReport {
     std::vector<DaemonName> contacts; ///< As in RaftSettings.
     ZoneName availabilityZone; ///< As in RaftSettings.
@@ -339,7 +339,7 @@
     Joined, ///< A replica has asked for a place.
     DiskLost, ///< The daemon is back under a new incarnation.
     Silent, ///< The replica has not answered for too long.
-    Replaced, ///< A newer replica votes in its place.
+    Replaced, ///< A newer replica of its availability zone votes in its place.
     SharedZone, ///< Its availability zone has another voter, and a replica of a zone without one votes.
     Promoted, ///< A caught-up replica votes.
 };
