Change: logs, metrics and readiness tell whether the replica of a core takes part

Callers saw: a core answered them as a follower without a leader for a minute, and nothing in its log said why. Cause of the gap: call_not_leading printed the default status where no replica runs, replication_state began only once the data folder had been opened, and readiness and metrics did not know the replica. Change: ReplicaHealth (opening, running, silent, failed; the code; since when) from the replication driver. replication_state begins before the folder is opened and has replica, replicaCode and replicaForMs; call_not_leading too; the role is "none" without a replica. replica_changed and, every 5 s, replica_not_running are warnings. Metrics filbertlanding_replica{condition} and filbertlanding_seconds_without_replica. Readiness of a core is 503 while its replica does not run. No decision depends on it yet.

--- a/src/fleetd/core_status_log.cpp
+++ b/src/fleetd/core_status_log.cpp
@@ -18,6 +18,7 @@
 
     constexpr std::chrono::milliseconds SampleInterval{500};
     constexpr Duration StateInterval{5'000};
+    constexpr Duration ReplicaInterval{5'000}; ///< Interval of the lines about a replica that does not run.
     constexpr Duration MissingDelay{3'000}; ///< Covers an election that fails once.
     constexpr Duration MissingInterval{10'000};
 
@@ -84,6 +85,12 @@
     return names;
 }
 
+std::string_view replicaRoleName(const ReplicaHealth &health, RaftRole role)
+{
+    const bool hasRole = health.condition == ReplicaCondition::Running || health.condition == ReplicaCondition::Silent;
+    return hasRole ? roleName(role) : "none";
+}
+
 CoreStatusLog::CoreStatusLog(boost::asio::io_context &loop)
     : io(loop)
     , timer(loop)
@@ -162,17 +169,42 @@
 void CoreStatusLog::logDueLines()
 {
     const TimePoint now = steadyNow();
+    const ReplicaHealth replica = this->readActivity().replica;
+    this->logReplica(replica, now);
     if (now >= this->stateDue) {
         this->stateDue = now + StateInterval;
         this->logState();
     }
     const bool isDue = this->missingLoggedAt ? now - *this->missingLoggedAt >= MissingInterval : this->timeWithoutLeader() >= MissingDelay;
-    if (this->leaderlessSince && isDue && isVoter(this->detail)) {
+    if (this->leaderlessSince && isDue && replica.condition == ReplicaCondition::Running && isVoter(this->detail)) {
         this->logMissingQuorum();
         this->missingLoggedAt = now;
     }
 }
 
+/** Logs each change of the condition, and at intervals that the replica does not run. */
+void CoreStatusLog::logReplica(const ReplicaHealth &health, TimePoint now)
+{
+    const bool isRunning = health.condition == ReplicaCondition::Running;
+    const bool isChanged = health.condition != this->loggedReplica.condition || health.code != this->loggedReplica.code;
+    if (isChanged) {
+        logLine(LogArea::Replication,
+                isRunning ? LogLevel::Info : LogLevel::Warn,
+                "replica_changed",
+                {{"replica", replicaConditionName(health.condition)},
+                 {"before", replicaConditionName(this->loggedReplica.condition)},
+                 {"code", resultCodeRow(health.code).name}});
+        this->loggedReplica = health;
+        this->replicaDue = now + ReplicaInterval;
+    } else if (!isRunning && now >= this->replicaDue) {
+        logLine(LogArea::Replication,
+                LogLevel::Warn,
+                "replica_not_running",
+                {{"replica", replicaConditionName(health.condition)}, {"code", resultCodeRow(health.code).name}, {"forMs", (now - health.since).ms}});
+        this->replicaDue = now + ReplicaInterval;
+    }
+}
+
 std::vector<VoterId> CoreStatusLog::votersHeardSince(TimePoint since) const
 {
     std::vector<VoterId> voters;
@@ -202,7 +234,10 @@
     logLine(LogArea::Replication,
             LogLevel::Info,
             "replication_state",
-            {{"role", roleName(status.role)},
+            {{"replica", replicaConditionName(activity.replica.condition)},
+             {"replicaCode", resultCodeRow(activity.replica.code).name},
+             {"replicaForMs", (now - activity.replica.since).ms},
+             {"role", replicaRoleName(activity.replica, status.role)},
              {"term", status.term},
              {"leader", status.leader},
              {"leaderContactMs", isLeader ? 0 : contactAgeMs},
@@ -250,6 +285,13 @@
     const ReplicationStatus &status = this->detail.status;
     const CoreActivity activity = this->readActivity ? this->readActivity() : CoreActivity();
     constexpr std::int64_t MsPerSecond = 1'000;
+    for (const ReplicaCondition condition : {ReplicaCondition::Opening, ReplicaCondition::Running, ReplicaCondition::Silent, ReplicaCondition::Failed}) {
+        const std::string name = "filbertlanding_replica{condition=\"" + std::string(replicaConditionName(condition)) + "\"}";
+        appendMetric(text, name, activity.replica.condition == condition ? 1 : 0);
+    }
+    const bool isRunning = activity.replica.condition == ReplicaCondition::Running;
+    const std::int64_t notRunningMs = isRunning ? 0 : (steadyNow() - activity.replica.since).ms;
+    appendMetric(text, "filbertlanding_seconds_without_replica", static_cast<std::uint64_t>(notRunningMs / MsPerSecond));
     appendMetric(text, "filbertlanding_voters", status.membership.voters.size());
     appendMetric(text, "filbertlanding_voters_heard", this->votersHeardSince(this->detail.at - this->electionTime).size());
     appendMetric(text, "filbertlanding_joining", status.membership.joining.size());
--- a/src/fleetd/core_status_log.h
+++ b/src/fleetd/core_status_log.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace Filbertlanding {
 
@@ -33,6 +34,7 @@
 
 /** State of the daemon that owns the replica, for the log line and the metrics. */
 struct CoreActivity {
+    ReplicaHealth replica; ///< Whether the replica takes part.
     std::uint64_t appliedIndex = 0;
     bool hasScheduler = false;
     bool hasLease = false; ///< The lease of the leader is valid.
@@ -43,6 +45,9 @@
 /** Names of daemons, separated by commas. */
 std::string joinNames(const std::vector<VoterId> &replicas);
 
+/** Returns the name of the role of a replica, and "none" for one that has not been opened or was stopped. */
+std::string_view replicaRoleName(const ReplicaHealth &health, RaftRole role);
+
 /** Samples a core daemon, logs its state, and logs when a voter finds no leader. Runs on the event loop. */
 class CoreStatusLog
 {
@@ -82,6 +87,7 @@
     void armTimer();
     void onTimer();
     void logDueLines();
+    void logReplica(const ReplicaHealth &health, TimePoint now);
     void logState();
     void logMissingQuorum();
     std::vector<VoterId> votersHeardSince(TimePoint since) const;
@@ -96,6 +102,8 @@
     std::optional<TimePoint> leaderlessSince;
     std::optional<TimePoint> missingLoggedAt; ///< Last line about a missing quorum since a leader was known.
     TimePoint stateDue;
+    ReplicaHealth loggedReplica; ///< Condition in the last line about it.
+    TimePoint replicaDue; ///< Next line about a replica that does not run.
     ReportCounts reports{};
     ReportCounts reportsAtLastLine{};
     bool isStopped = false;
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -111,6 +111,7 @@
 ResultCode FleetCore::start(PeerLinks &links)
 {
     this->peers = &links;
+    this->startStatusLog();
     ReplicationHooks hooks;
     hooks.send = [this](const DaemonName &to, const RaftMessage &message) {
         this->peers->sendOneWay(to, static_cast<std::uint8_t>(FleetMessageKind::Replication), encodeFleetMessage(message));
@@ -151,15 +152,6 @@
     config.ownerTimeout = Duration{this->settings.electionTimeoutMaxMs} * OwnerTimeoutElections;
     config.openRetryTime = {0}; // The daemon tries again itself, so that its event loop goes on.
     const ReplicationStart started = this->replication.start(std::move(config), std::move(hooks));
-    if (started.code == ResultCode::Ok) {
-        const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
-            this->replication.inspect(std::move(done));
-        };
-        const auto activity = [this] {
-            return this->activity();
-        };
-        this->statusLog.start(inspect, activity, {this->settings.electionTimeoutMaxMs});
-    }
     logLine(LogArea::Replication,
             LogLevel::Info,
             "data_folder_opened",
@@ -167,6 +159,28 @@
     return started.code;
 }
 
+/** Starts the lines and metrics before the data folder is opened, so that they also tell why a replica does not run. */
+void FleetCore::startStatusLog()
+{
+    if (this->isStatusLogStarted) {
+        return;
+    }
+    this->isStatusLogStarted = true;
+    const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
+        this->replication.inspect(std::move(done));
+    };
+    const auto activity = [this] {
+        return this->activity();
+    };
+    this->statusLog.start(inspect, activity, {this->settings.electionTimeoutMaxMs});
+}
+
+ReplicaHealth FleetCore::replicaHealth() const
+{
+    // The other voters have elected a leader after this time.
+    return this->replication.health({this->settings.electionTimeoutMaxMs});
+}
+
 void FleetCore::receiveReplication(const DaemonName &sender, const std::string &payload)
 {
     auto message = decodeFleetMessage<RaftMessage>(payload);
@@ -200,6 +214,7 @@
 {
     const TimePoint now = steadyNow();
     CoreActivity activity;
+    activity.replica = this->replicaHealth();
     activity.appliedIndex = this->appliedIndex;
     activity.hasScheduler = this->scheduler.has_value();
     activity.hasLease = now < this->replication.leaseEnd();
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -87,6 +87,9 @@
     /** Discards the scheduler's state after an error in it; a new scheduler starts from the replicated state. */
     void restartScheduler(std::string_view reason);
 
+    /** Returns whether the replica takes part. */
+    ReplicaHealth replicaHealth() const;
+
     /** Tells that the event loop runs. To be called regularly: a core that does not hear it gives up its leadership. */
     void confirmAlive();
 
@@ -177,6 +180,7 @@
     std::string controlAddressOf(const DaemonName &daemon) const;
     bool isLeading() const;
     CoreActivity activity() const;
+    void startStatusLog();
     void countReport(const ApiResponse &response);
     bool isOnlyVoter() const;
     bool isOtherLeaderKnown() const;
@@ -217,6 +221,7 @@
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
     CoreStatusLog statusLog;
+    bool isStatusLogStarted = false;
     LoopTimes &times;
     bool isTickAdvanced = false; ///< The next tick is scheduled early to process worker responses.
     bool isStopping = false;
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -303,7 +303,10 @@
     if (this->isStopping || !this->isStarted) {
         return false;
     }
-    return this->core != nullptr || (!this->finder.leader().empty() && steadyNow() - this->finder.confirmedAt() < MaxLeaderConfirmationAge);
+    if (this->core != nullptr) {
+        return this->core->replicaHealth().condition == ReplicaCondition::Running;
+    }
+    return !this->finder.leader().empty() && steadyNow() - this->finder.confirmedAt() < MaxLeaderConfirmationAge;
 }
 
 void FleetDaemon::answerReadiness(const HttpRespond &respond) const
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -176,10 +176,16 @@
     if (std::holds_alternative<WorkerReportRequest>(request)) {
         return;
     }
+    const ReplicaHealth health = this->replicaHealth();
     logLine(LogArea::Intent,
             LogLevel::Info,
             "call_not_leading",
-            {{"kind", request.index()}, {"role", roleName(this->status.role)}, {"leader", this->status.leader}});
+            {{"kind", request.index()},
+             {"replica", replicaConditionName(health.condition)},
+             {"replicaCode", resultCodeRow(health.code).name},
+             {"replicaForMs", (steadyNow() - health.since).ms},
+             {"role", replicaRoleName(health, this->status.role)},
+             {"leader", this->status.leader}});
 }
 
 void FleetCore::countReport(const ApiResponse &response)
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <mutex>
 #include <thread>
 #include <unordered_map>
 
@@ -66,6 +67,16 @@
     std::unordered_map<std::uint64_t, std::function<void(ReadReady)>> reads;
     ReplicationStatus reported;
     bool snapshotRequested = false;
+    mutable std::mutex healthMutex; ///< Guards the member below, which other threads read.
+    ReplicaHealth currentHealth{ReplicaCondition::Opening, ResultCode::Ok, steadyNow()};
+    std::atomic<std::int64_t> answeredAtMs{0}; ///< When the thread last ran a tick.
+
+    void setHealth(ReplicaCondition condition, ResultCode code)
+    {
+        const std::lock_guard guard(this->healthMutex);
+        const TimePoint since = this->currentHealth.condition == condition ? this->currentHealth.since : steadyNow();
+        this->currentHealth = {condition, code, since};
+    }
 
     /** Carries out actions in their order: disk first, then messages, then the state machine. */
     void carryOut(RaftActions actions)
@@ -158,6 +169,7 @@
         }
         this->diskFailed = true;
         this->leaseEndMs = TimePoint().ms;
+        this->setHealth(ReplicaCondition::Failed, code);
         this->hooks.failed(code);
         return false;
     }
@@ -297,6 +309,7 @@
 
     void tick()
     {
+        this->answeredAtMs = steadyNow().ms;
         this->watchOwner();
         this->carryOut(raftTick(this->raft, steadyNow()));
         this->askForSnapshot();
@@ -335,11 +348,13 @@
         result.isNew = state.folder.isNew;
         result.setAside = state.folder.setAside;
         if (result.code != ResultCode::Ok) {
+            state.setHealth(ReplicaCondition::Opening, result.code);
             return result;
         }
         // Without new voters by themselves, operators change the members of an installation in the settings.
         result.code = config.raft.admitsNewVoters ? keepFoundingMembership(state.folder, config.raft.bootstrap) : ResultCode::Ok;
         if (result.code != ResultCode::Ok) {
+            state.setHealth(ReplicaCondition::Opening, result.code);
             return result;
         }
         persisted = std::move(state.folder.persisted);
@@ -352,10 +367,13 @@
     RaftStart started = raftStart(std::move(config.raft), std::move(persisted), steadyNow());
     result.code = started.code;
     if (result.code != ResultCode::Ok) {
+        state.setHealth(ReplicaCondition::Opening, result.code);
         return result;
     }
     state.raft = std::move(started.state);
     state.ownerWatch = startOwnerWatch(config.ownerTimeout, steadyNow());
+    state.answeredAtMs = steadyNow().ms;
+    state.setHealth(ReplicaCondition::Running, ResultCode::Ok);
     asio::post(state.context, [&state] {
         state.tick();
     });
@@ -374,6 +392,15 @@
     this->core->thread.join();
 }
 
+ReplicaHealth ReplicationDriver::health(Duration longestSilence) const
+{
+    const std::lock_guard guard(this->core->healthMutex);
+    const ReplicaHealth &health = this->core->currentHealth;
+    const TimePoint answeredAt{this->core->answeredAtMs.load()};
+    const bool isSilent = health.condition == ReplicaCondition::Running && steadyNow() - answeredAt >= longestSilence;
+    return isSilent ? ReplicaHealth{ReplicaCondition::Silent, ResultCode::Ok, answeredAt} : health;
+}
+
 TimePoint ReplicationDriver::leaseEnd() const
 {
     return {this->core->leaseEndMs.load()};
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "replication/raft_type.h"
+#include "runtime/replica_health.h"
 #include "storage/journal.h"
 
 #include <functional>
@@ -97,6 +98,12 @@
     /** Ends the thread. */
     void stop();
 
+    /**
+     * Returns whether the replica takes part.
+     * @param longestSilence Time without an answer of the replication thread after which a running replica counts as silent.
+     */
+    ReplicaHealth health(Duration longestSilence) const;
+
     /** Returns until when no other leader can have been elected; the epoch of the clock when this replica does not lead. */
     TimePoint leaseEnd() const;
 
