Fix: a core opens its data folder again inside the process

Cause: the folder was opened on the event loop for at most 3 s, then the process ended; a failed write or sync was final for the process; an exception on the replication thread ended it at once, and one in a replicated command ended it after 2 s. A sync that hangs held up the end of the process and the calls that waited for it. Change: the replication thread opens the folder and tries again every 200 ms for as long as it takes (2 s after other errors). After a failed write or sync, an exception on that thread, or a command that cannot be applied, the replica is stopped: no lease, reads and proposals get their answers, the owner drops its state; then it is opened again. Nothing in memory is relied on: term, vote, log and incarnation come from the disk, which must first take a probe as large as what failed, and the log is written to a new file, since a sync that succeeds after a failed one proves nothing about earlier pages. A folder that is lost meanwhile gets a new incarnation. A thread without an answer for the longest election timeout counts as silent: the core leads nothing, and calls are refused at once. Messages for it are bounded in bytes. On SIGTERM a thread that hangs is left behind and the process exits.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -108,77 +108,15 @@
     this->stop();
 }
 
-ResultCode FleetCore::start(PeerLinks &links)
+ReplicationConfig FleetCore::replicationConfig() const
 {
-    this->peers = &links;
-    this->startStatusLog();
-    ReplicationHooks hooks;
-    hooks.send = [this](const DaemonName &to, const RaftMessage &message) {
-        this->peers->sendOneWay(to, static_cast<std::uint8_t>(FleetMessageKind::Replication), encodeFleetMessage(message));
-    };
-    hooks.install = [this](Snapshot snapshot) {
-        asio::post(this->io, [this, moved = std::move(snapshot)]() mutable {
-            this->onInstalled(std::move(moved));
-        });
-    };
-    hooks.apply = [this](std::vector<LogEntry> entries) {
-        asio::post(this->io, [this, moved = std::move(entries)] {
-            this->onApplied(moved);
-        });
-    };
-    hooks.statusChanged = [this](ReplicationStatus next) {
-        asio::post(this->io, [this, moved = std::move(next)]() mutable {
-            this->onStatus(std::move(moved));
-        });
-    };
-    hooks.snapshotWanted = [this](std::uint64_t) {
-        asio::post(this->io, [this] {
-            const LoopTimer timer(this->times, LoopPart::Snapshots);
-            this->replication.snapshotTaken(this->appliedIndex, encodeFleetState(this->state));
-        });
-    };
-    hooks.synced = [](std::int64_t) {};
-    hooks.failed = [this](ResultCode code) {
-        asio::post(this->io, [this, code] {
-            logLine(LogArea::Replication, LogLevel::Error, "disk_failed", {{"code", resultCodeRow(code).name}});
-            this->onFatalError(code);
-        });
-    };
     ReplicationConfig config;
     config.raft = raftSettings(this->settings);
     config.dataFolder = this->settings.dataFolder;
     config.votesAtOnce = this->settings.firstStart;
     config.syncsCommitIndex = false;
     config.ownerTimeout = Duration{this->settings.electionTimeoutMaxMs} * OwnerTimeoutElections;
-    config.openRetryTime = {0}; // The daemon tries again itself, so that its event loop goes on.
-    const ReplicationStart started = this->replication.start(std::move(config), std::move(hooks));
-    logLine(LogArea::Replication,
-            LogLevel::Info,
-            "data_folder_opened",
-            {{"code", resultCodeRow(started.code).name}, {"incarnation", started.incarnation}, {"isNew", started.isNew}, {"setAside", started.setAside}});
-    return started.code;
-}
-
-/** Starts the lines and metrics before the data folder is opened, so that they also tell why a replica does not run. */
-void FleetCore::startStatusLog()
-{
-    if (this->isStatusLogStarted) {
-        return;
-    }
-    this->isStatusLogStarted = true;
-    const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
-        this->replication.inspect(std::move(done));
-    };
-    const auto activity = [this] {
-        return this->activity();
-    };
-    this->statusLog.start(inspect, activity, {this->settings.electionTimeoutMaxMs});
-}
-
-ReplicaHealth FleetCore::replicaHealth() const
-{
-    // The other voters have elected a leader after this time.
-    return this->replication.health({this->settings.electionTimeoutMaxMs});
+    return config;
 }
 
 void FleetCore::receiveReplication(const DaemonName &sender, const std::string &payload)
@@ -191,13 +129,13 @@
     if (this->recentSenders.note(sender, steadyNow())) {
         this->setRequiredPeers();
     }
-    this->replication.receive(std::move(*message));
+    this->replication.receive(std::move(*message), payload.size());
 }
 
 LeaderInfo FleetCore::leaderInfo() const
 {
     LeaderInfo info;
-    info.leader = this->status.leader;
+    info.leader = this->isReplicaRunning() ? this->status.leader : DaemonName();
     info.isSelf = this->isLeading();
     for (const VoterId &voter : this->status.membership.voters) {
         info.voters.push_back(voter.daemon);
@@ -219,7 +157,7 @@
     activity.hasScheduler = this->scheduler.has_value();
     activity.hasLease = now < this->replication.leaseEnd();
     activity.openReads = this->openReads.size();
-    activity.oldestRead = this->openReads.empty() ? Duration{0} : now - *this->openReads.begin();
+    activity.oldestRead = this->openReads.empty() ? Duration{0} : now - this->openReads.begin()->second.startedAt;
     return activity;
 }
 
@@ -228,15 +166,15 @@
     {
         const LoopTimer timer(this->times, LoopPart::AppliedEntries);
         for (const LogEntry &entry : entries) {
+            // Entries of a replica that was stopped do not follow the present state.
+            if (!this->isReplicaOpen) {
+                return;
+            }
             this->applyEntry(entry);
         }
     }
     this->beginLeadershipIfReady();
-    while (!this->pendingReads.empty() && this->pendingReads.begin()->first <= this->appliedIndex) {
-        const auto reader = std::move(this->pendingReads.begin()->second);
-        this->pendingReads.erase(this->pendingReads.begin());
-        reader();
-    }
+    this->answerReads();
     this->runScheduler();
 }
 
@@ -251,7 +189,7 @@
     const auto commands = decodeCommands(entry.payload);
     if (!commands) {
         logLine(LogArea::Replication, LogLevel::Error, "entry_malformed", {{"index", entry.index}});
-        this->onFatalError(ResultCode::DataDamaged);
+        this->restartReplica(ResultCode::DataDamaged);
         return;
     }
     for (const FleetCommand &command : *commands) {
@@ -288,7 +226,7 @@
     } catch (const std::exception &error) {
         // The state may be partially modified, so this replica must not continue with it.
         logLine(LogArea::Replication, LogLevel::Error, "command_failed", {{"index", this->appliedIndex}, {"error", error.what()}});
-        this->onFatalError(ResultCode::DataDamaged);
+        this->restartReplica(ResultCode::DataDamaged);
         return false;
     }
     if (!this->scheduler) {
@@ -307,10 +245,13 @@
 
 void FleetCore::onInstalled(Snapshot snapshot)
 {
+    if (!this->isReplicaOpen) {
+        return;
+    }
     const ResultCode code = decodeFleetState(snapshot.state, this->state);
     logLine(LogArea::Replication, LogLevel::Info, "snapshot_installed", {{"index", snapshot.index}, {"code", resultCodeRow(code).name}});
     if (code != ResultCode::Ok) {
-        this->onFatalError(code);
+        this->restartReplica(code);
         return;
     }
     this->appliedIndex = snapshot.index;
@@ -319,6 +260,9 @@
 
 void FleetCore::onStatus(ReplicationStatus next)
 {
+    if (!this->isReplicaOpen) {
+        return;
+    }
     const bool roleChanged = next.role != this->status.role || next.term != this->status.term || next.leader != this->status.leader;
     const bool membersChanged = next.membership != this->status.membership;
     const bool leaderChanged = next.leader != this->status.leader;
@@ -385,7 +329,7 @@
 void FleetCore::beginLeadershipIfReady()
 {
     // Once the empty entry that starts the term is applied, all entries committed by earlier leaders are applied too.
-    const bool isReady = this->status.role == RaftRole::Leader && this->appliedTerm == this->status.term;
+    const bool isReady = this->isReplicaRunning() && this->status.role == RaftRole::Leader && this->appliedTerm == this->status.term;
     if (this->scheduler || !isReady || this->isStopping || this->isStopBegun || this->handover.stage != HandoverStage::None) {
         return;
     }
@@ -465,19 +409,4 @@
     }
 }
 
-void FleetCore::stop()
-{
-    if (this->isStopping) {
-        return;
-    }
-    this->isStopping = true;
-    if (this->scheduler) {
-        this->endLeadership("the daemon is shutting down");
-    }
-    this->heldCalls.release();
-    this->statusLog.stop();
-    this->replication.stop();
-    this->client.stop();
-}
-
 } // namespace Filbertlanding
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -69,8 +69,8 @@
     FleetCore &operator=(const FleetCore &) = delete;
     ~FleetCore();
 
-    /** Opens the data folder and starts replication. The peer links must already be started. */
-    ResultCode start(PeerLinks &links);
+    /** Starts replication, which opens the data folder in the background. The peer links must already be started. */
+    void start(PeerLinks &links);
 
     /** Processes a replication message that another daemon has sent. */
     void receiveReplication(const DaemonName &sender, const std::string &payload);
@@ -109,14 +109,16 @@
      */
     void beginStop(Duration limit, std::function<void()> replaced);
 
-    /** Ends the leadership and stops replication. */
+    /** Ends the leadership and stops replication. A replication thread that hangs in a call to the disk goes on; hasStopped() tells. */
     void stop();
 
+    /** Returns whether the replication thread has ended, so that this object may be destroyed. */
+    bool hasStopped() const;
+
     /** Appends the metrics in Prometheus text format. */
     void appendMetrics(std::string &text) const;
 
-    /** Called with the reason when an unrecoverable error requires the process to exit. */
-    std::function<void(ResultCode)> onFatalError;
+    std::function<void()> replicaOpened; ///< Called each time the replica begins to take part.
 
 private:
     /** Commands proposed in one log entry. */
@@ -127,6 +129,12 @@
         TimePoint proposedAt;
     };
 
+    /** A read of the manifest. */
+    struct OpenRead {
+        TimePoint startedAt;
+        std::function<void(ApiResponse)> done;
+    };
+
     /** A call of a worker or an operator. */
     struct ControlCall {
         ControlRequest request;
@@ -140,6 +148,18 @@
     void completeBatches(std::uint64_t index);
     void onInstalled(Snapshot snapshot);
     void onStatus(ReplicationStatus next);
+    ReplicationHooks replicationHooks();
+    ReplicationConfig replicationConfig() const;
+    void onReplicaOpened(ResultCode code);
+    void onReplicaFailed(ResultCode code);
+    void restartReplica(ResultCode reason);
+    void leaveReplica(std::string_view reason);
+    void checkReplica();
+    bool isReplicaRunning() const;
+    void finishRead(std::uint64_t number, const ApiResponse &response);
+    void answerReads();
+    void failReads();
+    void takeSnapshot();
     std::vector<DaemonName> contactAddresses() const;
     void setRequiredPeers();
     void beginLeadershipIfReady();
@@ -180,7 +200,6 @@
     std::string controlAddressOf(const DaemonName &daemon) const;
     bool isLeading() const;
     CoreActivity activity() const;
-    void startStatusLog();
     void countReport(const ApiResponse &response);
     bool isOnlyVoter() const;
     bool isOtherLeaderKnown() const;
@@ -207,8 +226,12 @@
     std::vector<std::function<void(bool)>> outboxCallbacks; ///< Completion callbacks of these commands.
     std::uint64_t lastBatch = 0; ///< Number of the last proposal.
     std::deque<Batch> inFlight; ///< Proposed entries that are not applied yet, in log order.
-    std::multimap<std::uint64_t, std::function<void()>> pendingReads; ///< Reads waiting for a log index to be applied.
-    std::multiset<TimePoint> openReads; ///< When each read of the manifest without an answer came.
+    std::multimap<std::uint64_t, std::uint64_t> pendingReads; ///< Log index that must be applied, and the number of the read that waits for it.
+    std::map<std::uint64_t, OpenRead> openReads; ///< Reads of the manifest without an answer, by their numbers.
+    std::uint64_t lastRead = 0; ///< Number of the last read.
+    bool isReplicaOpen = false; ///< The state below follows the replicated log.
+    bool isReplicaSilent = false; ///< The replication thread does not answer.
+    bool isThreadEnded = false;
     HeldCalls heldCalls; ///< Calls of workers and operators that wait for a leader.
     LeaderHandover handover;
     bool isServing = true; ///< Whether workers and operators can reach this daemon.
@@ -221,7 +244,6 @@
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
     CoreStatusLog statusLog;
-    bool isStatusLogStarted = false;
     LoopTimes &times;
     bool isTickAdvanced = false; ///< The next tick is scheduled early to process worker responses.
     bool isStopping = false;
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -13,11 +13,9 @@
 
     constexpr Duration MaxLeaderConfirmationAge{1'500}; ///< A relay is ready while the last confirmation of the leader is at most this old.
     constexpr std::chrono::milliseconds ReloadInterval{2'000}; ///< The settings file is also checked for changes periodically, without SIGHUP.
-    constexpr Duration DataFolderRetryTime{3'000}; ///< Time for which a data folder that is in use or whose disk refuses is tried again.
     constexpr std::chrono::milliseconds ListenRetryInterval{200}; ///< Interval of the attempts to open an endpoint that is taken.
     constexpr std::size_t MaxCallerBodyBytes = std::size_t{1024} * 1024; ///< Maximum body size of a caller's request.
     constexpr std::size_t MaxControlBodyBytes = std::size_t{4} * 1024 * 1024; ///< Maximum body size of a request of a worker or an operator.
-    constexpr std::chrono::milliseconds DiskFailureExitDelay{2'000}; ///< Delay between a disk failure and the exit of the process.
     constexpr Duration LingerTime{200}; ///< A core that stops sends calls to the new leader for this time before it closes its ports.
     constexpr Duration DrainTime{1'500}; ///< Longer than a call waits, and than idle connections are kept for a call that is under way.
     constexpr Duration StopMargin{1'500}; ///< The process exits this long before the end of the grace period, when it would be killed.
@@ -96,7 +94,7 @@
     runLoop(this->io, [this](std::string_view error) {
         logLine(LogArea::Daemon, LogLevel::Error, "handler_failed", {{"error", error}});
         if (this->core != nullptr) {
-            // The scheduler may be partially modified. The replicated state is consistent, because a command that cannot be applied exits the process.
+            // The scheduler may be partially modified. The replicated state is consistent, because a command that cannot be applied restarts the replica.
             this->core->restartScheduler("an event handler threw an exception");
         }
     });
@@ -125,8 +123,8 @@
     });
     if (!this->settings.dataFolder.empty()) {
         this->core = std::make_unique<FleetCore>(this->io, this->settings, this->adapter, this->network, this->descriptors, this->loadMonitor.loopTimes());
-        this->core->onFatalError = [this](ResultCode code) {
-            this->onCoreFailed(code);
+        this->core->replicaOpened = [this] {
+            this->onReplicaOpened();
         };
     }
     const auto readiness = [this](HttpRequest &&, const HttpRespond &respond) {
@@ -150,18 +148,17 @@
     if (this->isStopping) {
         return;
     }
-    ResultCode code = ResultCode::Internal;
     try {
-        code = this->openEndpoints();
+        const ResultCode code = this->openEndpoints();
+        if (code != ResultCode::Ok) {
+            this->finishRun(code);
+            return;
+        }
     } catch (const std::exception &error) {
-        // A part of the daemon is missing for good, so only a new process can serve.
+        // Memory or a thread is lacking, which may pass; the parts that are open stay open.
         logLine(LogArea::Daemon, LogLevel::Error, "start_failed", {{"error", error.what()}});
     }
-    if (code != ResultCode::Ok) {
-        this->finishRun(code);
-        return;
-    }
-    const bool hasAllParts = this->areLinksOpen && (this->core == nullptr || this->isCoreStarted);
+    const bool hasAllParts = this->areLinksOpen && (this->core == nullptr || this->isReplicaRunning());
     if (!this->isStarted && hasAllParts && this->listeners.areRequiredOpen()) {
         this->isStarted = true;
         logLine(LogArea::Daemon,
@@ -223,7 +220,7 @@
     return ResultCode::Ok;
 }
 
-/** Starts the core. Returns Ok also if its data folder is to be tried again later. */
+/** Starts the core, which opens its data folder in the background. */
 ResultCode FleetDaemon::startCore()
 {
     std::vector<PeerAddress> addresses;
@@ -243,13 +240,7 @@
         return ResultCode::BadAddress;
     }
     const ControlSignalBlock blockInThreads;
-    const ResultCode code = this->core->start(*this->peers);
-    if (code != ResultCode::Ok) {
-        // Write errors and a predecessor that is still stopping often last for seconds.
-        const bool mayPass = code == ResultCode::DiskFailed || code == ResultCode::DataFolderInUse;
-        this->dataFolderDeadline = this->dataFolderDeadline.value_or(steadyNow() + DataFolderRetryTime);
-        return mayPass && steadyNow() < *this->dataFolderDeadline ? ResultCode::Ok : code;
-    }
+    this->core->start(*this->peers);
     this->isCoreStarted = true;
     this->updateServing();
     return ResultCode::Ok;
@@ -298,13 +289,25 @@
         });
 }
 
+bool FleetDaemon::isReplicaRunning() const
+{
+    return this->core->replicaHealth().condition == ReplicaCondition::Running;
+}
+
+void FleetDaemon::onReplicaOpened()
+{
+    if (!this->isStarted) {
+        this->continueStart();
+    }
+}
+
 bool FleetDaemon::isReady() const
 {
     if (this->isStopping || !this->isStarted) {
         return false;
     }
     if (this->core != nullptr) {
-        return this->core->replicaHealth().condition == ReplicaCondition::Running;
+        return this->isReplicaRunning();
     }
     return !this->finder.leader().empty() && steadyNow() - this->finder.confirmedAt() < MaxLeaderConfirmationAge;
 }
@@ -456,20 +459,6 @@
     this->waitForStopEnd();
 }
 
-void FleetDaemon::onCoreFailed(ResultCode code)
-{
-    if (this->isStopping) {
-        return;
-    }
-    this->isStopping = true;
-    this->core->stop();
-    // Write errors often last for seconds; exiting immediately would cause a restart loop in the meantime.
-    this->stopTimer.expires_after(DiskFailureExitDelay);
-    this->stopTimer.async_wait([this, code](const boost::system::error_code &) {
-        this->finishRun(code);
-    });
-}
-
 void FleetDaemon::finishRun(ResultCode code)
 {
     this->result = code;
@@ -483,4 +472,9 @@
     this->io.stop();
 }
 
+bool FleetDaemon::hasStopped() const
+{
+    return this->core == nullptr || this->core->hasStopped();
+}
+
 } // namespace Filbertlanding
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -41,6 +41,10 @@
      */
     ResultCode run();
 
+    /** Returns whether all threads have ended after run(). If not, one hangs in a call to the disk, and the process has to exit without destroying this object.
+     */
+    bool hasStopped() const;
+
 private:
     void prepare();
     void continueStart();
@@ -51,6 +55,8 @@
     void onRelayedRequest(const std::string &payload, PeerReply reply);
     void answerReadiness(const HttpRespond &respond) const;
     bool isReady() const;
+    bool isReplicaRunning() const;
+    void onReplicaOpened();
     std::string metrics() const;
     void armSignals();
     void waitForSignal();
@@ -61,7 +67,6 @@
     void stopCore();
     void drainConnections();
     void waitForStopEnd();
-    void onCoreFailed(ResultCode code);
     void finishRun(ResultCode code);
 
     FleetDaemonSettings settings;
@@ -85,7 +90,6 @@
     DaemonListeners listeners;
     bool isControlAdded = false; ///< Whether the listeners have the one for workers and operators.
     bool isCoreStarted = false;
-    std::optional<TimePoint> dataFolderDeadline; ///< Time until which a data folder that cannot be opened is tried again.
     bool areLinksOpen = false; ///< Whether the port for peer links is open.
     bool isStarted = false; ///< Whether all that the daemon needs is open.
     bool isStopping = false;
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -255,7 +255,9 @@
         call.reply(response);
         return;
     }
-    if (!mayWait || this->isStopping || !this->heldCalls.hold(retry)) {
+    if (!this->isReplicaRunning()) {
+        call.reply(makeRetryLaterResponse(ResultCode::NoQuorum, "the replica of this daemon does not run"));
+    } else if (!mayWait || this->isStopping || !this->heldCalls.hold(retry)) {
         call.reply(makeRetryLaterResponse(ResultCode::NoQuorum, "no leader is known"));
     }
 }
@@ -367,33 +369,53 @@
 
 void FleetCore::getManifest(std::function<void(ApiResponse)> done)
 {
-    const TimePoint startedAt = steadyNow();
-    this->openReads.insert(startedAt);
-    const auto logged = [this, startedAt, done = std::move(done)](const ApiResponse &response) {
-        this->openReads.erase(this->openReads.find(startedAt));
-        logLine(LogArea::Intent, LogLevel::Info, "manifest_read", {{"code", resultCodeRow(response.code).name}, {"waitedMs", (steadyNow() - startedAt).ms}});
-        done(response);
-    };
-    this->replication.read([this, done = logged](ReadReady ready) {
-        boost::asio::post(this->io, [this, ready, done] {
-            const auto respond = [this, done] {
-                if (this->state.manifest.version == 0) {
-                    done(makeRetryLaterResponse(ResultCode::NoQuorum, "no manifest has been uploaded yet"));
-                    return;
-                }
-                ApiResponse result;
-                result.document = this->state.manifest.document;
-                done(result);
-            };
+    const std::uint64_t number = ++this->lastRead;
+    this->openReads.emplace(number, OpenRead{steadyNow(), std::move(done)});
+    this->replication.read([this, number](ReadReady ready) {
+        boost::asio::post(this->io, [this, number, ready] {
             if (ready.code != ResultCode::Ok) {
-                done(makeRetryLaterResponse(ready.code, "a majority of voters is unreachable"));
-            } else if (this->appliedIndex >= ready.index) {
-                respond();
-            } else {
-                this->pendingReads.emplace(ready.index, respond);
+                this->finishRead(number, makeRetryLaterResponse(ready.code, "a majority of voters is unreachable"));
+                return;
             }
+            this->pendingReads.emplace(ready.index, number);
+            this->answerReads();
         });
     });
 }
 
+/** Answers the reads whose log index is applied. */
+void FleetCore::answerReads()
+{
+    while (!this->pendingReads.empty() && this->pendingReads.begin()->first <= this->appliedIndex) {
+        const std::uint64_t number = this->pendingReads.begin()->second;
+        this->pendingReads.erase(this->pendingReads.begin());
+        ApiResponse response;
+        response.document = this->state.manifest.document;
+        const bool hasManifest = this->state.manifest.version != 0;
+        this->finishRead(number, hasManifest ? response : makeRetryLaterResponse(ResultCode::NoQuorum, "no manifest has been uploaded yet"));
+    }
+}
+
+/** Answers a read, unless it has been answered already. */
+void FleetCore::finishRead(std::uint64_t number, const ApiResponse &response)
+{
+    const auto found = this->openReads.find(number);
+    if (found == this->openReads.end()) {
+        return;
+    }
+    const OpenRead read = std::move(found->second);
+    this->openReads.erase(found);
+    logLine(LogArea::Intent, LogLevel::Info, "manifest_read", {{"code", resultCodeRow(response.code).name}, {"waitedMs", (steadyNow() - read.startedAt).ms}});
+    read.done(response);
+}
+
+/** Answers all reads while the replica does not run. */
+void FleetCore::failReads()
+{
+    this->pendingReads.clear();
+    while (!this->openReads.empty()) {
+        this->finishRead(this->openReads.begin()->first, makeRetryLaterResponse(ResultCode::NoQuorum, "the replica of this daemon does not run"));
+    }
+}
+
 } // namespace Filbertlanding
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -20,6 +20,7 @@
 void FleetCore::confirmAlive()
 {
     this->replication.confirmOwnerAlive();
+    this->checkReplica();
 }
 
 void FleetCore::setServing(bool canServe)
@@ -129,7 +130,7 @@
     if (this->status.role == RaftRole::Leader && this->handover.stage == HandoverStage::None && this->status.hasSuccessor) {
         this->beginHandover("the daemon is stopping");
     }
-    if (this->isOtherLeaderKnown() || this->isOnlyVoter() || steadyNow() >= this->stopDeadline) {
+    if (!this->isReplicaRunning() || this->isOtherLeaderKnown() || this->isOnlyVoter() || steadyNow() >= this->stopDeadline) {
         std::exchange(this->onReplaced, {})();
     }
 }
@@ -141,7 +142,7 @@
 
 bool FleetCore::isOtherLeaderKnown() const
 {
-    return !this->status.leader.empty() && this->status.leader != this->settings.address;
+    return this->isReplicaRunning() && !this->status.leader.empty() && this->status.leader != this->settings.address;
 }
 
 } // namespace Filbertlanding
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -6,7 +6,8 @@
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
 #include "runtime/owner_watch.h"
-#include "storage/data_folder.h"
+#include "runtime/replica_opening.h"
+#include "runtime/run_loop.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <future>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -26,18 +28,27 @@
 namespace {
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Well below the shortest heartbeat interval, so that elections and heartbeats are on time.
-    constexpr std::chrono::milliseconds OpenRetryInterval{100};
+    constexpr std::chrono::milliseconds OpenRetryInterval{200}; ///< Interval of the attempts to open a data folder that is in use or whose disk refuses.
+    constexpr std::chrono::milliseconds ErrorRetryInterval{2'000}; ///< The same after other errors, each of which has read the whole folder.
     constexpr std::size_t MaxHeardIdentities = 256; ///< Bounds the table of identities of which messages have come.
 
-    /** Opens the data folder. Write errors and a predecessor that is still stopping often last for seconds; exiting at once would cause a restart loop. */
-    DataFolder openWithRetries(const std::string &path, std::uint64_t newIncarnation, Duration retryTime)
+    constexpr Duration SnapshotRetryTime{10'000}; ///< An owner that could not make a snapshot, for want of memory, is asked again after this time.
+    constexpr std::size_t MaxWaitingBytes = std::size_t{8} * 1024 * 1024; ///< Bounds the messages that wait for a thread whose disk hangs.
+
+    /** Returns whether the reason for which a data folder could not be opened often passes without help. */
+    bool mayPass(ResultCode code)
     {
-        const TimePoint deadline = steadyNow() + retryTime;
+        return code == ResultCode::DiskFailed || code == ResultCode::DataFolderInUse;
+    }
+
+    /** Opens a replica. Write errors and a predecessor that is still stopping often last for seconds; exiting at once would cause a restart loop. */
+    OpenedReplica openWithRetries(const ReplicationConfig &config)
+    {
+        const TimePoint deadline = steadyNow() + config.openRetryTime;
         while (true) {
-            DataFolder folder = openDataFolder(systemFiles(), path, newIncarnation);
-            const bool mayPass = folder.code == ResultCode::DiskFailed || folder.code == ResultCode::DataFolderInUse;
-            if (!mayPass || steadyNow() >= deadline) {
-                return folder;
+            OpenedReplica replica = openReplica(config, std::nullopt);
+            if (!mayPass(replica.start.code) || steadyNow() >= deadline) {
+                return replica;
             }
             std::this_thread::sleep_for(OpenRetryInterval);
         }
@@ -49,12 +60,19 @@
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work{asio::make_work_guard(this->context)};
     asio::steady_timer timer{this->context};
+    asio::steady_timer openTimer{this->context};
     std::thread thread;
+    std::promise<void> endPromise;
+    std::future<void> end{this->endPromise.get_future()}; ///< Set when the thread has ended.
+    ReplicationConfig config; ///< As given, with what setContacts() has changed since.
     ReplicationHooks hooks;
     DataFolder folder;
-    bool hasDisk = false;
-    bool diskFailed = false;
-    bool syncsCommitIndex = true;
+    bool reopens = false; ///< A replica that has stopped is opened again.
+    bool isRunning = false; ///< Nothing below is valid unless it is set.
+    std::optional<EarlierFailure> failure; ///< Why the replica was stopped, until it runs again.
+    ResultCode openCode = ResultCode::Ok; ///< Outcome of the last attempt to open the data folder.
+    bool isServing = true;
+    std::atomic<std::size_t> waitingBytes{0}; ///< Size of the messages that wait for the thread.
     HardState syncedVote; ///< Hard state that was last synced.
     std::atomic<std::int64_t> leaseEndMs{0}; ///< End of the leader's lease, for other threads.
     std::atomic<std::uint64_t> ownerConfirmations{0};
@@ -66,7 +84,7 @@
     std::uint64_t lastToken = 0;
     std::unordered_map<std::uint64_t, std::function<void(ReadReady)>> reads;
     ReplicationStatus reported;
-    bool snapshotRequested = false;
+    std::optional<TimePoint> snapshotRequestedAt; ///< Set while the owner is to hand over a snapshot.
     mutable std::mutex healthMutex; ///< Guards the member below, which other threads read.
     ReplicaHealth currentHealth{ReplicaCondition::Opening, ResultCode::Ok, steadyNow()};
     std::atomic<std::int64_t> answeredAtMs{0}; ///< When the thread last ran a tick.
@@ -81,7 +99,7 @@
     /** Carries out actions in their order: disk first, then messages, then the state machine. */
     void carryOut(RaftActions actions)
     {
-        if (this->diskFailed) {
+        if (!this->isRunning) {
             // Raft counts this disk towards a majority: a heartbeat would pass on a commit index that relies on it.
             return;
         }
@@ -90,7 +108,7 @@
         if (sendsFirst) {
             this->sendAll(actions);
         }
-        if (this->hasDisk && !this->persist(actions)) {
+        if (this->raft.settings.hasDisk && !this->persist(actions)) {
             return;
         }
         if (!sendsFirst) {
@@ -146,10 +164,10 @@
     bool isCommitOnly(const RaftActions &actions) const
     {
         const bool writesMore = actions.persistSnapshot || actions.truncateFrom || !actions.append.empty();
-        return !this->syncsCommitIndex && !writesMore && actions.persistHardState && isSameVote(*actions.persistHardState, this->syncedVote);
+        return !this->config.syncsCommitIndex && !writesMore && actions.persistHardState && isSameVote(*actions.persistHardState, this->syncedVote);
     }
 
-    /** Returns false when the disk has failed: nothing may be acknowledged from then on. */
+    /** Returns false when the disk has failed: nothing may be acknowledged until the replica has been opened again. */
     bool persist(const RaftActions &actions)
     {
         if (this->isCommitOnly(actions)) {
@@ -167,11 +185,103 @@
             }
             return true;
         }
-        this->diskFailed = true;
+        this->stopReplica(code);
+        return false;
+    }
+
+    /** Stops the replica. What it holds in memory goes, since only what is on the disk may be relied on. */
+    void stopReplica(ResultCode code)
+    {
+        if (!this->isRunning) {
+            return;
+        }
+        this->isRunning = false;
         this->leaseEndMs = TimePoint().ms;
         this->setHealth(ReplicaCondition::Failed, code);
+        this->failure = EarlierFailure{this->folder.failedBytes};
+        for (auto &[token, done] : std::exchange(this->reads, {})) {
+            done({token, ResultCode::NoQuorum, 0});
+        }
         this->hooks.failed(code);
-        return false;
+        if (this->reopens) {
+            this->openLater(code);
+        }
+    }
+
+    void openLater(ResultCode reason)
+    {
+        this->openTimer.expires_after(mayPass(reason) ? OpenRetryInterval : ErrorRetryInterval);
+        this->openTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                this->open();
+            }
+        });
+    }
+
+    /** Opens the replica, or tries again later. */
+    void open()
+    {
+        this->folder = {}; // Releases the lock of the folder.
+        this->raft = {};
+        OpenedReplica replica = openReplica(this->config, this->failure);
+        const ResultCode code = replica.start.code;
+        const bool isChanged = code != this->openCode;
+        this->openCode = code;
+        if (code != ResultCode::Ok) {
+            this->setHealth(this->currentHealth.condition, code);
+            this->openLater(code);
+            if (isChanged) {
+                this->hooks.opened(replica.start);
+            }
+            return;
+        }
+        const ReplicationStart start = this->takeReplica(std::move(replica));
+        this->hooks.opened(start);
+        this->reported = this->currentStatus();
+        this->hooks.statusChanged(this->reported);
+        this->carryOut(raftSetServing(this->raft, this->isServing, steadyNow()));
+    }
+
+    /** Begins to run a replica that has been opened. Returns what its data folder held. */
+    ReplicationStart takeReplica(OpenedReplica replica)
+    {
+        this->folder = std::move(replica.folder);
+        this->raft = std::move(replica.raft);
+        this->syncedVote = replica.syncedVote;
+        this->ownerWatch = startOwnerWatch(this->config.ownerTimeout, steadyNow());
+        this->isOwnerSilent = false;
+        this->snapshotRequestedAt.reset();
+        this->isTransferring = false;
+        this->failure.reset();
+        // An empty folder has lost what was in it, from now on.
+        this->config.votesAtOnce = false;
+        this->answeredAtMs = steadyNow().ms;
+        this->isRunning = true;
+        this->setHealth(ReplicaCondition::Running, ResultCode::Ok);
+        return std::move(replica.start);
+    }
+
+    /** Handles an exception: the replica may be partially modified, so only what the disk holds may be relied on. */
+    void onException(std::string_view error)
+    {
+        logLine(LogArea::Replication, LogLevel::Error, "replication_exception", {{"error", error}});
+        if (this->isRunning) {
+            this->stopReplica(ResultCode::Internal);
+        } else if (this->reopens) {
+            this->setHealth(this->currentHealth.condition, ResultCode::Internal);
+            this->openLater(ResultCode::Internal);
+        }
+    }
+
+    void startThread()
+    {
+        this->answeredAtMs = steadyNow().ms;
+        this->thread = std::thread([this] {
+            runLoop(this->context, [this](std::string_view error) {
+                this->onException(error);
+            });
+            this->endPromise.set_value();
+        });
     }
 
     void finishRead(const ReadReady &ready)
@@ -218,10 +328,11 @@
 
     void askForSnapshot()
     {
-        if (this->snapshotRequested || !wantsSnapshot(this->raft)) {
+        const bool isRequested = this->snapshotRequestedAt && steadyNow() - *this->snapshotRequestedAt < SnapshotRetryTime;
+        if (!this->isRunning || isRequested || !wantsSnapshot(this->raft)) {
             return;
         }
-        this->snapshotRequested = true;
+        this->snapshotRequestedAt = steadyNow();
         this->hooks.snapshotWanted(this->raft.appliedIndex);
     }
 
@@ -310,15 +421,19 @@
     void tick()
     {
         this->answeredAtMs = steadyNow().ms;
-        this->watchOwner();
-        this->carryOut(raftTick(this->raft, steadyNow()));
-        this->askForSnapshot();
+        // First, so that the ticks go on after an exception.
         this->timer.expires_after(TickInterval);
         this->timer.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
                 this->tick();
             }
         });
+        if (!this->isRunning) {
+            return;
+        }
+        this->watchOwner();
+        this->carryOut(raftTick(this->raft, steadyNow()));
+        this->askForSnapshot();
     }
 };
 
@@ -335,61 +450,60 @@
 ReplicationStart ReplicationDriver::start(ReplicationConfig config, ReplicationHooks hooks)
 {
     Core &state = *this->core;
+    state.config = std::move(config);
+    state.hooks = std::move(hooks);
+    OpenedReplica replica = openWithRetries(state.config);
+    if (replica.start.code != ResultCode::Ok) {
+        state.setHealth(ReplicaCondition::Opening, replica.start.code);
+        return std::move(replica.start);
+    }
+    ReplicationStart start = state.takeReplica(std::move(replica));
+    asio::post(state.context, [&state] {
+        state.tick();
+    });
+    state.startThread();
+    return start;
+}
+
+void ReplicationDriver::startInBackground(ReplicationConfig config, ReplicationHooks hooks)
+{
+    Core &state = *this->core;
+    state.config = std::move(config);
     state.hooks = std::move(hooks);
-    state.hasDisk = !config.dataFolder.empty();
-    state.syncsCommitIndex = config.syncsCommitIndex;
-    ReplicationStart result;
-    PersistedState persisted;
-    if (state.hasDisk) {
-        const auto newIncarnation = config.votesAtOnce ? FirstIncarnation : static_cast<std::uint64_t>(wallNow().ms);
-        state.folder = openWithRetries(config.dataFolder, newIncarnation, config.openRetryTime);
-        result.code = state.folder.code;
-        result.incarnation = state.folder.incarnation;
-        result.isNew = state.folder.isNew;
-        result.setAside = state.folder.setAside;
-        if (result.code != ResultCode::Ok) {
-            state.setHealth(ReplicaCondition::Opening, result.code);
-            return result;
-        }
-        // Without new voters by themselves, operators change the members of an installation in the settings.
-        result.code = config.raft.admitsNewVoters ? keepFoundingMembership(state.folder, config.raft.bootstrap) : ResultCode::Ok;
-        if (result.code != ResultCode::Ok) {
-            state.setHealth(ReplicaCondition::Opening, result.code);
-            return result;
-        }
-        persisted = std::move(state.folder.persisted);
-        result.ledgerRecords = std::move(state.folder.ledgerRecords);
-        result.ledger = std::move(state.folder.ledger);
-    }
-    state.syncedVote = persisted.hardState;
-    config.raft.self.incarnation = result.incarnation;
-    config.raft.hasDisk = state.hasDisk;
-    RaftStart started = raftStart(std::move(config.raft), std::move(persisted), steadyNow());
-    result.code = started.code;
-    if (result.code != ResultCode::Ok) {
-        state.setHealth(ReplicaCondition::Opening, result.code);
-        return result;
-    }
-    state.raft = std::move(started.state);
-    state.ownerWatch = startOwnerWatch(config.ownerTimeout, steadyNow());
-    state.answeredAtMs = steadyNow().ms;
-    state.setHealth(ReplicaCondition::Running, ResultCode::Ok);
+    state.reopens = true;
+    state.startThread();
     asio::post(state.context, [&state] {
         state.tick();
+        state.open();
     });
-    state.thread = std::thread([&state] {
-        state.context.run();
+}
+
+void ReplicationDriver::restart(ResultCode reason)
+{
+    asio::post(this->core->context, [state = this->core.get(), reason] {
+        state->stopReplica(reason);
     });
-    return result;
 }
 
 void ReplicationDriver::stop()
+{
+    if (this->core->thread.joinable()) {
+        this->core->context.stop();
+        this->core->thread.join();
+    }
+}
+
+bool ReplicationDriver::stop(Duration limit)
 {
     if (!this->core->thread.joinable()) {
-        return;
+        return true;
     }
     this->core->context.stop();
+    if (this->core->end.wait_for(std::chrono::milliseconds(limit.ms)) != std::future_status::ready) {
+        return false;
+    }
     this->core->thread.join();
+    return true;
 }
 
 ReplicaHealth ReplicationDriver::health(Duration longestSilence) const
@@ -409,6 +523,10 @@
 void ReplicationDriver::propose(std::string payload, std::function<void(ProposedEntry)> done)
 {
     asio::post(this->core->context, [state = this->core.get(), payload = std::move(payload), done = std::move(done)]() mutable {
+        if (!state->isRunning) {
+            done({ResultCode::NotLeader, 0, 0, {}});
+            return;
+        }
         ProposeResult result = raftPropose(state->raft, std::move(payload), steadyNow());
         done({result.code, result.index, result.term, result.leaderHint});
         state->carryOut(std::move(result.actions));
@@ -419,6 +537,10 @@
 {
     asio::post(this->core->context, [state = this->core.get(), done = std::move(done)]() mutable {
         const std::uint64_t token = ++state->lastToken;
+        if (!state->isRunning) {
+            done({token, ResultCode::NoQuorum, 0});
+            return;
+        }
         state->reads.emplace(token, std::move(done));
         state->carryOut(raftRead(state->raft, token, steadyNow()));
     });
@@ -431,17 +553,27 @@
     });
 }
 
-void ReplicationDriver::receive(RaftMessage message)
+void ReplicationDriver::receive(RaftMessage message, std::size_t bytes)
 {
-    asio::post(this->core->context, [state = this->core.get(), message = std::move(message)] {
-        state->receive(message);
+    if (this->core->waitingBytes.load() + bytes > MaxWaitingBytes) {
+        return;
+    }
+    this->core->waitingBytes += bytes;
+    asio::post(this->core->context, [state = this->core.get(), message = std::move(message), bytes] {
+        state->waitingBytes -= bytes;
+        if (state->isRunning) {
+            state->receive(message);
+        }
     });
 }
 
 void ReplicationDriver::snapshotTaken(std::uint64_t index, std::string snapshot)
 {
     asio::post(this->core->context, [state = this->core.get(), index, snapshot = std::move(snapshot)]() mutable {
-        state->snapshotRequested = false;
+        if (!state->isRunning) {
+            return;
+        }
+        state->snapshotRequestedAt.reset();
         state->carryOut(raftSnapshotTaken(state->raft, index, std::move(snapshot), steadyNow()));
     });
 }
@@ -449,21 +581,29 @@
 void ReplicationDriver::setServing(bool isServing)
 {
     asio::post(this->core->context, [state = this->core.get(), isServing] {
-        state->carryOut(raftSetServing(state->raft, isServing, steadyNow()));
+        state->isServing = isServing;
+        if (state->isRunning) {
+            state->carryOut(raftSetServing(state->raft, isServing, steadyNow()));
+        }
     });
 }
 
 void ReplicationDriver::transferLeadership()
 {
     asio::post(this->core->context, [state = this->core.get()] {
-        state->carryOut(raftTransferLeadership(state->raft, steadyNow()));
+        if (state->isRunning) {
+            state->carryOut(raftTransferLeadership(state->raft, steadyNow()));
+        }
     });
 }
 
 void ReplicationDriver::setContacts(std::vector<DaemonName> contacts)
 {
     asio::post(this->core->context, [state = this->core.get(), contacts = std::move(contacts)]() mutable {
-        state->carryOut(raftSetContacts(state->raft, std::move(contacts), steadyNow()));
+        state->config.raft.contacts = contacts;
+        if (state->isRunning) {
+            state->carryOut(raftSetContacts(state->raft, std::move(contacts), steadyNow()));
+        }
     });
 }
 
--- a/src/runtime/replication_driver.h
+++ b/src/runtime/replication_driver.h
@@ -4,6 +4,7 @@
 
 #include "replication/raft_type.h"
 #include "runtime/replica_health.h"
+#include "storage/file_functions.h"
 #include "storage/journal.h"
 
 #include <functional>
@@ -22,6 +23,7 @@
     RaftSettings raft; ///< Settings of the replica; the incarnation of its identity comes from the data folder.
     std::string dataFolder; ///< Folder of a voter; empty without a disk.
     bool votesAtOnce = false; ///< An empty data folder has lost nothing, because the installation starts for the first time.
+    FileFunctions files = systemFiles(); ///< How the data folder is reached.
     Duration openRetryTime{3'000}; ///< Time for which start() tries again to open a data folder that is in use or whose disk refuses.
     Duration ownerTimeout{0}; ///< Silence of the owner after which the replica neither leads nor stands for election; 0 when the owner isn't watched.
     bool syncsCommitIndex = true; ///< Syncs a commit index that came without entries, so that a restarted voter without a quorum knows it.
@@ -59,6 +61,16 @@
     DaemonName leaderHint; ///< Leader as far as known.
 };
 
+/** What the data folder held. */
+struct ReplicationStart {
+    ResultCode code = ResultCode::Ok; ///< Ok, DiskFailed, DataFolderInUse or DataDamaged.
+    std::uint64_t incarnation = 0; ///< Incarnation of the data folder; 0 without a disk.
+    bool isNew = false; ///< The data folder was missing, empty or damaged.
+    std::string setAside; ///< Folder to which damaged data was moved; empty if there was none.
+    std::vector<std::string> ledgerRecords; ///< Records of the ledger's journal.
+    std::unique_ptr<Journal> ledger; ///< The ledger's journal; empty without a disk.
+};
+
 /** Outputs of the driver; all are called on the replication thread in the order in which things happened. */
 struct ReplicationHooks {
     std::function<void(const DaemonName &to, const RaftMessage &message)> send; ///< Sends a message to another replica.
@@ -68,17 +80,10 @@
         statusChanged; ///< Role, term, leader, commit index, membership, hasSuccessor, isReplaced or isOwnerSilent has changed.
     std::function<void(std::uint64_t index)> snapshotWanted; ///< The state machine should hand over a snapshot of at least this index.
     std::function<void(std::int64_t microseconds)> synced; ///< Entries were written and synced in this time.
-    std::function<void(ResultCode code)> failed; ///< The disk has failed; the process has to stop.
-};
-
-/** What the data folder held. */
-struct ReplicationStart {
-    ResultCode code = ResultCode::Ok; ///< Ok, DiskFailed or DataFolderInUse.
-    std::uint64_t incarnation = 0; ///< Incarnation of the data folder; 0 without a disk.
-    bool isNew = false; ///< The data folder was missing, empty or damaged.
-    std::string setAside; ///< Folder to which damaged data was moved; empty if there was none.
-    std::vector<std::string> ledgerRecords; ///< Records of the ledger's journal.
-    std::unique_ptr<Journal> ledger; ///< The ledger's journal; empty without a disk.
+    /** The replica has stopped. After startInBackground() it is opened again, after start() the process has to stop. */
+    std::function<void(ResultCode code)> failed;
+    /** After startInBackground(): the replica was opened and begins anew from the data folder, or could not be opened, with another code than before. */
+    std::function<void(const ReplicationStart &start)> opened;
 };
 
 /** The driver. Functions may be called from any thread; their work is done on the replication thread. */
@@ -95,9 +100,24 @@
      */
     ReplicationStart start(ReplicationConfig config, ReplicationHooks hooks);
 
+    /**
+     * Starts the thread, which opens the data folder and tries again for as long as that fails. A replica that fails later is stopped and opened
+     * again in the same way, so that a fault of the disk lasts no longer than its cause.
+     */
+    void startInBackground(ReplicationConfig config, ReplicationHooks hooks);
+
+    /** Stops the replica and opens it again, after startInBackground(): the owner cannot use its copy of the state. */
+    void restart(ResultCode reason);
+
     /** Ends the thread. */
     void stop();
 
+    /**
+     * Ends the thread if it answers in time.
+     * @return Whether it has ended. A thread that hangs in a call to the disk goes on; the process must then exit without destroying this object.
+     */
+    bool stop(Duration limit);
+
     /**
      * Returns whether the replica takes part.
      * @param longestSilence Time without an answer of the replication thread after which a running replica counts as silent.
@@ -116,8 +136,11 @@
     /** Reads the state of the replica; the callback runs on the replication thread, and never if that ends before. */
     void inspect(std::function<void(ReplicationDetail)> done);
 
-    /** Hands over a message from another replica. */
-    void receive(RaftMessage message);
+    /**
+     * Hands over a message from another replica. Messages are dropped while too many bytes of them wait for the thread.
+     * @param bytes Size of the message as it was received.
+     */
+    void receive(RaftMessage message, std::size_t bytes = 0);
 
     /** Hands over a snapshot of the state machine. */
     void snapshotTaken(std::uint64_t index, std::string state);
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -14,6 +14,7 @@
     constexpr std::string_view IncarnationFile = "incarnation";
     constexpr std::string_view FoundingFile = "founding-membership";
     constexpr std::string_view DamagedPrefix = "damaged-";
+    constexpr std::string_view ProbeFile = "probe"; ///< Beside `current`; written only to see whether the disk takes it.
 
     /** Returns the only record of a file; nothing if it is damaged. */
     std::optional<std::string> singleRecord(std::string_view bytes)
@@ -166,6 +167,31 @@
         return slash == 0 ? "/" : path.substr(0, slash);
     }
 
+    /** Returns the size in bytes of what actions persist. */
+    std::size_t persistedBytes(const RaftActions &actions)
+    {
+        std::size_t bytes = actions.persistSnapshot ? actions.persistSnapshot->state.size() : 0;
+        for (const LogEntry &entry : actions.append) {
+            bytes += entry.payload.size();
+        }
+        return bytes;
+    }
+
+    /** Writes and syncs zeros in an open file. */
+    bool writeZeros(const FileFunctions &files, int file, std::size_t bytes)
+    {
+        constexpr std::size_t MaxStep = std::size_t{256} * 1024;
+        const std::string zeros(std::min(bytes, MaxStep), '\0');
+        while (bytes > 0) {
+            const auto written = files.write(file, std::string_view(zeros).substr(0, std::min(bytes, zeros.size())));
+            if (!written || *written == 0) {
+                return false;
+            }
+            bytes -= *written;
+        }
+        return files.sync(file);
+    }
+
     DataFolder failedFolder(ResultCode code)
     {
         DataFolder folder;
@@ -254,6 +280,31 @@
     if (folder.code == ResultCode::Ok && actions.persistSnapshot) {
         folder.snapshots->removeOlder(actions.persistSnapshot->index);
     }
+    folder.failedBytes = folder.code == ResultCode::Ok ? 0 : persistedBytes(actions);
+    return folder.code;
+}
+
+ResultCode probeDataFolder(const FileFunctions &files, const std::string &path, std::size_t bytes)
+{
+    if (!files.makeFolder(path)) {
+        return ResultCode::DiskFailed;
+    }
+    std::string name = path;
+    name.append("/").append(ProbeFile);
+    const auto file = files.openAppend(name);
+    if (!file) {
+        return ResultCode::DiskFailed;
+    }
+    const bool isTaken = files.truncate(*file, 0) && writeZeros(files, *file, bytes);
+    files.close(*file);
+    // Also after a failure, since what was written may fill the disk.
+    const bool isRemoved = files.remove(name);
+    return isTaken && isRemoved ? ResultCode::Ok : ResultCode::DiskFailed;
+}
+
+ResultCode rewriteLog(DataFolder &folder)
+{
+    folder.code = folder.log->rewrite();
     return folder.code;
 }
 
--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -30,6 +30,7 @@
     std::unique_ptr<LogStore> log;
     std::unique_ptr<SnapshotStore> snapshots;
     std::unique_ptr<Journal> ledger;
+    std::size_t failedBytes = 0; ///< Size of what persistActions could not write.
     std::shared_ptr<void> lock; ///< Held until the folder is closed.
 };
 
@@ -49,7 +50,13 @@
  */
 ResultCode keepFoundingMembership(DataFolder &folder, Membership &membership);
 
-/** Persists and syncs what the actions ask for, before anything is sent. Returns Ok or DiskFailed; after DiskFailed the process must stop. */
+/** Persists and syncs what the actions ask for, before anything is sent. Returns Ok or DiskFailed; after DiskFailed the folder must be opened again. */
 ResultCode persistActions(DataFolder &folder, const RaftActions &actions);
 
+/** Writes, syncs and removes a file of a size in a data folder. Returns Ok, or DiskFailed if the disk does not take it. */
+ResultCode probeDataFolder(const FileFunctions &files, const std::string &path, std::size_t bytes);
+
+/** Writes the log to a new file. Returns Ok or DiskFailed. */
+ResultCode rewriteLog(DataFolder &folder);
+
 } // namespace Filbertlanding
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -50,6 +50,26 @@
         return true;
     }
 
+    /** Encodes a log, in records that stay far below the bound of one. */
+    std::vector<std::string> encodeContent(const LogContent &content)
+    {
+        constexpr std::size_t MaxPayloadBytes = std::size_t{1024} * 1024; ///< Payload of a record, unless a single entry has more.
+        std::vector<std::string> records;
+        LogRecord record{content.hardState, content.baseIndex, std::nullopt, {}};
+        std::size_t bytes = 0;
+        for (const LogEntry &entry : content.log) {
+            if (bytes + entry.payload.size() > MaxPayloadBytes && !record.append.empty()) {
+                records.push_back(encodeVersioned(RecordVersion, record));
+                record = {};
+                bytes = 0;
+            }
+            bytes += entry.payload.size();
+            record.append.push_back(entry);
+        }
+        records.push_back(encodeVersioned(RecordVersion, record));
+        return records;
+    }
+
 } // namespace
 
 ResultCode replayLog(const std::vector<std::string> &records, LogContent &content)
@@ -109,7 +129,12 @@
         content.log.clear();
     }
     content.baseIndex = snapshotIndex;
-    return this->journal.rewrite({encodeVersioned(RecordVersion, LogRecord{content.hardState, content.baseIndex, std::nullopt, content.log})});
+    return this->rewrite();
+}
+
+ResultCode LogStore::rewrite()
+{
+    return this->journal.rewrite(encodeContent(this->stored));
 }
 
 const LogContent &LogStore::content() const
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -35,6 +35,9 @@
     /** Drops what a synced snapshot replaces: entries up to its index, or all if its last entry is not in the log. Returns Ok or DiskFailed. */
     ResultCode compact(std::uint64_t snapshotIndex, std::uint64_t snapshotTerm);
 
+    /** Writes all that the journal holds to a new file. Returns Ok or DiskFailed. */
+    ResultCode rewrite();
+
     /** Returns what the journal holds. */
     const LogContent &content() const;
 
--- a/tests/memory_disk.h
+++ b/tests/memory_disk.h
@@ -18,6 +18,8 @@
     struct Inode {
         std::string data;
         std::string synced;
+        std::size_t lostFrom = 0; ///< Begin of the bytes that a failed sync has marked as written although they are not.
+        std::size_t lostTo = 0; ///< End of these bytes.
     };
 
     std::map<std::string, std::shared_ptr<Inode>> names; ///< Files as a running process sees them.
@@ -28,6 +30,7 @@
     int nextHandle = 3;
     int failAfter = -1; ///< Writes and syncs that still succeed; negative for no fault.
     bool failOnce = false; ///< Only one operation fails, later ones succeed again.
+    bool losesPagesOfFailedSync = false; ///< Later syncs of a file don't write the bytes that a failed one should have written.
     int failReadAfter = -1; ///< Reads and listings that still succeed before one fails; negative for no fault.
     std::size_t maxWrite = SIZE_MAX; ///< Bytes that one write takes at most.
 
@@ -141,6 +144,21 @@
         return true;
     }
 
+    void syncInode(Inode &inode, bool succeeds) const
+    {
+        if (!succeeds && this->losesPagesOfFailedSync) {
+            inode.lostFrom = inode.synced.size();
+            inode.lostTo = inode.data.size();
+        }
+        if (succeeds) {
+            inode.synced = inode.data;
+            const std::size_t lostTo = std::min(inode.lostTo, inode.synced.size());
+            for (std::size_t i = inode.lostFrom; i < lostTo; ++i) {
+                inode.synced[i] = '\0';
+            }
+        }
+    }
+
     std::optional<int> openAppend(const std::string &path)
     {
         auto &inode = this->names[path];
@@ -179,9 +197,7 @@
         };
         files.sync = [this](int file) {
             const bool succeeds = this->mayProceed();
-            if (succeeds) {
-                this->handles.at(file)->synced = this->handles.at(file)->data;
-            }
+            this->syncInode(*this->handles.at(file), succeeds);
             return succeeds;
         };
         files.truncate = [this](int file, std::uint64_t size) {
