Fix: the replicated log in memory and on disk is bounded in bytes, too

Callers saw: 1,500 manifests of 68 KB make a data folder of 142 MB and a memory peak of 440 MB on each core, where a core has 128 MB of disk and 256 MB of memory. All cores hold the same log, so all of them fail together.

--- a/src/replication/raft.cpp
+++ b/src/replication/raft.cpp
@@ -6,9 +6,31 @@
 
 namespace {
 
-    /** Entries that a leader keeps in memory after a snapshot, so that replicas that are a little behind need no snapshot. */
+    /** Share of snapshotEvery and snapshotEveryBytes that stays in memory after a snapshot, so that replicas that are a little behind need none. */
     constexpr std::uint64_t TrailingShare = 8;
 
+    std::uint64_t payloadBytes(const RaftState &state, std::uint64_t index)
+    {
+        return state.log[index - state.baseIndex - 1].payload.size();
+    }
+
+    /** Returns the last entry that leaves the memory after a snapshot of an index. */
+    std::uint64_t lastDropped(const RaftState &state, std::uint64_t snapshotIndex)
+    {
+        const std::uint64_t maxEntries = state.settings.snapshotEvery / TrailingShare;
+        const std::uint64_t maxBytes = state.settings.snapshotEveryBytes / TrailingShare;
+        std::uint64_t last = snapshotIndex;
+        std::uint64_t bytes = 0;
+        while (last > state.baseIndex && snapshotIndex - last < maxEntries) {
+            bytes += payloadBytes(state, last);
+            if (bytes > maxBytes) {
+                break;
+            }
+            --last;
+        }
+        return last;
+    }
+
     void takeLog(RaftState &state, std::vector<LogEntry> log)
     {
         for (auto &entry : log) {
@@ -201,8 +223,11 @@
         ++inForce;
     }
     state.snapshot = {index, *term, state.memberships[inForce].membership, std::move(snapshot)};
-    const std::uint64_t trailing = state.settings.snapshotEvery / TrailingShare;
-    const std::uint64_t keepAfter = index > trailing ? index - trailing : 0;
+    state.bytesSinceSnapshot = 0;
+    for (std::uint64_t applied = index + 1; applied <= state.appliedIndex; ++applied) {
+        state.bytesSinceSnapshot += payloadBytes(state, applied);
+    }
+    const std::uint64_t keepAfter = lastDropped(state, index);
     if (keepAfter > state.baseIndex) {
         dropEntries(state, keepAfter, *entryTerm(state, keepAfter));
     }
@@ -216,7 +241,7 @@
 
 bool wantsSnapshot(const RaftState &state)
 {
-    return state.appliedIndex >= state.snapshot.index + state.settings.snapshotEvery;
+    return state.appliedIndex >= state.snapshot.index + state.settings.snapshotEvery || state.bytesSinceSnapshot >= state.settings.snapshotEveryBytes;
 }
 
 const Membership &currentMembership(const RaftState &state)
--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -65,6 +65,7 @@
     std::map<DaemonName, std::uint64_t> firstIncarnations; ///< For each daemon that the membership names: the lowest incarnation since it was admitted.
     std::uint64_t commitIndex = 0;
     std::uint64_t appliedIndex = 0; ///< Last entry handed out for applying.
+    std::uint64_t bytesSinceSnapshot = 0; ///< Payload bytes of the entries up to appliedIndex that the snapshot doesn't hold.
     bool installPending = false; ///< The snapshot must still be handed to the state machine.
     HardState persisted; ///< Hard state that was last handed out for persisting.
 
--- a/src/replication/raft_func.h
+++ b/src/replication/raft_func.h
@@ -73,7 +73,7 @@
 /** Returns whether this replica leads and another voter that is serving has answered recently. */
 bool hasSuccessor(const RaftState &state, TimePoint now);
 
-/** Returns whether snapshotEvery entries were applied since the last snapshot. */
+/** Returns whether snapshotEvery entries, or entries of snapshotEveryBytes, were applied since the last snapshot. */
 bool wantsSnapshot(const RaftState &state);
 
 /** Returns the membership in force on this replica. */
--- a/src/replication/raft_log.cpp
+++ b/src/replication/raft_log.cpp
@@ -99,6 +99,7 @@
     while (state.appliedIndex < state.commitIndex) {
         ++state.appliedIndex;
         actions.apply.push_back(state.log[state.appliedIndex - state.baseIndex - 1]);
+        state.bytesSinceSnapshot += actions.apply.back().payload.size();
     }
     const HardState current{state.term, state.votedFor, state.commitIndex};
     if (!state.settings.hasDisk || current == state.persisted) {
--- a/src/replication/raft_snapshot.cpp
+++ b/src/replication/raft_snapshot.cpp
@@ -21,6 +21,7 @@
         state.memberships = {{received.index, received.membership}};
         state.commitIndex = received.index;
         state.appliedIndex = received.index;
+        state.bytesSinceSnapshot = 0;
         state.installPending = true;
         state.snapshot = std::move(received);
         if (state.settings.hasDisk) {
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -112,6 +112,11 @@
     return this->journal.rewrite({encodeVersioned(RecordVersion, LogRecord{content.hardState, content.baseIndex, std::nullopt, content.log})});
 }
 
+std::uint64_t LogStore::size() const
+{
+    return this->journal.size();
+}
+
 const LogContent &LogStore::content() const
 {
     return this->stored;
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -35,6 +35,9 @@
     /** Drops what a synced snapshot replaces: entries up to its index, or all if its last entry is not in the log. Returns Ok or DiskFailed. */
     ResultCode compact(std::uint64_t snapshotIndex, std::uint64_t snapshotTerm);
 
+    /** Returns the size of the journal in bytes. */
+    std::uint64_t size() const;
+
     /** Returns what the journal holds. */
     const LogContent &content() const;
 
--- a/tests/raft_test.cpp
+++ b/tests/raft_test.cpp
@@ -136,6 +136,62 @@
     CHECK(late.snapshotsInstalled > before);
 }
 
+TEST_CASE("A few large entries fill neither the memory nor the disk")
+{
+    // Guards against a log that is bounded in entries only: three voters with the same log reach their limits at the same time.
+    constexpr std::uint64_t Bound = 16000;
+    constexpr std::size_t EntryBytes = 1000;
+    TestCluster cluster(2);
+    cluster.snapshotEvery = 1000000;
+    cluster.common.snapshotEveryBytes = Bound;
+    for (auto &node : cluster.nodes) {
+        cluster.stop(*node, false);
+        cluster.start(*node);
+    }
+    TestNode &leader = waitForLeader(cluster);
+    TestNode &late = otherVoter(cluster, leader);
+    cluster.stop(late, false);
+    const auto payloadOf = [](const TestNode &node) {
+        std::uint64_t bytes = 0;
+        for (const LogEntry &entry : node.raft->log) {
+            bytes += entry.payload.size();
+        }
+        return bytes;
+    };
+    std::uint64_t mostInMemory = 0;
+    std::uint64_t mostOnDisk = 0;
+    for (int i = 0; i < 200; ++i) {
+        cluster.propose(leader, "key=" + std::string(EntryBytes, static_cast<char>('a' + i % 26)));
+        cluster.run(10);
+        mostInMemory = std::max(mostInMemory, payloadOf(leader));
+        mostOnDisk = std::max(mostOnDisk, leader.folder.log->size());
+        REQUIRE(leader.raft->bytesSinceSnapshot <= payloadOf(leader));
+    }
+    CHECK(mostInMemory <= Bound + Bound / 8 + 2 * EntryBytes);
+    CHECK(mostOnDisk <= Bound + Bound / 4);
+    CHECK(payloadOf(leader) >= EntryBytes);
+
+    SUBCASE("a host that was down for all of them catches up")
+    {
+        cluster.start(late);
+        CHECK(cluster.runUntil(5000, [&cluster] {
+            return cluster.hasConverged(200);
+        }));
+        CHECK(late.snapshotsInstalled > 0);
+    }
+
+    SUBCASE("the bytes are counted on from the log that a start reads")
+    {
+        cluster.stop(leader, true);
+        cluster.start(leader);
+        CHECK(payloadOf(leader) < Bound + EntryBytes);
+        CHECK(cluster.runUntil(ElectionBound, [&leader] {
+            return leader.raft->appliedIndex >= 200;
+        }));
+        CHECK(payloadOf(leader) <= Bound + Bound / 8 + 2 * EntryBytes);
+    }
+}
+
 TEST_CASE("All hosts lose power at once")
 {
     TestCluster cluster(3, 3, 0);
