Change: the limits of a host bound the log of its core

Callers saw: the log of a core may grow beyond the disk space or the memory of its host, since the daemon knows neither.

Without limits the bound of RaftSettings holds, 32 MB.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -6,6 +6,7 @@
 #include "core/random.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
+#include "settings/host_limits.h"
 
 #include <boost/asio/post.hpp>
 
@@ -48,6 +49,8 @@
         raft.electionTimeoutMax = {settings.electionTimeoutMaxMs};
         raft.heartbeatInterval = {settings.raftHeartbeatMs};
         raft.snapshotEvery = static_cast<std::uint64_t>(settings.snapshotEvery);
+        const HostLimits limits{static_cast<std::uint64_t>(settings.limitDiskMegabytes), static_cast<std::uint64_t>(settings.limitMemoryMegabytes)};
+        raft.snapshotEveryBytes = logBytesWithin(limits, raft.snapshotEveryBytes);
         raft.guardsLeaderLease = true;
         raft.admitsNewVoters = true;
         raft.minVoters = static_cast<std::size_t>(2 * settings.toleratedHosts + 1);
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -389,7 +389,7 @@
     Duration electionTimeoutMax{2000};
     Duration heartbeatInterval{200};
     std::uint64_t snapshotEvery = 512; ///< Entries after which wantsSnapshot() asks for a snapshot.
-    std::uint64_t snapshotEveryBytes = 16777216; ///< Payload bytes of entries after which wantsSnapshot() asks for a snapshot, however few they are.
+    std::uint64_t snapshotEveryBytes = 33554432; ///< Payload bytes of entries after which wantsSnapshot() asks for a snapshot, however few they are.
     std::uint64_t seed = 0; ///< Seed of the election timeouts.
     std::vector<DaemonName> zoneVoters; ///< Voters of the own availability zone, for FetchRequest.
     std::vector<DaemonName> contacts; ///< Daemons that may know the leader, for a replica whose membership is out of date.
--- a/src/settings/table/fleet_settings_keys.h
+++ b/src/settings/table/fleet_settings_keys.h
@@ -30,6 +30,8 @@
 SETTING_NUMBER("/raft/electionTimeoutMaxMs", electionTimeoutMaxMs, 1300, 200, 120000, "ms", "longest election timeout")
 SETTING_NUMBER("/raft/heartbeatIntervalMs", raftHeartbeatMs, 150, 20, 10000, "ms", "interval at which the leader sends to followers")
 SETTING_NUMBER("/raft/snapshotEvery", snapshotEvery, 16384, 16, 10000000, "entries", "log entries between two snapshots")
+SETTING_NUMBER("/limits/diskMegabytes", limitDiskMegabytes, 0, 0, 1000000000, "MB", "disk space of this host for /dataFolder, which bounds the log; 0 if not known")
+SETTING_NUMBER("/limits/memoryMegabytes", limitMemoryMegabytes, 0, 0, 1000000000, "MB", "memory of this process, which bounds the log; 0 if not known")
 SETTING_NUMBER("/jobs/openMegabytes", openJobsMegabytes, 64, 1, 65536, "MB", "memory of jobs that have not ended, above which further ones are refused")
 SETTING_NUMBER("/tolerated/hosts", toleratedHosts, 1, 0, 8, "hosts", "hosts with a disk that may be lost at once")
 SETTING_NUMBER("/task/longestLeaseMs", longestLeaseMs, 10000, 500, 600000, "ms", "longest lease that workers grant")
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -2,6 +2,7 @@
 
 #include "catalog/intent_type.h"
 #include "settings/fleet_settings.h"
+#include "settings/host_limits.h"
 #include "settings/settings_func.h"
 
 #include <doctest/doctest.h>
@@ -128,6 +129,26 @@
         CHECK(hasError(errorsIn("{"), ResultCode::BadJson, ""));
     }
 
+    SUBCASE("the limits of the host bound the log, and are not known by default")
+    {
+        // Guards against a log that fills the disk or the memory of its host before a snapshot replaces it.
+        constexpr std::uint64_t Megabyte = 1'048'576;
+        constexpr std::uint64_t Most = 32 * Megabyte;
+        CHECK(errorsIn(R"({"peer": {"key": "k"}})").empty());
+        CHECK(settings.limitDiskMegabytes == 0);
+        CHECK(settings.limitMemoryMegabytes == 0);
+        CHECK(logBytesWithin({}, Most) == Most);
+        CHECK(logBytesWithin({1'000'000, 1'000'000}, Most) == Most);
+        for (const std::uint64_t megabytes : {16U, 128U, 200U}) {
+            const std::uint64_t ofDisk = logBytesWithin({megabytes, 0}, Most);
+            const std::uint64_t ofMemory = logBytesWithin({0, megabytes}, Most);
+            CHECK(4 * ofDisk <= megabytes * Megabyte / 2);
+            CHECK(4 * ofMemory <= megabytes * Megabyte / 4);
+            CHECK(logBytesWithin({megabytes, megabytes}, Most) == std::min(ofDisk, ofMemory));
+        }
+        CHECK(logBytesWithin({1, 1}, Most) == Megabyte);
+    }
+
     SUBCASE("the page for users lists every key with default, range and unit")
     {
         checkPage(FILBERTLANDING_SOURCE_DIR "/docs/fleet-settings.md", fleetSettingsRows());
