Fix: what was set aside or left over does not fill the disk of a core

Callers saw: nothing yet; found by reading. Folders damaged-<n> stay with all their data. A disk that refuses while a data folder is created leaves a current without an incarnation, which each retry sets aside as one more folder. A rewrite that fails on a full disk leaves its temporary file there.

Change: when a folder is set aside, the older ones keep their incarnation only. An unfinished creation (no incarnation, log and ledger empty or missing, no other file) is finished in place. A failed rewrite removes its file, and an open removes those that a crash left.

The test of failed reads counts one read more, the listing for the files that were left; a failure of it is a DiskFailed like the others.

--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -13,6 +13,8 @@
 
     constexpr std::string_view IncarnationFile = "incarnation";
     constexpr std::string_view FoundingFile = "founding-membership";
+    constexpr std::string_view LogFile = "raft.log";
+    constexpr std::string_view LedgerFile = "ledger.journal";
     constexpr std::string_view DamagedPrefix = "damaged-";
 
     /** Returns the only record of a file; nothing if it is damaged. */
@@ -23,6 +25,53 @@
         return isWhole ? std::optional(std::move(content.records.front())) : std::nullopt;
     }
 
+    std::string pathIn(std::string_view folder, std::string_view name)
+    {
+        return std::string(folder).append("/").append(name);
+    }
+
+    /** Removes what rewrites have left that a crash or a failing disk ended. Returns Ok or DiskFailed. */
+    ResultCode removeTemporaries(const FileFunctions &files, const std::string &current)
+    {
+        const auto names = files.list(current);
+        for (const auto &name : names.value_or(std::vector<std::string>())) {
+            if (name.ends_with(TemporarySuffix)) {
+                files.remove(pathIn(current, name));
+            }
+        }
+        return names ? ResultCode::Ok : ResultCode::DiskFailed;
+    }
+
+    /** Reads a file of `current` that holds nothing before the incarnation is written. Returns Ok if it is missing or empty, otherwise DataDamaged. */
+    ResultCode checkHoldsNothing(const FileFunctions &files, const std::string &path)
+    {
+        const FileContent file = files.read(path);
+        if (file.outcome == ReadOutcome::Failed) {
+            return ResultCode::DiskFailed;
+        }
+        return file.outcome == ReadOutcome::Missing || file.bytes == journalHeader() ? ResultCode::Ok : ResultCode::DataDamaged;
+    }
+
+    /**
+     * Looks whether `current` is what createCurrent leaves when the disk or the process fails in the middle: no incarnation, and nothing that a voter
+     * writes after it has one. Returns Ok, DiskFailed, or DataDamaged if something has been lost.
+     */
+    ResultCode checkUnfinished(const FileFunctions &files, const std::string &current)
+    {
+        const auto names = files.list(current);
+        if (!names) {
+            return ResultCode::DiskFailed;
+        }
+        const bool hasOthers = std::any_of(names->begin(), names->end(), [](const std::string &name) {
+            return name != LogFile && name != LedgerFile && !name.ends_with(TemporarySuffix);
+        });
+        if (hasOthers) {
+            return ResultCode::DataDamaged;
+        }
+        const ResultCode log = checkHoldsNothing(files, pathIn(current, LogFile));
+        return log == ResultCode::Ok ? checkHoldsNothing(files, pathIn(current, LedgerFile)) : log;
+    }
+
     /** Reads an incarnation file. Returns Ok, DiskFailed, or DataDamaged also if there is none. */
     ResultCode readIncarnation(const FileFunctions &files, const std::string &folder, std::uint64_t &incarnation)
     {
@@ -67,11 +116,16 @@
         if (!files.syncFolder(current)) {
             return ResultCode::DiskFailed;
         }
+        // Space first: a disk that is full of what failed rewrites have left could not become sound again.
+        code = removeTemporaries(files, current);
+        if (code != ResultCode::Ok) {
+            return code;
+        }
         folder.incarnationFile = std::make_unique<Journal>(files, current, std::string(IncarnationFile));
         folder.foundingFile = std::make_unique<Journal>(files, current, std::string(FoundingFile));
         folder.log = std::make_unique<LogStore>(files, current);
         folder.snapshots = std::make_unique<SnapshotStore>(files, current);
-        folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
+        folder.ledger = std::make_unique<Journal>(files, current, std::string(LedgerFile));
         code = loadFoundingMembership(files, current, folder.foundingMembership);
         code = code == ResultCode::Ok ? folder.snapshots->load(folder.persisted.snapshot) : code;
         code = code == ResultCode::Ok ? folder.log->open() : code;
@@ -103,7 +157,7 @@
         folder.foundingMembership.reset();
         folder.log = std::make_unique<LogStore>(files, current);
         folder.snapshots = std::make_unique<SnapshotStore>(files, current);
-        folder.ledger = std::make_unique<Journal>(files, current, "ledger.journal");
+        folder.ledger = std::make_unique<Journal>(files, current, std::string(LedgerFile));
         folder.persisted = {};
         folder.ledgerRecords.clear();
         folder.isNew = true;
@@ -157,6 +211,23 @@
         return target;
     }
 
+    /** Removes the content of the folders that were set aside before the given one. The incarnations stay, so that none is used again. */
+    void emptyOlderFolders(const FileFunctions &files, const std::string &path, const std::vector<std::string> &names, const std::string &newest)
+    {
+        for (const auto &name : names) {
+            const std::string folder = pathIn(path, name);
+            if (!name.starts_with(DamagedPrefix) || folder == newest) {
+                continue;
+            }
+            for (const auto &file : files.list(folder).value_or(std::vector<std::string>())) {
+                if (file != IncarnationFile) {
+                    // A file that stays costs only space, until a folder is set aside again.
+                    files.remove(pathIn(folder, file));
+                }
+            }
+        }
+    }
+
     std::string parentOf(const std::string &path)
     {
         const auto slash = path.find_last_of('/');
@@ -203,12 +274,19 @@
         folder.log.reset();
         folder.snapshots.reset();
         folder.ledger.reset();
-        const auto target = setAsideCurrent(files, path, current, *names);
-        names = files.list(path);
-        if (!target || !names) {
+        const ResultCode unfinished = checkUnfinished(files, current);
+        if (unfinished == ResultCode::DiskFailed) {
             return failedFolder(ResultCode::DiskFailed);
         }
-        folder.setAside = *target;
+        if (unfinished == ResultCode::DataDamaged) {
+            const auto target = setAsideCurrent(files, path, current, *names);
+            names = files.list(path);
+            if (!target || !names) {
+                return failedFolder(ResultCode::DiskFailed);
+            }
+            folder.setAside = *target;
+            emptyOlderFolders(files, path, *names, *target);
+        }
     }
     folder.code = raiseIncarnation(files, path, *names, newIncarnation);
     if (folder.code == ResultCode::Ok) {
--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -1,7 +1,7 @@
 /**
  * @file data_folder.h The data folder of a voter: lock, incarnation, log, snapshots and the ledger's journal.
  * Layout: `lock`, `current/incarnation`, `current/founding-membership`, `current/raft.log`, `current/snapshot-<index>`, `current/ledger.journal`,
- * `damaged-<n>/` (set aside). The files stand in a subfolder so that damaged data can be set aside by renaming also when the data folder is a mount point.
+ * `damaged-<n>/` (set aside; only the newest one keeps more than its incarnation). The files stand in a subfolder so that damaged data can be set aside by renaming also when the data folder is a mount point.
  */
 
 #pragma once
@@ -34,7 +34,8 @@
 };
 
 /**
- * Opens a data folder, or creates it with a new incarnation when it is missing, empty or damaged. Nothing is deleted.
+ * Opens a data folder, or creates it with a new incarnation when it is missing, empty or damaged. A creation that failed in the middle is finished in
+ * place. Damaged data is set aside; what was set aside before it loses all but its incarnation. Files that failed rewrites left are removed.
  * @param path The data folder.
  * @param newIncarnation Number for a new folder: 1 at the first start of an installation, otherwise the calendar time in ms.
  *        The replicated log raises it if the others know a higher one.
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -182,7 +182,7 @@
         content += encodeRecord(record);
     }
     const std::string path = this->folder + "/" + this->name;
-    const std::string temporary = path + ".new";
+    const std::string temporary = path + std::string(TemporarySuffix);
     const auto file = this->files.openAppend(temporary);
     if (!file) {
         return this->fail();
@@ -191,6 +191,8 @@
     const bool isWritten = this->files.truncate(*file, 0) && this->writeAll(*file, content) == ResultCode::Ok;
     if (!isWritten || !this->files.rename(temporary, path) || !this->files.syncFolder(this->folder)) {
         this->files.close(*file);
+        // A part of a rewrite would take the space for which the log is compacted.
+        this->files.remove(temporary);
         return this->fail();
     }
     if (this->handle >= 0) {
--- a/src/storage/journal.h
+++ b/src/storage/journal.h
@@ -17,6 +17,7 @@
 namespace Filbertlanding {
 
 constexpr std::size_t MaxRecordBytes = 67108864; ///< Bound of one record; a larger length in a file is damage.
+constexpr std::string_view TemporarySuffix = ".new"; ///< Ends the name of the file that a rewrite makes and renames.
 
 /** Records decoded from the bytes of a journal. */
 struct JournalContent {
