Fix: an entry that no peer frame can carry is not proposed

Manifests of up to 4 MiB are taken from the operator.

Cause: a manifest is one entry with the document and the parsed routes, and an entry is one message at least. Above 4 MiB encodeFrame refuses it, the followers get none of it nor of what comes after it, and the empty heartbeats keep the leader in charge. All commands that wait while two entries are in flight became one entry too, without a bound (by reading).

Change: an entry has at most 4 MiB less 64 KiB. A manifest that takes more is refused with TooLarge (413) and manifest_refused; commands that wait together are spread over several entries. A single job submission fits: 1 MiB of JSON, 256 steps and 4,000 bytes of payload at most (by reading).

--- a/src/fleet/fleet_command.h
+++ b/src/fleet/fleet_command.h
@@ -229,9 +229,21 @@
                                   RecordCrash,
                                   AdvanceRetentionClock>;
 
+constexpr std::size_t MaxEntryBytes =
+    std::size_t{4} * 1024 * 1024 - std::size_t{64} * 1024; ///< Payload of a log entry; with its envelope it fits into a peer frame of 4 MiB.
+
 /** Encodes commands as the payload of a log entry. */
 std::string encodeCommands(const std::vector<FleetCommand> &commands);
 
+/** Payload of a log entry, and how many commands it holds. */
+struct EncodedEntry {
+    std::string payload;
+    std::size_t commands = 0;
+};
+
+/** Encodes as many of the first commands as surely fit into the bytes of one entry, and at least one. */
+EncodedEntry encodeFirstCommands(const std::vector<FleetCommand> &commands, std::size_t maxBytes);
+
 /** Decodes the payload of a log entry; returns nothing if it is malformed. */
 std::optional<std::vector<FleetCommand>> decodeCommands(std::string_view payload);
 
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -275,7 +275,9 @@
         this->inFlight.pop_front();
         this->counters.commitTime.record(steadyNow() - batch.proposedAt);
         for (const auto &callback : batch.callbacks) {
-            callback(true);
+            if (callback) {
+                callback(true);
+            }
         }
     }
 }
@@ -419,7 +421,9 @@
     }
     this->inFlight.clear();
     for (const auto &callback : callbacks) {
-        callback(false);
+        if (callback) {
+            callback(false);
+        }
     }
     this->tickTimer.expires_after(LeadershipRestartDelay);
     this->tickTimer.async_wait([this](const boost::system::error_code &error) {
@@ -432,19 +436,27 @@
 void FleetCore::propose(FleetCommand command, std::function<void(bool)> done)
 {
     this->outbox.push_back(std::move(command));
-    if (done) {
-        this->outboxCallbacks.push_back(std::move(done));
-    }
+    this->outboxCallbacks.push_back(std::move(done));
 }
 
 void FleetCore::flush()
 {
-    if (!this->scheduler || this->outbox.empty() || this->inFlight.size() >= MaxEntriesInFlight) {
-        return;
+    while (this->scheduler && !this->outbox.empty() && this->inFlight.size() < MaxEntriesInFlight) {
+        this->proposeEntry();
     }
+}
+
+void FleetCore::proposeEntry()
+{
+    EncodedEntry encoded = encodeFirstCommands(this->outbox, MaxEntryBytes);
+    const auto count = static_cast<std::ptrdiff_t>(encoded.commands);
+    const auto firstRemaining = this->outboxCallbacks.begin() + count;
+    std::vector<std::function<void(bool)>> callbacks(std::make_move_iterator(this->outboxCallbacks.begin()), std::make_move_iterator(firstRemaining));
+    this->outboxCallbacks.erase(this->outboxCallbacks.begin(), firstRemaining);
+    this->outbox.erase(this->outbox.begin(), this->outbox.begin() + count);
     const std::uint64_t number = ++this->lastBatch;
-    this->inFlight.push_back({number, 0, std::exchange(this->outboxCallbacks, {}), steadyNow()});
-    this->replication.propose(encodeCommands(std::exchange(this->outbox, {})), [this, number, term = this->scheduler->term](const ProposedEntry &entry) {
+    this->inFlight.push_back({number, 0, std::move(callbacks), steadyNow()});
+    this->replication.propose(std::move(encoded.payload), [this, number, term = this->scheduler->term](const ProposedEntry &entry) {
         // This handler runs before the entry is applied, because both are posted from the same thread.
         asio::post(this->io, [this, number, isAccepted = entry.code == ResultCode::Ok && entry.term == term, index = entry.index] {
             const auto batch = std::find_if(this->inFlight.begin(), this->inFlight.end(), [number](const Batch &item) {
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -123,7 +123,7 @@
     struct Batch {
         std::uint64_t number = 0; ///< Number of the proposal.
         std::uint64_t index = 0; ///< Log index of the entry; 0 until it is known.
-        std::vector<std::function<void(bool)>> callbacks; ///< Called with whether the entry was applied.
+        std::vector<std::function<void(bool)>> callbacks; ///< Called with whether the entry was applied; may be empty.
         TimePoint proposedAt;
     };
 
@@ -153,6 +153,7 @@
     void continueStop();
     void propose(FleetCommand command, std::function<void(bool)> done = {});
     void flush();
+    void proposeEntry();
     void executeActions(SchedulerActions actions);
     void sendOrder(WorkerOrder order);
     void handleOrderResponse(const WorkerOrder &order, const OrderResponse &response);
@@ -203,8 +204,8 @@
     TimePoint nextLoadLine; ///< Earliest time of the next log line about the load.
     std::multiset<JobId> pendingJobs; ///< Jobs that were proposed and are not applied yet.
     std::size_t pendingBytes = 0; ///< Memory of the pending jobs.
-    std::vector<FleetCommand> outbox; ///< Commands of the next log entry.
-    std::vector<std::function<void(bool)>> outboxCallbacks; ///< Completion callbacks of these commands.
+    std::vector<FleetCommand> outbox; ///< Commands of the next log entries.
+    std::vector<std::function<void(bool)>> outboxCallbacks; ///< Completion callback of each of these commands; may be empty.
     std::uint64_t lastBatch = 0; ///< Number of the last proposal.
     std::deque<Batch> inFlight; ///< Proposed entries that are not applied yet, in log order.
     std::multimap<std::uint64_t, std::function<void()>> pendingReads; ///< Reads waiting for a log index to be applied.
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -353,7 +353,16 @@
         done(isResend ? makeResponse(ResultCode::Ok) : makeResponse(ResultCode::VersionConflict, "this version was already uploaded with different content"));
         return;
     }
-    this->propose(PutManifest{request.manifest}, [this, sent = request.manifest, done = std::move(done)](bool applied) {
+    PutManifest command{request.manifest};
+    if (encodeCommands({command}).size() > MaxEntryBytes) {
+        logLine(LogArea::Intent,
+                LogLevel::Warn,
+                "manifest_refused",
+                {{"version", request.manifest.version}, {"reason", "size"}, {"documentBytes", request.manifest.document.size()}});
+        done(makeResponse(ResultCode::TooLarge, "the manifest is too large to be replicated"));
+        return;
+    }
+    this->propose(std::move(command), [this, sent = request.manifest, done = std::move(done)](bool applied) {
         if (!applied) {
             done(makeRetryLaterResponse(ResultCode::ChangeOutcomeUnknown, "leadership was lost before the manifest was committed"));
             return;
--- a/tests/fleet_installation.cpp
+++ b/tests/fleet_installation.cpp
@@ -129,6 +129,7 @@
                                 {"listen", listen},
                                 {"peer", {{"port", PeerPort}, {"fromOwnAddress", true}, {"key", "key of the test"}}},
                                 {"tolerated", {{"hosts", (this->cores.size() - 1) / 2}}},
+                                {"limits", {{"diskMegabytes", daemon.isCore ? this->shape.diskMegabytes : 0}}},
                                 {"stopGraceMs", this->shape.stopGraceMs}};
     return json::serialize(settings);
 }
--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -26,6 +26,7 @@
     std::size_t cores = 1;
     std::size_t entries = 1;
     std::int64_t stopGraceMs = 2'500; ///< Time between the signal to stop and the end of a process.
+    std::int64_t diskMegabytes = 0; ///< Disk space of a core that the settings name; 0 if not known.
 };
 
 /** Cores and entries. The addresses are derived from the process id, so that concurrent runs use different ones. */
--- a/tests/fleet_snapshot_test.cpp
+++ b/tests/fleet_snapshot_test.cpp
@@ -299,3 +299,31 @@
     CHECK(std::get<EndRun>(decoded->at(1)).checkpoint == "checkpoint");
     CHECK(std::get<SaveLearnedModel>(decoded->at(3)).model == "model");
 }
+
+TEST_CASE("Commands that wait together are spread over entries that can be replicated")
+{
+    // Guards against an entry that is larger than a peer frame: no follower ever gets it, nor any later one.
+    constexpr std::size_t MaxBytes = 4'000;
+    std::vector<FleetCommand> commands;
+    for (std::uint64_t version = 1; version <= 9; ++version) {
+        PutManifest command;
+        command.manifest.version = version;
+        command.manifest.document = std::string(version == 5 ? 2 * MaxBytes : MaxBytes / 3, 'x');
+        commands.emplace_back(command);
+    }
+    std::vector<std::uint64_t> versions;
+    while (!commands.empty()) {
+        const EncodedEntry entry = encodeFirstCommands(commands, MaxBytes);
+        REQUIRE(entry.commands >= 1);
+        CHECK((entry.payload.size() <= MaxBytes || entry.commands == 1));
+        const auto decoded = decodeCommands(entry.payload);
+        REQUIRE(decoded);
+        REQUIRE(decoded->size() == entry.commands);
+        for (const FleetCommand &command : *decoded) {
+            versions.push_back(std::get<PutManifest>(command).manifest.version);
+        }
+        commands.erase(commands.begin(), commands.begin() + static_cast<std::ptrdiff_t>(entry.commands));
+    }
+    CHECK(versions == std::vector<std::uint64_t>{1, 2, 3, 4, 5, 6, 7, 8, 9});
+    CHECK(encodeFirstCommands({SetZoneDrained{}, SetZoneDrained{}}, MaxBytes).commands == 2);
+}
