--- a/tests/fleet_installation.cpp
+++ b/tests/fleet_installation.cpp
@@ -133,13 +133,34 @@
     return json::serialize(settings);
 }
 
+std::filesystem::path FleetInstallation::diskFaultPath(const FleetProcess &daemon) const
+{
+    return this->folder / (daemon.name + ".fault");
+}
+
+void FleetInstallation::setDiskFault(const FleetProcess &daemon, std::string_view fault) const
+{
+    // A daemon that reads in between finds the whole old or new text.
+    const std::filesystem::path path = this->diskFaultPath(daemon);
+    writeText(path.string() + ".new", fault);
+    std::filesystem::rename(path.string() + ".new", path);
+}
+
 void FleetInstallation::start(FleetProcess &daemon)
 {
     std::vector<std::string> arguments{fleetDaemonProgram(), "--settings", this->settingsPath(daemon).string()};
     if (this->descriptorLimit > 0) {
         arguments.insert(arguments.begin(), {"/bin/sh", "-c", R"(ulimit -n "$0" && exec "$@")", std::to_string(this->descriptorLimit)});
     }
-    daemon.process = std::make_unique<ChildProcess>(arguments, this->logPath(daemon));
+    std::vector<std::string> variables;
+    if (this->switchableDisks && daemon.isCore) {
+        // The address sanitizer wants to be the first library, but this one must come before it.
+        variables = {std::string("LD_PRELOAD=") + FILBERTLANDING_DISK_FAULT_SHIM,
+                     "ASAN_OPTIONS=verify_asan_link_order=0",
+                     "DISK_FAULT_FOLDER=" + this->dataPath(daemon).string(),
+                     "DISK_FAULT_FILE=" + this->diskFaultPath(daemon).string()};
+    }
+    daemon.process = std::make_unique<ChildProcess>(arguments, this->logPath(daemon), variables);
 }
 
 void FleetInstallation::restart(FleetProcess &daemon)
--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -56,6 +56,9 @@
     /** Starts a daemon that is down again, with the contacts of now. */
     void startAgain(FleetProcess &daemon);
 
+    /** Sets the fault of the disk of a core that was started with switchableDisks: `eio`, `enospc`, `hang`, or none. */
+    void setDiskFault(const FleetProcess &daemon, std::string_view fault) const;
+
     /** Returns whether the readiness check of a daemon says 200. */
     bool isReady(const FleetProcess &daemon);
 
@@ -100,9 +103,12 @@
     std::vector<FleetProcess> entries;
     FleetProcess &core; ///< The first core.
     FleetProcess &entry; ///< The first entry.
+    bool switchableDisks = false; ///< Whether the disks of cores that are started from now on fail as setDiskFault() says.
     int descriptorLimit = 0; ///< Limit on the descriptors of daemons that are started from now on; 0 for that of this process.
 
 private:
+    std::filesystem::path diskFaultPath(const FleetProcess &daemon) const;
+
     FleetShape shape;
     std::size_t replacedHosts = 0;
     std::filesystem::path folder;
--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -51,6 +51,18 @@
         return true;
     }
 
+    /** Returns pointers to strings, ending with null. */
+    std::vector<char *> pointersTo(const std::vector<std::string> &strings)
+    {
+        std::vector<char *> list;
+        list.reserve(strings.size() + 1);
+        for (const std::string &string : strings) {
+            list.push_back(const_cast<char *>(string.c_str()));
+        }
+        list.push_back(nullptr);
+        return list;
+    }
+
     void add(std::vector<std::string> &list, const std::vector<std::string> &more)
     {
         list.insert(list.end(), more.begin(), more.end());
@@ -70,14 +82,13 @@
     return condition();
 }
 
-ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::filesystem::path &output)
+ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::filesystem::path &output, std::vector<std::string> variables)
 {
-    std::vector<char *> list;
-    list.reserve(arguments.size() + 1);
-    for (const std::string &argument : arguments) {
-        list.push_back(const_cast<char *>(argument.c_str()));
+    const std::vector<char *> list = pointersTo(arguments);
+    for (char **variable = ::environ; *variable != nullptr; ++variable) {
+        variables.emplace_back(*variable);
     }
-    list.push_back(nullptr);
+    const std::vector<char *> environment = pointersTo(variables);
     const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     const pid_t parent = ::getpid();
     std::array<int, 2> executed{-1, -1};
@@ -100,7 +111,7 @@
             ::close_range(STDERR_FILENO + 1, kept - 1, 0);
         }
         ::close_range(kept + 1, ~0U, 0);
-        ::execv(list.front(), list.data());
+        ::execve(list.front(), list.data(), environment.data());
         ::_exit(127);
     }
     ::close(file);
--- a/tests/process_cluster.h
+++ b/tests/process_cluster.h
@@ -32,8 +32,9 @@
 class ChildProcess
 {
 public:
-    /** Starts a program with standard output and error appended to a file, and waits until it runs; throws if that is not possible. */
-    ChildProcess(const std::vector<std::string> &arguments, const std::filesystem::path &output);
+    /** Starts a program with standard output and error appended to a file, and waits until it runs; throws if that is not possible. The variables, as
+     * `NAME=value`, go before those of this process. */
+    ChildProcess(const std::vector<std::string> &arguments, const std::filesystem::path &output, std::vector<std::string> variables = {});
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
     /** Kills the process if it still runs. */
