Change: the generators of faults of the soak share their timers

soak_replacements, soak_reach_faults, soak_faults and soak_process_faults each had their own delayed actions, table of actions that revert the faults that last, and drawing of a duration; a fifth generator needs them too. They are in soak_timers now. What is drawn from a seed, and when, stays the same.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -47,13 +47,13 @@
 } // namespace
 
 SoakFaults::SoakFaults(asio::io_context &loop, const SoakSettings &soakSettings, SoakDaemons &soakDaemons, SoakRelay &soakRelay, SoakWorkers &soakWorkers)
-    : io(loop)
-    , settings(soakSettings)
+    : settings(soakSettings)
     , daemons(soakDaemons)
     , relay(soakRelay)
     , workers(soakWorkers)
     , random{soakSettings.seed}
     , timer(loop)
+    , timers(loop)
 {
 }
 
@@ -68,7 +68,7 @@
     const std::uint64_t gapRange = this->settings.hasOnlyWorkerCrashes ? WorkerCrashGapRangeMs : FaultGapRangeMs;
     this->timer.expires_after(std::chrono::milliseconds(MinFaultGap.ms + static_cast<std::int64_t>(this->random.below(gapRange))));
     this->timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error && !this->hasEnded) {
+        if (!error && !this->timers.hasStopped) {
             this->injectNext();
         }
     });
@@ -84,27 +84,8 @@
 
 void SoakFaults::revertAll()
 {
-    this->hasEnded = true;
     this->timer.cancel();
-    const auto pending = std::exchange(this->pendingReverts, {});
-    for (const auto &[number, revert] : pending) {
-        revert();
-    }
-}
-
-void SoakFaults::revertAfter(Duration duration, std::function<void()> action)
-{
-    const std::uint64_t number = ++this->lastRevert;
-    this->pendingReverts.emplace(number, std::move(action));
-    const auto revertTimer = std::make_shared<asio::steady_timer>(this->io, std::chrono::milliseconds(duration.ms));
-    revertTimer->async_wait([this, number, revertTimer](const boost::system::error_code &) {
-        const auto found = this->pendingReverts.find(number);
-        if (found != this->pendingReverts.end()) {
-            const auto revert = std::move(found->second);
-            this->pendingReverts.erase(found);
-            revert();
-        }
-    });
+    this->timers.stop();
 }
 
 bool SoakFaults::canLoseDisk() const
@@ -136,7 +117,7 @@
 
 void SoakFaults::restartAfter(std::size_t daemon, Duration duration)
 {
-    this->revertAfter(duration, [this, daemon] {
+    this->timers.revertAfter(duration, [this, daemon] {
         this->daemons.start(daemon);
     });
 }
@@ -171,7 +152,7 @@
     case SoakFault::PauseEntry: {
         const std::size_t paused = fault == SoakFault::PauseCore ? core : entry;
         this->daemons.pause(paused, true);
-        this->revertAfter(duration, [this, paused] {
+        this->timers.revertAfter(duration, [this, paused] {
             this->daemons.pause(paused, false);
         });
         return;
@@ -184,7 +165,7 @@
         return;
     case SoakFault::FullDisk:
         this->daemons.setFileSizeLimited(core, true);
-        this->revertAfter(duration, [this, core] {
+        this->timers.revertAfter(duration, [this, core] {
             this->daemons.setFileSizeLimited(core, false);
         });
         return;
@@ -199,7 +180,7 @@
     const std::string sender = this->daemons.daemons[from].address;
     const std::string receiver = this->daemons.daemons[to].address;
     this->relay.setBlocked(sender, receiver, true);
-    this->revertAfter(duration, [this, sender, receiver] {
+    this->timers.revertAfter(duration, [this, sender, receiver] {
         this->relay.setBlocked(sender, receiver, false);
         this->linksHealthySince = steadyNow();
     });
@@ -212,7 +193,7 @@
     switch (fault) {
     case SoakFault::DelayCore:
         this->relay.setDelay(address, Duration{20 + static_cast<std::int64_t>(this->random.below(200))});
-        this->revertAfter(duration, [this, address] {
+        this->timers.revertAfter(duration, [this, address] {
             this->relay.setDelay(address, Duration{0});
         });
         return;
@@ -250,7 +231,7 @@
             return;
         }
         this->workers.crash(worker, false);
-        this->revertAfter(duration, [this, worker] {
+        this->timers.revertAfter(duration, [this, worker] {
             this->workers.crash(worker, true);
         });
         return;
@@ -260,13 +241,13 @@
         if (fault == SoakFault::RestartIsolatedWorker) {
             this->workers.crash(worker, true);
         }
-        this->revertAfter(duration * 2, [this, worker] {
+        this->timers.revertAfter(duration * 2, [this, worker] {
             this->workers.setIsolated(worker, false);
         });
         return;
     case SoakFault::HangWorker:
         this->workers.setHanging(worker, true);
-        this->revertAfter(duration, [this, worker] {
+        this->timers.revertAfter(duration, [this, worker] {
             this->workers.setHanging(worker, false);
         });
         return;
@@ -275,13 +256,13 @@
         return;
     case SoakFault::DelayOrders:
         this->workers.setDelayedOrderPercent(10);
-        this->revertAfter(duration, [this] {
+        this->timers.revertAfter(duration, [this] {
             this->workers.setDelayedOrderPercent(0);
         });
         return;
     default:
         this->workers.setDroppedResponsePercent(20);
-        this->revertAfter(duration, [this] {
+        this->timers.revertAfter(duration, [this] {
             this->workers.setDroppedResponsePercent(0);
         });
         return;
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -5,12 +5,12 @@
 #include "core/random.h"
 #include "soak/soak_daemons.h"
 #include "soak/soak_relay.h"
+#include "soak/soak_timers.h"
 #include "soak/soak_workers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <map>
 
 namespace Filbertlanding {
@@ -71,20 +71,16 @@
     void restartAfter(std::size_t daemon, Duration duration);
     void killCore(std::size_t core, Duration duration);
     void blockTraffic(std::size_t from, std::size_t to, Duration duration);
-    void revertAfter(Duration duration, std::function<void()> action);
     bool canLoseDisk() const;
 
-    boost::asio::io_context &io;
     const SoakSettings &settings;
     SoakDaemons &daemons;
     SoakRelay &relay;
     SoakWorkers &workers;
     Random random;
     boost::asio::steady_timer timer;
-    std::multimap<std::uint64_t, std::function<void()>> pendingReverts; ///< Actions that revert the active faults, by number.
-    std::uint64_t lastRevert = 0;
+    SoakTimers timers;
     TimePoint linksHealthySince;
-    bool hasEnded = false;
 };
 
 } // namespace Filbertlanding
--- a/tests/soak/soak_process_faults.cpp
+++ b/tests/soak/soak_process_faults.cpp
@@ -53,6 +53,7 @@
     , daemons(soakDaemons)
     , random{soakSettings.seed ^ 0x516eULL}
     , timer(loop)
+    , timers(loop)
 {
 }
 
@@ -69,8 +70,8 @@
 
 void SoakProcessFaults::stop()
 {
-    this->hasStopped = true;
     this->timer.cancel();
+    this->timers.stop();
     this->daemons.hasStarted = {};
     const auto used = std::exchange(this->portsInUse, {});
     for (const auto &[daemon, port] : used) {
@@ -85,26 +86,11 @@
     }
 }
 
-void SoakProcessFaults::runAfter(Duration delay, std::function<void()> action)
-{
-    const auto delayTimer = std::make_shared<asio::steady_timer>(this->io, std::chrono::milliseconds(delay.ms));
-    delayTimer->async_wait([this, delayTimer, action = std::move(action)](const boost::system::error_code &) {
-        if (!this->hasStopped) {
-            action();
-        }
-    });
-}
-
-Duration SoakProcessFaults::drawDuration(Duration lowest, Duration highest)
-{
-    return lowest + Duration{static_cast<std::int64_t>(this->random.below(static_cast<std::uint64_t>((highest - lowest).ms) + 1))};
-}
-
 void SoakProcessFaults::arm()
 {
-    this->timer.expires_after(std::chrono::milliseconds(this->drawDuration(MinGap, MaxGap).ms));
+    this->timer.expires_after(std::chrono::milliseconds(drawDuration(this->random, MinGap, MaxGap).ms));
     this->timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error && !this->hasStopped) {
+        if (!error && !this->timers.hasStopped) {
             const auto kinds = static_cast<std::uint64_t>(lastEnumerator(SoakProcessFault{})) + 1;
             this->inject(static_cast<SoakProcessFault>(this->random.below(kinds)));
             this->arm();
@@ -137,14 +123,14 @@
     case SoakProcessFault::RestartUnderSignals:
         this->daemons.kill(any);
         this->daemons.start(any);
-        this->runAfter(this->drawDuration(MinStartDelay, MaxStartDelay), [this, any] {
+        this->timers.runAfter(drawDuration(this->random, MinStartDelay, MaxStartDelay), [this, any] {
             this->sendVolley(any);
         });
         return;
     case SoakProcessFault::TerminateAfterStart:
         this->daemons.kill(any);
         this->daemons.start(any);
-        this->runAfter(this->drawDuration(MinStartDelay, MaxStartDelay), [this, any] {
+        this->timers.runAfter(drawDuration(this->random, MinStartDelay, MaxStartDelay), [this, any] {
             this->daemons.terminate(any);
         });
         return;
@@ -182,7 +168,7 @@
 void SoakProcessFaults::sendVolley(std::size_t daemon)
 {
     if (this->daemons.daemons[daemon].process != nullptr && !this->daemons.hasBegun(daemon)) {
-        this->runAfter(MinStartDelay, [this, daemon] {
+        this->timers.runAfter(MinStartDelay, [this, daemon] {
             this->sendVolley(daemon);
         });
         return;
@@ -194,7 +180,7 @@
             this->hangUp(daemon);
             continue;
         }
-        this->runAfter(this->drawDuration({0}, MaxVolleyTime), [this, daemon] {
+        this->timers.runAfter(drawDuration(this->random, {0}, MaxVolleyTime), [this, daemon] {
             this->hangUp(daemon);
         });
     }
@@ -203,7 +189,7 @@
 void SoakProcessFaults::onStarted(std::size_t daemon)
 {
     if (this->random.below(SignalledStartEvery) == 0) {
-        this->runAfter(this->drawDuration(MinStartDelay, MaxStartDelay), [this, daemon] {
+        this->timers.runAfter(drawDuration(this->random, MinStartDelay, MaxStartDelay), [this, daemon] {
             this->sendVolley(daemon);
         });
     }
@@ -230,7 +216,7 @@
         return;
     }
     write(SoakFileWrite::FirstHalfInPlace);
-    this->runAfter(this->drawDuration({0}, MaxHalfFileTime), [write] {
+    this->timers.runAfter(drawDuration(this->random, {0}, MaxHalfFileTime), [write] {
         write(SoakFileWrite::WholeInPlace);
     });
 }
@@ -240,7 +226,7 @@
     this->daemons.kill(daemon);
     this->daemons.writeSettings(daemon, SoakFileWrite::FirstHalfInPlace);
     this->daemons.startProcess(daemon);
-    this->runAfter(this->drawDuration({0}, MaxHalfFileTime), [this, daemon] {
+    this->timers.runAfter(drawDuration(this->random, {0}, MaxHalfFileTime), [this, daemon] {
         this->daemons.writeSettings(daemon, SoakFileWrite::WholeInPlace);
     });
 }
@@ -252,9 +238,9 @@
         return;
     }
     this->daemons.slowDown(daemon, true);
-    this->runAfter(SlowCycle - running, [this, daemon, running, cyclesLeft] {
+    this->timers.runAfter(SlowCycle - running, [this, daemon, running, cyclesLeft] {
         this->daemons.slowDown(daemon, false);
-        this->runAfter(running, [this, daemon, running, cyclesLeft] {
+        this->timers.runAfter(running, [this, daemon, running, cyclesLeft] {
             this->slowDown(daemon, running, cyclesLeft - 1);
         });
     });
@@ -270,7 +256,7 @@
     const Port acceptor = std::make_shared<asio::ip::tcp::acceptor>(this->io, asio::ip::tcp::endpoint{asio::ip::make_address(address.address), address.port});
     this->portsInUse.emplace(daemon, acceptor);
     this->daemons.start(daemon);
-    this->runAfter(time, [this, daemon, acceptor] {
+    this->timers.runAfter(time, [this, daemon, acceptor] {
         this->release(daemon, acceptor);
     });
 }
--- a/tests/soak/soak_process_faults.h
+++ b/tests/soak/soak_process_faults.h
@@ -4,12 +4,12 @@
 
 #include "core/random.h"
 #include "soak/soak_daemons.h"
+#include "soak/soak_timers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -62,8 +62,6 @@
     void slowDown(std::size_t daemon, Duration running, std::uint64_t cyclesLeft);
     void occupyPort(std::size_t daemon, SoakPort port, Duration time);
     void release(std::size_t daemon, const Port &port);
-    void runAfter(Duration delay, std::function<void()> action);
-    Duration drawDuration(Duration lowest, Duration highest);
 
     boost::asio::io_context &io;
     const SoakSettings &settings;
@@ -72,7 +70,7 @@
     boost::asio::steady_timer timer;
     std::map<std::size_t, Port> portsInUse; ///< By daemon.
     std::set<std::size_t> slowDaemons;
-    bool hasStopped = false;
+    SoakTimers timers;
 };
 
 } // namespace Filbertlanding
--- a/tests/soak/soak_reach_faults.cpp
+++ b/tests/soak/soak_reach_faults.cpp
@@ -84,6 +84,7 @@
     , random{soakSettings.seed ^ 0x4eacULL}
     , run(static_cast<SoakReachRun>(random.below(static_cast<std::uint64_t>(lastEnumerator(SoakReachRun{})) + 1)))
     , timer(loop)
+    , timers(loop)
 {
 }
 
@@ -101,51 +102,21 @@
 
 void SoakReachFaults::stop()
 {
-    this->hasStopped = true;
     this->timer.cancel();
-    const auto pending = std::exchange(this->pendingReverts, {});
-    for (const auto &[number, revert] : pending) {
-        revert();
-    }
+    this->timers.stop();
     if (this->run == SoakReachRun::PlannedStops) {
         this->reach.checkPlannedStops();
     }
 }
 
-void SoakReachFaults::runAfter(Duration delay, std::function<void()> action)
-{
-    const auto delayTimer = std::make_shared<asio::steady_timer>(this->io, std::chrono::milliseconds(delay.ms));
-    delayTimer->async_wait([this, delayTimer, action = std::move(action)](const boost::system::error_code &) {
-        if (!this->hasStopped) {
-            action();
-        }
-    });
-}
-
-void SoakReachFaults::revertAfter(Duration delay, std::function<void()> action)
-{
-    const std::uint64_t number = ++this->lastRevert;
-    this->pendingReverts.emplace(number, std::move(action));
-    this->runAfter(delay, [this, number] {
-        const auto revert = std::move(this->pendingReverts.at(number));
-        this->pendingReverts.erase(number);
-        revert();
-    });
-}
-
-Duration SoakReachFaults::drawDuration(Duration lowest, Duration highest)
-{
-    return lowest + Duration{static_cast<std::int64_t>(this->random.below(static_cast<std::uint64_t>((highest - lowest).ms) + 1))};
-}
-
 void SoakReachFaults::arm()
 {
-    this->timer.expires_after(std::chrono::milliseconds(this->drawDuration(MinGap, MaxGap).ms));
+    this->timer.expires_after(std::chrono::milliseconds(drawDuration(this->random, MinGap, MaxGap).ms));
     this->timer.async_wait([this](const boost::system::error_code &error) {
-        if (error || this->hasStopped) {
+        if (error || this->timers.hasStopped) {
             return;
         }
-        if (this->run != SoakReachRun::OneByOne || this->pendingReverts.empty()) {
+        if (this->run != SoakReachRun::OneByOne || !this->timers.hasReverts()) {
             this->inject(this->draw());
         }
         this->arm();
@@ -202,8 +173,8 @@
 {
     const bool closesConnections = this->random.below(2) == 0;
     const bool endsLeader = this->random.below(4) != 0;
-    const Duration catchUpTime = this->drawDuration(MinCatchUpTime, MaxCatchUpTime);
-    const Duration time = this->drawDuration(MinPortTime, MaxPortTime);
+    const Duration catchUpTime = drawDuration(this->random, MinCatchUpTime, MaxCatchUpTime);
+    const Duration time = drawDuration(this->random, MinPortTime, MaxPortTime);
     if (std::exchange(this->hasTakenPort, true)) {
         return;
     }
@@ -214,11 +185,11 @@
     this->daemons.daemons[core].isPortTaken = true;
     this->daemons.start(core);
     if (endsLeader) {
-        this->runAfter(catchUpTime, [this, core] {
+        this->timers.runAfter(catchUpTime, [this, core] {
             this->endLeaderBut(core);
         });
     }
-    this->revertAfter(time, [this, core, other] {
+    this->timers.revertAfter(time, [this, core, other] {
         other->close();
         this->hasTakenPort = false;
         this->reach.onDisturbance();
@@ -245,7 +216,7 @@
 
 void SoakReachFaults::gather(std::size_t daemon, SoakPort port)
 {
-    const Duration time = this->drawDuration(MinCrowdTime, MaxCrowdTime);
+    const Duration time = drawDuration(this->random, MinCrowdTime, MaxCrowdTime);
     const std::pair place{daemon, port};
     if (!this->crowded.insert(place).second) {
         return;
@@ -253,7 +224,7 @@
     this->reach.onDisturbance();
     const auto crowd = std::make_shared<SoakCrowd>(this->io, soakAddressOf(this->daemons.addressOf(daemon, port)));
     crowd->start(CrowdSize);
-    this->revertAfter(time, [this, crowd, place] {
+    this->timers.revertAfter(time, [this, crowd, place] {
         crowd->stop();
         this->crowded.erase(place);
         this->reach.onDisturbance();
@@ -268,7 +239,7 @@
     }
     this->reach.onPlannedStop();
     this->daemons.terminate(*leader);
-    this->runAfter(this->drawDuration(MinStopGap, MaxStopGap), [this, stopsLeft] {
+    this->timers.runAfter(drawDuration(this->random, MinStopGap, MaxStopGap), [this, stopsLeft] {
         this->stopLeader(stopsLeft - 1);
     });
 }
@@ -277,8 +248,8 @@
 {
     const auto cores = static_cast<std::size_t>(this->settings.cores);
     const std::size_t distance = 1 + this->random.below(cores - 1);
-    const Duration lead = this->drawDuration({0}, MaxPauseLead);
-    const Duration time = lead + this->drawDuration(MinPauseTime, MaxPauseTime);
+    const Duration lead = drawDuration(this->random, {0}, MaxPauseLead);
+    const Duration time = lead + drawDuration(this->random, MinPauseTime, MaxPauseTime);
     const std::optional<std::size_t> leader = this->reach.leader();
     if (!leader) {
         return;
@@ -286,10 +257,10 @@
     const std::size_t paused = (*leader + distance) % cores;
     this->reach.onDisturbance();
     this->daemons.pause(paused, true);
-    this->runAfter(lead, [this, stopped = *leader] {
+    this->timers.runAfter(lead, [this, stopped = *leader] {
         this->daemons.terminate(stopped);
     });
-    this->revertAfter(time, [this, paused] {
+    this->timers.revertAfter(time, [this, paused] {
         this->daemons.pause(paused, false);
         this->reach.onDisturbance();
     });
--- a/tests/soak/soak_reach_faults.h
+++ b/tests/soak/soak_reach_faults.h
@@ -6,12 +6,12 @@
 #include "soak/soak_crowd.h"
 #include "soak/soak_daemons.h"
 #include "soak/soak_reach.h"
+#include "soak/soak_timers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -69,9 +69,6 @@
     void gather(std::size_t daemon, SoakPort port);
     void stopLeader(std::uint64_t stopsLeft);
     void stopLeaderPauseOther();
-    void runAfter(Duration delay, std::function<void()> action);
-    void revertAfter(Duration delay, std::function<void()> action);
-    Duration drawDuration(Duration lowest, Duration highest);
 
     boost::asio::io_context &io;
     const SoakSettings &settings;
@@ -80,11 +77,9 @@
     Random random;
     SoakReachRun run;
     boost::asio::steady_timer timer;
-    std::map<std::uint64_t, std::function<void()>> pendingReverts; ///< Actions that revert the active faults, by number.
-    std::uint64_t lastRevert = 0;
+    SoakTimers timers;
     bool hasTakenPort = false;
     std::set<std::pair<std::size_t, SoakPort>> crowded;
-    bool hasStopped = false;
 };
 
 } // namespace Filbertlanding
--- a/tests/soak/soak_replacements.cpp
+++ b/tests/soak/soak_replacements.cpp
@@ -51,14 +51,14 @@
 
 SoakReplacements::SoakReplacements(
     boost::asio::io_context &loop, const SoakSettings &soakSettings, SoakDaemons &soakDaemons, const SoakReach &soakReach, SoakChecks &soakChecks)
-    : io(loop)
-    , settings(soakSettings)
+    : settings(soakSettings)
     , daemons(soakDaemons)
     , reach(soakReach)
     , checks(soakChecks)
     , random{soakSettings.seed ^ 0x5ccULL}
     , maxPause(random.below(2) == 0 ? Duration{0} : MaxPause)
     , timer(loop)
+    , timers(loop)
 {
 }
 
@@ -69,45 +69,16 @@
 
 void SoakReplacements::stop()
 {
-    this->hasStopped = true;
     this->timer.cancel();
-    const auto pending = std::exchange(this->pendingReverts, {});
-    for (const auto &[number, revert] : pending) {
-        revert();
-    }
-}
-
-void SoakReplacements::runAfter(Duration delay, std::function<void()> action)
-{
-    const auto delayTimer = std::make_shared<boost::asio::steady_timer>(this->io, std::chrono::milliseconds(delay.ms));
-    delayTimer->async_wait([delayTimer, action = std::move(action)](const boost::system::error_code &) {
-        action();
-    });
-}
-
-void SoakReplacements::revertAfter(Duration delay, std::function<void()> action)
-{
-    const std::uint64_t number = ++this->lastRevert;
-    this->pendingReverts.emplace(number, std::move(action));
-    this->runAfter(delay, [this, number] {
-        const auto pending = this->pendingReverts.extract(number);
-        if (pending) {
-            pending.mapped()();
-        }
-    });
-}
-
-Duration SoakReplacements::drawDuration(Duration lowest, Duration highest)
-{
-    return lowest + Duration{static_cast<std::int64_t>(this->random.below(static_cast<std::uint64_t>((highest - lowest).ms) + 1))};
+    this->timers.stop();
 }
 
 void SoakReplacements::arm()
 {
-    const Duration wait = CatchUpTime + this->drawDuration({0}, this->maxPause);
+    const Duration wait = CatchUpTime + drawDuration(this->random, {0}, this->maxPause);
     this->timer.expires_after(std::chrono::milliseconds(wait.ms));
     this->timer.async_wait([this](const boost::system::error_code &error) {
-        if (!error && !this->hasStopped) {
+        if (!error && !this->timers.hasStopped) {
             this->loseNext();
         }
     });
@@ -115,7 +86,7 @@
 
 void SoakReplacements::startAfter(Duration delay, std::vector<std::size_t> cores)
 {
-    this->revertAfter(delay, [this, cores = std::move(cores)] {
+    this->timers.revertAfter(delay, [this, cores = std::move(cores)] {
         for (const std::size_t core : cores) {
             this->daemons.start(core);
         }
@@ -130,7 +101,7 @@
     const std::size_t any = this->random.below(cores);
     const std::array chosen{any, (this->lastCore + 1) % cores, this->reach.leader().value_or(any)};
     const std::size_t core = chosen[this->random.below(chosen.size())];
-    const Duration delay = this->random.below(2) == 0 ? Duration{0} : this->drawDuration({0}, MaxStartDelay);
+    const Duration delay = this->random.below(2) == 0 ? Duration{0} : drawDuration(this->random, {0}, MaxStartDelay);
     this->lastCore = core;
     this->expectRead(loss);
     switch (loss) {
@@ -150,7 +121,7 @@
         return;
     case SoakLoss::Freeze:
         this->daemons.pause(core, true);
-        this->revertAfter(this->drawDuration(MinFreezeTime, MaxFreezeTime), [this, core] {
+        this->timers.revertAfter(drawDuration(this->random, MinFreezeTime, MaxFreezeTime), [this, core] {
             this->daemons.pause(core, false);
             this->arm();
         });
@@ -172,7 +143,7 @@
     if (this->settings.isVerbose) {
         std::cout << formatWallTime(wallNow()) << " " << text << " (" << this->daemons.daemons[this->lastCore].name << ")" << std::endl;
     }
-    this->runAfter(RecoveryTime, [this, lostAt, text, wallTime = formatWallTime(wallNow())] {
+    this->timers.runAlwaysAfter(RecoveryTime, [this, lostAt, text, wallTime = formatWallTime(wallNow())] {
         if (this->checks.lastManifestRead < lostAt) {
             this->checks.addViolation("no read of the manifest is served for 12 s after a loss at " + wallTime + ": " + text);
         }
@@ -188,11 +159,11 @@
         this->startAfter(delay, {core});
         return;
     }
-    this->revertAfter(delay, [this, core] {
+    this->timers.revertAfter(delay, [this, core] {
         this->daemons.start(core);
     });
-    this->revertAfter(delay + this->drawDuration({0}, CatchUpTime), [this, time = this->drawDuration({0}, MaxStartDelay)] {
-        if (!this->hasStopped) {
+    this->timers.revertAfter(delay + drawDuration(this->random, {0}, CatchUpTime), [this, time = drawDuration(this->random, {0}, MaxStartDelay)] {
+        if (!this->timers.hasStopped) {
             this->expectRead(SoakLoss::KillAll);
             this->killAll(time);
         }
@@ -204,18 +175,18 @@
     const std::size_t other = this->daemons.replace(core);
     const int number = this->random.below(2) == 0 ? SIGKILL : SIGTERM;
     const bool isNextReplaced = this->random.below(2) == 0;
-    const Duration time = this->drawDuration(CatchUpTime, MaxPlannedTime);
+    const Duration time = drawDuration(this->random, CatchUpTime, MaxPlannedTime);
     this->daemons.start(core);
     this->daemons.exchange(core, other);
-    this->revertAfter(this->drawDuration({0}, MaxNoticeTime), [this, core, other] {
+    this->timers.revertAfter(drawDuration(this->random, {0}, MaxNoticeTime), [this, core, other] {
         this->daemons.exchange(core, other);
         this->daemons.announceCores();
         this->daemons.exchange(core, other);
     });
-    this->revertAfter(time, [this, other, core, number, isNextReplaced] {
+    this->timers.revertAfter(time, [this, other, core, number, isNextReplaced] {
         this->daemons.exchange(core, other);
         this->end(other, number);
-        if (!isNextReplaced || this->hasStopped) {
+        if (!isNextReplaced || this->timers.hasStopped) {
             this->arm();
             return;
         }
@@ -227,15 +198,15 @@
 
 void SoakReplacements::end(std::size_t old, int signal)
 {
-    this->daemons.retire(old, this->hasStopped ? SIGKILL : signal);
-    if (this->hasStopped) {
+    this->daemons.retire(old, this->timers.hasStopped ? SIGKILL : signal);
+    if (this->timers.hasStopped) {
         this->daemons.announceCores();
         return;
     }
-    this->revertAfter(GraceTime, [this, old] {
+    this->timers.revertAfter(GraceTime, [this, old] {
         this->daemons.retire(old, SIGKILL);
     });
-    this->revertAfter(this->drawDuration({0}, MaxNoticeTime), [this] {
+    this->timers.revertAfter(drawDuration(this->random, {0}, MaxNoticeTime), [this] {
         this->daemons.announceCores();
     });
 }
--- a/tests/soak/soak_replacements.h
+++ b/tests/soak/soak_replacements.h
@@ -6,11 +6,11 @@
 #include "soak/soak_checks.h"
 #include "soak/soak_daemons.h"
 #include "soak/soak_reach.h"
+#include "soak/soak_timers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <map>
 
 namespace Filbertlanding {
@@ -54,11 +54,7 @@
     void end(std::size_t old, int signal);
     void killAll(Duration time);
     void startAfter(Duration delay, std::vector<std::size_t> cores);
-    void runAfter(Duration delay, std::function<void()> action);
-    void revertAfter(Duration delay, std::function<void()> action);
-    Duration drawDuration(Duration lowest, Duration highest);
 
-    boost::asio::io_context &io;
     const SoakSettings &settings;
     SoakDaemons &daemons;
     const SoakReach &reach;
@@ -66,10 +62,8 @@
     Random random;
     Duration maxPause; ///< From the time at which a loss no longer counts to the next one.
     boost::asio::steady_timer timer;
-    std::map<std::uint64_t, std::function<void()>> pendingReverts; ///< Actions that revert the losses that last, by number.
-    std::uint64_t lastRevert = 0;
+    SoakTimers timers;
     std::size_t lastCore = 0;
-    bool hasStopped = false;
 };
 
 } // namespace Filbertlanding
