Test: a full disk excuses no exit of a daemon in the soak

The soak has a full disk (a file size limit of 0), but from the moment of the limit on it excused every exit of that daemon, also after the limit was lifted, until the next start. And the limit held for the running process only: the next one opened its folder on a sound disk. So the soak never saw a core whose folder can't be opened, and took the ends by a write error for good.

Change: a full disk and its end leave the expected exit as it is, so an exit by itself is a violation, and SIGTERM beside a full disk has to end the process in order. A core with an impaired disk no longer counts as healthy where a second one may lose its disk, nor as undisturbed where a read is expected: until now its restart showed that.

Red until the replica opens its folder again inside the process.

--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -305,16 +305,11 @@
     }
 }
 
-void SoakDaemons::setFileSizeLimited(std::size_t daemon, bool isLimited)
+void SoakDaemons::setFileSizeLimit(std::size_t daemon, rlim_t limit)
 {
-    const SoakDaemon &limited = this->daemons[daemon];
-    if (limited.process == nullptr) {
-        return;
+    if (this->daemons[daemon].process != nullptr) {
+        this->daemons[daemon].process->limit(RLIMIT_FSIZE, {limit, RLIM_INFINITY});
     }
-    // A daemon exits after a write error, so that it reopens its data folder on restart.
-    this->expectedExits[daemon] = ExpectedExit::Any;
-    const rlimit limit{isLimited ? 0 : RLIM_INFINITY, RLIM_INFINITY};
-    limited.process->limit(RLIMIT_FSIZE, limit);
 }
 
 void SoakDaemons::setDescriptorLimit(std::size_t daemon, rlim_t limit)
@@ -324,10 +319,19 @@
     }
 }
 
+void SoakDaemons::setDiskImpaired(std::size_t daemon, bool isImpaired)
+{
+    SoakDaemon &changed = this->daemons[daemon];
+    if (std::exchange(changed.isDiskImpaired, isImpaired) && !isImpaired) {
+        changed.diskSoundSince = steadyNow();
+    }
+}
+
 bool SoakDaemons::areCoresHealthy(Duration time) const
 {
     return std::all_of(this->daemons.begin(), this->daemons.end(), [time](const SoakDaemon &daemon) {
-        return !daemon.hasDisk || (daemon.process != nullptr && !daemon.isSuspended && daemon.upSince && steadyNow() - *daemon.upSince >= time);
+        const bool isUp = daemon.process != nullptr && !daemon.isSuspended && daemon.upSince && steadyNow() - *daemon.upSince >= time;
+        return !daemon.hasDisk || (isUp && !daemon.isDiskImpaired && steadyNow() - daemon.diskSoundSince >= time);
     });
 }
 
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -27,6 +27,8 @@
     TimePoint lastKill; ///< End of the last time at which callers could lose a request because of a fault.
     TimePoint lastTermination; ///< First SIGTERM of the last process that got one.
     TimePoint lastSlowDown; ///< Last signal that suspended or resumed the process.
+    bool isDiskImpaired = false; ///< The data folder may not be opened or written to, because of a fault of the disk or of a limit.
+    TimePoint diskSoundSince; ///< End of the last such fault.
 };
 
 /** How a settings file is replaced. */
@@ -100,12 +102,15 @@
     /** Appends an incomplete record to the log of a daemon that is down, like a write interrupted by a power failure. */
     void appendTornRecord(std::size_t daemon) const;
 
-    /** Sets or removes a file size limit of 0 for a daemon, which makes writes fail as on a full disk. */
-    void setFileSizeLimited(std::size_t daemon, bool isLimited);
+    /** Sets the limit of the size of files of a daemon that is running. At 0 all writes fail as on a full disk; RLIM_INFINITY removes the limit. */
+    void setFileSizeLimit(std::size_t daemon, rlim_t limit);
 
     /** Sets the limit of open descriptors of a daemon that is running. */
     void setDescriptorLimit(std::size_t daemon, rlim_t limit);
 
+    /** Records that a fault of the disk or of a limit has begun, or that the last one has ended. */
+    void setDiskImpaired(std::size_t daemon, bool isImpaired);
+
     /** Returns whether all cores have been running undisturbed for at least a given time. */
     bool areCoresHealthy(Duration time) const;
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -164,9 +164,11 @@
         this->daemons.terminate(entry);
         return;
     case SoakFault::FullDisk:
-        this->daemons.setFileSizeLimited(core, true);
+        this->daemons.setFileSizeLimit(core, 0);
+        this->daemons.setDiskImpaired(core, true);
         this->timers.revertAfter(duration, [this, core] {
-            this->daemons.setFileSizeLimited(core, false);
+            this->daemons.setFileSizeLimit(core, RLIM_INFINITY);
+            this->daemons.setDiskImpaired(core, false);
         });
         return;
     default:
--- a/tests/soak/soak_reach.cpp
+++ b/tests/soak/soak_reach.cpp
@@ -144,7 +144,8 @@
     std::size_t undisturbed = 0;
     for (const SoakDaemon &daemon : this->daemons.daemons) {
         cores += daemon.hasDisk ? 1 : 0;
-        undisturbed += daemon.hasDisk && this->isUndisturbed(daemon) ? 1 : 0;
+        const bool hasSoundDisk = daemon.hasDisk && !daemon.isDiskImpaired && steadyNow() - daemon.diskSoundSince > ReachLimit;
+        undisturbed += hasSoundDisk && this->isUndisturbed(daemon) ? 1 : 0;
     }
     const Duration unread = steadyNow() - std::max(this->lastRead, this->linksDisturbedAt);
     if (undisturbed * 2 <= cores || unread <= ReachLimit || std::exchange(this->isUnreadReported, true)) {
