Add: the soak plays series of faults of disks and limits

The soak had one short full disk among many faults.

`--disk-faults` plays series of full and nearly full disks (RLIMIT_FSIZE, at times of all cores at once or right after a start), folders whose lock the soak holds, and low limits of descriptors at a start. They overlap with each other, with kills, restarts, kills of all cores, and at times a core that is replaced by a new machine. A module of its own draws them from a generator of its own; clients keep using open connections.

soak_replica_checks reads the metrics and the manifest of each core every 100 ms. Violations: an exit by itself (as before); no `filbertlanding_replica{condition="running"} 1` within a second of the end of the last fault of a core, plus the standstill of the soak's own event loop; a call to a running core without an answer; 12 s without a read of the manifest with at most one core impaired. A core that is short of descriptors may cut calls.

--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -314,8 +314,9 @@
 
 void SoakDaemons::setDescriptorLimit(std::size_t daemon, rlim_t limit)
 {
-    if (this->daemons[daemon].process != nullptr) {
-        this->daemons[daemon].process->limit(RLIMIT_NOFILE, {limit, limit});
+    rlimit own{};
+    if (this->daemons[daemon].process != nullptr && ::getrlimit(RLIMIT_NOFILE, &own) == 0) {
+        this->daemons[daemon].process->limit(RLIMIT_NOFILE, {std::min(limit, own.rlim_cur), own.rlim_max});
     }
 }
 
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -29,6 +29,7 @@
     TimePoint lastSlowDown; ///< Last signal that suspended or resumed the process.
     bool isDiskImpaired = false; ///< The data folder may not be opened or written to, because of a fault of the disk or of a limit.
     TimePoint diskSoundSince; ///< End of the last such fault.
+    bool isShortOfDescriptors = false; ///< Its limit is below what its connections need.
 };
 
 /** How a settings file is replaced. */
@@ -105,12 +106,14 @@
     /** Sets the limit of the size of files of a daemon that is running. At 0 all writes fail as on a full disk; RLIM_INFINITY removes the limit. */
     void setFileSizeLimit(std::size_t daemon, rlim_t limit);
 
-    /** Sets the limit of open descriptors of a daemon that is running. */
+    /** Sets the limit of open descriptors of a daemon that is running, at most to that of the soak. */
     void setDescriptorLimit(std::size_t daemon, rlim_t limit);
 
     /** Records that a fault of the disk or of a limit has begun, or that the last one has ended. */
     void setDiskImpaired(std::size_t daemon, bool isImpaired);
 
+    std::filesystem::path dataFolder(const SoakDaemon &daemon) const;
+
     /** Returns whether all cores have been running undisturbed for at least a given time. */
     bool areCoresHealthy(Duration time) const;
 
@@ -134,7 +137,6 @@
     };
 
     void addExitsOfReplaced(std::vector<std::string> &unexpected);
-    std::filesystem::path dataFolder(const SoakDaemon &daemon) const;
 
     const SoakSettings &settings;
     std::string networkPrefix;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -7,6 +7,7 @@
 #include "soak/soak_callers.h"
 #include "soak/soak_capacity.h"
 #include "soak/soak_connections.h"
+#include "soak/soak_disk_faults.h"
 #include "soak/soak_faults.h"
 #include "soak/soak_odd_reports.h"
 #include "soak/soak_operators.h"
@@ -14,6 +15,7 @@
 #include "soak/soak_reach.h"
 #include "soak/soak_reach_faults.h"
 #include "soak/soak_replacements.h"
+#include "soak/soak_replica_checks.h"
 #include "soak/soak_services.h"
 #include "soak/soak_silences.h"
 #include "soak/soak_starvation.h"
@@ -63,6 +65,8 @@
         , reach(this->io, this->daemons, this->checks)
         , reachFaults(this->io, this->settings, this->daemons, this->reach)
         , replacements(this->io, this->settings, this->daemons, this->reach, this->checks)
+        , diskFaults(this->io, this->settings, this->daemons)
+        , replicaChecks(this->io, this->daemons, this->watch, this->checks)
         , services(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
         , silences(this->io, this->settings, this->daemons, this->workers, this->relay)
         , starvation(this->io, this->daemons, this->workers, this->manifests, this->checks)
@@ -103,6 +107,10 @@
         } else if (this->settings.hasReplacements) {
             this->reach.start();
             this->replacements.start();
+        } else if (this->settings.hasDiskFaults) {
+            this->reach.start();
+            this->replicaChecks.start();
+            this->diskFaults.start();
         } else if (this->settings.hasSilentLinks) {
             this->reach.start();
             this->startSilences();
@@ -122,6 +130,7 @@
             this->faults.revertAll();
             this->reachFaults.stop();
             this->replacements.stop();
+            this->diskFaults.stop();
             this->reach.stop();
             this->silences.stop();
             this->capacityChanges.stop();
@@ -201,9 +210,23 @@
         std::cout << "seed " << this->settings.seed << ": longest wait with room in calm phases " << this->starvation.longestWait.ms << " ms, "
                   << this->services.moves << " changes of a service with " << this->services.checkedStarts << " starts checked; "
                   << this->watch.describeSince(this->startedAt) << std::endl;
-        if (this->settings.hasReachFaults || this->settings.hasReplacements || this->settings.hasSilentLinks) {
+        if (this->settings.hasReachFaults || this->settings.hasReplacements || this->settings.hasSilentLinks || this->settings.hasDiskFaults) {
             this->printReach();
         }
+        if (this->settings.hasDiskFaults) {
+            this->printRecoveries();
+        }
+    }
+
+    void printRecoveries() const
+    {
+        int faultCount = 0;
+        for (const auto &[fault, count] : this->diskFaults.injected) {
+            faultCount += count;
+        }
+        std::cout << "seed " << this->settings.seed << ": " << faultCount << " disk faults, " << this->replicaChecks.recoveries << " recoveries, the longest "
+                  << this->replicaChecks.longestRecovery.ms << " ms, longest time without a read with at most one core impaired "
+                  << this->replicaChecks.longestUnread.ms << " ms" << std::endl;
     }
 
     void printReach() const
@@ -242,6 +265,8 @@
     SoakReach reach;
     SoakReachFaults reachFaults;
     SoakReplacements replacements;
+    SoakDiskFaults diskFaults;
+    SoakReplicaChecks replicaChecks;
     SoakServices services;
     SoakSilences silences;
     SoakStarvation starvation;
@@ -278,6 +303,7 @@
         "--reach-faults", settings.hasReachFaults, "leave daemons running but out of reach, stop the leader as planned, and inject no other faults in them");
     app.add_flag(
         "--replace-cores", settings.hasReplacements, "replace cores by new machines among other losses, one at a time, and inject no other faults in daemons");
+    app.add_flag("--disk-faults", settings.hasDiskFaults, "impair the disks and limits of cores among restarts, and inject no other faults in daemons");
     app.add_option("--calm-seconds", calmSeconds, "duration of the calm phase after the faults in seconds");
     app.add_flag("--moving-queue", settings.hasMovingQueue, "add a queue whose route changes its service, and workers of both services");
     app.add_flag("--silent-links", settings.hasSilentLinks, "let open connections go silent in series, and inject no other faults in daemons");
--- a/tests/soak/soak_reach.cpp
+++ b/tests/soak/soak_reach.cpp
@@ -125,7 +125,8 @@
 
 bool SoakReach::isUndisturbed(const SoakDaemon &daemon) const
 {
-    return daemon.process != nullptr && !daemon.isSuspended && !daemon.isPortTaken && daemon.upSince && steadyNow() - *daemon.upSince > ReachLimit;
+    return daemon.process != nullptr && !daemon.isSuspended && !daemon.isPortTaken && !daemon.isShortOfDescriptors && daemon.upSince
+        && steadyNow() - *daemon.upSince > ReachLimit;
 }
 
 void SoakReach::checkTarget(Target &target)
--- a/tests/soak/soak_type.h
+++ b/tests/soak/soak_type.h
@@ -24,6 +24,7 @@
     bool hasOnlyWorkerCrashes = false; ///< All faults are crashes of workers, at shorter intervals.
     bool hasReachFaults = false; ///< All faults of daemons leave them running but out of reach, or are planned stops of the leader.
     bool hasReplacements = false; ///< All faults of daemons are losses of cores, one at a time; most are replacements by new machines.
+    bool hasDiskFaults = false; ///< All faults of daemons are those of disks and limits of cores, and restarts.
     bool hasMovingQueue = false; ///< A second queue, whose route changes its service; every second worker is of the second service.
     bool hasSilentLinks = false; ///< All faults are open connections that go silent.
     bool isVerbose = false; ///< Prints each fault as it is injected.
