Fix: a core without a replica tells operators and workers that nothing leads

Cause: a core redirects only to the leader that its own replica names. A replica that does not run, or that no leader has written to, names none, and one that hangs names the leader of the time at which it stopped.

Change: such a core asks the other daemons over its peer links, as entries do, and redirects to the one that has said within the last 1.5 s that it leads itself, never to itself. It asks nobody while its replica runs and knows the leader of its term. LeaderFinder gets hooks for that, since a core maintains its peer links itself; an entry is unchanged.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -99,6 +99,7 @@
     , handoverTimer(loop)
     , tickTimer(loop)
     , statusLog(loop)
+    , finder(loop, static_cast<std::uint16_t>(daemonSettings.peerPort))
     , times(loopTimes)
 {
 }
@@ -112,6 +113,7 @@
 {
     this->peers = &links;
     this->startStatusLog();
+    this->startLeaderFinder();
     ReplicationHooks hooks;
     hooks.send = [this](const DaemonName &to, const RaftMessage &message) {
         this->peers->sendOneWay(to, static_cast<std::uint8_t>(FleetMessageKind::Replication), encodeFleetMessage(message));
@@ -365,12 +367,8 @@
 
 void FleetCore::setRequiredPeers()
 {
-    std::vector<DaemonName> others = this->recentSenders.names(steadyNow());
-    for (const DaemonName &contact : this->contactAddresses()) {
-        others.push_back(contact);
-    }
     std::vector<PeerAddress> addresses;
-    for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, others)) {
+    for (const DaemonName &daemon : this->linkedDaemons()) {
         addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
     }
     this->peers->setPeers(std::move(addresses));
@@ -476,6 +474,7 @@
     }
     this->heldCalls.release();
     this->statusLog.stop();
+    this->finder.stop();
     this->replication.stop();
     this->client.stop();
 }
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -11,6 +11,7 @@
 #include "fleetd/fleet_message.h"
 #include "fleetd/fleet_peers.h"
 #include "fleetd/held_calls.h"
+#include "fleetd/leader_finder.h"
 #include "fleetd/leader_handover.h"
 #include "fleetd/loop_time.h"
 #include "fleetd/protocol_adapter.h"
@@ -184,6 +185,10 @@
     void countReport(const ApiResponse &response);
     bool isOnlyVoter() const;
     bool isOtherLeaderKnown() const;
+    bool isLeaderKnownToReplica() const;
+    DaemonName otherLeader() const;
+    std::set<DaemonName> linkedDaemons() const;
+    void startLeaderFinder();
 
     boost::asio::io_context &io;
     const FleetDaemonSettings &settings;
@@ -222,6 +227,8 @@
     FleetCoreCounters counters;
     CoreStatusLog statusLog;
     bool isStatusLogStarted = false;
+    LeaderFinder finder; ///< Asks the other daemons while the replica names no leader.
+    bool isFinderStarted = false;
     LoopTimes &times;
     bool isTickAdvanced = false; ///< The next tick is scheduled early to process worker responses.
     bool isStopping = false;
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -185,7 +185,7 @@
              {"replicaCode", resultCodeRow(health.code).name},
              {"replicaForMs", (steadyNow() - health.since).ms},
              {"role", replicaRoleName(health, this->status.role)},
-             {"leader", this->status.leader}});
+             {"leader", this->otherLeader()}});
 }
 
 void FleetCore::countReport(const ApiResponse &response)
@@ -237,7 +237,7 @@
         this->dispatchControlRequest(call.request, [this, call, retry, mayReadElsewhere](const ApiResponse &response) {
             // A read that the end of the leadership has interrupted has no effect, so the next leader may answer it.
             const bool isInterrupted = mayReadElsewhere && response.code != ResultCode::Ok && !this->isLeading() && !this->isStopping;
-            if (isInterrupted && this->isOtherLeaderKnown()) {
+            if (isInterrupted && !this->otherLeader().empty()) {
                 retry();
             } else if (!isInterrupted || !this->heldCalls.hold(retry)) {
                 call.reply(response);
@@ -248,9 +248,10 @@
     if (mayWait) {
         this->logNotLeading(call.request);
     }
-    if (this->isOtherLeaderKnown() && !this->isStopping) {
+    const DaemonName leader = this->otherLeader();
+    if (!leader.empty() && !this->isStopping) {
         ApiResponse response = makeResponse(ResultCode::NotLeader);
-        response.redirect = this->controlAddressOf(this->status.leader);
+        response.redirect = this->controlAddressOf(leader);
         response.path = call.target;
         call.reply(response);
         return;
@@ -262,7 +263,7 @@
 
 void FleetCore::releaseHeldCalls()
 {
-    if (this->isLeading() || this->isOtherLeaderKnown()) {
+    if (this->isLeading() || !this->otherLeader().empty()) {
         this->heldCalls.release();
     }
 }
--- a/src/fleetd/leader_finder.cpp
+++ b/src/fleetd/leader_finder.cpp
@@ -1,4 +1,4 @@
-/** @file leader_finder.cpp Leader discovery for daemons that relay requests. */
+/** @file leader_finder.cpp Leader discovery for daemons that relay requests, and for cores whose own replica names no leader. */
 
 #include "fleetd/leader_finder.h"
 
@@ -15,9 +15,18 @@
     constexpr std::chrono::milliseconds MinSearchInterval{20}; ///< First interval of the queries to all daemons after the loss of the leader; it doubles.
     constexpr std::chrono::milliseconds MaxSearchInterval{150}; ///< Longest interval of these queries.
     constexpr Duration QueryTimeout{600}; ///< Timeout of a query.
+    constexpr Duration MaxConfirmationAge{1'500}; ///< A leader is named to others while its last confirmation is at most this old.
 
 } // namespace
 
+void queryLeaderOver(PeerLinks &links, const DaemonName &daemon, LeaderInfoHandler answered)
+{
+    const auto kind = static_cast<std::uint8_t>(FleetMessageKind::FindLeader);
+    links.sendRequest(daemon, kind, {}, QueryTimeout, [answered = std::move(answered)](const PeerAnswer &answer) {
+        answered(answer.code == ResultCode::Ok ? decodeFleetMessage<LeaderInfo>(answer.payload) : std::nullopt);
+    });
+}
+
 LeaderFinder::LeaderFinder(boost::asio::io_context &loop, std::uint16_t port)
     : peerPort(port)
     , timer(loop)
@@ -27,8 +36,27 @@
 void LeaderFinder::start(PeerLinks &links, const std::vector<std::string> &addresses)
 {
     this->peers = &links;
-    this->searchInterval = MaxSearchInterval;
     this->setContacts(addresses);
+    LeaderFinderHooks own;
+    own.query = [&links](const DaemonName &daemon, LeaderInfoHandler answered) {
+        queryLeaderOver(links, daemon, std::move(answered));
+    };
+    own.peers = [this] {
+        return this->contactsAndVoters();
+    };
+    own.namesChanged = [this] {
+        this->refreshPeers();
+    };
+    own.isNeeded = [] {
+        return true;
+    };
+    this->start(std::move(own));
+}
+
+void LeaderFinder::start(LeaderFinderHooks finderHooks)
+{
+    this->hooks = std::move(finderHooks);
+    this->searchInterval = MaxSearchInterval;
     this->armTimer();
 }
 
@@ -38,10 +66,16 @@
     this->refreshPeers();
 }
 
-void LeaderFinder::refreshPeers()
+std::set<DaemonName> LeaderFinder::contactsAndVoters() const
 {
     std::set<DaemonName> all = this->contacts;
     all.insert(this->voters.begin(), this->voters.end());
+    return all;
+}
+
+void LeaderFinder::refreshPeers()
+{
+    const std::set<DaemonName> all = this->contactsAndVoters();
     std::vector<PeerAddress> addresses;
     addresses.reserve(all.size());
     for (const DaemonName &daemon : all) {
@@ -65,30 +99,31 @@
 
 void LeaderFinder::queryLeader()
 {
+    if (!this->hooks.isNeeded()) {
+        this->currentLeader.clear();
+        return;
+    }
     if (!this->currentLeader.empty()) {
         this->queryDaemon(this->currentLeader);
         return;
     }
-    std::set<DaemonName> all = this->contacts;
-    all.insert(this->voters.begin(), this->voters.end());
-    for (const DaemonName &daemon : all) {
+    for (const DaemonName &daemon : this->hooks.peers()) {
         this->queryDaemon(daemon);
     }
 }
 
 void LeaderFinder::queryDaemon(const DaemonName &daemon)
 {
-    this->peers->sendRequest(daemon, static_cast<std::uint8_t>(FleetMessageKind::FindLeader), {}, QueryTimeout, [this, daemon](const PeerAnswer &answer) {
-        const auto info = answer.code == ResultCode::Ok ? decodeFleetMessage<LeaderInfo>(answer.payload) : std::nullopt;
+    this->hooks.query(daemon, [this, daemon, sentAt = steadyNow()](const std::optional<LeaderInfo> &info) {
         if (info) {
-            this->onLeaderInfo(daemon, *info);
+            this->onLeaderInfo(daemon, *info, sentAt);
         } else if (daemon == this->currentLeader) {
             this->invalidateLeader(daemon);
         }
     });
 }
 
-void LeaderFinder::onLeaderInfo(const DaemonName &daemon, const LeaderInfo &info)
+void LeaderFinder::onLeaderInfo(const DaemonName &daemon, const LeaderInfo &info, TimePoint sentAt)
 {
     if (!info.isSelf) {
         if (daemon == this->currentLeader) {
@@ -97,16 +132,17 @@
         // The follower's leader need not be among the configured contacts.
         if (this->currentLeader.empty() && !info.leader.empty() && info.leader != daemon && !this->contacts.contains(info.leader)
             && this->voters.insert(info.leader).second) {
-            this->refreshPeers();
+            this->hooks.namesChanged();
         }
         return;
     }
     const std::set<DaemonName> named(info.voters.begin(), info.voters.end());
     if (named != this->voters) {
         this->voters = named;
-        this->refreshPeers();
+        this->hooks.namesChanged();
     }
     this->lastConfirmedAt = steadyNow();
+    this->lastConfirmedQueryAt = sentAt;
     if (this->currentLeader != daemon) {
         this->currentLeader = daemon;
         logLine(LogArea::Peer, LogLevel::Info, "leader_found", {{"leader", daemon}});
@@ -136,6 +172,17 @@
     return this->lastConfirmedAt;
 }
 
+DaemonName LeaderFinder::confirmedLeader() const
+{
+    const bool isRecent = steadyNow() - this->lastConfirmedQueryAt < MaxConfirmationAge;
+    return isRecent ? this->currentLeader : DaemonName();
+}
+
+const std::set<DaemonName> &LeaderFinder::namedDaemons() const
+{
+    return this->voters;
+}
+
 void LeaderFinder::stop()
 {
     this->timer.cancel();
