Fix: one failed round of the load monitor ends a core's leaderships for good

The load monitor measures the event loop ten times a second, and with that the core confirms to its replica that the loop runs. An exception in one round (want of memory for a log line) went to the loop, which goes on, but the timer was set again only at the end of the round: the confirmations ended, and the replica neither led nor stood for election any more, with the process alive.

Change: the timer is set first.

Evidence: fleet_limits_test, "The measurement of the event loop goes on": 1 round before, more than one now.

--- a/src/fleetd/load_monitor.cpp
+++ b/src/fleetd/load_monitor.cpp
@@ -51,6 +51,7 @@
     const Duration delay = std::max(Duration{0}, now - this->expectedAt);
     this->loopDelay.record(delay);
     this->maxDelay = std::max(this->maxDelay, delay);
+    this->armTimer(); // First, so that an exception below ends this round only.
     if (now >= this->nextLine) {
         this->logLoad();
         if (this->times != this->timesAtLastLine) {
@@ -61,7 +62,6 @@
     if (this->sampled) {
         this->sampled();
     }
-    this->armTimer();
 }
 
 void LoadMonitor::logLoad()
