Fix: a listener that fails to take one connection accepts no others

An exception while an accepted connection is set up (want of memory) left the listener without a pending wait: the port stayed open, the kernel went on completing connections, and nobody was served until a restart.

The retry is set before the hook that tells of the failure.

Evidence: fleet_limits_test, "A listener goes on": the second connection was never accepted before, and is now.

--- a/src/network/listen_socket.cpp
+++ b/src/network/listen_socket.cpp
@@ -90,19 +90,30 @@
 
 void Listener::onReady()
 {
-    const bool hasFailed = this->isOpen() && !this->acceptUpTo(this->acceptsPerTurn);
+    const bool hasFailed = this->isOpen() && !this->acceptTurn();
     if (!this->isOpen()) {
         this->hooks.closed();
         return;
     }
     if (hasFailed) {
-        this->hooks.acceptFailed();
         this->retryLater();
+        this->hooks.acceptFailed();
         return;
     }
     this->waitForConnections();
 }
 
+/** Accepts connections of one turn. Returns false if an accept failed, or its connection could not be taken for want of memory. */
+bool Listener::acceptTurn()
+{
+    try {
+        return this->acceptUpTo(this->acceptsPerTurn);
+    } catch (const std::exception &) {
+        this->failingSince = this->failingSince.value_or(steadyNow());
+        return false;
+    }
+}
+
 /** Accepts connections until none waits or the limit is reached. Returns false if an accept failed. */
 bool Listener::acceptUpTo(std::size_t limit)
 {
--- a/src/network/listen_socket.h
+++ b/src/network/listen_socket.h
@@ -66,6 +66,7 @@
 private:
     void waitForConnections();
     void onReady();
+    bool acceptTurn();
     bool acceptUpTo(std::size_t limit);
     bool hasWaiting();
     void retryLater();
--- a/tests/fleet_limits_test.cpp
+++ b/tests/fleet_limits_test.cpp
@@ -52,3 +52,26 @@
     runFor(loop, std::chrono::milliseconds(600));
     CHECK(rounds > 1);
 }
+
+TEST_CASE("A listener goes on after an error with one connection")
+{
+    // Guards against a port that is open and accepts nothing any more.
+    boost::asio::io_context loop;
+    int accepted = 0;
+    ListenerHooks hooks;
+    hooks.accepted = [&accepted](const boost::asio::ip::tcp::socket &) {
+        if (++accepted == 1) {
+            throw std::bad_alloc();
+        }
+    };
+    Listener listener(loop, std::move(hooks));
+    std::uint16_t port = 0;
+    REQUIRE(!listener.open("127.0.0.1", port));
+    listener.start();
+    const RawSocket first = RawSocket::connectTo(port);
+    runFor(loop, std::chrono::milliseconds(100));
+    CHECK(accepted == 1);
+    const RawSocket second = RawSocket::connectTo(port);
+    runFor(loop, std::chrono::milliseconds(400));
+    CHECK(accepted == 2);
+}
