Fix: a settings file that cannot be read ends a leadership and all reloads

A read that fails after the file was opened (EIO, or a folder in its place) throws in the C++ library. On a leader that ended the leadership ("an event handler threw an exception") and stopped the timer of the reloads, so that settings were not read again; at a start the program aborted.

Change: such a file is one that cannot be read, like one that is missing.

--- a/src/fleetd/settings_file.cpp
+++ b/src/fleetd/settings_file.cpp
@@ -22,7 +22,11 @@
         if (!file) {
             return std::nullopt;
         }
-        return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+        try {
+            return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+        } catch (const std::ios_base::failure &) {
+            return std::nullopt; // The disk has refused the read.
+        }
     }
 
     bool isNoJson(const SettingsError &error)
--- a/tests/fleet_limits_test.cpp
+++ b/tests/fleet_limits_test.cpp
@@ -75,3 +75,17 @@
     runFor(loop, std::chrono::milliseconds(400));
     CHECK(accepted == 2);
 }
+
+TEST_CASE("A settings file that cannot be read is no error of the daemon")
+{
+    // Guards against a leader that ends its leadership, and settings that are never read again, after one failed read.
+    std::string pattern = (std::filesystem::temp_directory_path() / "filbertlanding-settings-XXXXXX").string();
+    REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+    const std::filesystem::path folder = pattern;
+    const std::filesystem::path path = folder / "settings.json";
+    std::filesystem::create_directory(path); // Reads of a folder fail as those of a bad disk do.
+    CHECK(readSettingsFile(path.string()).isIncomplete);
+    const auto reload = settingsReloadFrom(path.string(), {});
+    CHECK(!reload().has_value());
+    std::filesystem::remove_all(folder);
+}
