Fix: want of memory at the opening of a port ends the daemon

A port whose socket finds no memory or no buffer of the kernel was counted as a wrong address, and the daemon ended by itself at its start. Ports for which the descriptors do not suffice were tried again already.

Change: ENOMEM and ENOBUFS are tried again as well.

--- a/src/fleetd/daemon_listeners.cpp
+++ b/src/fleetd/daemon_listeners.cpp
@@ -18,7 +18,7 @@
 bool mayComeFree(const std::error_code &error)
 {
     return error == std::errc::address_in_use || error == std::errc::address_not_available || error == std::errc::too_many_files_open
-        || error == std::errc::too_many_files_open_in_system;
+        || error == std::errc::too_many_files_open_in_system || error == std::errc::not_enough_memory || error == std::errc::no_buffer_space;
 }
 
 void ListenAttempts::record(const std::string &endpoint, const std::error_code &error, bool isRetried)
--- a/tests/fleet_limits_test.cpp
+++ b/tests/fleet_limits_test.cpp
@@ -89,3 +89,11 @@
     CHECK(!reload().has_value());
     std::filesystem::remove_all(folder);
 }
+
+TEST_CASE("A port that could not be opened for want of memory is tried again")
+{
+    // Guards against a daemon that ends at its start because a limit was reached for a moment.
+    CHECK(mayComeFree(std::make_error_code(std::errc::not_enough_memory)));
+    CHECK(mayComeFree(std::make_error_code(std::errc::no_buffer_space)));
+    CHECK(!mayComeFree(std::make_error_code(std::errc::permission_denied)));
+}
