Fix: an entry whose search for a leader fails once never finds one again

The finder sent its queries and set its timer afterwards. An exception in a query (want of memory) ended the search for good: the entry answered 503 to all callers until a restart.

Change: the timer is set first.

Evidence: leader_finder_test, "The search for a leader goes on after an error in one round": no leader after the error before, the leader now.

--- a/src/fleetd/leader_finder.cpp
+++ b/src/fleetd/leader_finder.cpp
@@ -92,8 +92,8 @@
         if (error) {
             return;
         }
+        this->armTimer(); // First, so that an exception in the queries ends this round only.
         this->queryLeader();
-        this->armTimer();
     });
 }
 
@@ -158,8 +158,8 @@
     logLine(LogArea::Peer, LogLevel::Info, "leader_lost", {{"leader", daemon}});
     this->currentLeader.clear();
     this->searchInterval = MinSearchInterval;
-    this->queryLeader();
     this->armTimer();
+    this->queryLeader();
 }
 
 const DaemonName &LeaderFinder::leader() const
--- a/tests/leader_finder_test.cpp
+++ b/tests/leader_finder_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <new>
 #include <thread>
 
 using namespace Filbertlanding;
@@ -22,6 +23,9 @@
         LeaderFinderHooks hooks;
         hooks.query = [this](const DaemonName &daemon, const LeaderInfoHandler &answered) {
             ++this->queries;
+            if (this->throws) {
+                throw std::bad_alloc();
+            }
             const auto answer = this->answers.find(daemon);
             answered(answer == this->answers.end() ? std::nullopt : std::optional(answer->second));
         };
@@ -51,6 +55,7 @@
     std::set<DaemonName> peers{Leader, Follower};
     std::map<DaemonName, LeaderInfo> answers;
     bool isNeeded = true;
+    bool throws = false; ///< Whether each query fails for want of memory.
     int queries = 0;
     int found = 0;
 };
@@ -103,3 +108,15 @@
     scene.runFor(std::chrono::milliseconds(700));
     CHECK(scene.finder.confirmedLeader() == Leader);
 }
+
+TEST_CASE("The search for a leader goes on after an error in one round")
+{
+    // Guards against an entry that never finds a leader again.
+    FinderScene scene;
+    scene.answers[Leader] = {Leader, true, {Leader, Follower}};
+    scene.throws = true;
+    CHECK_THROWS(scene.runFor(std::chrono::milliseconds(400)));
+    scene.throws = false;
+    scene.runFor(std::chrono::milliseconds(400));
+    CHECK(scene.finder.confirmedLeader() == Leader);
+}
