Fix: an error that cannot be logged ends the daemon

runLoop tells its owner of an exception that left a handler, and the owner logs it. For want of memory the line may throw as well, and that exception left runLoop and ended the process.

Change: an exception of the report is dropped, and the loop goes on.

Evidence: run_loop_test, "An error that cannot even be logged": bad_alloc left runLoop before; now the next handler runs.

--- a/src/runtime/run_loop.cpp
+++ b/src/runtime/run_loop.cpp
@@ -8,6 +8,20 @@
 
 namespace Filbertlanding {
 
+namespace {
+
+    /** Tells that a handler has failed. The handler of that may fail too, since a log line needs memory. */
+    void tell(const std::function<void(std::string_view)> &handlerFailed, std::string_view error)
+    {
+        try {
+            handlerFailed(error);
+        } catch (const std::exception &) {
+            return;
+        }
+    }
+
+} // namespace
+
 void runLoop(boost::asio::io_context &loop, const std::function<void(std::string_view)> &handlerFailed)
 {
     for (;;) {
@@ -15,7 +29,7 @@
             loop.run();
             return;
         } catch (const std::exception &error) {
-            handlerFailed(error.what());
+            tell(handlerFailed, error.what());
         }
     }
 }
--- a/tests/run_loop_test.cpp
+++ b/tests/run_loop_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
+#include <new>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -30,3 +31,20 @@
     CHECK(hasRunAfter);
     CHECK(errors == std::vector<std::string>{"no such worker"});
 }
+
+TEST_CASE("An error that cannot even be logged does not end the loop")
+{
+    // Guards against a daemon that ends because the line about a lack of memory needs memory.
+    boost::asio::io_context loop;
+    bool hasRunAfter = false;
+    boost::asio::post(loop, [] {
+        throw std::bad_alloc();
+    });
+    boost::asio::post(loop, [&hasRunAfter] {
+        hasRunAfter = true;
+    });
+    CHECK_NOTHROW(runLoop(loop, [](std::string_view) {
+        throw std::bad_alloc();
+    }));
+    CHECK(hasRunAfter);
+}
