Fix: a daemon whose log nobody reads does not end at SIGTERM

With a full pipe on standard output that nobody reads, a daemon serves on (lines are dropped from a bounded queue), but at SIGTERM it waited for the writer for ever, until it was killed: no planned stop came to its end. By hand on: all of 3,000 calls answered, still there 8 s after SIGTERM.

Cause: the end of the log joins the writer thread, which is blocked in write().

Change: stopLogging() waits for the rest of the lines for at most 400 ms, and says whether they were written. If not, the programs end with std::_Exit(), since the library would wait for the writer again at the destruction of its statics.

A closed stdout, a pipe without a reader and /dev/full did not stop a core before either (ends in 0.2 s), and a log at its size limit goes on once the limit is lifted.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,7 @@
 #include <CLI/CLI.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <future>
 #include <iostream>
@@ -54,6 +55,15 @@
     return errors.empty();
 }
 
+/** Closes the log and returns the exit code. Ends the process here if the log cannot be closed, as when nobody reads a full pipe. */
+int endWith(ResultCode code)
+{
+    if (!stopLogging()) {
+        std::_Exit(exitCode(code));
+    }
+    return exitCode(code);
+}
+
 /** Runs the daemon until it has stopped. SIGTERM and SIGINT start a planned stop; SIGHUP is logged and ignored, since the settings are read only at the start.
  */
 int run(const Settings &settings, const Options &options)
@@ -82,8 +92,7 @@
     if (started.code != ResultCode::Ok) {
         std::cerr << static_cast<int>(started.code) << " " << resultCodeRow(started.code).name << ": " << started.message << "\n";
         endDaemon(daemon);
-        stopLogging();
-        return exitCode(started.code);
+        return endWith(started.code);
     }
     logLine(LogArea::Daemon, LogLevel::Info, "started", {{"daemon", settings.daemon}, {"httpPort", settings.httpPort}, {"incarnation", daemon.incarnation}});
     std::thread signalThread([&daemon, &signals] {
@@ -104,8 +113,7 @@
     signalThread.join();
     endDaemon(daemon);
     logLine(LogArea::Daemon, LogLevel::Info, "ended", {{"code", resultCodeRow(code).name}});
-    stopLogging();
-    return exitCode(code);
+    return endWith(code);
 }
 
 } // namespace
--- a/src/runtime/log_func.cpp
+++ b/src/runtime/log_func.cpp
@@ -17,8 +17,12 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <chrono>
+#include <future>
 #include <map>
 #include <mutex>
+#include <system_error>
+#include <thread>
 
 namespace Filbertlanding {
 
@@ -161,11 +165,27 @@
     setLogLevel(settings.level);
 }
 
-void stopLogging()
+bool stopLogging(Duration limit)
 {
     // The library prints a complaint for each line that comes without an appender.
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getOff());
-    log4cxx::LogManager::shutdown();
+    std::promise<void> ended;
+    const std::future<void> end = ended.get_future();
+    std::thread closer;
+    try {
+        closer = std::thread([promise = std::move(ended)]() mutable {
+            log4cxx::LogManager::shutdown();
+            promise.set_value();
+        });
+    } catch (const std::system_error &) {
+        return false; // The process may have no more threads.
+    }
+    if (end.wait_for(std::chrono::milliseconds(limit.ms)) != std::future_status::ready) {
+        closer.detach();
+        return false;
+    }
+    closer.join();
+    return true;
 }
 
 bool setLogLevel(std::string_view name)
--- a/src/runtime/log_func.h
+++ b/src/runtime/log_func.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "core/clock_type.h"
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -69,8 +71,14 @@
  */
 void startLogging(const LogSettings &settings);
 
-/** Writes what waits and closes the file. Lines that come later are left out. */
-void stopLogging();
+constexpr Duration LogStopTime{400}; ///< Longest wait for the lines that are still to be written when the log is stopped.
+
+/**
+ * Writes what waits and closes the file. Lines that come later are left out.
+ * @return False if the lines could not be written in time, as when nobody reads a full pipe. The writer still waits then, and would keep the process
+ * from its end, which has to be std::_Exit().
+ */
+[[nodiscard]] bool stopLogging(Duration limit = LogStopTime);
 
 /**
  * Changes the lowest level that is written.
