--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -102,6 +102,7 @@
     , handoverTimer(loop)
     , tickTimer(loop)
     , statusLog(loop)
+    , finder(loop, static_cast<std::uint16_t>(daemonSettings.peerPort))
     , times(loopTimes)
 {
 }
@@ -314,12 +315,8 @@
 
 void FleetCore::setRequiredPeers()
 {
-    std::vector<DaemonName> others = this->recentSenders.names(steadyNow());
-    for (const DaemonName &contact : this->contactAddresses()) {
-        others.push_back(contact);
-    }
     std::vector<PeerAddress> addresses;
-    for (const DaemonName &daemon : requiredPeers(this->status.membership, this->status.leader, others)) {
+    for (const DaemonName &daemon : this->linkedDaemons()) {
         addresses.push_back({daemon, daemon, static_cast<std::uint16_t>(this->settings.peerPort)});
     }
     this->peers->setPeers(std::move(addresses));
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -11,6 +11,7 @@
 #include "fleetd/fleet_message.h"
 #include "fleetd/fleet_peers.h"
 #include "fleetd/held_calls.h"
+#include "fleetd/leader_finder.h"
 #include "fleetd/leader_handover.h"
 #include "fleetd/loop_time.h"
 #include "fleetd/protocol_adapter.h"
@@ -204,6 +205,10 @@
     void countReport(const ApiResponse &response);
     bool isOnlyVoter() const;
     bool isOtherLeaderKnown() const;
+    bool isLeaderKnownToReplica() const;
+    DaemonName otherLeader() const;
+    std::set<DaemonName> linkedDaemons() const;
+    void startLeaderFinder();
 
     boost::asio::io_context &io;
     const FleetDaemonSettings &settings;
@@ -245,6 +250,7 @@
     boost::asio::steady_timer tickTimer;
     FleetCoreCounters counters;
     CoreStatusLog statusLog;
+    LeaderFinder finder; ///< Asks the other daemons while the replica names no leader.
     LoopTimes &times;
     bool isTickAdvanced = false; ///< The next tick is scheduled early to process worker responses.
     bool isStopping = false;
--- a/src/fleetd/fleet_replica.cpp
+++ b/src/fleetd/fleet_replica.cpp
@@ -28,6 +28,7 @@
         return this->activity();
     };
     this->statusLog.start(inspect, readActivity, {this->settings.electionTimeoutMaxMs});
+    this->startLeaderFinder();
 }
 
 ReplicationHooks FleetCore::replicationHooks()
@@ -166,6 +167,7 @@
     }
     this->heldCalls.release();
     this->statusLog.stop();
+    this->finder.stop();
     this->isThreadEnded = this->replication.stop(ThreadStopTime);
     this->client.stop();
 }
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -285,6 +285,7 @@
     folder.lock = std::shared_ptr<void>(nullptr, [close = files.close, file = *lock](void *) {
         close(file);
     });
+    files.remove(pathIn(path, ProbeFile)); // A crash may have left it.
     const std::string current = path + "/current";
     auto names = files.list(path);
     if (!names) {
@@ -367,8 +368,7 @@
     if (!files.makeFolder(path)) {
         return ResultCode::DiskFailed;
     }
-    std::string name = path;
-    name.append("/").append(ProbeFile);
+    const std::string name = pathIn(path, ProbeFile);
     const auto file = files.openAppend(name);
     if (!file) {
         return ResultCode::DiskFailed;
