Fix: the stored membership says which core came first

Callers saw: in the model, no entry accepted any more when an old core beside its successor had lost its disk, all were restarted, and the old one then ended together with another core. The same when the clock of a second successor was behind that of the first, or when an address was used again within 2 s for a successor in another zone. Cause: hosts were put in order by the number of their first disk, which comes from the wall clock and was remembered in memory only. Change: the membership has, for each member that joined later or has reported a zone, the index of the entry that admitted it and its zone. The index is kept under a new disk, is new if the zone changes, and ends when the daemon leaves; the last 16 that have left are remembered by identity, since a core that was only silent comes back with the same disk. The leader stores zones in an entry of its own (membership_step zone_reported).

--- a/src/core/bounded_archive.h
+++ b/src/core/bounded_archive.h
@@ -28,6 +28,9 @@
 
 namespace Filbertlanding {
 
+/** Stands before the first size of a value with parts that earlier versions lack; no container is that large. */
+constexpr std::uint32_t ExtensionMark = 0xffffffff;
+
 /** Writes to a string. */
 class BoundedOutputArchive : public cereal::OutputArchive<BoundedOutputArchive>
 {
@@ -66,6 +69,15 @@
         this->writeNumber(size, sizeof(std::uint32_t));
     }
 
+    /** Marks a value that has parts which earlier versions lack. The value begins with a size in its plain form. */
+    bool markExtended(bool isExtended)
+    {
+        if (isExtended) {
+            this->writeSize(ExtensionMark);
+        }
+        return isExtended;
+    }
+
 private:
     std::string &out;
     char formatVersion = 0;
@@ -122,6 +134,17 @@
         return size;
     }
 
+    /** Takes the mark of a value that has parts which earlier versions lack, if it is there; the argument counts for nothing. */
+    bool markExtended(bool)
+    {
+        BoundedInputArchive ahead(this->rest);
+        if (this->rest.size() < sizeof ExtensionMark || ahead.readNumber(sizeof ExtensionMark) != ExtensionMark) {
+            return false;
+        }
+        this->read(sizeof ExtensionMark);
+        return true;
+    }
+
     /** Returns whether all bytes were read. */
     bool isAtEnd() const
     {
--- a/src/replication/raft_base.h
+++ b/src/replication/raft_base.h
@@ -62,7 +62,6 @@
     std::deque<LogEntry> log; ///< Entries from baseIndex + 1.
     Snapshot snapshot; ///< Last snapshot taken or installed.
     std::vector<RaftMembershipAt> memberships; ///< In order of the index; the last one is in force, accepted or not.
-    std::map<DaemonName, std::uint64_t> firstIncarnations; ///< For each daemon that the membership names: the lowest incarnation since it was admitted.
     std::uint64_t commitIndex = 0;
     std::uint64_t appliedIndex = 0; ///< Last entry handed out for applying.
     bool installPending = false; ///< The snapshot must still be handed to the state machine.
--- a/src/replication/raft_internal.h
+++ b/src/replication/raft_internal.h
@@ -119,8 +119,12 @@
 bool isCaughtUp(const RaftState &state, const VoterId &id);
 /** Returns whether the last change is accepted and the leader has accepted an entry of its own term and stays the leader. */
 bool mayChange(const RaftState &state);
-/** Adds a membership to the log. */
-void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now);
+/** Returns the index of the entry that admitted a daemon; 0 for a founding member, and for one that a version without admissions admitted. */
+std::uint64_t admissionOf(const Membership &membership, const DaemonName &daemon);
+/** Returns the admissions of the membership that the next entry introduces. */
+std::vector<MemberAdmission> nextAdmissions(const RaftState &state, const Membership &next);
+/** Adds a membership to the log, with the admissions that follow from the one in force. */
+void appendMembership(RaftState &state, RaftActions &actions, Membership membership, TimePoint now);
 /** Removes a daemon from a list under any incarnation. */
 void eraseDaemon(std::vector<VoterId> &list, const DaemonName &daemon);
 /** Returns the identity of a daemon in a list, or nullptr. */
--- a/src/replication/raft_maintenance.cpp
+++ b/src/replication/raft_maintenance.cpp
@@ -22,6 +22,7 @@
         {MembershipReason::Replaced, "replaced"},
         {MembershipReason::SharedZone, "shared_zone"},
         {MembershipReason::Promoted, "promoted"},
+        {MembershipReason::ZoneReported, "zone_reported"},
     });
 
     /** The next membership, and what changes in it. */
@@ -284,6 +285,14 @@
         return std::nullopt;
     }
 
+    /** Stores the availability zones that members have reported, by which an address that is used again in another zone is told from a lost disk. */
+    NextStep withReportedZones(const RaftState &state, TimePoint now)
+    {
+        const Membership &membership = currentMembership(state);
+        const bool isKnown = !hasAllReports(state, now) || nextAdmissions(state, membership) == membership.admissions;
+        return isKnown ? std::nullopt : NextStep(Step{membership, {state.settings.self, MembershipReason::ZoneReported}});
+    }
+
     NextStep withWaitingJoiner(RaftState &state)
     {
         while (!state.joinWaiting.empty()) {
@@ -310,6 +319,9 @@
         if (!state.settings.admitsNewVoters) {
             return std::nullopt;
         }
+        if (auto step = withReportedZones(state, now)) {
+            return step;
+        }
         if (auto step = withoutMissingSurplus(state, now)) {
             return step;
         }
--- a/src/replication/raft_membership.cpp
+++ b/src/replication/raft_membership.cpp
@@ -18,23 +18,69 @@
         return missing;
     }
 
-    /** Keeps what is known of the daemons that the membership names. */
-    void noteIncarnations(RaftState &state, const Membership &membership)
+    /** Members that have left are remembered up to this number, since one that was only silent comes back with the same disk. */
+    constexpr std::size_t FormerMembers = 16;
+
+    const MemberAdmission *findAdmission(const Membership &membership, const DaemonName &daemon)
     {
-        if (state.memberships.back().index == 0) {
-            // The membership before the first entry comes from this replica's settings; on a newcomer it is no more than a guess.
-            return;
-        }
-        std::map<DaemonName, std::uint64_t> first;
+        const auto found = std::find_if(membership.admissions.begin(), membership.admissions.end(), [&daemon](const MemberAdmission &admission) {
+            return admission.replica.daemon == daemon;
+        });
+        return found == membership.admissions.end() ? nullptr : &*found;
+    }
+
+    /** Returns the newest identity of each daemon that a membership names. */
+    std::map<DaemonName, std::uint64_t> membersOf(const Membership &membership)
+    {
+        std::map<DaemonName, std::uint64_t> members;
         for (const auto *list : {&membership.voters, &membership.learners, &membership.joining}) {
             for (const auto &id : *list) {
-                const auto known = state.firstIncarnations.find(id.daemon);
-                const std::uint64_t lowest = known == state.firstIncarnations.end() ? id.incarnation : std::min(known->second, id.incarnation);
-                const auto [item, isNew] = first.emplace(id.daemon, lowest);
-                item->second = std::min(item->second, lowest);
+                std::uint64_t &newest = members[id.daemon];
+                newest = std::max(newest, id.incarnation);
+            }
+        }
+        return members;
+    }
+
+    /** Returns the admission of a member, which the entry of the given index may bring or change. */
+    MemberAdmission nextAdmission(const RaftState &state, const VoterId &replica, bool wasMember, std::uint64_t index)
+    {
+        const MemberAdmission *known = findAdmission(currentMembership(state), replica.daemon);
+        const bool isBack = known != nullptr && known->replica == replica;
+        MemberAdmission admission{replica, wasMember ? 0 : index, {}};
+        if (known != nullptr && (wasMember || isBack)) {
+            admission.index = known->index;
+            admission.availabilityZone = known->availabilityZone;
+        }
+        const ZoneName zone = zoneOf(state, replica);
+        if (!zone.empty()) {
+            // The same address in another zone is a new host.
+            const bool hasMoved = !admission.availabilityZone.empty() && admission.availabilityZone != zone;
+            admission.index = hasMoved ? index : admission.index;
+            admission.availabilityZone = zone;
+        }
+        return admission;
+    }
+
+    /** Appends the admissions of those that have left. */
+    void addFormerMembers(std::vector<MemberAdmission> &admissions, const Membership &current, const Membership &next)
+    {
+        const auto before = membersOf(current);
+        const auto after = membersOf(next);
+        std::vector<MemberAdmission> former;
+        for (const auto &admission : current.admissions) {
+            if (!after.contains(admission.replica.daemon) && !before.contains(admission.replica.daemon)) {
+                former.push_back(admission);
+            }
+        }
+        for (const auto &[daemon, incarnation] : before) {
+            if (!after.contains(daemon)) {
+                const MemberAdmission *known = findAdmission(current, daemon);
+                former.push_back(known != nullptr ? *known : MemberAdmission{{daemon, incarnation}});
             }
         }
-        state.firstIncarnations = std::move(first);
+        const std::size_t dropped = former.size() - std::min(former.size(), FormerMembers);
+        admissions.insert(admissions.end(), former.begin() + static_cast<std::ptrdiff_t>(dropped), former.end());
     }
 
     bool isSingleServerChange(const Membership &from, const Membership &to)
@@ -77,8 +123,33 @@
     return state.role == RaftRole::Leader && !state.transferDue && state.memberships.back().index <= state.commitIndex && state.commitIndex >= state.termStart;
 }
 
-void appendMembership(RaftState &state, RaftActions &actions, const Membership &membership, TimePoint now)
+std::uint64_t admissionOf(const Membership &membership, const DaemonName &daemon)
+{
+    const MemberAdmission *admission = findAdmission(membership, daemon);
+    return admission == nullptr ? 0 : admission->index;
+}
+
+std::vector<MemberAdmission> nextAdmissions(const RaftState &state, const Membership &next)
+{
+    std::vector<MemberAdmission> admissions;
+    if (!state.settings.admitsNewVoters) {
+        return admissions;
+    }
+    const Membership &current = currentMembership(state);
+    const auto before = membersOf(current);
+    for (const auto &[daemon, incarnation] : membersOf(next)) {
+        MemberAdmission admission = nextAdmission(state, {daemon, incarnation}, before.contains(daemon), lastLogIndex(state) + 1);
+        if (admission.index > 0 || !admission.availabilityZone.empty()) {
+            admissions.push_back(std::move(admission));
+        }
+    }
+    addFormerMembers(admissions, current, next);
+    return admissions;
+}
+
+void appendMembership(RaftState &state, RaftActions &actions, Membership membership, TimePoint now)
 {
+    membership.admissions = nextAdmissions(state, membership);
     appendEntry(state, actions, {lastLogIndex(state) + 1, state.term, EntryKind::Membership, encodeMembership(membership)}, now);
     startRound(state, actions, now);
     advanceCommit(state, actions, now);
@@ -128,7 +199,6 @@
 void membershipChanged(RaftState &state, TimePoint now)
 {
     const Membership &membership = currentMembership(state);
-    noteIncarnations(state, membership);
     const bool isVoter = state.settings.hasDisk && holdsId(membership.voters, state.settings.self);
     if (isVoter) {
         state.role = nextRole(state.role, RaftRoleEvent::Promoted);
--- a/src/replication/raft_replaced.cpp
+++ b/src/replication/raft_replaced.cpp
@@ -22,11 +22,9 @@
         return found == state.progress.end() ? std::nullopt : found->second.report;
     }
 
-    /** Returns the number of a daemon's first disk, which grows with the time of day. A host that has lost its disk is as old as before. */
-    std::uint64_t firstIncarnation(const RaftState &state, const VoterId &id)
+    std::uint64_t admissionOf(const RaftState &state, const VoterId &id)
     {
-        const auto found = state.firstIncarnations.find(id.daemon);
-        return found == state.firstIncarnations.end() ? id.incarnation : found->second;
+        return Filbertlanding::admissionOf(currentMembership(state), id.daemon);
     }
 
     /** Returns voters and joining replicas, the newest host last. */
@@ -36,7 +34,7 @@
         std::vector<VoterId> members = membership.voters;
         members.insert(members.end(), membership.joining.begin(), membership.joining.end());
         std::stable_sort(members.begin(), members.end(), [&state](const VoterId &left, const VoterId &right) {
-            return firstIncarnation(state, left) < firstIncarnation(state, right);
+            return admissionOf(state, left) < admissionOf(state, right);
         });
         return members;
     }
@@ -60,7 +58,7 @@
             const auto known = reportOf(state, member);
             const bool isSameZone = known && known->availabilityZone == report->availabilityZone;
             const bool isNamed = isCurrent && hasContact(*report, member.daemon);
-            if (isSameZone && !isNamed && firstIncarnation(state, member) < firstIncarnation(state, newcomer)) {
+            if (isSameZone && !isNamed && admissionOf(state, member) < admissionOf(state, newcomer)) {
                 candidates.push_back(member);
             }
         }
--- a/src/replication/raft_type.h
+++ b/src/replication/raft_type.h
@@ -72,18 +72,40 @@
     }
 };
 
+/** When a daemon was admitted to the membership. Under a new disk it keeps its place, until it has left or comes back in another zone. */
+struct MemberAdmission {
+    VoterId replica; ///< Newest identity of the daemon; for one that has left, the last one.
+    std::uint64_t index = 0; ///< Entry that admitted it, or that noted its change of zone; 0 for a founding member.
+    ZoneName availabilityZone; ///< As last reported; empty if not known.
+
+    bool operator==(const MemberAdmission &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->replica, this->index, this->availabilityZone);
+    }
+};
+
 /** Who replicates the log. */
 struct Membership {
     std::vector<VoterId> voters; ///< Replicas that vote and count towards a majority.
     std::vector<VoterId> learners; ///< Replicas that only receive the log.
     std::vector<VoterId> joining; ///< New incarnations of voters: the leader catches them up, removes the lost identity and promotes them.
+    std::vector<MemberAdmission>
+        admissions; ///< Members that joined later or have a zone, then the last ones that have left; set by the leader, with admitsNewVoters only.
 
     bool operator==(const Membership &) const = default;
 
+    /** Without admissions the form is that of earlier versions. */
     template<class Archive>
     void serialize(Archive &archive)
     {
+        const bool isExtended = archive.markExtended(!this->admissions.empty());
         archive(this->voters, this->learners, this->joining);
+        if (isExtended) {
+            archive(this->admissions);
+        }
     }
 };
 
@@ -342,12 +364,13 @@
     Replaced, ///< A newer replica of its availability zone votes in its place.
     SharedZone, ///< Its availability zone has another voter, and a replica of a zone without one votes.
     Promoted, ///< A caught-up replica votes.
+    ZoneReported, ///< The availability zone of a member was not known, or it has changed; no voter changes.
 };
 
 /** Returns the last enumerator, for name tables. */
 constexpr MembershipReason lastEnumerator(MembershipReason)
 {
-    return MembershipReason::Promoted;
+    return MembershipReason::ZoneReported;
 }
 
 /** A change of the membership that the leader has begun by itself. */
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -407,6 +407,9 @@
             auto membership = randomValue<Membership>(seed);
             membership.voters = {{"a", 1}, {"b", 2}};
             RC_ASSERT(decodeMembership(encodeMembership(membership)) == membership);
+            auto earlier = membership;
+            earlier.admissions.clear();
+            RC_ASSERT(encodeMembership(earlier) == encodeBounded(std::pair(earlier.voters, std::pair(earlier.learners, earlier.joining))));
             checkDamage(encodeMembership(membership), Random{seed}, [](const std::string &each) {
                 return decodeMembership(each).has_value();
             });
--- a/tests/raft_replacement_test.cpp
+++ b/tests/raft_replacement_test.cpp
@@ -205,6 +205,52 @@
     installation.run(Pause);
 }
 
+void loseOldDiskAndRestart(Installation &installation, std::size_t first)
+{
+    loseOldDisk(installation, first);
+    installation.restartAll(false, 0);
+    installation.run(Pause);
+}
+
+/** Replaces a core twice, the second time by a machine whose clock is behind that of the first one. */
+void replaceWithClockBehind(Installation &installation, std::size_t first)
+{
+    installation.cluster.lastIncarnation = 1000;
+    installation.replace(first);
+    installation.run(Pause);
+    installation.cluster.lastIncarnation = 500;
+    installation.startSuccessor(first);
+    installation.run(Pause);
+}
+
+/** Replaces a core; 2 s later its address belongs to a new machine, which starts in another zone beside the core that it replaces. */
+void useAddressAgain(Installation &installation, std::size_t first)
+{
+    TestNode &again = *installation.cores[first];
+    installation.replace(first);
+    installation.run(2000);
+    const std::size_t place = (first + 1) % 3;
+    installation.leaving = std::exchange(installation.cores[place], &again);
+    again.isGone = false;
+    again.availabilityZone = installation.leaving->availabilityZone;
+    installation.cluster.loseDisk(again);
+    installation.restart(again);
+    installation.run(Pause);
+}
+
+/** Lets the old core be silent beside its successor until it is no member any more; then all are restarted. */
+void forgetOldCore(Installation &installation, std::size_t first)
+{
+    installation.startSuccessor(first);
+    installation.run(Pause);
+    installation.leaving->isPaused = true;
+    installation.run(6000);
+    installation.leaving->isPaused = false;
+    installation.run(Pause);
+    installation.restartAll(false, 0);
+    installation.run(Pause);
+}
+
 /** Lets the newcomer lead beside the old core; what it knows of the members comes from its own settings at first. */
 void leadFromNewcomer(Installation &installation, std::size_t first)
 {
@@ -384,9 +430,26 @@
     for (const bool isCurrent : {true, false}) {
         CAPTURE(isCurrent);
         CHECK(failuresOf(loseOldDisk, {3, 3, isCurrent}) == "");
+        CHECK(failuresOf(loseOldDiskAndRestart, {3, 3, isCurrent}) == "");
+        CHECK(failuresOf(forgetOldCore, {3, 3, isCurrent}) == "");
     }
 }
 
+TEST_CASE("A second successor replaces the first one although its clock is behind")
+{
+    // Guards against hosts that are put in order by the wall clock of their first start.
+    for (const bool isCurrent : {true, false}) {
+        CAPTURE(isCurrent);
+        CHECK(failuresOf(replaceWithClockBehind, {3, 3, isCurrent}) == "");
+    }
+}
+
+TEST_CASE("An address that is used again in another zone belongs to a new machine")
+{
+    // Guards against a successor that is taken for the machine which had its address before.
+    CHECK(failuresOf(useAddressAgain, {3, 3, true}) == "");
+}
+
 namespace {
 
 void checkSchedules(const std::vector<std::pair<std::string, Scene>> &scenes)
--- a/tests/random_fill.h
+++ b/tests/random_fill.h
@@ -28,6 +28,11 @@
         (this->fill(values), ...);
     }
 
+    bool markExtended(bool)
+    {
+        return this->random.below(2) == 1;
+    }
+
     Random random;
 
 private:
