--- a/src/storage/data_folder.h
+++ b/src/storage/data_folder.h
@@ -1,7 +1,8 @@
 /**
  * @file data_folder.h The data folder of a voter: lock, incarnation, log, snapshots and the ledger's journal.
  * Layout: `lock`, `current/incarnation`, `current/founding-membership`, `current/raft.log`, `current/snapshot-<index>`, `current/ledger.journal`,
- * `damaged-<n>/` (set aside; only the newest one keeps more than its incarnation). The files stand in a subfolder so that damaged data can be set aside by renaming also when the data folder is a mount point.
+ * `damaged-<n>/` (set aside; only the newest one keeps more than its incarnation). The files stand in a subfolder so that damaged data can be set aside by
+ * renaming also when the data folder is a mount point.
  */
 
 #pragma once
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -179,6 +179,9 @@
     }
     std::string content = journalHeader();
     for (const auto &record : records) {
+        if (record.size() > MaxRecordBytes) {
+            return this->fail();
+        }
         content += encodeRecord(record);
     }
     const std::string path = this->folder + "/" + this->name;
--- a/src/storage/journal.h
+++ b/src/storage/journal.h
@@ -53,7 +53,10 @@
     /** Appends a record and syncs it. Returns Ok or DiskFailed. */
     ResultCode append(std::string_view record);
 
-    /** Replaces the content by other records in one step: after a crash the file holds the old or the new ones. Returns Ok or DiskFailed. */
+    /**
+     * Replaces the content by other records in one step: after a crash the file holds the old or the new ones. Returns Ok or DiskFailed, also for a record
+     * that is too large to be read again.
+     */
     ResultCode rewrite(const std::vector<std::string> &records);
 
     /** Returns the size of the file in bytes. */
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr char RecordVersion = 2; ///< First byte of a record; version 1 was written by a library archive.
+    constexpr std::size_t RewrittenBytes = 1'048'576; ///< Payload of one record of a compacted journal, unless one entry has more.
 
     /** One record: what the actions of one call ask to persist, or the whole content after a compaction. */
     struct LogRecord {
@@ -50,6 +51,24 @@
         return true;
     }
 
+    /** Returns the records of a compacted journal: what precedes the entries, then these in parts, so that a long log makes no record that is too large. */
+    std::vector<std::string> encodeContent(const LogContent &content)
+    {
+        std::vector<std::string> records{encodeVersioned(RecordVersion, LogRecord{content.hardState, content.baseIndex, std::nullopt, {}})};
+        LogRecord part;
+        std::size_t bytes = 0;
+        for (const LogEntry &entry : content.log) {
+            part.append.push_back(entry);
+            bytes += entry.payload.size();
+            if (bytes >= RewrittenBytes || &entry == &content.log.back()) {
+                records.push_back(encodeVersioned(RecordVersion, part));
+                part.append.clear();
+                bytes = 0;
+            }
+        }
+        return records;
+    }
+
 } // namespace
 
 ResultCode replayLog(const std::vector<std::string> &records, LogContent &content)
@@ -109,7 +128,7 @@
         content.log.clear();
     }
     content.baseIndex = snapshotIndex;
-    return this->journal.rewrite({encodeVersioned(RecordVersion, LogRecord{content.hardState, content.baseIndex, std::nullopt, content.log})});
+    return this->journal.rewrite(encodeContent(content));
 }
 
 std::uint64_t LogStore::size() const
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -1,4 +1,7 @@
-/** @file snapshot_store.cpp Snapshot files: each is a journal of one record under a name with the snapshot's index. */
+/**
+ * @file snapshot_store.cpp Snapshot files: each is a journal under a name with the snapshot's index. Its records are the parts of the encoded snapshot, one
+ * unless that is larger than a record may be.
+ */
 
 #include "storage/snapshot_store.h"
 
@@ -26,6 +29,17 @@
         return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(index) : std::nullopt;
     }
 
+    std::vector<std::string> partsOf(std::string encoded)
+    {
+        std::vector<std::string> parts;
+        while (encoded.size() > MaxRecordBytes) {
+            parts.push_back(encoded.substr(0, MaxRecordBytes));
+            encoded.erase(0, MaxRecordBytes);
+        }
+        parts.push_back(std::move(encoded));
+        return parts;
+    }
+
 } // namespace
 
 SnapshotStore::SnapshotStore(FileFunctions fileFunctions, std::string folderPath)
@@ -53,9 +67,13 @@
         return ResultCode::DiskFailed;
     }
     const JournalContent content = decodeJournal(file.bytes);
+    std::string encoded;
+    for (const std::string &part : content.records) {
+        encoded += part;
+    }
     Snapshot loaded;
-    const bool isWhole = content.code == ResultCode::Ok && content.records.size() == 1 && content.validBytes == file.bytes.size();
-    if (!isWhole || decodeVersioned(SnapshotVersion, content.records.front(), loaded) != ResultCode::Ok || loaded.index != *newest) {
+    const bool isWhole = content.code == ResultCode::Ok && content.validBytes == file.bytes.size();
+    if (!isWhole || decodeVersioned(SnapshotVersion, encoded, loaded) != ResultCode::Ok || loaded.index != *newest) {
         return ResultCode::DataDamaged;
     }
     snapshot = std::move(loaded);
@@ -68,7 +86,7 @@
         return ResultCode::DiskFailed;
     }
     Journal file(this->files, this->folder, std::string(Prefix) + std::to_string(snapshot.index));
-    const ResultCode code = file.rewrite({encodeVersioned(SnapshotVersion, snapshot)});
+    const ResultCode code = file.rewrite(partsOf(encodeVersioned(SnapshotVersion, snapshot)));
     this->failed = code != ResultCode::Ok;
     return code;
 }
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -260,6 +260,55 @@
     }
 }
 
+TEST_CASE("What is larger than a record can be read again")
+{
+    // Guards against a snapshot or a log that is written and then counts as damaged at the next start.
+    const std::string large(MaxRecordBytes + 5, 'x');
+    MemoryDisk disk;
+
+    SUBCASE("a snapshot")
+    {
+        {
+            DataFolder folder = openDataFolder(disk.functions(), "data", 1);
+            RaftActions actions = snapshotActions(1, 1);
+            actions.persistSnapshot->state = large;
+            REQUIRE(persistActions(folder, appendActions(1, 1, "one")) == ResultCode::Ok);
+            REQUIRE(persistActions(folder, actions) == ResultCode::Ok);
+        }
+        {
+            const DataFolder again = openDataFolder(disk.functions(), "data", 2);
+            REQUIRE(again.code == ResultCode::Ok);
+            CHECK(again.setAside.empty());
+            REQUIRE(again.persisted.snapshot.has_value());
+            CHECK(again.persisted.snapshot->state == large);
+        }
+        std::string &file = fileOn(disk, "snapshot-1");
+        file.resize(journalHeader().size() + encodeRecord(std::string(MaxRecordBytes, 'x')).size());
+        CHECK(openDataFolder(disk.functions(), "data", 2).setAside == "data/damaged-1");
+    }
+
+    SUBCASE("what a compaction leaves of a log")
+    {
+        constexpr std::uint64_t Entries = 10;
+        std::vector<LogEntry> kept;
+        {
+            DataFolder folder = openDataFolder(disk.functions(), "data", 1);
+            for (std::uint64_t index = 1; index <= Entries; ++index) {
+                const RaftActions actions = appendActions(index, 1, large.substr(0, MaxRecordBytes / 8));
+                REQUIRE(persistActions(folder, actions) == ResultCode::Ok);
+                kept.push_back(actions.append.front());
+            }
+            REQUIRE(persistActions(folder, snapshotActions(1, 1)) == ResultCode::Ok);
+        }
+        kept.erase(kept.begin());
+        const DataFolder again = openDataFolder(disk.functions(), "data", 2);
+        REQUIRE(again.code == ResultCode::Ok);
+        CHECK(again.setAside.empty());
+        CHECK(again.persisted.log == kept);
+        CHECK(again.persisted.hardState.commit == Entries - 1);
+    }
+}
+
 TEST_CASE("What was set aside or left over does not fill the disk")
 {
     MemoryDisk disk;
