--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr char RecordVersion = 2; ///< First byte of a record; version 1 was written by a library archive.
+    constexpr std::size_t RewrittenBytes = 1'048'576; ///< Payload of one record of a compacted journal, unless one entry has more.
 
     /** One record: what the actions of one call ask to persist, or the whole content after a compaction. */
     struct LogRecord {
@@ -50,23 +51,21 @@
         return true;
     }
 
-    /** Encodes a log, in records that stay far below the bound of one. */
+    /** Returns the records of a compacted journal: what precedes the entries, then these in parts, so that a long log makes no record that is too large. */
     std::vector<std::string> encodeContent(const LogContent &content)
     {
-        constexpr std::size_t MaxPayloadBytes = std::size_t{1024} * 1024; ///< Payload of a record, unless a single entry has more.
-        std::vector<std::string> records;
-        LogRecord record{content.hardState, content.baseIndex, std::nullopt, {}};
+        std::vector<std::string> records{encodeVersioned(RecordVersion, LogRecord{content.hardState, content.baseIndex, std::nullopt, {}})};
+        LogRecord part;
         std::size_t bytes = 0;
         for (const LogEntry &entry : content.log) {
-            if (bytes + entry.payload.size() > MaxPayloadBytes && !record.append.empty()) {
-                records.push_back(encodeVersioned(RecordVersion, record));
-                record = {};
+            part.append.push_back(entry);
+            bytes += entry.payload.size();
+            if (bytes >= RewrittenBytes || &entry == &content.log.back()) {
+                records.push_back(encodeVersioned(RecordVersion, part));
+                part.append.clear();
                 bytes = 0;
             }
-            bytes += entry.payload.size();
-            record.append.push_back(entry);
         }
-        records.push_back(encodeVersioned(RecordVersion, record));
         return records;
     }
 
