--- a/src/fleetd/core_leader.cpp
+++ b/src/fleetd/core_leader.cpp
@@ -8,7 +8,7 @@
 /** Returns whether the replica takes part and knows the leader of its term, which may be this daemon. */
 bool FleetCore::isLeaderKnownToReplica() const
 {
-    return this->replicaHealth().condition == ReplicaCondition::Running && !this->status.leader.empty();
+    return this->isReplicaRunning() && !this->status.leader.empty();
 }
 
 /** Returns another daemon that leads: the one that the replica names or, if it names none, one that has just confirmed that it leads. */
@@ -37,10 +37,6 @@
 /** Starts asking the other daemons for the leader while the replica names none. */
 void FleetCore::startLeaderFinder()
 {
-    if (this->isFinderStarted) {
-        return;
-    }
-    this->isFinderStarted = true;
     LeaderFinderHooks hooks;
     hooks.query = [this](const DaemonName &daemon, LeaderInfoHandler answered) {
         queryLeaderOver(*this->peers, daemon, std::move(answered));
