--- a/src/fleetd/fleet_replica.cpp
+++ b/src/fleetd/fleet_replica.cpp
@@ -20,6 +20,7 @@
 void FleetCore::start(PeerLinks &links)
 {
     this->peers = &links;
+    this->startLeaderFinder();
     this->replication.startInBackground(this->replicationConfig(), this->replicationHooks());
     const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
         this->replication.inspect(std::move(done));
