Fix: the status of a replica that is not open is read from an empty log

Seen in fleet_disk_test (exit by signal 11 of a core whose disk refuses) before this landed: replication_state samples the replication thread while it opens the folder. Such a replica now reports an empty status. replica_reopen_test asks for it.

--- a/src/fleetd/fleet_replica.cpp
+++ b/src/fleetd/fleet_replica.cpp
@@ -29,7 +29,6 @@
         return this->activity();
     };
     this->statusLog.start(inspect, readActivity, {this->settings.electionTimeoutMaxMs});
-    this->startLeaderFinder();
 }
 
 ReplicationHooks FleetCore::replicationHooks()
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -385,8 +385,11 @@
     ReplicationDetail detail() const
     {
         ReplicationDetail detail;
-        detail.status = this->currentStatus();
         detail.at = steadyNow();
+        if (!this->isRunning) {
+            return detail;
+        }
+        detail.status = this->currentStatus();
         detail.leaderContact = this->raft.leaderContact;
         detail.heardAt = this->heardAt;
         detail.openReads = this->raft.reads.size();
--- a/tests/replica_reopen_test.cpp
+++ b/tests/replica_reopen_test.cpp
@@ -119,6 +119,16 @@
         return outcome.get_future().get();
     }
 
+    /** Returns the number of voters that the replica names. */
+    std::size_t countVoters()
+    {
+        std::promise<std::size_t> voters;
+        this->driver.inspect([&voters](const ReplicationDetail &detail) {
+            voters.set_value(detail.status.membership.voters.size());
+        });
+        return voters.get_future().get();
+    }
+
     std::filesystem::path folder;
     ReplicationDriver driver;
     std::atomic<bool> isRefusing{false};
@@ -180,6 +190,7 @@
         }));
         CHECK(replica.isIn(ReplicaCondition::Opening));
         CHECK(replica.read() == ResultCode::NoQuorum);
+        CHECK(replica.countVoters() == 0);
         replica.isRefusing = false;
         CHECK(waitFor(
             [&replica] {
