--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -277,12 +277,12 @@
     if (!files.makeFolder(path) || !files.syncFolder(parentOf(path))) {
         return failedFolder(ResultCode::DiskFailed);
     }
-    const auto lock = files.lock(path + "/lock");
-    if (!lock) {
-        return failedFolder(ResultCode::DataFolderInUse);
+    const FileLock lock = files.lock(path + "/lock");
+    if (lock.outcome != LockOutcome::Locked) {
+        return failedFolder(lock.outcome == LockOutcome::Held ? ResultCode::DataFolderInUse : ResultCode::DiskFailed);
     }
     DataFolder folder;
-    folder.lock = std::shared_ptr<void>(nullptr, [close = files.close, file = *lock](void *) {
+    folder.lock = std::shared_ptr<void>(nullptr, [close = files.close, file = lock.file](void *) {
         close(file);
     });
     files.remove(pathIn(path, ProbeFile)); // A crash may have left it.
--- a/src/storage/file_functions.cpp
+++ b/src/storage/file_functions.cpp
@@ -90,14 +90,18 @@
         return names;
     }
 
-    std::optional<int> lockFile(const std::string &path)
+    FileLock lockFile(const std::string &path)
     {
         const auto file = openFile(path, O_RDWR | O_CREAT);
-        if (file && ::flock(*file, LOCK_EX | LOCK_NB) != 0) {
+        if (!file) {
+            return {};
+        }
+        if (::flock(*file, LOCK_EX | LOCK_NB) != 0) {
+            const bool isHeld = errno == EWOULDBLOCK;
             ::close(*file);
-            return std::nullopt;
+            return {isHeld ? LockOutcome::Held : LockOutcome::Failed, -1};
         }
-        return file;
+        return {LockOutcome::Locked, *file};
     }
 
 } // namespace
--- a/src/storage/file_functions.h
+++ b/src/storage/file_functions.h
@@ -25,6 +25,19 @@
     std::string bytes; ///< Content; empty unless Whole.
 };
 
+/** How locking a file has ended. */
+enum class LockOutcome : std::uint8_t {
+    Locked, ///< The file is locked.
+    Held, ///< Another process holds the lock.
+    Failed, ///< The file cannot be opened or locked.
+};
+
+/** Outcome of locking a file, and the open file. */
+struct FileLock {
+    LockOutcome outcome = LockOutcome::Failed;
+    int file = -1; ///< Only valid if locked.
+};
+
 /** File operations. Each returns false or nothing on failure. */
 struct FileFunctions {
     std::function<std::optional<int>(const std::string &path)> openAppend; ///< Opens for appending and creates the file if missing.
@@ -38,7 +51,7 @@
     std::function<bool(const std::string &path)> makeFolder; ///< Creates a folder; true if it exists already.
     std::function<bool(const std::string &path)> syncFolder; ///< Makes the names in a folder durable.
     std::function<std::optional<std::vector<std::string>>(const std::string &path)> list; ///< Names in a folder in ascending order.
-    std::function<std::optional<int>(const std::string &path)> lock; ///< Locks a file against other processes until close or exit.
+    std::function<FileLock(const std::string &path)> lock; ///< Locks a file against other processes until close or exit.
 };
 
 /** Returns the operations of the operating system. */
--- a/tests/memory_disk.h
+++ b/tests/memory_disk.h
@@ -169,15 +169,15 @@
         return this->nextHandle++;
     }
 
-    std::optional<int> lock(const std::string &path)
+    FileLock lock(const std::string &path)
     {
         for (const auto &held : this->locks) {
             if (held.second == path) {
-                return std::nullopt;
+                return {LockOutcome::Held, -1};
             }
         }
         this->locks[this->nextHandle] = path;
-        return this->nextHandle++;
+        return {LockOutcome::Locked, this->nextHandle++};
     }
 
     /** Returns the operations on this disk, which must outlive them. */
