--- a/tests/fleet_disk_test.cpp
+++ b/tests/fleet_disk_test.cpp
@@ -133,7 +133,11 @@
                 return this->hasLogLine(core, "call_not_leading", line, R"("replicaCode":")" + code + "\"");
             },
             NoticeLimit));
-        CHECK(this->hasLogLine(core, "replica_changed", line, R"("code":")" + code + "\""));
+        CHECK(timeUntil(
+            [&] {
+                return this->hasLogLine(core, "replica_changed", line, R"("code":")" + code + "\"");
+            },
+            NoticeLimit));
     }
 
     /** Checks that the control port of a core answers at once, and that it acknowledges nothing. */
