Add: the soak's series of disk faults has disks that fail and hang

The file size limit makes writes fail, but no sync, no rename and no opening of a file, and nothing hangs.

The checks of replicas also end before the run does: calls that were open then were reported as unanswered after the summary.

--- a/tests/soak/soak_daemons.cpp
+++ b/tests/soak/soak_daemons.cpp
@@ -131,7 +131,14 @@
     }
     const auto settingsPath = this->settings.folder / (started.name + ".json");
     const std::vector<std::string> arguments{this->settings.program, "--settings", settingsPath.string()};
-    started.process = std::make_unique<ChildProcess>(arguments, this->settings.folder / (started.name + ".log"));
+    std::vector<std::string> variables;
+    if (this->settings.hasDiskFaults && started.hasDisk) {
+        variables = {"LD_PRELOAD=" + this->settings.diskFaultShim,
+                     "DISK_FAULT_FOLDER=" + this->dataFolder(started).string(),
+                     "DISK_FAULT_FILE=" + this->diskFaultFile(started.name).string(),
+                     "ASAN_OPTIONS=verify_asan_link_order=0"};
+    }
+    started.process = std::make_unique<ChildProcess>(arguments, this->settings.folder / (started.name + ".log"), std::move(variables));
     started.isSuspended = false;
     started.startedAt = steadyNow();
     started.upSince = started.startedAt;
@@ -312,6 +319,18 @@
     }
 }
 
+std::filesystem::path SoakDaemons::diskFaultFile(const std::string &daemon) const
+{
+    return this->settings.folder / (daemon + ".disk-fault");
+}
+
+void SoakDaemons::setDiskFault(const std::string &daemon, std::string_view fault) const
+{
+    const auto written = this->settings.folder / (daemon + ".disk-fault.new");
+    std::ofstream(written) << fault;
+    std::filesystem::rename(written, this->diskFaultFile(daemon));
+}
+
 void SoakDaemons::setDescriptorLimit(std::size_t daemon, rlim_t limit)
 {
     rlimit own{};
--- a/tests/soak/soak_daemons.h
+++ b/tests/soak/soak_daemons.h
@@ -106,6 +106,9 @@
     /** Sets the limit of the size of files of a daemon that is running. At 0 all writes fail as on a full disk; RLIM_INFINITY removes the limit. */
     void setFileSizeLimit(std::size_t daemon, rlim_t limit);
 
+    /** Sets the fault of a daemon's data folder as disk_fault_shim.cpp reads it; none if empty. It holds across restarts. */
+    void setDiskFault(const std::string &daemon, std::string_view fault) const;
+
     /** Sets the limit of open descriptors of a daemon that is running, at most to that of the soak. */
     void setDescriptorLimit(std::size_t daemon, rlim_t limit);
 
@@ -137,6 +140,7 @@
     };
 
     void addExitsOfReplaced(std::vector<std::string> &unexpected);
+    std::filesystem::path diskFaultFile(const std::string &daemon) const;
 
     const SoakSettings &settings;
     std::string networkPrefix;
--- a/tests/soak/soak_disk_faults.cpp
+++ b/tests/soak/soak_disk_faults.cpp
@@ -35,10 +35,11 @@
 
     constexpr auto FaultNames = makeNameTable<SoakDiskFault>({{SoakDiskFault::FullDisk, "full disk"},
                                                               {SoakDiskFault::NearlyFullDisk, "nearly full disk"},
-                                                              {SoakDiskFault::FullDiskAtStart, "full disk at start"},
-                                                              {SoakDiskFault::AllDisksFull, "all disks full"},
+                                                              {SoakDiskFault::FailingDisk, "failing disk"},
+                                                              {SoakDiskFault::HangingDisk, "hanging disk"},
                                                               {SoakDiskFault::FolderInUse, "folder in use"},
                                                               {SoakDiskFault::FewDescriptors, "few descriptors"},
+                                                              {SoakDiskFault::AllDisksFull, "all disks full"},
                                                               {SoakDiskFault::KillCore, "kill core"},
                                                               {SoakDiskFault::TerminateCore, "terminate core"},
                                                               {SoakDiskFault::KillAllCores, "kill all cores"},
@@ -116,52 +117,57 @@
     const Duration duration = drawDuration(this->random, MinFaultTime, MaxFaultTime);
     const std::uint64_t freeBytes = this->random.below(FreeBytesRange);
     const rlim_t descriptors = MinDescriptors + this->random.below(DescriptorsRange);
+    const bool mayBeAtStart = fault <= SoakDiskFault::HangingDisk && this->random.below(2) == 0;
+    const bool isAtStart = mayBeAtStart || fault == SoakDiskFault::FolderInUse || fault == SoakDiskFault::FewDescriptors;
     ++this->injected[fault];
     if (this->settings.isVerbose) {
-        std::cout << formatWallTime(wallNow()) << " " << FaultNames.nameOf(fault) << " for " << duration.ms << " ms, core " << core << " ("
-                  << this->daemons.daemons[core].name << "), " << freeBytes << " bytes, " << descriptors << " descriptors" << std::endl;
+        std::cout << formatWallTime(wallNow()) << " " << FaultNames.nameOf(fault) << (isAtStart ? " at start for " : " for ") << duration.ms << " ms, core "
+                  << core << " (" << this->daemons.daemons[core].name << "), " << freeBytes << " bytes, " << descriptors << " descriptors" << std::endl;
+    }
+    if (isAtStart) {
+        this->daemons.kill(core);
     }
     switch (fault) {
     case SoakDiskFault::FullDisk:
         this->limit(core, &Impairment::fileSizeLimits, 0, duration);
-        return;
+        break;
     case SoakDiskFault::NearlyFullDisk:
         this->limit(core, &Impairment::fileSizeLimits, this->logSize(core) + freeBytes, duration);
-        return;
-    case SoakDiskFault::FullDiskAtStart:
-        this->daemons.kill(core);
-        this->limit(core, &Impairment::fileSizeLimits, 0, duration);
-        this->daemons.start(core);
-        return;
-    case SoakDiskFault::AllDisksFull:
-        for (std::size_t i = 0; i < cores; ++i) {
-            this->limit(i, &Impairment::fileSizeLimits, 0, duration);
-        }
-        return;
+        break;
+    case SoakDiskFault::FailingDisk:
+        this->failCalls(core, freeBytes % 2 == 0 ? "eio" : "enospc", duration);
+        break;
+    case SoakDiskFault::HangingDisk:
+        this->failCalls(core, "hang", duration);
+        break;
     case SoakDiskFault::FolderInUse:
-        this->daemons.kill(core);
         this->holdFolder(core, duration);
-        this->daemons.start(core);
-        return;
+        break;
     case SoakDiskFault::FewDescriptors:
-        this->daemons.kill(core);
         this->limit(core, &Impairment::descriptorLimits, descriptors, duration);
-        this->daemons.start(core);
-        return;
+        break;
+    case SoakDiskFault::AllDisksFull:
+        for (std::size_t i = 0; i < cores; ++i) {
+            this->limit(i, &Impairment::fileSizeLimits, 0, duration);
+        }
+        break;
     case SoakDiskFault::KillCore:
         this->restart(core);
-        return;
+        break;
     case SoakDiskFault::TerminateCore:
         this->daemons.terminate(core);
-        return;
+        break;
     case SoakDiskFault::KillAllCores:
         for (std::size_t i = 0; i < cores; ++i) {
             this->restart(i);
         }
-        return;
+        break;
     case SoakDiskFault::ReplaceCore:
         this->replace(core);
-        return;
+        break;
+    }
+    if (isAtStart) {
+        this->daemons.start(core);
     }
 }
 
@@ -176,7 +182,8 @@
     }
     this->daemons.setFileSizeLimit(core, lowest(impairment.fileSizeLimits));
     this->daemons.setDescriptorLimit(core, lowest(impairment.descriptorLimits));
-    this->daemons.setDiskImpaired(core, !impairment.fileSizeLimits.empty() || !impairment.descriptorLimits.empty() || impairment.locks > 0);
+    this->daemons.setDiskImpaired(
+        core, !impairment.fileSizeLimits.empty() || !impairment.descriptorLimits.empty() || !impairment.callFaults.empty() || impairment.locks > 0);
 }
 
 void SoakDiskFaults::impair(std::size_t core, Duration duration, const Change &begin, Change end)
@@ -200,6 +207,19 @@
     });
 }
 
+void SoakDiskFaults::failCalls(std::size_t core, const std::string &fault, Duration duration)
+{
+    const std::string name = this->daemons.daemons[core].name;
+    const auto begin = [this, name, fault](Impairment &impairment) {
+        impairment.callFaults.insert(fault);
+        this->daemons.setDiskFault(name, *impairment.callFaults.rbegin());
+    };
+    this->impair(core, duration, begin, [this, name, fault](Impairment &impairment) {
+        impairment.callFaults.extract(fault);
+        this->daemons.setDiskFault(name, impairment.callFaults.empty() ? std::string() : *impairment.callFaults.rbegin());
+    });
+}
+
 void SoakDiskFaults::holdFolder(std::size_t core, Duration duration)
 {
     const auto path = this->daemons.dataFolder(this->daemons.daemons[core]) / "lock";
--- a/tests/soak/soak_disk_faults.h
+++ b/tests/soak/soak_disk_faults.h
@@ -16,12 +16,13 @@
 
 /** Kinds of such faults. */
 enum class SoakDiskFault : std::uint8_t {
-    FullDisk, ///< No file may grow.
+    FullDisk, ///< No file may grow. This fault and the next three may begin at a restart after SIGKILL.
     NearlyFullDisk, ///< The log may grow by a little, so that small writes pass and larger ones fail.
-    FullDiskAtStart, ///< SIGKILL; the disk is full when the core starts again.
+    FailingDisk, ///< Calls that change the data folder fail with EIO or ENOSPC.
+    HangingDisk, ///< Such calls hang.
+    FolderInUse, ///< At a restart after SIGKILL another process holds the lock of the data folder.
+    FewDescriptors, ///< The limit of descriptors is low from a restart after SIGKILL on.
     AllDisksFull,
-    FolderInUse, ///< SIGKILL; another process holds the lock of the data folder when the core starts again.
-    FewDescriptors, ///< SIGKILL; the core starts with a low limit of descriptors.
     KillCore, ///< Restarted at once, also while its disk refuses.
     TerminateCore, ///< Also while its disk refuses.
     KillAllCores,
@@ -51,6 +52,7 @@
     struct Impairment {
         std::multiset<rlim_t> fileSizeLimits;
         std::multiset<rlim_t> descriptorLimits;
+        std::multiset<std::string> callFaults; ///< Faults that the preloaded library injects; the last one in alphabetical order holds.
         int locks = 0; ///< Holders of the lock of the data folder.
     };
 
@@ -63,6 +65,7 @@
     void apply(std::size_t core);
     void impair(std::size_t core, Duration duration, const Change &begin, Change end);
     void limit(std::size_t core, Limits limits, rlim_t value, Duration duration);
+    void failCalls(std::size_t core, const std::string &fault, Duration duration);
     void holdFolder(std::size_t core, Duration duration);
     void restart(std::size_t core);
     void replace(std::size_t core);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -176,6 +176,7 @@
             if (!this->callers.hasReadManifest()) {
                 this->checks.addViolation("the manifest could not be read after the faults were reverted");
             }
+            this->replicaChecks.stop();
             this->io.stop();
             return;
         }
@@ -282,6 +283,7 @@
 {
     SoakSettings settings;
     settings.program = FILBERTLANDING_PLATFORM;
+    settings.diskFaultShim = FILBERTLANDING_DISK_FAULT_SHIM;
     std::int64_t seconds = settings.faultTime.ms / 1000;
     std::int64_t calmSeconds = 0;
     int runs = 1;
--- a/tests/soak/soak_replica_checks.cpp
+++ b/tests/soak/soak_replica_checks.cpp
@@ -47,6 +47,11 @@
     this->arm();
 }
 
+void SoakReplicaChecks::stop()
+{
+    this->hasStopped = true;
+}
+
 void SoakReplicaChecks::arm()
 {
     this->timer.expires_after(Interval);
@@ -84,7 +89,7 @@
     HttpRequest request{"GET", "/metrics", {{"Host", "metrics.example"}}, {}, {}};
     this->client.send(address, std::move(request), {.timeout = MetricsTimeout}, [this, core, sentAt, soundSince](const HttpExchange &exchange) {
         this->update(core);
-        if (isRunningUndisturbed(this->daemons.daemons[core]) && this->cores[core].soundSince == soundSince) {
+        if (!this->hasStopped && isRunningUndisturbed(this->daemons.daemons[core]) && this->cores[core].soundSince == soundSince) {
             this->onMetrics(core, sentAt, exchange);
         }
     });
@@ -119,7 +124,9 @@
     const HttpAddress address = soakAddressOf(this->daemons.addressOf(core, SoakPort::Requests));
     HttpRequest request{"GET", "/config", {{"Host", "replica.example"}}, {}, {}};
     this->client.send(address, std::move(request), {.timeout = AnswerTimeout}, [this, core, sentAt](const HttpExchange &exchange) {
-        this->onManifest(core, sentAt, exchange);
+        if (!this->hasStopped) {
+            this->onManifest(core, sentAt, exchange);
+        }
     });
 }
 
--- a/tests/soak/soak_replica_checks.h
+++ b/tests/soak/soak_replica_checks.h
@@ -20,9 +20,11 @@
 public:
     SoakReplicaChecks(boost::asio::io_context &loop, const SoakDaemons &soakDaemons, const SoakLoopWatch &loopWatch, SoakChecks &soakChecks);
 
-    /** Starts the checks; they go on until the end of the run. */
     void start();
 
+    /** Ends the checks, at the end of the run. */
+    void stop();
+
     int recoveries = 0; ///< Cores that ran again after a fault or a start.
     Duration longestRecovery; ///< Longest time from the end of a fault until the metrics say that the replica runs.
     Duration longestUnread; ///< Longest time without a read of the manifest while at most the tolerated number of cores was impaired.
@@ -55,6 +57,7 @@
     TimePoint calmSince; ///< No more than the tolerated number of cores has been impaired since then.
     TimePoint lastRead;
     bool isUnreadReported = false;
+    bool hasStopped = false;
 };
 
 } // namespace Filbertlanding
--- a/tests/soak/soak_type.h
+++ b/tests/soak/soak_type.h
@@ -29,6 +29,7 @@
     bool hasSilentLinks = false; ///< All faults are open connections that go silent.
     bool isVerbose = false; ///< Prints each fault as it is injected.
     std::string program; ///< Path of the fleet daemon.
+    std::string diskFaultShim; ///< Path of the library that makes calls to a data folder fail.
     std::filesystem::path folder; ///< Settings, data folders and logs of the daemons.
 };
 
