Fix: a port accepts nothing any more once memory was short for a moment

A wait of the event loop needs memory for its handler.

Change: HandlerMemory keeps the memory of the handler of a recurring wait. Listeners, the load monitor (which confirms to the replica that the event loop runs) and the leader finder use it.

Evidence: fleet_limits_test, "Recurring waits are set also while there is no memory", failed before.

--- a/src/fleetd/leader_finder.cpp
+++ b/src/fleetd/leader_finder.cpp
@@ -88,13 +88,13 @@
 {
     this->timer.expires_after(this->currentLeader.empty() ? this->searchInterval : ConfirmInterval);
     this->searchInterval = std::min(this->searchInterval * 2, MaxSearchInterval);
-    this->timer.async_wait([this](const boost::system::error_code &error) {
+    this->timer.async_wait(KeptHandler(this->timerMemory, [this](const boost::system::error_code &error) {
         if (error) {
             return;
         }
         this->armTimer(); // First, so that an exception in the queries ends this round only.
         this->queryLeader();
-    });
+    }));
 }
 
 void LeaderFinder::queryLeader()
--- a/src/fleetd/leader_finder.h
+++ b/src/fleetd/leader_finder.h
@@ -4,6 +4,7 @@
 
 #include "core/clock_type.h"
 #include "fleetd/fleet_message.h"
+#include "network/handler_memory.h"
 #include "network/peer_link.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -83,6 +85,7 @@
     PeerLinks *peers = nullptr; ///< Set if the finder maintains the peer links.
     LeaderFinderHooks hooks;
     boost::asio::steady_timer timer;
+    std::shared_ptr<HandlerMemory> timerMemory = std::make_shared<HandlerMemory>();
     std::set<DaemonName> contacts; ///< Configured in the settings.
     std::set<DaemonName> voters; ///< Voters reported by the last leader, and leaders reported by followers.
     DaemonName currentLeader;
--- a/src/fleetd/load_monitor.cpp
+++ b/src/fleetd/load_monitor.cpp
@@ -38,11 +38,11 @@
 {
     this->expectedAt = steadyNow() + SampleInterval;
     this->timer.expires_after(std::chrono::milliseconds(SampleInterval.ms));
-    this->timer.async_wait([this](const boost::system::error_code &error) {
+    this->timer.async_wait(KeptHandler(this->timerMemory, [this](const boost::system::error_code &error) {
         if (!error) {
             this->onTimer();
         }
-    });
+    }));
 }
 
 void LoadMonitor::onTimer()
--- a/src/fleetd/load_monitor.h
+++ b/src/fleetd/load_monitor.h
@@ -5,6 +5,7 @@
 #include "core/clock_type.h"
 #include "fleetd/loop_time.h"
 #include "network/descriptor_pool.h"
+#include "network/handler_memory.h"
 #include "network/network_counters.h"
 #include "runtime/histogram.h"
 
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace Filbertlanding {
@@ -46,6 +48,7 @@
     const NetworkCounters &counters;
     const DescriptorPool &descriptors;
     boost::asio::steady_timer timer;
+    std::shared_ptr<HandlerMemory> timerMemory = std::make_shared<HandlerMemory>();
     TimePoint expectedAt; ///< Time at which the timer is due.
     TimePoint nextLine;
     Duration maxDelay; ///< Maximum delay since the last line.
--- a/src/network/listen_socket.cpp
+++ b/src/network/listen_socket.cpp
@@ -83,9 +83,9 @@
 
 void Listener::waitForConnections()
 {
-    this->acceptor.async_wait(Tcp::acceptor::wait_read, [this](Error) {
-        this->onReady();
-    });
+    this->acceptor.async_wait(Tcp::acceptor::wait_read, KeptHandler(this->waitMemory, [this](Error) {
+                                  this->onReady();
+                              }));
 }
 
 void Listener::onReady()
@@ -154,9 +154,9 @@
 void Listener::retryLater()
 {
     this->retryTimer.expires_after(AcceptRetryDelay);
-    this->retryTimer.async_wait([this](Error) {
+    this->retryTimer.async_wait(KeptHandler(this->retryMemory, [this](Error) {
         this->onReady();
-    });
+    }));
 }
 
 void Listener::acceptWaiting()
--- a/src/network/listen_socket.h
+++ b/src/network/listen_socket.h
@@ -7,10 +7,12 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "core/clock_type.h"
+#include "network/handler_memory.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <system_error>
@@ -75,6 +77,8 @@
     std::size_t acceptsPerTurn;
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer retryTimer;
+    std::shared_ptr<HandlerMemory> waitMemory = std::make_shared<HandlerMemory>();
+    std::shared_ptr<HandlerMemory> retryMemory = std::make_shared<HandlerMemory>();
     std::optional<TimePoint> failingSince; ///< Time of the first of the accepts that have failed in a row.
 };
 
--- a/tests/fleet_limits_test.cpp
+++ b/tests/fleet_limits_test.cpp
@@ -6,6 +6,7 @@
 #include "network/descriptor_pool.h"
 #include "network/listen_socket.h"
 #include "network/network_counters.h"
+#include "runtime/log_func.h"
 #include "runtime/run_loop.h"
 
 #include "raw_socket.h"
@@ -14,14 +15,55 @@
 #include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <new>
+#include <vector>
 
 using namespace Filbertlanding;
 
 namespace {
 
+thread_local bool isMemoryExhausted = false;
+
+/** Lets each allocation of this thread fail until it goes out of scope. */
+struct ExhaustedMemory {
+    ExhaustedMemory()
+    {
+        isMemoryExhausted = true;
+    }
+    ExhaustedMemory(const ExhaustedMemory &) = delete;
+    ExhaustedMemory &operator=(const ExhaustedMemory &) = delete;
+    ~ExhaustedMemory()
+    {
+        isMemoryExhausted = false;
+    }
+};
+
+} // namespace
+
+void *operator new(std::size_t bytes)
+{
+    void *memory = isMemoryExhausted ? nullptr : std::malloc(bytes);
+    if (memory == nullptr) {
+        throw std::bad_alloc();
+    }
+    return memory;
+}
+
+void operator delete(void *memory) noexcept
+{
+    std::free(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    std::free(memory);
+}
+
+namespace {
+
 /** Runs a loop for a time, and goes on after errors like a daemon. */
 void runFor(boost::asio::io_context &loop, std::chrono::milliseconds time)
 {
@@ -97,3 +139,28 @@
     CHECK(mayComeFree(std::make_error_code(std::errc::no_buffer_space)));
     CHECK(!mayComeFree(std::make_error_code(std::errc::permission_denied)));
 }
+
+TEST_CASE("Recurring waits are set also while there is no memory")
+{
+    // Guards against a port that accepts nothing any more, and a core that never leads again, once memory was short for a moment.
+    boost::asio::io_context loop;
+    std::vector<boost::asio::steady_timer> others;
+    for (int i = 0; i < 3; ++i) { // The loop's list of timers has room for one more then.
+        others.emplace_back(loop, std::chrono::hours(1)).async_wait([](const boost::system::error_code &) {});
+    }
+    Listener listener(loop, {});
+    std::uint16_t port = 0;
+    REQUIRE(!listener.open("127.0.0.1", port));
+    const NetworkCounters counters;
+    const DescriptorPool descriptors(256);
+    LoadMonitor monitor(loop, counters, descriptors);
+    bool hasFailed = false;
+    try {
+        const ExhaustedMemory exhausted;
+        listener.start();
+        monitor.start();
+    } catch (const std::bad_alloc &) {
+        hasFailed = true;
+    }
+    CHECK(!hasFailed);
+}
