Fix: work ends halfway when its log line finds no memory

logLine threw bad_alloc, or a system error of the writer, into whatever it was told about, for example halfway through the end of a leadership.

Change: such a line is left out.

Evidence: fleet_limits_test, "A line for which there is no memory is left out", failed before.

--- a/src/runtime/log_func.cpp
+++ b/src/runtime/log_func.cpp
@@ -203,25 +203,38 @@
     return loggerOf(area)->isEnabledFor(toLibraryLevel(level));
 }
 
+namespace {
+
+    void writeLine(LogArea area, LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+    {
+        if (!isLogged(area, level)) {
+            return;
+        }
+        const auto [mayWrite, leftOut] = lineBudget().take(event);
+        if (leftOut > 0) {
+            writeLine(LogArea::Daemon, LogLevel::Warn, "lines_left_out", {{"of", event}, {"lines", leftOut}});
+        }
+        if (!mayWrite) {
+            return;
+        }
+        std::string line = "\"event\":\"";
+        line += event;
+        line += '"';
+        for (const LogField &field : fields) {
+            appendField(line, field);
+        }
+        loggerOf(area)->forcedLog(toLibraryLevel(level), line, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    }
+
+} // namespace
+
 void logLine(LogArea area, LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (!isLogged(area, level)) {
-        return;
-    }
-    const auto [mayWrite, leftOut] = lineBudget().take(event);
-    if (leftOut > 0) {
-        logLine(LogArea::Daemon, LogLevel::Warn, "lines_left_out", {{"of", event}, {"lines", leftOut}});
-    }
-    if (!mayWrite) {
-        return;
-    }
-    std::string line = "\"event\":\"";
-    line += event;
-    line += '"';
-    for (const LogField &field : fields) {
-        appendField(line, field);
+    try {
+        writeLine(area, level, event, fields);
+    } catch (const std::exception &) {
+        return; // The line is lost for want of memory or threads; what it tells of goes on.
     }
-    loggerOf(area)->forcedLog(toLibraryLevel(level), line, log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
 } // namespace Filbertlanding
--- a/src/runtime/log_func.h
+++ b/src/runtime/log_func.h
@@ -89,7 +89,7 @@
 /** Returns whether lines of this area and level are written; cheap, for use before fields are built. */
 bool isLogged(LogArea area, LogLevel level);
 
-/** Writes one line with an event name and named values. */
+/** Writes one line with an event name and named values. A line for which memory or a thread is missing is left out. */
 void logLine(LogArea area, LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
 } // namespace Filbertlanding
--- a/tests/fleet_limits_test.cpp
+++ b/tests/fleet_limits_test.cpp
@@ -164,3 +164,18 @@
     }
     CHECK(!hasFailed);
 }
+
+TEST_CASE("A line for which there is no memory is left out")
+{
+    // Guards against work that ends halfway, since it could not be logged.
+    REQUIRE(setLogLevel("info"));
+    logLine(LogArea::Daemon, LogLevel::Info, "prepared", {});
+    bool hasFailed = false;
+    try {
+        const ExhaustedMemory exhausted;
+        logLine(LogArea::Daemon, LogLevel::Info, "an_event_with_a_name_that_needs_memory", {});
+    } catch (const std::bad_alloc &) {
+        hasFailed = true;
+    }
+    CHECK(!hasFailed);
+}
