Fix: a core leads by its role and has no scheduler for good

After an error in a handler the leadership is ended, and a timer starts the next scheduler 200 ms later.

Change: the regular confirmation of the event loop also starts a scheduler that has been missing for a second.

There is no test of it alone.

--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -204,6 +204,7 @@
     std::uint64_t lastLeaderTerm = 0; ///< Term in which this daemon last led.
     std::uint64_t ordersInLastTerm = 0; ///< Number of the last order issued in that term.
     std::optional<FleetScheduler> scheduler; ///< Set while this daemon leads and has applied all entries of earlier leaders.
+    std::optional<TimePoint> withoutSchedulerSince; ///< Set while there is no scheduler.
     WaitingSteps waitingSteps; ///< Ready steps of the present leadership.
     TimePoint nextLoadLine; ///< Earliest time of the next log line about the load.
     std::multiset<JobId> pendingJobs; ///< Jobs that were proposed and are not applied yet.
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -14,12 +14,23 @@
 
     constexpr std::chrono::milliseconds CheckInterval{10};
     constexpr Duration NotServingTime{500}; ///< A leader that cannot serve for this time gives up its leadership; a new leader first hears who else can.
+    constexpr Duration SchedulerRestartTime{1'000}; ///< Longer than the regular delay between two schedulers of a term.
 
 } // namespace
 
 void FleetCore::confirmAlive()
 {
     this->replication.confirmOwnerAlive();
+    if (this->scheduler) {
+        this->withoutSchedulerSince.reset();
+        return;
+    }
+    const TimePoint now = steadyNow();
+    this->withoutSchedulerSince = this->withoutSchedulerSince.value_or(now);
+    // The timer that starts the next scheduler may not have been set for want of memory.
+    if (now - *this->withoutSchedulerSince >= SchedulerRestartTime) {
+        this->beginLeadershipIfReady();
+    }
 }
 
 void FleetCore::setServing(bool canServe)
