Fix: a port is lost when the retry of a failed accept finds no memory

After a failed accept the listener waits 100 ms on a timer. The handler of that wait has memory of its own, but the loop's list of timers may have to grow for it; where that failed, the listener waited for nothing any more.

Change: then it waits for the next connection, which needs no memory, and accepts all that wait at that moment.

Evidence: fleet_limits_test, "A listener goes on although its retry finds no memory": the second connection was not accepted before, and is now.

--- a/src/network/listen_socket.cpp
+++ b/src/network/listen_socket.cpp
@@ -153,10 +153,15 @@
 
 void Listener::retryLater()
 {
-    this->retryTimer.expires_after(AcceptRetryDelay);
-    this->retryTimer.async_wait(KeptHandler(this->retryMemory, [this](Error) {
-        this->onReady();
-    }));
+    try {
+        this->retryTimer.expires_after(AcceptRetryDelay);
+        this->retryTimer.async_wait(KeptHandler(this->retryMemory, [this](Error) {
+            this->onReady();
+        }));
+    } catch (const std::exception &) {
+        // The loop's list of timers cannot grow. Waiting for the next connection needs no memory.
+        this->waitForConnections();
+    }
 }
 
 void Listener::acceptWaiting()
--- a/tests/fleet_limits_test.cpp
+++ b/tests/fleet_limits_test.cpp
@@ -72,7 +72,9 @@
         loop.stop();
     });
     loop.restart();
-    runLoop(loop, [](std::string_view) {});
+    runLoop(loop, [](std::string_view) {
+        isMemoryExhausted = false;
+    });
 }
 
 } // namespace
@@ -118,6 +120,33 @@
     CHECK(accepted == 2);
 }
 
+TEST_CASE("A listener goes on although its retry finds no memory")
+{
+    // Guards against a port that accepts nothing any more, once memory was short for a moment.
+    boost::asio::io_context loop;
+    int accepted = 0;
+    ListenerHooks hooks;
+    hooks.accepted = [&accepted](const boost::asio::ip::tcp::socket &) {
+        if (++accepted == 1) {
+            isMemoryExhausted = true;
+            throw std::bad_alloc();
+        }
+    };
+    hooks.acceptFailed = [] {
+        isMemoryExhausted = false;
+    };
+    Listener listener(loop, std::move(hooks));
+    std::uint16_t port = 0;
+    REQUIRE(!listener.open("127.0.0.1", port));
+    listener.start();
+    const RawSocket first = RawSocket::connectTo(port);
+    runFor(loop, std::chrono::milliseconds(100));
+    CHECK(accepted == 1);
+    const RawSocket second = RawSocket::connectTo(port);
+    runFor(loop, std::chrono::milliseconds(400));
+    CHECK(accepted == 2);
+}
+
 TEST_CASE("A settings file that cannot be read is no error of the daemon")
 {
     // Guards against a leader that ends its leadership, and settings that are never read again, after one failed read.
