--- a/src/fleetd/fleet_replica.cpp
+++ b/src/fleetd/fleet_replica.cpp
@@ -20,7 +20,6 @@
 void FleetCore::start(PeerLinks &links)
 {
     this->peers = &links;
-    this->startLeaderFinder();
     this->replication.startInBackground(this->replicationConfig(), this->replicationHooks());
     const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
         this->replication.inspect(std::move(done));
@@ -29,6 +28,7 @@
         return this->activity();
     };
     this->statusLog.start(inspect, readActivity, {this->settings.electionTimeoutMaxMs});
+    this->startLeaderFinder();
 }
 
 ReplicationHooks FleetCore::replicationHooks()
--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -137,6 +137,11 @@
     return this->journal.rewrite(encodeContent(this->stored));
 }
 
+std::uint64_t LogStore::size() const
+{
+    return this->journal.size();
+}
+
 const LogContent &LogStore::content() const
 {
     return this->stored;
--- a/src/storage/log_store.h
+++ b/src/storage/log_store.h
@@ -38,6 +38,9 @@
     /** Writes all that the journal holds to a new file. Returns Ok or DiskFailed. */
     ResultCode rewrite();
 
+    /** Returns the size of the journal in bytes. */
+    std::uint64_t size() const;
+
     /** Returns what the journal holds. */
     const LogContent &content() const;
 
--- a/tests/fleet_installation.h
+++ b/tests/fleet_installation.h
@@ -26,6 +26,7 @@
     std::size_t cores = 1;
     std::size_t entries = 1;
     std::int64_t stopGraceMs = 2'500; ///< Time between the signal to stop and the end of a process.
+    std::int64_t diskMegabytes = 0; ///< Disk space of a core that the settings name; 0 if not known.
 };
 
 /** Cores and entries. The addresses are derived from the process id, so that concurrent runs use different ones. */
@@ -56,6 +57,9 @@
     /** Starts a daemon that is down again, with the contacts of now. */
     void startAgain(FleetProcess &daemon);
 
+    /** Sets the fault of the disk of a core that was started with switchableDisks: `eio`, `enospc`, `hang`, or none. */
+    void setDiskFault(const FleetProcess &daemon, std::string_view fault) const;
+
     /** Returns whether the readiness check of a daemon says 200. */
     bool isReady(const FleetProcess &daemon);
 
@@ -100,9 +104,12 @@
     std::vector<FleetProcess> entries;
     FleetProcess &core; ///< The first core.
     FleetProcess &entry; ///< The first entry.
+    bool switchableDisks = false; ///< Whether the disks of cores that are started from now on fail as setDiskFault() says.
     int descriptorLimit = 0; ///< Limit on the descriptors of daemons that are started from now on; 0 for that of this process.
 
 private:
+    std::filesystem::path diskFaultPath(const FleetProcess &daemon) const;
+
     FleetShape shape;
     std::size_t replacedHosts = 0;
     std::filesystem::path folder;
