--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -363,8 +363,8 @@
     this->reloadTimer.expires_after(ReloadInterval);
     this->reloadTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
+            this->armReload(); // First, so that an exception below ends this round only.
             this->reload();
-            this->armReload();
         }
     });
 }
