--- a/tests/replication_driver_test.cpp
+++ b/tests/replication_driver_test.cpp
@@ -220,9 +220,9 @@
     {
         std::filesystem::create_directories(folder);
         const FileFunctions files = systemFiles();
-        const auto lock = files.lock((folder / "lock").string());
-        REQUIRE(lock);
-        std::thread predecessor([&files, file = *lock] {
+        const FileLock lock = files.lock((folder / "lock").string());
+        REQUIRE(lock.outcome == LockOutcome::Locked);
+        std::thread predecessor([&files, file = lock.file] {
             std::this_thread::sleep_for(ObstacleTime);
             files.close(file);
         });
