Fix: a core takes part again at once after its disk hung

The messages that came meanwhile waited, and the replication thread handled each one, with a sync for each append, before its next tick. Messages that have waited for 500 ms are dropped now: their senders repeat them, and a whole heartbeat interval is much shorter.

--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -33,6 +33,7 @@
     constexpr std::size_t MaxHeardIdentities = 256; ///< Bounds the table of identities of which messages have come.
 
     constexpr Duration SnapshotRetryTime{10'000}; ///< An owner that could not make a snapshot, for want of memory, is asked again after this time.
+    constexpr Duration MaxMessageAge{500}; ///< Older messages are dropped: after a hang of the disk each would cost a sync, and their senders repeat them.
     constexpr std::size_t MaxWaitingBytes = std::size_t{8} * 1024 * 1024; ///< Bounds the messages that wait for a thread whose disk hangs.
 
     /** Returns whether the reason for which a data folder could not be opened often passes without help. */
@@ -562,9 +563,9 @@
         return;
     }
     this->core->waitingBytes += bytes;
-    asio::post(this->core->context, [state = this->core.get(), message = std::move(message), bytes] {
+    asio::post(this->core->context, [state = this->core.get(), message = std::move(message), bytes, receivedAt = steadyNow()] {
         state->waitingBytes -= bytes;
-        if (state->isRunning) {
+        if (state->isRunning && steadyNow() - receivedAt < MaxMessageAge) {
             state->receive(message);
         }
     });
