--- a/src/core/bounded_archive.h
+++ b/src/core/bounded_archive.h
@@ -18,6 +18,7 @@
 #include <cmath>
 #include <cstdint>
 #include <map>
+#include <new>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -393,17 +394,24 @@
         BoundedInputArchive archive(bytes, formatVersion);
         archive(value);
         return archive.isAtEnd();
+    } catch (const std::bad_alloc &) {
+        // Want of memory says nothing about the bytes. A data folder that counts as damaged would be given up.
+        throw;
     } catch (const std::exception &) {
         return false;
     }
 }
 
-/** Decodes a value that takes up all of the bytes; nothing when they are damaged. */
+/** Decodes a message that takes up all of the bytes; nothing when they are damaged, or memory is lacking, which is as if the message was lost. */
 template<class Value>
 [[nodiscard]] std::optional<Value> decodeBounded(std::string_view bytes)
 {
-    Value value;
-    return decodeBounded(bytes, value) ? std::optional<Value>(std::move(value)) : std::nullopt;
+    try {
+        Value value;
+        return decodeBounded(bytes, value) ? std::optional<Value>(std::move(value)) : std::nullopt;
+    } catch (const std::bad_alloc &) {
+        return std::nullopt;
+    }
 }
 
 /** Returns a format version, as the first byte, and the encoded form of a value. */
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -259,6 +259,28 @@
     checkPeerMessage<ReplicaOutcome>("ReplicaOutcome");
 }
 
+namespace {
+
+/** A value that finds no memory while it is decoded. */
+struct ValueWithoutMemory {
+    template<class Archive>
+    void serialize(Archive &)
+    {
+        throw std::bad_alloc();
+    }
+};
+
+} // namespace
+
+// Guards against a sound data folder that counts as lost, since its records could not be decoded for want of memory.
+TEST_CASE("Want of memory is not taken for damaged bytes")
+{
+    ValueWithoutMemory value;
+    CHECK_THROWS_AS(static_cast<void>(decodeBounded({}, value)), std::bad_alloc);
+    CHECK_THROWS_AS(static_cast<void>(decodeVersioned(1, std::string_view("\1"), value)), std::bad_alloc);
+    CHECK_FALSE(decodeBounded<ValueWithoutMemory>({}).has_value());
+}
+
 TEST_CASE("A decoded Raft message of any content leaves a replica running")
 {
     // Guards against a message that decodes, but whose numbers or memberships the transitions do not expect.
