--- a/src/storage/file_functions.cpp
+++ b/src/storage/file_functions.cpp
@@ -5,8 +5,9 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdio>
-#include <filesystem>
+#include <memory>
 
+#include <dirent.h>
 #include <fcntl.h>
 #include <sys/file.h>
 #include <sys/stat.h>
@@ -35,6 +36,25 @@
         return written < 0 ? std::nullopt : std::optional<std::size_t>(static_cast<std::size_t>(written));
     }
 
+    /** Closes a file at the end of a scope, also after an exception. */
+    class FileCloser
+    {
+    public:
+        explicit FileCloser(int openFile)
+            : file(openFile)
+        {
+        }
+        FileCloser(const FileCloser &) = delete;
+        FileCloser &operator=(const FileCloser &) = delete;
+        ~FileCloser()
+        {
+            ::close(this->file);
+        }
+
+    private:
+        int file;
+    };
+
     /** Reads an open file to its end; nothing if a read fails. */
     std::optional<std::string> readToEnd(int file)
     {
@@ -56,12 +76,12 @@
         if (!file) {
             return {errno == ENOENT ? ReadOutcome::Missing : ReadOutcome::Failed, {}};
         }
+        const FileCloser closer(*file);
         auto content = readToEnd(*file);
         struct stat status {
         };
         // A journal that is read short would look torn, and would be cut there.
         const bool isWhole = content && ::fstat(*file, &status) == 0 && content->size() == static_cast<std::size_t>(status.st_size);
-        ::close(*file);
         return isWhole ? FileContent{ReadOutcome::Whole, std::move(*content)} : FileContent{ReadOutcome::Failed, {}};
     }
 
@@ -78,12 +98,21 @@
 
     std::optional<std::vector<std::string>> listFolder(const std::string &path)
     {
-        std::error_code error;
+        // The iterator of the standard library ends the process when it finds no memory.
+        const std::unique_ptr<DIR, int (*)(DIR *)> folder(::opendir(path.c_str()), ::closedir);
+        if (folder == nullptr) {
+            return std::nullopt;
+        }
         std::vector<std::string> names;
-        for (std::filesystem::directory_iterator item(path, error), end; !error && item != end; item.increment(error)) {
-            names.push_back(item->path().filename().string());
+        errno = 0;
+        while (const dirent *item = ::readdir(folder.get())) {
+            const std::string_view name = item->d_name;
+            if (name != "." && name != "..") {
+                names.emplace_back(name);
+            }
+            errno = 0;
         }
-        if (error) {
+        if (errno != 0) {
             return std::nullopt;
         }
         std::sort(names.begin(), names.end());
