Fix: a replica that failed while memory was short is never opened again

A tick with memory of its own now opens a replica that is due. Beside it: a sync that fails while the folder is opened is remembered, so that the log is written anew at the next attempt; the thread starts last, so that a repeated start finds no thread; bytes of a message that could not be handed over are given back. handler_memory.h moves to src/core.

--- a/src/fleetd/leader_finder.h
+++ b/src/fleetd/leader_finder.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "core/handler_memory.h"
 #include "fleetd/fleet_message.h"
-#include "network/handler_memory.h"
 #include "network/peer_link.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/fleetd/load_monitor.h
+++ b/src/fleetd/load_monitor.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "core/handler_memory.h"
 #include "fleetd/loop_time.h"
 #include "network/descriptor_pool.h"
-#include "network/handler_memory.h"
 #include "network/network_counters.h"
 #include "runtime/histogram.h"
 
--- a/src/network/listen_socket.h
+++ b/src/network/listen_socket.h
@@ -7,7 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "core/clock_type.h"
-#include "network/handler_memory.h"
+#include "core/handler_memory.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/runtime/replication_driver.cpp
+++ b/src/runtime/replication_driver.cpp
@@ -3,6 +3,7 @@
 #include "runtime/replication_driver.h"
 
 #include "core/clock_func.h"
+#include "core/handler_memory.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
 #include "runtime/owner_watch.h"
@@ -28,8 +29,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds TickInterval{20}; ///< Well below the shortest heartbeat interval, so that elections and heartbeats are on time.
-    constexpr std::chrono::milliseconds OpenRetryInterval{200}; ///< Interval of the attempts to open a data folder that is in use or whose disk refuses.
-    constexpr std::chrono::milliseconds ErrorRetryInterval{2'000}; ///< The same after other errors, each of which has read the whole folder.
+    constexpr Duration OpenRetryInterval{200}; ///< Interval of the attempts to open a data folder that is in use or whose disk refuses.
+    constexpr Duration ErrorRetryInterval{2'000}; ///< The same after other errors, each of which has read the whole folder.
     constexpr std::size_t MaxHeardIdentities = 256; ///< Bounds the table of identities of which messages have come.
 
     constexpr Duration SnapshotRetryTime{10'000}; ///< An owner that could not make a snapshot, for want of memory, is asked again after this time.
@@ -42,26 +43,63 @@
         return code == ResultCode::DiskFailed || code == ResultCode::DataFolderInUse;
     }
 
+    /** Returns what the next attempt has to know: a sync that has failed while the folder was opened leaves pages that a later sync doesn't write, too. */
+    std::optional<EarlierFailure> afterAttempt(ResultCode code, const std::optional<EarlierFailure> &failure)
+    {
+        return code == ResultCode::DataFolderInUse ? failure : failure.value_or(EarlierFailure{});
+    }
+
     /** Opens a replica. Write errors and a predecessor that is still stopping often last for seconds; exiting at once would cause a restart loop. */
     OpenedReplica openWithRetries(const ReplicationConfig &config)
     {
         const TimePoint deadline = steadyNow() + config.openRetryTime;
+        std::optional<EarlierFailure> failure;
         while (true) {
-            OpenedReplica replica = openReplica(config, std::nullopt);
+            OpenedReplica replica = openReplica(config, failure);
             if (!mayPass(replica.start.code) || steadyNow() >= deadline) {
                 return replica;
             }
-            std::this_thread::sleep_for(OpenRetryInterval);
+            failure = afterAttempt(replica.start.code, failure);
+            std::this_thread::sleep_for(std::chrono::milliseconds(OpenRetryInterval.ms));
         }
     }
 
+    /** Counts the bytes of a message while it waits, also if it can't be handed over. */
+    class WaitingBytes
+    {
+    public:
+        WaitingBytes(std::atomic<std::size_t> &counter, std::size_t messageBytes)
+            : total(counter)
+            , bytes(messageBytes)
+        {
+            this->total += this->bytes;
+        }
+        WaitingBytes(const WaitingBytes &) = delete;
+        WaitingBytes &operator=(const WaitingBytes &) = delete;
+        ~WaitingBytes()
+        {
+            this->release();
+        }
+
+        void release()
+        {
+            this->total -= std::exchange(this->bytes, 0);
+        }
+
+    private:
+        std::atomic<std::size_t> &total;
+        std::size_t bytes;
+    };
+
 } // namespace
 
 struct ReplicationDriver::Core {
+    std::atomic<std::size_t> waitingBytes{0}; ///< Size of the messages that wait for the thread; outlives their handlers.
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work{asio::make_work_guard(this->context)};
     asio::steady_timer timer{this->context};
-    asio::steady_timer openTimer{this->context};
+    std::shared_ptr<HandlerMemory> tickMemory = std::make_shared<HandlerMemory>();
+    std::optional<TimePoint> openDue; ///< Next attempt to open the replica.
     std::thread thread;
     std::promise<void> endPromise;
     std::future<void> end{this->endPromise.get_future()}; ///< Set when the thread has ended.
@@ -73,7 +111,6 @@
     std::optional<EarlierFailure> failure; ///< Why the replica was stopped, until it runs again.
     ResultCode openCode = ResultCode::Ok; ///< Outcome of the last attempt to open the data folder.
     bool isServing = true;
-    std::atomic<std::size_t> waitingBytes{0}; ///< Size of the messages that wait for the thread.
     HardState syncedVote; ///< Hard state that was last synced.
     std::atomic<std::int64_t> leaseEndMs{0}; ///< End of the leader's lease, for other threads.
     std::atomic<std::uint64_t> ownerConfirmations{0};
@@ -200,23 +237,27 @@
         this->leaseEndMs = TimePoint().ms;
         this->setHealth(ReplicaCondition::Failed, code);
         this->failure = EarlierFailure{this->folder.failedBytes};
+        if (this->reopens) {
+            this->openLater(code);
+        }
         for (auto &[token, done] : std::exchange(this->reads, {})) {
             done({token, ResultCode::NoQuorum, 0});
         }
         this->hooks.failed(code);
-        if (this->reopens) {
-            this->openLater(code);
-        }
     }
 
+    /** Lets a later tick open the replica; it needs no memory. */
     void openLater(ResultCode reason)
     {
-        this->openTimer.expires_after(mayPass(reason) ? OpenRetryInterval : ErrorRetryInterval);
-        this->openTimer.async_wait([this](const boost::system::error_code &error) {
-            if (!error) {
-                this->open();
-            }
-        });
+        this->openDue = steadyNow() + (mayPass(reason) ? OpenRetryInterval : ErrorRetryInterval);
+    }
+
+    void openIfDue()
+    {
+        if (this->openDue && steadyNow() >= *this->openDue) {
+            this->openDue.reset();
+            this->open();
+        }
     }
 
     /** Opens the replica, or tries again later. */
@@ -230,6 +271,7 @@
         this->openCode = code;
         if (code != ResultCode::Ok) {
             this->setHealth(this->currentHealth.condition, code);
+            this->failure = afterAttempt(code, this->failure);
             this->openLater(code);
             if (isChanged) {
                 this->hooks.opened(replica.start);
@@ -270,6 +312,7 @@
             this->stopReplica(ResultCode::Internal);
         } else if (this->reopens) {
             this->setHealth(this->currentHealth.condition, ResultCode::Internal);
+            this->failure = afterAttempt(ResultCode::Internal, this->failure);
             this->openLater(ResultCode::Internal);
         }
     }
@@ -427,12 +470,13 @@
         this->answeredAtMs = steadyNow().ms;
         // First, so that the ticks go on after an exception.
         this->timer.expires_after(TickInterval);
-        this->timer.async_wait([this](const boost::system::error_code &error) {
+        this->timer.async_wait(KeptHandler(this->tickMemory, [this](const boost::system::error_code &error) {
             if (!error) {
                 this->tick();
             }
-        });
+        }));
         if (!this->isRunning) {
+            this->openIfDue();
             return;
         }
         this->watchOwner();
@@ -472,14 +516,19 @@
 void ReplicationDriver::startInBackground(ReplicationConfig config, ReplicationHooks hooks)
 {
     Core &state = *this->core;
-    state.config = std::move(config);
-    state.hooks = std::move(hooks);
-    state.reopens = true;
-    state.startThread();
-    asio::post(state.context, [&state] {
-        state.tick();
-        state.open();
-    });
+    if (!state.reopens) {
+        state.config = std::move(config);
+        state.hooks = std::move(hooks);
+        state.openDue = steadyNow();
+        asio::post(state.context, [&state] {
+            state.tick();
+        });
+        state.reopens = true;
+    }
+    // Last, since the thread may not be had at once; the call is then repeated.
+    if (!state.thread.joinable()) {
+        state.startThread();
+    }
 }
 
 void ReplicationDriver::restart(ResultCode reason)
@@ -562,9 +611,9 @@
     if (this->core->waitingBytes.load() + bytes > MaxWaitingBytes) {
         return;
     }
-    this->core->waitingBytes += bytes;
-    asio::post(this->core->context, [state = this->core.get(), message = std::move(message), bytes, receivedAt = steadyNow()] {
-        state->waitingBytes -= bytes;
+    const auto waiting = std::make_shared<WaitingBytes>(this->core->waitingBytes, bytes);
+    asio::post(this->core->context, [state = this->core.get(), message = std::move(message), waiting, receivedAt = steadyNow()] {
+        waiting->release();
         if (state->isRunning && steadyNow() - receivedAt < MaxMessageAge) {
             state->receive(message);
         }
