Fix: an exception between two applied entries leaves a hole in the replicated state

Applying and installing now restart the replica at any exception and at a missing index; a restart that finds no memory is asked for again; a callback that throws keeps no other caller from its answer.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -86,6 +86,18 @@
         return settings;
     }
 
+    /** Tells that a command was not applied. An error in one callback keeps no other caller from its answer. */
+    void withdraw(const std::function<void(bool)> &callback)
+    {
+        try {
+            if (callback) {
+                callback(false);
+            }
+        } catch (const std::exception &error) {
+            logLine(LogArea::Replication, LogLevel::Error, "callback_failed", {{"error", error.what()}});
+        }
+    }
+
 } // namespace
 
 FleetCore::FleetCore(asio::io_context &loop,
@@ -166,6 +178,17 @@
 }
 
 void FleetCore::onApplied(const std::vector<LogEntry> &entries)
+{
+    try {
+        this->applyEntries(entries);
+    } catch (const std::exception &error) {
+        // Replication counts the entries as applied, so that what is left out here would be missing for good.
+        logLine(LogArea::Replication, LogLevel::Error, "apply_failed", {{"index", this->appliedIndex}, {"error", error.what()}});
+        this->restartReplica(ResultCode::Internal);
+    }
+}
+
+void FleetCore::applyEntries(const std::vector<LogEntry> &entries)
 {
     {
         const LoopTimer timer(this->times, LoopPart::AppliedEntries);
@@ -184,6 +207,11 @@
 
 void FleetCore::applyEntry(const LogEntry &entry)
 {
+    if (entry.index != this->appliedIndex + 1) {
+        logLine(LogArea::Replication, LogLevel::Error, "entry_missing", {{"index", entry.index}, {"appliedIndex", this->appliedIndex}});
+        this->restartReplica(ResultCode::Internal);
+        return;
+    }
     this->appliedIndex = entry.index;
     this->appliedTerm = entry.term;
     ++this->counters.entriesApplied;
@@ -254,7 +282,12 @@
     if (!this->isReplicaOpen) {
         return;
     }
-    const ResultCode code = decodeFleetState(snapshot.state, this->state);
+    ResultCode code = ResultCode::Internal;
+    try {
+        code = decodeFleetState(snapshot.state, this->state);
+    } catch (const std::exception &error) {
+        logLine(LogArea::Replication, LogLevel::Error, "snapshot_failed", {{"index", snapshot.index}, {"error", error.what()}});
+    }
     logLine(LogArea::Replication, LogLevel::Info, "snapshot_installed", {{"index", snapshot.index}, {"code", resultCodeRow(code).name}});
     if (code != ResultCode::Ok) {
         this->restartReplica(code);
@@ -362,9 +395,7 @@
     }
     this->inFlight.clear();
     for (const auto &callback : callbacks) {
-        if (callback) {
-            callback(false);
-        }
+        withdraw(callback);
     }
     this->tickTimer.expires_after(LeadershipRestartDelay);
     this->tickTimer.async_wait([this](const boost::system::error_code &error) {
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -154,6 +154,8 @@
     void onReplicaOpened(ResultCode code);
     void onReplicaFailed(ResultCode code);
     void restartReplica(ResultCode reason);
+    void continueRestart();
+    void applyEntries(const std::vector<LogEntry> &entries);
     void leaveReplica(std::string_view reason);
     void checkReplica();
     bool isReplicaRunning() const;
@@ -237,6 +239,7 @@
     std::map<std::uint64_t, OpenRead> openReads; ///< Reads of the manifest without an answer, by their numbers.
     std::uint64_t lastRead = 0; ///< Number of the last read.
     bool isReplicaOpen = false; ///< The state below follows the replicated log.
+    std::optional<ResultCode> restartReason; ///< Set until the replication thread has been told to begin anew.
     bool isReplicaSilent = false; ///< The replication thread does not answer.
     bool isThreadEnded = false;
     HeldCalls heldCalls; ///< Calls of workers and operators that wait for a leader.
--- a/src/fleetd/fleet_replica.cpp
+++ b/src/fleetd/fleet_replica.cpp
@@ -21,7 +21,6 @@
 {
     this->peers = &links;
     this->startLeaderFinder();
-    this->replication.startInBackground(this->replicationConfig(), this->replicationHooks());
     const auto inspect = [this](std::function<void(ReplicationDetail)> done) {
         this->replication.inspect(std::move(done));
     };
@@ -29,6 +28,8 @@
         return this->activity();
     };
     this->statusLog.start(inspect, readActivity, {this->settings.electionTimeoutMaxMs});
+    // Last, since all of it is repeated if a thread or memory is lacking.
+    this->replication.startInBackground(this->replicationConfig(), this->replicationHooks());
 }
 
 ReplicationHooks FleetCore::replicationHooks()
@@ -90,6 +91,11 @@
     if (code != ResultCode::Ok) {
         return;
     }
+    if (this->isReplicaOpen) {
+        // The message that the replica had failed was lost for want of memory.
+        this->onReplicaFailed(ResultCode::Internal);
+    }
+    this->restartReason.reset();
     this->state = {};
     this->appliedIndex = 0;
     this->appliedTerm = 0;
@@ -110,9 +116,19 @@
 void FleetCore::restartReplica(ResultCode reason)
 {
     this->isReplicaOpen = false;
+    this->restartReason = reason;
     this->leaveReplica("the replicated state cannot be used");
     this->status = {};
-    this->replication.restart(reason);
+    this->continueRestart();
+}
+
+/** Asks for a replica that begins anew. It is called again later if it finds no memory. */
+void FleetCore::continueRestart()
+{
+    if (this->restartReason) {
+        this->replication.restart(*this->restartReason);
+        this->restartReason.reset();
+    }
 }
 
 /** Ends all that only a running replica can carry out, and answers what waits for it. */
@@ -131,6 +147,7 @@
 /** Notices a replication thread that hangs, for example in a sync, and one that answers again. */
 void FleetCore::checkReplica()
 {
+    this->continueRestart();
     const bool isSilent = this->replicaHealth().condition == ReplicaCondition::Silent;
     if (isSilent == this->isReplicaSilent) {
         return;
