Fix: a start that is repeated leaves out what an exception has interrupted

Found by the reviewer, by reading: flags were set before the work, so that the callers' port, the leader finder or the control port could be missing for good. They are set after it. The timer of the status lines is set first, too.

--- a/src/fleetd/core_status_log.cpp
+++ b/src/fleetd/core_status_log.cpp
@@ -143,8 +143,8 @@
     this->timer.expires_after(SampleInterval);
     this->timer.async_wait([this](const boost::system::error_code &error) {
         if (!error && !this->isStopped) {
+            this->armTimer(); // First, so that an exception below ends this round only.
             this->onTimer();
-            this->armTimer();
         }
     });
 }
@@ -156,7 +156,6 @@
         this->logDueLines();
         return;
     }
-    this->isInspecting = true;
     this->readDetail([this](ReplicationDetail next) {
         boost::asio::post(this->io, [this, moved = std::move(next)]() mutable {
             this->detail = std::move(moved);
@@ -164,6 +163,7 @@
             this->logDueLines();
         });
     });
+    this->isInspecting = true; // The answer is handled on this event loop, so it comes later.
 }
 
 void CoreStatusLog::logDueLines()
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -197,19 +197,20 @@
 /** Opens the port for peer links, and then all that needs it. Returns Ok also if the port may come free later. */
 ResultCode FleetDaemon::openLinks()
 {
-    const std::error_code error = this->peers->start();
+    const std::error_code error = this->isPeerPortOpen ? std::error_code() : this->peers->start();
     const int port = linkSettings(this->settings, this->io, this->descriptors).port;
     this->linkAttempts.record(this->settings.address + ":" + std::to_string(port), error, mayComeFree(error));
     if (error) {
         return mayComeFree(error) ? ResultCode::Ok : ResultCode::BadAddress;
     }
-    this->areLinksOpen = true;
+    this->isPeerPortOpen = true;
     this->peers->setPeers({});
     this->relay.start(*this->peers, this->finder);
     this->finder.leaderFound = [this] {
         this->relay.onLeaderFound();
     };
     if (this->core != nullptr) {
+        this->areLinksOpen = true;
         return ResultCode::Ok;
     }
     this->finder.start(*this->peers, addressesOf(this->settings.contacts));
@@ -217,6 +218,7 @@
         this->relay.handleRequest(std::move(request), std::move(respond));
     };
     this->listeners.add({this->settings.listenCallers, callers, MaxCallerBodyBytes});
+    this->areLinksOpen = true; // Last, since all of it is repeated if memory is lacking.
     return ResultCode::Ok;
 }
 
@@ -229,11 +231,11 @@
     }
     this->peers->setPeers(std::move(addresses));
     if (!this->isControlAdded) {
-        this->isControlAdded = true;
         const auto control = [this](HttpRequest &&request, HttpRespond respond) {
             this->core->handleControlRequest(request, std::move(respond));
         };
         this->listeners.add({this->settings.listenControl, control, MaxControlBodyBytes});
+        this->isControlAdded = true;
     }
     // Before replication starts, so that it knows whether this daemon can serve before it may become a candidate.
     if (this->listeners.open()) {
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -90,7 +90,8 @@
     DaemonListeners listeners;
     bool isControlAdded = false; ///< Whether the listeners have the one for workers and operators.
     bool isCoreStarted = false;
-    bool areLinksOpen = false; ///< Whether the port for peer links is open.
+    bool isPeerPortOpen = false; ///< Whether the port for peer links is open.
+    bool areLinksOpen = false; ///< Whether all that needs that port has started, too.
     bool isStarted = false; ///< Whether all that the daemon needs is open.
     bool isStopping = false;
     TimePoint stopEnd; ///< When the process ends at the latest after the signal to stop.
