--- a/src/fleetd/daemon_listeners.cpp
+++ b/src/fleetd/daemon_listeners.cpp
@@ -47,19 +47,33 @@
 
 HttpServerSettings DaemonListeners::serverSettings(const DaemonListener &listener) const
 {
-    const DescriptorShares &shares = this->descriptors.shares();
     const auto parts = splitAddress(listener.endpoint);
     HttpServerSettings server;
     server.loop = &this->io;
     server.address = parts->first;
     server.port = parts->second;
     server.maxBodyBytes = listener.maxBodyBytes;
-    server.maxConnections = listener.share == ListenerShare::Main ? shares.main : shares.auxiliary;
+    server.maxConnections = this->maxConnections(listener);
     server.descriptors = &this->descriptors;
     server.idleTimeout = {15'000};
     return server;
 }
 
+std::size_t DaemonListeners::maxConnections(const DaemonListener &listener) const
+{
+    const DescriptorShares &shares = this->descriptors.shares();
+    return listener.share == ListenerShare::Main ? shares.main : shares.auxiliary;
+}
+
+void DaemonListeners::applyShares()
+{
+    for (const Entry &entry : this->entries) {
+        if (entry.server != nullptr) {
+            entry.server->setMaxConnections(this->maxConnections(entry.listener));
+        }
+    }
+}
+
 void DaemonListeners::add(DaemonListener listener)
 {
     if (splitAddress(listener.endpoint)) {
--- a/src/fleetd/daemon_listeners.h
+++ b/src/fleetd/daemon_listeners.h
@@ -55,6 +55,9 @@
     /** Tries to open each listener that is not open yet. Returns the first error of a required one that does not come free, or no error. */
     std::error_code open();
 
+    /** Takes over the shares of the descriptors, which have changed. */
+    void applyShares();
+
     /** Returns whether all listeners that were added are open. */
     bool areAllOpen() const;
 
@@ -80,6 +83,7 @@
 
     std::error_code open(Entry &entry);
     HttpServerSettings serverSettings(const DaemonListener &listener) const;
+    std::size_t maxConnections(const DaemonListener &listener) const;
 
     boost::asio::io_context &io;
     NetworkCounters &network;
--- a/src/fleetd/fleet_daemon.cpp
+++ b/src/fleetd/fleet_daemon.cpp
@@ -137,6 +137,7 @@
     this->listeners.add({this->settings.listenMetrics, metricsHandler, MaxCallerBodyBytes, ListenerShare::Auxiliary, false});
     this->armReload();
     this->loadMonitor.sampled = [this] {
+        this->followDescriptorLimit();
         this->updateServing();
     };
     this->loadMonitor.start();
@@ -387,6 +388,19 @@
     }
 }
 
+/** Takes over a limit on descriptors that has changed since the start, so that a low one lasts no longer than its cause. */
+void FleetDaemon::followDescriptorLimit()
+{
+    const std::size_t limit = processDescriptorLimit();
+    if (limit == this->descriptors.limit()) {
+        return;
+    }
+    logLine(LogArea::Daemon, LogLevel::Info, "descriptor_limit_changed", {{"limit", limit}, {"before", this->descriptors.limit()}});
+    this->descriptors.setLimit(limit);
+    this->listeners.applyShares();
+    this->peers->setMaxHandshakes(this->descriptors.shares().handshakes);
+}
+
 /** Tells the core whether this daemon could carry out the duties of a leader. */
 void FleetDaemon::updateServing()
 {
--- a/src/fleetd/fleet_daemon.h
+++ b/src/fleetd/fleet_daemon.h
@@ -62,6 +62,7 @@
     void waitForSignal();
     void armReload();
     void reload();
+    void followDescriptorLimit();
     void updateServing();
     void beginStop();
     void stopCore();
--- a/src/network/descriptor_pool.cpp
+++ b/src/network/descriptor_pool.cpp
@@ -88,6 +88,12 @@
     return false;
 }
 
+void DescriptorPool::setLimit(std::size_t limitOfProcess)
+{
+    this->processLimit = limitOfProcess;
+    this->divided = descriptorShares(limitOfProcess);
+}
+
 std::size_t DescriptorPool::limit() const
 {
     return this->processLimit;
--- a/src/network/descriptor_pool.h
+++ b/src/network/descriptor_pool.h
@@ -57,6 +57,9 @@
     /** Closes the least valuable connection at once. Returns false if all are busy. */
     bool releaseOne();
 
+    /** Takes over a limit of the process that has changed. Connections beyond it are closed as others need their place. */
+    void setLimit(std::size_t limitOfProcess);
+
     /** Returns the limit of the process. */
     std::size_t limit() const;
 
--- a/src/network/http_server.cpp
+++ b/src/network/http_server.cpp
@@ -335,6 +335,11 @@
             .busiest = table.busiestAddress()};
 }
 
+void HttpServer::setMaxConnections(std::size_t limit)
+{
+    this->core->shared.settings.maxConnections = limit;
+}
+
 bool HttpServer::isAccepting() const
 {
     return this->core->listener->isAccepting();
--- a/src/network/http_server.h
+++ b/src/network/http_server.h
@@ -70,6 +70,9 @@
     /** Returns the connections in brief; only on the loop of the owner. */
     ConnectionSummary connectionSummary() const;
 
+    /** Changes HttpServerSettings::maxConnections; only for a server on the caller's event loop. */
+    void setMaxConnections(std::size_t limit);
+
     /** Returns whether new connections can be accepted; only on the loop of the owner. */
     bool isAccepting() const;
 
--- a/src/network/peer_link.cpp
+++ b/src/network/peer_link.cpp
@@ -122,6 +122,11 @@
     this->core->shared.refusalHook = std::move(hook);
 }
 
+void PeerLinks::setMaxHandshakes(std::size_t limit)
+{
+    this->core->shared.settings.maxHandshakes = limit;
+}
+
 ConnectionSummary PeerLinks::handshakeSummary() const
 {
     return this->core->accepted.handshakeSummary();
--- a/src/network/peer_link.h
+++ b/src/network/peer_link.h
@@ -90,6 +90,9 @@
      */
     void setRefusalHook(std::function<void(const DaemonName &peer, ResultCode code)> hook);
 
+    /** Changes PeerLinkSettings::maxHandshakes; only on the link thread. */
+    void setMaxHandshakes(std::size_t limit);
+
     /** Returns the connections in the handshake in brief; only on the link thread. */
     ConnectionSummary handshakeSummary() const;
 
