Change: names and comments after a newcomer's reading

Ruled out: a fault of the program, since the subcases never follow each other. Change: that test copies its hooks; tell and withdraw are reportFailure and reportNotApplied; three comments say what they mean. No behaviour.

--- a/src/core/bounded_archive.h
+++ b/src/core/bounded_archive.h
@@ -135,7 +135,7 @@
         return size;
     }
 
-    /** Takes the mark of a value that has parts which earlier versions lack, if it is there; the argument counts for nothing. */
+    /** Reads the mark of a value that has parts which earlier versions lack, and returns whether it is there. The argument is for output archives only. */
     bool markExtended(bool)
     {
         BoundedInputArchive ahead(this->rest);
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -86,8 +86,8 @@
         return settings;
     }
 
-    /** Tells that a command was not applied. An error in one callback keeps no other caller from its answer. */
-    void withdraw(const std::function<void(bool)> &callback)
+    /** Tells a caller that its command was not applied. An exception in one callback must not keep other callers from their answers. */
+    void reportNotApplied(const std::function<void(bool)> &callback)
     {
         try {
             if (callback) {
@@ -395,7 +395,7 @@
     }
     this->inFlight.clear();
     for (const auto &callback : callbacks) {
-        withdraw(callback);
+        reportNotApplied(callback);
     }
     this->tickTimer.expires_after(LeadershipRestartDelay);
     this->tickTimer.async_wait([this](const boost::system::error_code &error) {
--- a/src/runtime/run_loop.cpp
+++ b/src/runtime/run_loop.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    /** Tells that a handler has failed. The handler of that may fail too, since a log line needs memory. */
-    void tell(const std::function<void(std::string_view)> &handlerFailed, std::string_view error)
+    /** Reports an exception of a handler. The report may throw, too, since a log line needs memory; it is left out then. */
+    void reportFailure(const std::function<void(std::string_view)> &handlerFailed, std::string_view error)
     {
         try {
             handlerFailed(error);
@@ -29,7 +29,7 @@
             loop.run();
             return;
         } catch (const std::exception &error) {
-            tell(handlerFailed, error.what());
+            reportFailure(handlerFailed, error.what());
         }
     }
 }
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -117,7 +117,7 @@
         if (!files.syncFolder(current)) {
             return ResultCode::DiskFailed;
         }
-        // Space first: a disk that is full of what failed rewrites have left could not become sound again.
+        // Before anything is written: a disk that these files fill could not take a write any more.
         code = removeTemporaries(files, current);
         if (code != ResultCode::Ok) {
             return code;
--- a/tests/want_of_memory_test.cpp
+++ b/tests/want_of_memory_test.cpp
@@ -143,7 +143,7 @@
     };
     SUBCASE("when it was short while the replica ran")
     {
-        driver.startInBackground(configFor(folder.path), std::move(hooks));
+        driver.startInBackground(configFor(folder.path), hooks);
         REQUIRE(waitFor([&driver] {
             return isRunning(driver);
         }));
