--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -124,6 +124,8 @@
         }
         if (archive.hasFieldsOf(AccountFormat)) {
             archive(this->accounts);
+        } else if constexpr (Archive::is_loading::value) {
+            this->accounts = {AccountName()};
         }
     }
 };
--- a/src/fleet/fleet_state_jobs.cpp
+++ b/src/fleet/fleet_state_jobs.cpp
@@ -51,8 +51,7 @@
             return false;
         }
         const auto &accounts = found->second.accounts;
-        // Cancellations of earlier format versions name no account and count for every submission.
-        const bool counts = accounts.empty() || std::find(accounts.begin(), accounts.end(), command.account) != accounts.end();
+        const bool counts = std::find(accounts.begin(), accounts.end(), command.account) != accounts.end();
         state.cancelledBeforeSubmission.erase(found);
         return counts;
     }
