Fix: the stated wait for a submission is exact

The bucket counted tokens in floating point, so that a submission at the stated time could find 0.9999 tokens and be refused again, and a time that went back took tokens away.

--- a/src/account/submission_rate.cpp
+++ b/src/account/submission_rate.cpp
@@ -3,19 +3,14 @@
 #include "account/submission_rate.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Filbertlanding {
 
 namespace {
 
-    constexpr double MsPerSecond = 1000.0;
+    constexpr std::int64_t PartsPerToken = 1'000; ///< A weight of 1 adds one part each millisecond, so bucket contents are exact.
     constexpr Duration Burst{5'000}; ///< Time whose worth of submissions may come at once.
-
-    double tokensIn(const AccountTerms &terms, Duration time)
-    {
-        return static_cast<double>(terms.weight) * static_cast<double>(time.ms) / MsPerSecond;
-    }
+    constexpr std::int64_t MaxWeight = 1'000'000'000'000; ///< Larger weights count as this one, so that no product overflows.
 
 } // namespace
 
@@ -24,17 +19,23 @@
     if (terms.weight == 0) {
         return std::nullopt;
     }
-    const double mostTokens = tokensIn(terms, Burst);
-    const auto [entry, isNew] = buckets.try_emplace(terms.name, SubmissionBucket{mostTokens, now});
+    const std::int64_t weight = std::min(terms.weight, MaxWeight);
+    const std::int64_t mostParts = weight * Burst.ms;
+    const auto [entry, isNew] = buckets.try_emplace(terms.name, SubmissionBucket{mostParts, now});
     SubmissionBucket &bucket = entry->second;
-    bucket.tokens = std::min(mostTokens, bucket.tokens + tokensIn(terms, now - bucket.filledAt));
-    bucket.filledAt = now;
-    if (bucket.tokens >= 1) {
-        bucket.tokens -= 1;
+    if (now > bucket.filledAt) {
+        const Duration elapsed = std::min(now - bucket.filledAt, Burst);
+        bucket.tokenParts += weight * elapsed.ms;
+        bucket.filledAt = now;
+    }
+    bucket.tokenParts = std::min(mostParts, bucket.tokenParts);
+    if (bucket.tokenParts >= PartsPerToken) {
+        bucket.tokenParts -= PartsPerToken;
         return std::nullopt;
     }
-    const double missingMs = (1 - bucket.tokens) / static_cast<double>(terms.weight) * MsPerSecond;
-    return Duration{static_cast<std::int64_t>(std::ceil(missingMs))};
+    const std::int64_t missing = PartsPerToken - bucket.tokenParts;
+    // The bucket fills again from the latest time that it has seen.
+    return (bucket.filledAt - now) + Duration{(missing + weight - 1) / weight};
 }
 
 } // namespace Filbertlanding
--- a/src/account/submission_rate.h
+++ b/src/account/submission_rate.h
@@ -5,6 +5,7 @@
 #include "account/account_type.h"
 #include "core/clock_type.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -12,8 +13,8 @@
 
 /** Tokens of one account. One token is a submission. */
 struct SubmissionBucket {
-    double tokens = 0;
-    TimePoint filledAt; ///< Time up to which tokens have been added.
+    std::int64_t tokenParts = 0; ///< Thousandths of tokens.
+    TimePoint filledAt; ///< Time up to which tokens have been added; an earlier time adds none.
 };
 
 /** Buckets of the accounts that have submitted jobs. A new leader starts with full ones. */
