Fix: rounding does not put equal accounts above their shares

The sum of equal shares, divided by their number, can be smaller than each of them: all 5 of 5 equal accounts were above their share, and so were served behind work without an account. Shares are compared with a tolerance of 1e-9.

--- a/src/account/fair_share.cpp
+++ b/src/account/fair_share.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr double FarAboveFactor = 2.0;
+    constexpr double RoundingTolerance = 1e-9; ///< Part of a share that sums of shares and weights may be off; equal accounts would else be above theirs.
 
     double partOf(std::int64_t amount, std::int64_t capacity)
     {
@@ -22,10 +23,11 @@
 
     ShareClass classify(double share, double fairShare)
     {
-        if (share <= fairShare) {
+        const double mostWithin = fairShare * (1.0 + RoundingTolerance);
+        if (share <= mostWithin) {
             return ShareClass::Within;
         }
-        return share <= FarAboveFactor * fairShare ? ShareClass::Above : ShareClass::FarAbove;
+        return share <= FarAboveFactor * mostWithin ? ShareClass::Above : ShareClass::FarAbove;
     }
 
 } // namespace
