Fix: a key that an account lists twice is one key change

The same key twice in one account is valid, but was logged as two changes. The search is also no longer quadratic in the number of accounts.

--- a/src/account/api_key.cpp
+++ b/src/account/api_key.cpp
@@ -2,25 +2,36 @@
 
 #include "account/api_key.h"
 
-#include "account/account_check.h"
-
 #include <openssl/evp.h>
 
 #include <new>
+#include <set>
+#include <utility>
 
 namespace Filbertlanding {
 
 namespace {
 
-    /** Appends the keys of accounts that other accounts of the same name lack. */
-    void appendMissing(const std::vector<ClientAccount> &accounts, const std::vector<ClientAccount> &others, bool isAdded, std::vector<KeyChange> &changes)
+    using AccountKey = std::pair<AccountName, KeyDigest>;
+
+    /** Returns each key of each account once, in order. */
+    std::set<AccountKey> keysOf(const std::vector<ClientAccount> &accounts)
     {
+        std::set<AccountKey> keys;
         for (const ClientAccount &account : accounts) {
-            const ClientAccount *other = findAccount(others, account.terms.name);
             for (const KeyDigest &digest : account.keys) {
-                if (other == nullptr || !hasKey(*other, digest)) {
-                    changes.push_back({account.terms.name, digest, isAdded});
-                }
+                keys.emplace(account.terms.name, digest);
+            }
+        }
+        return keys;
+    }
+
+    /** Appends the keys that the other configuration lacks. */
+    void appendMissing(const std::set<AccountKey> &keys, const std::set<AccountKey> &others, bool isAdded, std::vector<KeyChange> &changes)
+    {
+        for (const AccountKey &key : keys) {
+            if (!others.contains(key)) {
+                changes.push_back({key.first, key.second, isAdded});
             }
         }
     }
@@ -70,8 +81,10 @@
 std::vector<KeyChange> compareKeys(const std::vector<ClientAccount> &before, const std::vector<ClientAccount> &after)
 {
     std::vector<KeyChange> changes;
-    appendMissing(before, after, false, changes);
-    appendMissing(after, before, true, changes);
+    const std::set<AccountKey> oldKeys = keysOf(before);
+    const std::set<AccountKey> newKeys = keysOf(after);
+    appendMissing(oldKeys, newKeys, false, changes);
+    appendMissing(newKeys, oldKeys, true, changes);
     return changes;
 }
 
--- a/src/account/api_key.h
+++ b/src/account/api_key.h
@@ -40,7 +40,7 @@
     bool isAdded = false;
 };
 
-/** Returns the keys that differ between two configurations. A key that moves to another account is removed and added. */
+/** Returns the keys that differ between two configurations, each once. A key that moves to another account is removed and added. */
 std::vector<KeyChange> compareKeys(const std::vector<ClientAccount> &before, const std::vector<ClientAccount> &after);
 
 } // namespace Filbertlanding
