--- a/src/account/account_limit.cpp
+++ b/src/account/account_limit.cpp
@@ -46,7 +46,8 @@
 
 void addUsage(AccountUsage &usage, const AccountName &account, const Resources &request)
 {
-    if (!account.empty()) {
+    // A request of nothing adds no entry: the end of another run would remove it on this replica, but not on one that counts again.
+    if (!account.empty() && request != Resources()) {
         Resources &used = usage[account];
         used = used + request;
     }
