Fix: a backlog beyond the range of milliseconds is a refusal

On x86-64 the conversion of such a wait gives the smallest number, which admits the job; on arm64 it gives the largest one. It is bounded before the conversion.

--- a/src/account/account_admission.cpp
+++ b/src/account/account_admission.cpp
@@ -9,6 +9,7 @@
 
 #include "account/account_limit.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace Filbertlanding {
@@ -16,12 +17,13 @@
 namespace {
 
     constexpr double MillisPerUnit = 1000.0; ///< Thousandths of a core in a core, and milliseconds in a second.
+    constexpr double LongestWaitMs = 1e15; ///< Longer waits count as this one, since not every one can be converted to milliseconds.
 
     /** Returns the time that the tasks of an account need for an amount of work at its CPU limit. */
     Duration timeAtLimit(const AccountTerms &terms, double cpuSeconds)
     {
         const double cores = static_cast<double>(terms.limit.cpuMillis) / MillisPerUnit;
-        return Duration{static_cast<std::int64_t>(std::ceil(cpuSeconds / cores * MillisPerUnit))};
+        return Duration{static_cast<std::int64_t>(std::ceil(std::min(LongestWaitMs, cpuSeconds / cores * MillisPerUnit)))};
     }
 
 } // namespace
