Fix: a public queue assigns no job to an account that has lost the key

Only the log order decides whether a key is valid. A submission to a public queue behind the removal of its key was still assigned to the account; it is now accepted as one without an account, as with any unknown key.

--- a/src/fleet/fleet_state_jobs.cpp
+++ b/src/fleet/fleet_state_jobs.cpp
@@ -21,14 +21,11 @@
         }
     }
 
-    /** Returns whether the account of a submission still has its key. An earlier manifest of the log may have removed it since the call was checked. */
-    bool isSubmissionAuthorized(const FleetManifest &manifest, const QueueConfig &queue, const SubmitFleetJob &command)
+    /** Returns the account of a submission if it still has its key. An earlier manifest of the log may have removed it since the call was checked. */
+    const ClientAccount *findSubmitter(const FleetManifest &manifest, const SubmitFleetJob &command)
     {
-        if (!manifest.hasAccounts || queue.isPublic) {
-            return true;
-        }
         const ClientAccount *account = findAccount(manifest.accounts, command.account);
-        return account != nullptr && hasKey(*account, command.keyDigest);
+        return account != nullptr && hasKey(*account, command.keyDigest) ? account : nullptr;
     }
 
     /** Records a cancellation for the caller's account only, so that it cannot cancel a later job of another one. */
@@ -84,7 +81,11 @@
         return change;
     }
     const QueueConfig *queue = findQueueByRoute(state.manifest, command.host, command.pathPrefix);
-    if (queue == nullptr || !isSubmissionAuthorized(state.manifest, *queue, command)) {
+    if (queue == nullptr) {
+        return change;
+    }
+    const ClientAccount *account = findSubmitter(state.manifest, command);
+    if (account == nullptr && state.manifest.hasAccounts && !queue->isPublic) {
         return change;
     }
     change.isApplied = true;
@@ -97,7 +98,7 @@
     job.queue = *queue;
     job.spec = command.spec;
     job.acceptedAt = command.at;
-    if (const ClientAccount *account = findAccount(state.manifest.accounts, command.account)) {
+    if (account != nullptr) {
         job.account = account->terms;
     }
     state.jobNumbers[command.id] = change.job;
