Fix: a cancellation does not reach another account's job that it overtook

The leader checks a cancellation against the jobs that it has applied. One of an id that was not known then could meet the submission of another account in the log, and cancelled that job. Whose job it is is now checked when the cancellation is applied.

--- a/src/fleet/fleet_state_jobs.cpp
+++ b/src/fleet/fleet_state_jobs.cpp
@@ -28,6 +28,15 @@
         return account != nullptr && hasKey(*account, command.keyDigest) ? account : nullptr;
     }
 
+    /**
+     * Returns whether a caller of an account may cancel a job. The leader has checked the call, but if it did not know the job yet, the log may have it
+     * as a job of another account before the cancellation. On a public queue anyone may cancel.
+     */
+    bool mayCancel(const FleetManifest &manifest, const FleetJob &job, const AccountName &account)
+    {
+        return !manifest.hasAccounts || job.account.name.empty() || job.account.name == account || job.queue.isPublic;
+    }
+
     /** Records a cancellation for the caller's account only, so that it cannot cancel a later job of another one. */
     void recordEarlyCancellation(FleetState &state, const CancelFleetJob &command)
     {
@@ -124,7 +133,7 @@
     }
     change.job = known->second;
     FleetJob &job = state.jobs.at(known->second);
-    if (!hasEnded(job.state)) {
+    if (!hasEnded(job.state) && mayCancel(state.manifest, job, command.account)) {
         change.isApplied = true;
         endJob(job, FleetJobState::Cancelled, command.at, change);
     }
