--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -1,14 +1,25 @@
 /** @file fleet_state.cpp Applies commands to the replicated state of the fleet: those on the manifest, zones, maintenance and the learned model here. */
 
-#include "account/account_check.h"
 #include "fleet/fleet_state_detail.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 namespace Filbertlanding {
 
 namespace {
 
+    /** Returns the terms of all accounts. A search through the list for each of many open jobs would delay the calls that wait. */
+    std::map<std::string_view, const AccountTerms *> termsByName(const FleetManifest &manifest)
+    {
+        std::map<std::string_view, const AccountTerms *> terms;
+        for (const ClientAccount &account : manifest.accounts) {
+            terms.emplace(account.terms.name, &account.terms);
+        }
+        return terms;
+    }
+
     FleetChange apply(FleetState &state, const PutManifest &command)
     {
         FleetChange change;
@@ -17,15 +28,19 @@
         }
         change.isApplied = true;
         state.manifest = command.manifest;
+        const auto terms = termsByName(state.manifest);
         for (auto &[number, job] : state.jobs) {
-            const QueueConfig *queue = hasEnded(job.state) ? nullptr : findQueueByRoute(state.manifest, job.host, job.pathPrefix);
+            if (hasEnded(job.state)) {
+                continue;
+            }
+            const QueueConfig *queue = findQueueByRoute(state.manifest, job.host, job.pathPrefix);
             if (queue != nullptr) {
                 job.queue = *queue;
             }
             // The jobs of an account that was removed keep its last terms.
-            const ClientAccount *account = hasEnded(job.state) ? nullptr : findAccount(state.manifest.accounts, job.account.name);
-            if (account != nullptr) {
-                job.account = account->terms;
+            const auto account = terms.find(job.account.name);
+            if (account != terms.end()) {
+                job.account = *account->second;
             }
         }
         return change;
