Change: only their owner can read the files and folders of the stores

Files are created with mode 0600 and folders with 0700; those of earlier versions (0640 and 0750) are restricted when they are opened.

--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -113,6 +113,10 @@
         if (code != ResultCode::Ok) {
             return code;
         }
+        // Restricts the mode that earlier versions gave the folder.
+        if (!files.makeFolder(current)) {
+            return ResultCode::DiskFailed;
+        }
         // A process that failed between a rename and the sync of the folder leaves names that a loss of power would still take away.
         if (!files.syncFolder(current)) {
             return ResultCode::DiskFailed;
--- a/src/storage/file_functions.cpp
+++ b/src/storage/file_functions.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-    constexpr mode_t FileMode = 0640;
-    constexpr mode_t FolderMode = 0750;
+    // Logs and snapshots hold manifests, and these hold the API keys of client accounts.
+    constexpr mode_t FileMode = 0600;
+    constexpr mode_t FolderMode = 0700;
     constexpr std::size_t ReadStep = 65536;
 
     std::optional<int> openFile(const std::string &path, int flags)
@@ -27,6 +28,29 @@
         return file < 0 ? std::nullopt : std::optional<int>(file);
     }
 
+    /** Takes the permissions of an open file or folder from everyone but its owner; earlier versions made both readable for the group. */
+    bool restrictMode(int file)
+    {
+        constexpr mode_t Others = S_IRWXG | S_IRWXO;
+        struct stat status {
+        };
+        if (::fstat(file, &status) != 0) {
+            return false;
+        }
+        return (status.st_mode & Others) == 0 || ::fchmod(file, status.st_mode & ~(S_IFMT | Others)) == 0;
+    }
+
+    /** Opens a file of a store. Fails if others could read it and that cannot be changed. */
+    std::optional<int> openStored(const std::string &path, int flags)
+    {
+        const auto file = openFile(path, flags);
+        if (file && !restrictMode(*file)) {
+            ::close(*file);
+            return std::nullopt;
+        }
+        return file;
+    }
+
     std::optional<std::size_t> writeFile(int file, std::string_view data)
     {
         ssize_t written = -1;
@@ -77,6 +101,10 @@
             return {errno == ENOENT ? ReadOutcome::Missing : ReadOutcome::Failed, {}};
         }
         const FileCloser closer(*file);
+        // Snapshots are only read after their creation, so those of earlier versions are restricted here.
+        if (!restrictMode(*file)) {
+            return {ReadOutcome::Failed, {}};
+        }
         auto content = readToEnd(*file);
         struct stat status {
         };
@@ -85,6 +113,23 @@
         return isWhole ? FileContent{ReadOutcome::Whole, std::move(*content)} : FileContent{ReadOutcome::Failed, {}};
     }
 
+    /** Creates a folder, or restricts the mode of an existing one. */
+    bool makeFolderAt(const std::string &path)
+    {
+        if (::mkdir(path.c_str(), FolderMode) == 0) {
+            return true;
+        }
+        if (errno != EEXIST) {
+            return false;
+        }
+        if (const auto folder = openFile(path, O_RDONLY | O_DIRECTORY)) {
+            // An installation may have created the folder for another owner, who alone can change it; the files in it are restricted anyway.
+            restrictMode(*folder);
+            ::close(*folder);
+        }
+        return true;
+    }
+
     bool syncFolderAt(const std::string &path)
     {
         const auto folder = openFile(path, O_RDONLY | O_DIRECTORY);
@@ -121,7 +166,7 @@
 
     FileLock lockFile(const std::string &path)
     {
-        const auto file = openFile(path, O_RDWR | O_CREAT);
+        const auto file = openStored(path, O_RDWR | O_CREAT);
         if (!file) {
             return {};
         }
@@ -139,7 +184,7 @@
 {
     FileFunctions files;
     files.openAppend = [](const std::string &path) {
-        return openFile(path, O_WRONLY | O_CREAT | O_APPEND);
+        return openStored(path, O_WRONLY | O_CREAT | O_APPEND);
     };
     files.write = writeFile;
     files.sync = [](int file) {
@@ -158,9 +203,7 @@
     files.remove = [](const std::string &path) {
         return ::unlink(path.c_str()) == 0;
     };
-    files.makeFolder = [](const std::string &path) {
-        return ::mkdir(path.c_str(), FolderMode) == 0 || errno == EEXIST;
-    };
+    files.makeFolder = makeFolderAt;
     files.syncFolder = syncFolderAt;
     files.list = listFolder;
     files.lock = lockFile;
