Add: calls are checked against the accounts of the manifest

The leader decides after queue and before the body: a call without a key of an account gets 401, unless its queue is public. A job of another account is unknown to show and cancel, and its id is in use for a submission. A cancellation is also refused while a submission of another account is proposed, since it would be applied after it. Rate, limit and backlog of the account are checked last, so that a job refused for want of memory takes no token.

An entry host turns a 401 into an unknown outcome if an earlier delivery of the call may have been accepted: a refusal must be true.

--- a/src/fleetd/caller_relay.cpp
+++ b/src/fleetd/caller_relay.cpp
@@ -106,6 +106,11 @@
 {
     auto relayed = answer.code == ResultCode::Ok ? decodeFleetMessage<RelayedResponse>(answer.payload) : std::nullopt;
     if (relayed && relayed->outcome == RelayOutcome::Answered) {
+        // An earlier delivery may have been accepted before the key was removed, so the refusal may be wrong.
+        if (pending->mayBeDelivered && relayed->status == resultCodeRow(ResultCode::KeyUnknown).httpStatus) {
+            this->failRequest(pending, "the API key is not known any more, but an earlier delivery of the request may have been accepted");
+            return;
+        }
         ++this->relayCounters.answered;
         this->relayCounters.responseTime.record(steadyNow() - pending->receivedAt);
         pending->respond(toHttpResponse(std::move(*relayed)));
@@ -146,13 +151,13 @@
     }
 }
 
-void CallerRelay::failRequest(const RequestPointer &pending)
+void CallerRelay::failRequest(const RequestPointer &pending, const std::string &unknownMessage)
 {
     ApiResponse response;
     if (pending->mayBeDelivered) {
         ++this->relayCounters.unknown;
         response.code = ResultCode::OutcomeUnknown;
-        response.message = "the scheduler did not respond in time; resend the request";
+        response.message = unknownMessage;
     } else {
         ++this->relayCounters.refused;
         response.code = ResultCode::NoQuorum;
--- a/src/fleetd/caller_relay.h
+++ b/src/fleetd/caller_relay.h
@@ -21,7 +21,7 @@
     std::uint64_t received = 0;
     std::uint64_t answered = 0;
     std::uint64_t refused = 0; ///< Not executed: no leader was found in time.
-    std::uint64_t unknown = 0; ///< Forwarded, but without a response in time.
+    std::uint64_t unknown = 0; ///< Forwarded, but without a response in time, or with one that may be wrong for an earlier delivery.
     Histogram responseTime; ///< From the arrival of a request to its response.
 };
 
@@ -59,7 +59,7 @@
     void enqueue(const RequestPointer &pending);
     void onAnswer(const RequestPointer &pending, const DaemonName &leader, const PeerAnswer &answer);
     void expireWaiting();
-    void failRequest(const RequestPointer &pending);
+    void failRequest(const RequestPointer &pending, const std::string &unknownMessage = "the scheduler did not respond in time; resend the request");
 
     const ProtocolAdapter &adapter;
     PeerLinks *peers = nullptr;
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -249,6 +249,31 @@
     }
 }
 
+/** Applies a command. The index of the keys follows the manifest, also while this daemon does not lead. */
+FleetChange FleetCore::applyToState(const FleetCommand &command)
+{
+    this->state.appliedAt = steadyNow();
+    if (!std::holds_alternative<PutManifest>(command)) {
+        return applyFleetCommand(this->state, command);
+    }
+    const std::vector<ClientAccount> before = this->state.manifest.accounts;
+    FleetChange change = applyFleetCommand(this->state, command);
+    if (change.isApplied) {
+        this->indexKeys();
+    }
+    if (change.isApplied && this->scheduler) {
+        logAccountChanges(before, this->state.manifest.accounts);
+    }
+    return change;
+}
+
+/** Rebuilds what is derived from the accounts of the manifest in the state. */
+void FleetCore::indexKeys()
+{
+    this->keyIndex = KeyIndex(this->state.manifest.accounts);
+    keepRefusalsOf(this->accountRefusals, this->state.manifest.accounts);
+}
+
 bool FleetCore::applyCommand(const FleetCommand &command)
 {
     const auto *start = std::get_if<StartRun>(&command);
@@ -256,8 +281,7 @@
     const bool wasQueued = job != this->state.jobs.end() && job->second.state == FleetJobState::Queued;
     FleetChange change;
     try {
-        this->state.appliedAt = steadyNow();
-        change = applyFleetCommand(this->state, command);
+        change = this->applyToState(command);
     } catch (const std::exception &error) {
         // The state may be partially modified, so this replica must not continue with it.
         logLine(LogArea::Replication, LogLevel::Error, "command_failed", {{"index", this->appliedIndex}, {"error", error.what()}});
@@ -286,7 +310,9 @@
     ResultCode code = ResultCode::Internal;
     try {
         code = decodeFleetState(snapshot.state, this->state);
+        this->indexKeys();
     } catch (const std::exception &error) {
+        code = ResultCode::Internal;
         logLine(LogArea::Replication, LogLevel::Error, "snapshot_failed", {{"index", snapshot.index}, {"error", error.what()}});
     }
     logLine(LogArea::Replication, LogLevel::Info, "snapshot_installed", {{"index", snapshot.index}, {"code", resultCodeRow(code).name}});
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -7,6 +7,8 @@
 
 #include "fleet/fleet_scheduler_func.h"
 #include "fleet/held_tasks.h"
+#include "fleetd/account_report.h"
+#include "fleetd/caller_access.h"
 #include "fleetd/core_status_log.h"
 #include "fleetd/fleet_message.h"
 #include "fleetd/fleet_peers.h"
@@ -43,7 +45,7 @@
 /** Metrics of a core daemon. */
 struct FleetCoreCounters {
     std::uint64_t jobsAccepted = 0;
-    std::uint64_t jobsRefused = 0; ///< Refused because the memory limit for open jobs was reached.
+    std::uint64_t jobsRefused = 0; ///< Refused for want of memory or CPU, or because of the rate, limit or backlog of their account.
     std::uint64_t ordersSent = 0;
     std::uint64_t ordersUnanswered = 0;
     std::uint64_t entriesApplied = 0;
@@ -136,6 +138,12 @@
         std::function<void(ApiResponse)> done;
     };
 
+    /** A call of a caller that is allowed. */
+    struct AuthorizedCall {
+        QueueConfig queue;
+        CallerAccess access;
+    };
+
     /** A call of a worker or an operator. */
     struct ControlCall {
         ControlRequest request;
@@ -146,6 +154,8 @@
     void onApplied(const std::vector<LogEntry> &entries);
     void applyEntry(const LogEntry &entry);
     bool applyCommand(const FleetCommand &command);
+    FleetChange applyToState(const FleetCommand &command);
+    void indexKeys();
     void completeBatches(std::uint64_t index);
     void onInstalled(Snapshot snapshot);
     void onStatus(ReplicationStatus next);
@@ -190,9 +200,14 @@
     void logFleetLoad();
     void countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued);
 
-    void submitJob(const JobApiRequest &request, const QueueConfig &queue, const JobId &id, CallerResponseHandler done);
-    void cancelJob(const JobId &id, CallerResponseHandler done);
-    ApiResponse showJob(const JobId &id) const;
+    void submitJob(const JobApiRequest &request, const AuthorizedCall &call, const JobId &id, CallerResponseHandler done);
+    ApiResponse submissionResponse(const AuthorizedCall &call, const JobId &id) const;
+    bool isVisibleJobPending(const AuthorizedCall &call, const JobId &id) const;
+    bool isHiddenJobPending(const AuthorizedCall &call, const JobId &id) const;
+    std::optional<ApiResponse> findSubmissionRefusal(const JobSpec &spec, const AuthorizedCall &call, const JobId &id);
+    std::optional<ApiResponse> findRefusalByAccount(const JobSpec &spec, const AuthorizedCall &call, const JobId &id);
+    void cancelJob(const AuthorizedCall &call, const JobId &id, CallerResponseHandler done);
+    ApiResponse showJob(const AuthorizedCall &call, const JobId &id) const;
 
     void logNotLeading(const ControlRequest &request) const;
     void routeControlCall(const ControlCall &call, bool mayWait);
@@ -222,6 +237,8 @@
     ReplicationDriver replication;
     ReplicationStatus status;
     FleetState state;
+    KeyIndex keyIndex; ///< Keys of the accounts of the manifest in the state.
+    AccountRefusals accountRefusals;
     std::uint64_t appliedIndex = 0;
     std::uint64_t appliedTerm = 0;
     std::uint64_t lastLeaderTerm = 0; ///< Term in which this daemon last led.
@@ -230,7 +247,7 @@
     std::optional<TimePoint> withoutSchedulerSince; ///< Set while there is no scheduler.
     WaitingSteps waitingSteps; ///< Ready steps of the present leadership.
     TimePoint nextLoadLine; ///< Earliest time of the next log line about the load.
-    std::multiset<JobId> pendingJobs; ///< Jobs that were proposed and are not applied yet.
+    std::multimap<JobId, JobOrigin> pendingJobs; ///< Jobs that were proposed and are not applied yet.
     std::size_t pendingBytes = 0; ///< Memory of the pending jobs.
     std::vector<FleetCommand> outbox; ///< Commands of the next log entries.
     std::vector<std::function<void(bool)>> outboxCallbacks; ///< Completion callback of each of these commands; may be empty.
--- a/src/fleetd/fleet_metrics.cpp
+++ b/src/fleetd/fleet_metrics.cpp
@@ -48,6 +48,9 @@
     appendMetric(text, "filbertlanding_long_running_longest_idle_ms", this->scheduler ? this->waitingSteps.longestIdle.ms : 0);
     appendMetric(text, "filbertlanding_workers_held", this->scheduler ? this->scheduler->capacityHolds.size() : 0);
     appendMetric(text, "filbertlanding_workers_known", this->scheduler ? this->scheduler->sessions.size() : 0);
+    if (this->state.manifest.hasAccounts) {
+        appendAccountMetrics(text, collectAccountFigures(this->state, this->scheduler ? &*this->scheduler : nullptr, this->accountRefusals));
+    }
     this->statusLog.appendMetrics(text);
     this->counters.firstStart.appendText(text, "filbertlanding_first_start_seconds");
     this->counters.jobTime.appendText(text, "filbertlanding_job_seconds");
--- a/src/fleetd/fleet_replica.cpp
+++ b/src/fleetd/fleet_replica.cpp
@@ -97,6 +97,7 @@
     }
     this->restartReason.reset();
     this->state = {};
+    this->keyIndex = {};
     this->appliedIndex = 0;
     this->appliedTerm = 0;
     this->isReplicaOpen = true;
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -1,6 +1,8 @@
 /** @file fleet_requests.cpp Requests of callers, workers and operators that the leader handles. */
 
+#include "account/account_check.h"
 #include "core/clock_func.h"
+#include "core/name_table.h"
 #include "fleet/job_admission.h"
 #include "fleetd/fleet_core.h"
 #include "fleetd/worker_report_check.h"
@@ -19,6 +21,12 @@
 
     constexpr std::size_t MaxLoggedBytes = 64; ///< Bytes of a text from a refused report that are logged.
 
+    constexpr auto CallerVerbNames = makeNameTable<CallerVerb>({
+        {CallerVerb::Submit, "submit"},
+        {CallerVerb::Show, "show"},
+        {CallerVerb::Cancel, "cancel"},
+    });
+
     ApiResponse makeResponse(ResultCode code, std::string message = {})
     {
         ApiResponse response;
@@ -34,6 +42,29 @@
         return response;
     }
 
+    bool hasQueue(const FleetManifest &manifest, const QueueConfig &queue)
+    {
+        return std::any_of(manifest.queues.begin(), manifest.queues.end(), [&queue](const QueueConfig &other) {
+            return other.host == queue.host && other.pathPrefix == queue.pathPrefix;
+        });
+    }
+
+    void logUnauthorized(const QueueConfig &queue, CallerVerb verb)
+    {
+        logLine(LogArea::Job, LogLevel::Info, "call_unauthorized", {{"queue", queue.name}, {"verb", CallerVerbNames.nameOf(verb)}});
+    }
+
+    ApiResponse makeRefusalResponse(const AccountRefusal &refusal, const JobId &id)
+    {
+        const bool isLimit = refusal.reason == AccountRefusalReason::Limit;
+        ApiResponse response = makeResponse(isLimit ? ResultCode::ExceedsAccountLimit : ResultCode::QuotaExceeded, accountRefusalMessage(refusal.reason));
+        response.retryAfter = refusal.retryAfter;
+        if (refusal.reason == AccountRefusalReason::Backlog) {
+            response.retryAfter = response.retryAfter + retryDelayAfterRefusal(id);
+        }
+        return response;
+    }
+
     /** Returns whether two manifests have the same document text. */
     bool isSameDocument(const FleetManifest &left, const FleetManifest &right)
     {
@@ -58,6 +89,12 @@
         done(RelayOutcome::Answered, makeResponse(ResultCode::ServiceUnknown, "no queue matches this host and path"));
         return;
     }
+    const CallerAccess access = authorizeCall(this->state.manifest, this->keyIndex, *queue, request.apiKey);
+    if (access.code != ResultCode::Ok) {
+        logUnauthorized(*queue, request.verb);
+        done(RelayOutcome::Answered, makeResponse(access.code));
+        return;
+    }
     const JobId id = request.path.substr(queue->pathPrefix.size());
     if (request.code != ResultCode::Ok) {
         done(RelayOutcome::Answered, makeResponse(request.code, request.message));
@@ -71,18 +108,18 @@
     }
     switch (request.verb) {
     case CallerVerb::Submit:
-        this->submitJob(request, *queue, id, std::move(done));
+        this->submitJob(request, {*queue, access}, id, std::move(done));
         return;
     case CallerVerb::Show:
-        done(RelayOutcome::Answered, this->showJob(id));
+        done(RelayOutcome::Answered, this->showJob({*queue, access}, id));
         return;
     case CallerVerb::Cancel:
-        this->cancelJob(id, std::move(done));
+        this->cancelJob({*queue, access}, id, std::move(done));
         return;
     }
 }
 
-void FleetCore::submitJob(const JobApiRequest &request, const QueueConfig &queue, const JobId &id, CallerResponseHandler done)
+void FleetCore::submitJob(const JobApiRequest &request, const AuthorizedCall &call, const JobId &id, CallerResponseHandler done)
 {
     constexpr std::size_t MaxJobIdLength = 64;
     if (id.empty() || id.size() > MaxJobIdLength || id.find_first_of("/. ") != std::string::npos) {
@@ -90,59 +127,137 @@
         return;
     }
     if (findJob(this->state, id) != nullptr) {
-        done(RelayOutcome::Answered, makeResponse(ResultCode::Ok));
+        done(RelayOutcome::Answered, this->submissionResponse(call, id));
         return;
     }
+    // An earlier submission of the same job may already be proposed; "not accepted" would then be wrong.
+    if (!this->isVisibleJobPending(call, id)) {
+        if (auto refusal = this->findSubmissionRefusal(request.spec, call, id)) {
+            ++this->counters.jobsRefused;
+            done(RelayOutcome::Answered, std::move(*refusal));
+            return;
+        }
+    }
+    const QueueConfig &queue = call.queue;
+    SubmitFleetJob command{id, queue.host, queue.pathPrefix, wallNow(), request.spec, call.access.account, call.access.keyDigest};
+    const std::size_t bytes = estimateJobMemory(request.spec);
+    const auto pending = this->pendingJobs.emplace(id, JobOrigin{call.access.account, queue.host, queue.pathPrefix});
+    this->pendingBytes += bytes;
+    this->propose(std::move(command), [this, id, pending, bytes, call, done = std::move(done)](bool applied) {
+        this->pendingJobs.erase(pending);
+        this->pendingBytes -= bytes;
+        if (!applied) {
+            done(RelayOutcome::Unknown, {});
+            return;
+        }
+        const ApiResponse response = this->submissionResponse(call, id);
+        this->counters.jobsAccepted += response.code == ResultCode::Ok ? 1 : 0;
+        done(RelayOutcome::Answered, response);
+    });
+    this->flush();
+}
+
+/** Returns the response to a submission that has been applied, or whose job was known before. */
+ApiResponse FleetCore::submissionResponse(const AuthorizedCall &call, const JobId &id) const
+{
+    if (const FleetJob *job = findJob(this->state, id)) {
+        const bool isVisible = maySeeJob(call.access, call.queue, originOf(*job));
+        return isVisible ? makeResponse(ResultCode::Ok) : makeResponse(ResultCode::RequestIdReused, "the job id is in use; this job was not accepted");
+    }
+    if (!hasQueue(this->state.manifest, call.queue)) {
+        return makeResponse(ResultCode::ServiceUnknown, "the queue was removed");
+    }
+    // A manifest that precedes the submission in the log has removed the key.
+    logUnauthorized(call.queue, CallerVerb::Submit);
+    return makeResponse(ResultCode::KeyUnknown);
+}
+
+/** Returns whether a submission that the caller may see is proposed and not applied yet. */
+bool FleetCore::isVisibleJobPending(const AuthorizedCall &call, const JobId &id) const
+{
+    const auto [first, last] = this->pendingJobs.equal_range(id);
+    return std::any_of(first, last, [&call](const auto &item) {
+        return maySeeJob(call.access, call.queue, item.second);
+    });
+}
+
+/** Returns whether a submission that the caller may not see is proposed and not applied yet. */
+bool FleetCore::isHiddenJobPending(const AuthorizedCall &call, const JobId &id) const
+{
+    const auto [first, last] = this->pendingJobs.equal_range(id);
+    return std::any_of(first, last, [&call](const auto &item) {
+        return !maySeeJob(call.access, call.queue, item.second);
+    });
+}
+
+/** Returns the response to a new job that is refused, or nothing. Takes a token of the account's rate only if no other reason holds. */
+std::optional<ApiResponse> FleetCore::findSubmissionRefusal(const JobSpec &spec, const AuthorizedCall &call, const JobId &id)
+{
     constexpr std::size_t BytesPerMegabyte = 1'048'576;
     const AdmissionInput admission{this->scheduler->openBytes + this->pendingBytes,
-                                   estimateJobMemory(request.spec),
+                                   estimateJobMemory(spec),
                                    static_cast<std::size_t>(this->settings.openJobsMegabytes) * BytesPerMegabyte};
-    // An earlier submission of the same job may already be proposed; "not accepted" would then be wrong.
-    if (!this->pendingJobs.contains(id) && !canAdmitJob(admission)) {
-        ++this->counters.jobsRefused;
+    if (!canAdmitJob(admission)) {
         logLine(LogArea::Job,
                 LogLevel::Info,
                 "job_refused",
                 {{"job", id}, {"reason", "memory"}, {"openBytes", admission.openBytes}, {"jobBytes", admission.jobBytes}});
         ApiResponse response = makeResponse(ResultCode::QueueFull, "the memory limit for open jobs is reached; the job was not accepted");
         response.retryAfter = retryDelayAfterRefusal(id);
-        done(RelayOutcome::Answered, std::move(response));
-        return;
+        return response;
     }
+    const QueueConfig &queue = call.queue;
     const bool mayReserve = canAdmitLongRunningJob(this->scheduler->shortJobWaits, queue.service, queue.priority, steadyNow());
-    if (!this->pendingJobs.contains(id) && !mayReserve && reservesCpuForGood(request.spec)) {
-        ++this->counters.jobsRefused;
+    if (!mayReserve && reservesCpuForGood(spec)) {
         logLine(LogArea::Job, LogLevel::Info, "job_refused", {{"job", id}, {"reason", "short_jobs_wait"}, {"service", queue.service}});
         ApiResponse response = makeResponse(ResultCode::QueueFull, "short jobs wait for CPU; the long-running job was not accepted");
         response.retryAfter = retryDelayAfterRefusal(id);
-        done(RelayOutcome::Answered, std::move(response));
-        return;
+        return response;
     }
-    this->pendingJobs.insert(id);
-    this->pendingBytes += admission.jobBytes;
-    SubmitFleetJob command{id, queue.host, queue.pathPrefix, wallNow(), request.spec};
-    this->propose(std::move(command), [this, id, bytes = admission.jobBytes, done = std::move(done)](bool applied) {
-        this->pendingJobs.erase(this->pendingJobs.find(id));
-        this->pendingBytes -= bytes;
-        if (!applied) {
-            done(RelayOutcome::Unknown, {});
-            return;
-        }
-        const bool isAccepted = findJob(this->state, id) != nullptr;
-        this->counters.jobsAccepted += isAccepted ? 1 : 0;
-        done(RelayOutcome::Answered, isAccepted ? makeResponse(ResultCode::Ok) : makeResponse(ResultCode::ServiceUnknown, "the queue was removed"));
-    });
-    this->flush();
+    return this->findRefusalByAccount(spec, call, id);
+}
+
+/** Returns the response to a new job that the rate, limit or backlog of its account refuses, or nothing. */
+std::optional<ApiResponse> FleetCore::findRefusalByAccount(const JobSpec &spec, const AuthorizedCall &call, const JobId &id)
+{
+    const AccountName &name = call.access.account;
+    const ClientAccount *account = name.empty() ? nullptr : findAccount(this->state.manifest.accounts, name);
+    if (account == nullptr) {
+        return std::nullopt;
+    }
+    const auto standing = this->scheduler->accounts.find(name);
+    const double waitingCpuSeconds = standing == this->scheduler->accounts.end() ? 0 : standing->second.waitingCpuSeconds;
+    const AccountJob job = makeAccountJob(spec, call.queue);
+    const auto refusal = findAccountRefusal(this->scheduler->submissionBuckets, account->terms, waitingCpuSeconds, job, steadyNow());
+    if (!refusal) {
+        return std::nullopt;
+    }
+    countRefusal(this->accountRefusals, name, refusal->reason);
+    logLine(LogArea::Job,
+            LogLevel::Info,
+            "job_refused",
+            {{"job", id},
+             {"reason", AccountRefusalNames.nameOf(refusal->reason)},
+             {"account", name},
+             {"waitingCpuSeconds", waitingCpuSeconds},
+             {"retryAfterMs", refusal->retryAfter.ms}});
+    return makeRefusalResponse(*refusal, id);
 }
 
-void FleetCore::cancelJob(const JobId &id, CallerResponseHandler done)
+void FleetCore::cancelJob(const AuthorizedCall &call, const JobId &id, CallerResponseHandler done)
 {
     const FleetJob *job = findJob(this->state, id);
+    // A job of another account that is proposed is applied before the cancellation, which would end it.
+    const bool isHidden = job == nullptr ? this->isHiddenJobPending(call, id) : !maySeeJob(call.access, call.queue, originOf(*job));
+    if (isHidden) {
+        done(RelayOutcome::Answered, makeResponse(ResultCode::JobUnknown));
+        return;
+    }
     if (job != nullptr && hasEnded(job->state)) {
         done(RelayOutcome::Answered, makeResponse(ResultCode::Ok));
         return;
     }
-    this->propose(CancelFleetJob{id, wallNow()}, [isKnown = job != nullptr, done = std::move(done)](bool applied) {
+    this->propose(CancelFleetJob{id, wallNow(), call.access.account}, [isKnown = job != nullptr, done = std::move(done)](bool applied) {
         if (!applied) {
             done(RelayOutcome::Unknown, {});
             return;
@@ -152,10 +267,10 @@
     this->flush();
 }
 
-ApiResponse FleetCore::showJob(const JobId &id) const
+ApiResponse FleetCore::showJob(const AuthorizedCall &call, const JobId &id) const
 {
     const FleetJob *job = findJob(this->state, id);
-    if (job == nullptr) {
+    if (job == nullptr || !maySeeJob(call.access, call.queue, originOf(*job))) {
         return makeResponse(ResultCode::JobUnknown);
     }
     ApiResponse response;
