--- a/tests/platform_edge_test.cpp
+++ b/tests/platform_edge_test.cpp
@@ -2,12 +2,14 @@
 
 #include "platform/platform_adapter.h"
 
+#include "account/api_key.h"
 #include "core/random.h"
 #include "test_seed.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <fstream>
 #include <regex>
 #include <sstream>
@@ -20,6 +22,11 @@
     R"({"version":7,"routes":[{"name":"r1","host":"A.example","pathPrefix":"/q/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":250,)"
     R"("priority":0,"service":"s1","maxAttempts":2,"stretch":1.5}],"services":[{"name":"s1","admissionCheck":true}],"limits":{}})";
 
+const std::vector<std::string> AccountKeys{"key-of-acme-41b7", "second-key-of-acme", "key-of-zenith-9c02"};
+
+const std::string Accounts = R"([{"name":"acme","apiKeys":["key-of-acme-41b7","second-key-of-acme"],"weight":3,"cap":{"cpu":4000,"memMb":512,"gpu":1},)"
+                             R"("priority":2},{"name":"zenith","apiKeys":["key-of-zenith-9c02"]},{"name":"idle","weight":1,"cap":{"cpu":500}}])";
+
 const std::string Report = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,)"
                            R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"clockMs":482113,"seq":4,"born":1700000000000})";
 
@@ -47,6 +54,27 @@
     return text;
 }
 
+/** Returns the manifest with a list of accounts. */
+std::string manifestWith(const std::string &accounts)
+{
+    return replaced(Manifest, "\"limits\":{}", "\"limits\":{},\"tenants\":" + accounts);
+}
+
+std::string keyIn(const std::string &authorization)
+{
+    HttpRequest call = request("GET", "/q/1");
+    call.headers.push_back({"authorization", authorization});
+    return parsePlatformJobRequest(call).apiKey;
+}
+
+/** Returns whether a text contains a key of the list of accounts. */
+bool showsKey(const std::string &text)
+{
+    return std::any_of(AccountKeys.begin(), AccountKeys.end(), [&text](const std::string &key) {
+        return text.find(key) != std::string::npos;
+    });
+}
+
 HttpExchange answered(unsigned status, const std::string &body)
 {
     return {ResultCode::Ok, true, {status, {}, body}};
@@ -194,6 +222,84 @@
     }
 }
 
+TEST_CASE("API keys of calls")
+{
+    // A call whose key is read wrongly is refused, or runs for another account.
+    CHECK(keyIn("Bearer key-of-acme-41b7") == "key-of-acme-41b7");
+    CHECK(keyIn("bEARER  key ") == "key");
+    for (const std::string header : {"", "Bearer", "Bearer ", "Bearerkey", "Basic key", "key", " Bearer key"}) {
+        CHECK_MESSAGE(keyIn(header).empty(), header);
+    }
+    CHECK(parsePlatformJobRequest(request("GET", "/q/1")).apiKey.empty());
+}
+
+TEST_CASE("Accounts of a manifest")
+{
+    SUBCASE("a manifest without the field has no accounts, one with an empty list has them configured")
+    {
+        // Otherwise an earlier manifest would refuse all calls, or the last account's removal would admit all.
+        CHECK(!std::get<PutManifestRequest>(parseControl("PUT", "/config", Manifest)).manifest.hasAccounts);
+        CHECK(std::get<PutManifestRequest>(parseControl("PUT", "/config", manifestWith("[]"))).manifest.hasAccounts);
+    }
+
+    SUBCASE("accounts and public queues are parsed, and the document stays as it was sent")
+    {
+        const std::string body = replaced(manifestWith(Accounts), "\"priority\":0", "\"priority\":0,\"public\":true");
+        const FleetManifest manifest = std::get<PutManifestRequest>(parseControl("PUT", "/config", body)).manifest;
+        CHECK(manifest.document == body);
+        CHECK(manifest.queues.at(0).isPublic);
+        REQUIRE(manifest.accounts.size() == 3);
+        CHECK(manifest.accounts[0].terms == AccountTerms{"acme", 3, {4'000, 512, 1}});
+        CHECK(manifest.accounts[0].keys == std::vector<KeyDigest>{digestOfKey(AccountKeys[0]), digestOfKey(AccountKeys[1])});
+        CHECK(manifest.accounts[1].terms == AccountTerms{"zenith", 0, {}});
+        CHECK(manifest.accounts[2].keys.empty());
+    }
+
+    SUBCASE("one account may list a key twice")
+    {
+        CHECK(!isMalformed(parseControl("PUT", "/config", manifestWith(replaced(Accounts, "second-key-of-acme", "key-of-acme-41b7")))));
+    }
+
+    SUBCASE("an error is refused with a message that shows no key")
+    {
+        // The message is logged and returned to the operator.
+        for (const auto &change : std::vector<std::pair<std::string, std::string>>{{"key-of-zenith-9c02", "key-of-acme-41b7"},
+                                                                                   {"second-key-of-acme", ""},
+                                                                                   {"\"zenith\"", "\"acme\""},
+                                                                                   {"\"zenith\"", "\"\""},
+                                                                                   {"\"name\":\"zenith\",", ""},
+                                                                                   {"\"zenith\"", "7"},
+                                                                                   {"\"weight\":3", "\"weight\":-3"},
+                                                                                   {"\"weight\":3", "\"weight\":1.5"},
+                                                                                   {"\"weight\":3", "\"weight\":\"many\""},
+                                                                                   {"\"cpu\":4000", "\"cpu\":-1"},
+                                                                                   {"\"memMb\":512", "\"memMb\":-1"},
+                                                                                   {"\"gpu\":1", "\"gpu\":-1"},
+                                                                                   {"{\"cpu\":500}", "[500]"},
+                                                                                   {"\"priority\":2", "\"priority\":\"high\""},
+                                                                                   {"[\"key-of-zenith-9c02\"]", "\"key-of-zenith-9c02\""},
+                                                                                   {"\"key-of-zenith-9c02\"", "[\"key-of-zenith-9c02\"]"},
+                                                                                   {"{\"name\":\"zenith\"", "7,{\"name\":\"zenith\""}}) {
+            const ControlRequest parsed = parseControl("PUT", "/config", manifestWith(replaced(Accounts, change.first, change.second)));
+            REQUIRE_MESSAGE(isMalformed(parsed), change.second);
+            CHECK(std::get<MalformedRequest>(parsed).code == ResultCode::BadRequest);
+            CHECK(!std::get<MalformedRequest>(parsed).message.empty());
+            CHECK_MESSAGE(!showsKey(std::get<MalformedRequest>(parsed).message), std::get<MalformedRequest>(parsed).message);
+        }
+        CHECK(isMalformed(parseControl("PUT", "/config", manifestWith("{}"))));
+        CHECK(isMalformed(parseControl("PUT", "/config", manifestWith("null"))));
+        CHECK(isMalformed(parseControl("PUT", "/config", replaced(Manifest, "\"priority\":0", "\"priority\":0,\"public\":1"))));
+    }
+
+    SUBCASE("a name that contains a key is not quoted as it is")
+    {
+        std::string accounts = replaced(Accounts, "\"zenith\"", "\"key-of-acme-41b7 and more\"");
+        accounts = replaced(accounts, "\"idle\"", "\"key-of-acme-41b7 and more\"");
+        const ControlRequest parsed = parseControl("PUT", "/config", manifestWith(accounts));
+        CHECK(std::get<MalformedRequest>(parsed).message == "the account *** and more is listed twice");
+    }
+}
+
 TEST_CASE("Reports of workers")
 {
     SUBCASE("a valid report is parsed")
@@ -300,6 +406,10 @@
         Random random{*rc::gen::inRange<std::uint64_t>(1, 1'000'000'000)};
         static_cast<void>(parseControl("PUT", "/config", mutated(Manifest, random)));
         static_cast<void>(parseControl("PUT", "/instances/i-1", mutated(Report, random)));
+        const ControlRequest accounts = parseControl("PUT", "/config", manifestWith(mutated(Accounts, random)));
+        if (const auto *malformed = std::get_if<MalformedRequest>(&accounts)) {
+            RC_ASSERT(!showsKey(malformed->message));
+        }
         const JobApiRequest parsed = parsePlatformJobRequest(request("POST", "/q/1", mutated(Submission, random)));
         for (std::size_t i = 0; parsed.code == ResultCode::Ok && i < parsed.spec.steps.size(); ++i) {
             RC_ASSERT(parsed.spec.steps[i].taskCount > 0U);
@@ -321,6 +431,7 @@
     text << page.rdbuf();
     const std::regex event(R"re(LogLevel::\w+,\s*"([a-z_]+)")re");
     for (const std::string file : {"src/fleetd/fleet_core.cpp",
+                                   "src/fleetd/account_report.cpp",
                                    "src/fleetd/fleet_requests.cpp",
                                    "src/fleetd/fleet_daemon.cpp",
                                    "src/fleetd/caller_relay.cpp",
