--- a/src/fleet/placement_candidates.cpp
+++ b/src/fleet/placement_candidates.cpp
@@ -107,6 +107,24 @@
     return candidates;
 }
 
+Resources largerOf(const Resources &left, const Resources &right)
+{
+    return {std::max(left.cpuMillis, right.cpuMillis), std::max(left.memoryMb, right.memoryMb), std::max(left.accelerators, right.accelerators)};
+}
+
+LargestWorkers findLargestWorkers(const std::vector<PlacementCandidate *> &candidates)
+{
+    LargestWorkers result;
+    for (const PlacementCandidate *candidate : candidates) {
+        LargestWorker &largest = result[candidate->service];
+        largest.capacity = largerOf(largest.capacity, candidate->capacity);
+        const Resources free = candidate->capacity - candidate->used;
+        largest.free = largerOf(largest.free, free);
+        largest.freeOnSlow = candidate->isAvoided && !candidate->isIsolated ? largerOf(largest.freeOnSlow, free) : largest.freeOnSlow;
+    }
+    return result;
+}
+
 std::set<ServiceName> findIdleServices(const std::vector<PlacementCandidate *> &candidates)
 {
     std::map<ServiceName, std::int64_t> unreserved; ///< Unreserved CPU less half of the capacity.
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -6,6 +6,7 @@
 #include "fleet/placement_candidates.h"
 #include "fleet/scheduler_detail.h"
 #include "fleet/service_order.h"
+#include "fleet/short_job_wait.h"
 
 #include <algorithm>
 #include <set>
@@ -19,33 +20,6 @@
     constexpr std::uint64_t MaxWorkersExaminedPerPass = 32'768;
     constexpr unsigned MaxPassesAtOnce = 4; ///< Postponed passes of which one pass does the work, so that a slow log does not limit the starts.
 
-    /** Most that any one worker of a service has, of each resource; it need not be the same worker for all of them. */
-    struct LargestWorker {
-        Resources capacity;
-        Resources free;
-        Resources freeOnSlow; ///< On workers that are avoided for slow or failing tasks.
-    };
-
-    using LargestWorkers = std::map<ServiceName, LargestWorker>;
-
-    Resources largerOf(const Resources &left, const Resources &right)
-    {
-        return {std::max(left.cpuMillis, right.cpuMillis), std::max(left.memoryMb, right.memoryMb), std::max(left.accelerators, right.accelerators)};
-    }
-
-    LargestWorkers findLargestWorkers(const std::vector<PlacementCandidate *> &candidates)
-    {
-        LargestWorkers result;
-        for (const PlacementCandidate *candidate : candidates) {
-            LargestWorker &largest = result[candidate->service];
-            largest.capacity = largerOf(largest.capacity, candidate->capacity);
-            const Resources free = candidate->capacity - candidate->used;
-            largest.free = largerOf(largest.free, free);
-            largest.freeOnSlow = candidate->isAvoided && !candidate->isIsolated ? largerOf(largest.freeOnSlow, free) : largest.freeOnSlow;
-        }
-        return result;
-    }
-
     /** State of a placement pass. */
     struct PlacementPass {
         FleetScheduler &scheduler;
@@ -506,33 +480,6 @@
         scheduler.isPlacementDue = true;
     }
 
-    /**
-     * Records which services and priorities have short jobs that become late because no worker has the CPU for their tasks after a placement pass.
-     * Tasks that wait for something else, such as a label or memory, don't count.
-     */
-    void recordShortJobWaits(const PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready)
-    {
-        FleetScheduler &scheduler = pass.scheduler;
-        const TimePoint now = pass.now;
-        constexpr Duration LearningTime{5'000}; // A new leader does not know all workers before.
-        if (now - scheduler.since < LearningTime) {
-            return;
-        }
-        const LargestWorkers largestWorkers = findLargestWorkers(pass.candidates);
-        for (const ReadyStep &step : ready) {
-            if (step.isLongRunning || step.usesSpareCapacity || !isDeadlineNear(step, now)) {
-                continue;
-            }
-            const FleetJob &job = state.jobs.at(step.job);
-            const auto largest = largestWorkers.find(job.queue.service);
-            const std::int64_t request = job.spec.steps[step.step].request.cpuMillis;
-            const bool lacksCpu = largest != largestWorkers.end() && request > largest->second.free.cpuMillis && request <= largest->second.capacity.cpuMillis;
-            if (lacksCpu && countPendingTasks(scheduler, job, step.occurrence, step.step) > 0) {
-                scheduler.shortJobWaits[{job.queue.service, step.priority}] = now;
-            }
-        }
-    }
-
     /** Returns how many searches through all workers a pass may make. */
     std::uint64_t scansOfPass(const FleetScheduler &scheduler, std::size_t workers)
     {
@@ -559,7 +506,7 @@
     sortByServiceOrder(ready, now);
     placeCopies(pass, state);
     placeSteps(pass, state, ready);
-    recordShortJobWaits(pass, state, ready);
+    recordShortJobWaits(scheduler, state, pass.candidates, ready, now);
     scheduler.readySteps = std::move(ready);
 }
 
