Add: limits and shares of accounts in the placement of tasks

A placement pass counts what each account uses, with the starts that it proposes itself, and skips the steps of an account at its limit before any search for workers. Such steps hold no workers and do not count as short jobs that wait for CPU, so that they don't delay other accounts. Within the same rank and slack class, accounts that use more than their weighted share give way to others. A run is not stopped for its progress if the limit, which may have been lowered, would not let the task start again. The simulation checks the limits on its own count over the model workers.

--- a/fakes/fleet_checks.cpp
+++ b/fakes/fleet_checks.cpp
@@ -2,6 +2,8 @@
 
 #include "fakes/fleet_simulation.h"
 
+#include "fleet/placement_candidates.h"
+
 #include <algorithm>
 
 namespace Filbertlanding {
@@ -9,6 +11,8 @@
 namespace {
 
     constexpr Duration MaxCancelDelay{3'000}; ///< Time after which no task of a cancelled job may start.
+    constexpr Duration OrderedStartTime{1'000}; ///< Time after a change of limits in which starts that were ordered before may arrive.
+    constexpr std::int64_t ToleratedPercent = 10; ///< By which an account may exceed its limit, beside one task.
 
 } // namespace
 
@@ -56,6 +60,59 @@
         this->addViolation("too many tasks of a step on one worker: " + name);
     }
     this->checkCapacity(worker, name);
+    this->checkAccountLimit(task.job, name);
+}
+
+Resources FleetSimulation::runningOf(const AccountName &account) const
+{
+    Resources total;
+    for (const auto &[name, worker] : this->workers) {
+        for (const auto &[task, run] : worker->running) {
+            const auto owner = this->accountOfJob.find(task.job);
+            if (owner != this->accountOfJob.end() && owner->second == account) {
+                total = total + run.task.request;
+            }
+        }
+    }
+    return total;
+}
+
+Resources FleetSimulation::accountLimit(const AccountName &account) const
+{
+    Resources limit;
+    for (const ClientAccount &configured : this->state.manifest.accounts) {
+        limit = configured.terms.name == account ? configured.terms.limit : limit;
+    }
+    const auto former = this->formerLimits.find(account);
+    if (former == this->formerLimits.end() || this->now - this->formerLimitsUntil > OrderedStartTime) {
+        return limit;
+    }
+    const auto larger = [](std::int64_t left, std::int64_t right) {
+        return left == 0 || right == 0 ? 0 : std::max(left, right);
+    };
+    const Resources &before = former->second;
+    return {larger(limit.cpuMillis, before.cpuMillis), larger(limit.memoryMb, before.memoryMb), larger(limit.accelerators, before.accelerators)};
+}
+
+void FleetSimulation::checkAccountLimit(const JobId &job, const std::string &run)
+{
+    const auto account = this->accountOfJob.find(job);
+    if (account == this->accountOfJob.end()) {
+        return;
+    }
+    Resources largestTask;
+    for (const StepSpec &step : this->specs.at(job).steps) {
+        largestTask = largerOf(largestTask, step.request);
+    }
+    const Resources running = this->runningOf(account->second);
+    const Resources limit = this->accountLimit(account->second);
+    const auto isOver = [](std::int64_t amount, std::int64_t most, std::int64_t task) {
+        return most > 0 && amount > most + most * ToleratedPercent / 100 + task;
+    };
+    if (isOver(running.cpuMillis, limit.cpuMillis, largestTask.cpuMillis) || isOver(running.memoryMb, limit.memoryMb, largestTask.memoryMb)
+        || isOver(running.accelerators, limit.accelerators, largestTask.accelerators)) {
+        this->addViolation("start over the limit of the account " + account->second + ": " + run);
+    }
 }
 
 void FleetSimulation::checkCapacity(const WorkerName &worker, const std::string &run)
--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -2,6 +2,8 @@
 
 #include "fakes/fleet_simulation.h"
 
+#include "account/api_key.h"
+
 #include <utility>
 
 namespace Filbertlanding {
@@ -123,7 +125,7 @@
     return model;
 }
 
-void FleetSimulation::submit(const JobId &id, const JobSpec &spec, double runTimeFactor)
+void FleetSimulation::submit(const JobId &id, const JobSpec &spec, double runTimeFactor, const AccountName &account)
 {
     this->specs[id] = spec;
     this->runTimeFactors[id] = runTimeFactor;
@@ -134,7 +136,30 @@
     }
     const QueueConfig &queue = this->state.manifest.queues.front();
     this->outcomes[id].objective = Duration{chain.ms * queue.stretchPerMille / 1000} + queue.latencyAllowance;
-    this->propose(SubmitFleetJob{id, queue.host, queue.pathPrefix, this->wall(), spec}, this->lastTerm);
+    SubmitFleetJob submission{id, queue.host, queue.pathPrefix, this->wall(), spec};
+    if (!account.empty()) {
+        this->accountOfJob[id] = account;
+        submission.account = account;
+        submission.keyDigest = digestOfKey(account);
+    }
+    this->propose(std::move(submission), this->lastTerm);
+}
+
+void FleetSimulation::setAccounts(const std::vector<AccountTerms> &accounts)
+{
+    FleetManifest manifest = this->state.manifest;
+    ++manifest.version;
+    manifest.hasAccounts = true;
+    this->formerLimits.clear();
+    this->formerLimitsUntil = this->now;
+    for (const ClientAccount &account : manifest.accounts) {
+        this->formerLimits[account.terms.name] = account.terms.limit;
+    }
+    manifest.accounts.clear();
+    for (const AccountTerms &terms : accounts) {
+        manifest.accounts.push_back({terms, {digestOfKey(terms.name)}});
+    }
+    this->propose(PutManifest{manifest}, this->lastTerm);
 }
 
 void FleetSimulation::cancel(const JobId &id)
--- a/fakes/fleet_simulation.h
+++ b/fakes/fleet_simulation.h
@@ -73,8 +73,8 @@
 public:
     explicit FleetSimulation(const FleetSimulationSettings &simulationSettings);
 
-    /** Submits a job. The actual run time of its tasks is the estimate of the step times the factor. */
-    void submit(const JobId &id, const JobSpec &spec, double runTimeFactor = 1.0);
+    /** Submits a job, for an account or for none. The actual run time of its tasks is the estimate of the step times the factor. */
+    void submit(const JobId &id, const JobSpec &spec, double runTimeFactor = 1.0, const AccountName &account = {});
 
     /** Makes a task of a job crash each worker that runs it long enough, in every occurrence. */
     void makeCrashing(const JobId &job, std::uint32_t step, std::uint32_t index, const CrashTime &time);
@@ -112,6 +112,12 @@
     /** Puts a manifest in force that says whether workers enforce their capacity. */
     void setCapacityEnforced(bool isEnforced);
 
+    /** Puts a manifest in force with these accounts, each with a key. */
+    void setAccounts(const std::vector<AccountTerms> &accounts);
+
+    /** Returns the requests of all tasks of an account that run on workers, without regard to the replicated state. */
+    Resources runningOf(const AccountName &account) const;
+
     /** Terminates the leader. The next one starts after the gap. */
     void changeLeader(Duration gap);
 
@@ -181,6 +187,8 @@
     void report(const WorkerName &worker, std::optional<Duration> drainRemaining);
     void deliverReport(const FleetWorkerReport &report);
     void checkCapacity(const WorkerName &worker, const std::string &run);
+    void checkAccountLimit(const JobId &job, const std::string &run);
+    Resources accountLimit(const AccountName &account) const;
     void propose(FleetCommand command, std::uint64_t term);
     void apply(const FleetCommand &command);
     void execute(SchedulerActions actions, std::uint64_t term);
@@ -211,6 +219,9 @@
     std::uint64_t lastTerm = 0;
     std::map<JobId, JobSpec> specs;
     std::map<JobId, double> runTimeFactors;
+    std::map<JobId, AccountName> accountOfJob; ///< Only jobs with an account.
+    std::map<AccountName, Resources> formerLimits; ///< Limits before the latest change.
+    TimePoint formerLimitsUntil; ///< Time of the latest change.
     std::map<JobId, TimePoint> cancelledAt;
     std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, CrashTime> crashingTasks; ///< By job, step and index.
     std::map<std::pair<TaskRef, std::uint32_t>, StartDelivery> startDeliveries; ///< By task and run.
--- a/src/fleet/account_standing.h
+++ b/src/fleet/account_standing.h
@@ -5,12 +5,17 @@
 #include "account/account_type.h"
 #include "account/fair_share.h"
 #include "core/clock_type.h"
+#include "fleet/fleet_state_base.h"
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace Filbertlanding {
 
+struct FleetScheduler;
+struct ReadyStep;
+
 /** An account with open jobs or active runs. */
 struct AccountStanding {
     AccountTerms terms;
@@ -26,4 +31,44 @@
 /** Standings by account. Empty in a deployment without accounts. */
 using AccountStandings = std::map<AccountName, AccountStanding>;
 
+/** What one job waits for. */
+struct WaitingWork {
+    double cpuSeconds = 0; ///< Expected work that has not started; 0 for long-running and repeated jobs, whose work has no end.
+    bool hasWaitingTasks = false;
+    Duration longestWait;
+};
+
+/** Adds a job that is open, with what it waits for, to its account. Does nothing for a job without an account. */
+void addWaitingWork(AccountStandings &standings, const AccountTerms &account, const WaitingWork &work);
+
+/**
+ * Sets the usage of each account: the runs of the replicated state and the proposed starts. Terms of accounts whose jobs have all ended are taken from
+ * the standings of the previous pass, or else from the manifest.
+ */
+void setUsage(AccountStandings &standings, const AccountStandings &previous, const FleetScheduler &scheduler, const FleetState &state);
+
+/** Sets the share and the share class of each account that uses workers or waits for them, from the capacity of the usable workers. */
+void setShares(AccountStandings &standings, const Resources &capacity);
+
+/** Sets the share class of each ready step. */
+void markShareClasses(const AccountStandings &standings, const FleetState &state, std::vector<ReadyStep> &ready);
+
+/** Marks the ready steps of which no task may start because of the limit of the account, and counts them for each account. */
+void markHeldSteps(FleetScheduler &scheduler, const FleetState &state, std::vector<ReadyStep> &ready);
+
+/** Adds a start that is proposed now to the usage of its account. */
+void addProposedStart(AccountStandings &standings, const FleetJob &job, std::uint32_t step);
+
+/** Returns what an account uses, with the starts that are proposed. */
+Resources usedBy(const FleetScheduler &scheduler, const FleetState &state, const AccountName &account);
+
+/**
+ * Returns whether the limit of its account lets a task of a step start beside a number of others of the step for which room is planned, or all tasks
+ * together if the step is a gang.
+ */
+bool mayStartStep(const FleetScheduler &scheduler, const FleetState &state, const FleetJob &job, std::uint32_t step, std::uint32_t planned = 0);
+
+/** Returns whether the limit of its account would let a task start again if its run was stopped. */
+bool mayRestartTask(const FleetScheduler &scheduler, const FleetState &state, const FleetJob &job, std::uint32_t step);
+
 } // namespace Filbertlanding
--- a/src/fleet/capacity_hold.cpp
+++ b/src/fleet/capacity_hold.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/capacity_hold.h"
 
+#include "fleet/account_standing.h"
 #include "fleet/scheduler_detail.h"
 
 #include <algorithm>
@@ -48,11 +49,13 @@
         }));
     }
 
-    /** Returns whether a step still waits for as many tasks as workers are held for it. */
+    /** Returns whether a step still waits for as many tasks as workers are held for it, and the limit of its account lets them start. */
     bool isHoldNeeded(const FleetScheduler &scheduler, const FleetState &state, const StepRef &step)
     {
         const auto job = scheduler.jobs.contains(step.job) ? state.jobs.find(step.job) : state.jobs.end();
-        return job != state.jobs.end() && countPendingTasks(scheduler, job->second, step.occurrence, step.step) >= countHolds(scheduler, step);
+        const std::uint32_t holds = countHolds(scheduler, step);
+        return job != state.jobs.end() && countPendingTasks(scheduler, job->second, step.occurrence, step.step) >= holds
+            && mayStartStep(scheduler, state, job->second, step.step, holds - 1);
     }
 
 } // namespace
--- a/src/fleet/held_tasks.cpp
+++ b/src/fleet/held_tasks.cpp
@@ -80,6 +80,9 @@
         if (incarnation != state.incarnations.end() && !isEligible(query.step, query.service, incarnation->second.profile)) {
             return HoldReason::Ineligible;
         }
+        if (query.isHeldByAccountLimit) {
+            return HoldReason::AccountLimit;
+        }
         if (const auto held = sessionHoldReason(state, session, now)) {
             return held;
         }
@@ -177,6 +180,7 @@
         query.harmTolerance = getsTaskAtAnyHarm(step, isServiceIdle) ? HarmTolerance::Any : toleratedHarm(step, isServiceIdle, now);
         query.excluded = failed == nullptr ? 0 : failed->incarnation;
         query.suspicion = suspicionOf(job.occurrences.at(task.occurrence).steps[task.step].tasks[task.index].crashHistory);
+        query.isHeldByAccountLimit = step.isHeldByAccountLimit;
         HeldStep held;
         held.task = task;
         held.pendingTasks = due.waiting->pendingTasks;
--- a/src/fleet/hold_reason_type.h
+++ b/src/fleet/hold_reason_type.h
@@ -8,7 +8,7 @@
 
 namespace Filbertlanding {
 
-/** Why a worker takes no task of a step now. Of several reasons the first one in this order is named. */
+/** Why a worker takes no task of a step now. Of several reasons the first one in this order is named, but AccountLimit directly after Ineligible. */
 enum class HoldReason : std::uint8_t {
     Ineligible, ///< It belongs to another service or lacks the required label.
     Replaced, ///< A later incarnation has taken its place.
@@ -31,7 +31,7 @@
     SpareCpu, ///< Too little of its CPU is idle.
     Interference, ///< The task would slow down the long-running tasks on it.
     CapacityHeld, ///< The task would use capacity that is held for a long-running step.
-    AccountLimit, ///< The account of the job would exceed its limit.
+    AccountLimit, ///< The account of the job would exceed its limit. Named for all eligible workers, since no worker is searched for.
 };
 
 constexpr auto HoldReasonNames = makeNameTable<HoldReason>({
--- a/src/fleet/place_run.h
+++ b/src/fleet/place_run.h
@@ -116,6 +116,7 @@
     bool isIsolated = false; ///< No other tasks may join it on its worker for a while.
     bool isQueueAtRisk = false; ///< Tasks of the queue have recently crashed workers.
     StepRef stepRef; ///< Identifies the step.
+    bool isHeldByAccountLimit = false; ///< The account may start no task of the step. Only counted for reports: placement does not search for such steps.
     std::optional<TimePoint> expectedEnd; ///< Time by which a short task should end if it starts now, while workers are held; nothing for long-running ones.
 };
 
--- a/src/fleet/placement_candidates.cpp
+++ b/src/fleet/placement_candidates.cpp
@@ -125,6 +125,15 @@
     return result;
 }
 
+Resources totalCapacity(const std::vector<PlacementCandidate *> &candidates)
+{
+    Resources total;
+    for (const PlacementCandidate *candidate : candidates) {
+        total = total + candidate->capacity;
+    }
+    return total;
+}
+
 std::set<ServiceName> findIdleServices(const std::vector<PlacementCandidate *> &candidates)
 {
     std::map<ServiceName, std::int64_t> unreserved; ///< Unreserved CPU less half of the capacity.
--- a/src/fleet/placement_candidates.h
+++ b/src/fleet/placement_candidates.h
@@ -28,6 +28,9 @@
 /** Returns the most that any one worker of each service has. */
 LargestWorkers findLargestWorkers(const std::vector<PlacementCandidate *> &candidates);
 
+/** Returns the capacity of workers together. */
+Resources totalCapacity(const std::vector<PlacementCandidate *> &candidates);
+
 /** Returns the services with less than half of their CPU reserved. */
 std::set<ServiceName> findIdleServices(const std::vector<PlacementCandidate *> &candidates);
 
--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -103,7 +103,10 @@
 /** Starts tasks of ready steps on workers with sufficient capacity. */
 void placeTasks(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions);
 
-/** Proposes to open the occurrences that are due, and returns the steps with tasks to place, job by job. */
+/**
+ * Proposes to open the occurrences that are due, and returns the steps with tasks to place, job by job. Renews the standings of the accounts, except for
+ * their shares.
+ */
 std::vector<ReadyStep> collectReadySteps(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions);
 
 /** Returns whether a task is a strong suspect that is held until it is known whether its worker has crashed. */
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -1,5 +1,6 @@
 /** @file scheduler_place.cpp Places tasks of ready steps on workers. */
 
+#include "fleet/account_standing.h"
 #include "fleet/capacity_hold.h"
 #include "fleet/failed_placements.h"
 #include "fleet/place_run.h"
@@ -23,6 +24,7 @@
     /** State of a placement pass. */
     struct PlacementPass {
         FleetScheduler &scheduler;
+        const FleetState &state;
         TimePoint now;
         SchedulerActions &actions;
         std::vector<PlacementCandidate *> candidates; ///< Set before the slopes, which are refreshed with them.
@@ -83,6 +85,7 @@
         }
         addRun(scheduler.sessions.at(placement.incarnation), ref, std::move(view));
         scheduler.proposedStarts[ref] = placement.incarnation;
+        addProposedStart(scheduler.accounts, job, ref.step);
         pass.actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
     }
 
@@ -197,6 +200,9 @@
                 continue;
             }
             const FleetJob &job = state.jobs.at(ref.job);
+            if (!mayStartStep(scheduler, state, job, ref.step)) {
+                continue;
+            }
             const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
             const StepSpread spread = spreadOf(scheduler, job, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
             ++scheduler.fleetScans;
@@ -245,7 +251,7 @@
         std::uint32_t maxTasks = 0; ///< Maximum number of tasks to place; a gang is placed as a whole.
     };
 
-    /** Places the tasks of a step one by one, as far as capacity allows. Returns false if tasks were left to the next pass. */
+    /** Places the tasks of a step one by one, as far as capacity and the limit of the account allow. Returns false if tasks were left to the next pass. */
     bool placeIndependentTasks(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
     {
         const FleetScheduler &scheduler = pass.scheduler;
@@ -256,7 +262,7 @@
         bool isFull = false; // For all tasks but strong suspects, which have workers reserved.
         StepSpread spread = spec.maxPerWorker > 0 || spec.isLongRunning ? spreadOf(scheduler, job, step) : StepSpread();
         for (const std::uint32_t index : findPendingTasks(scheduler, job, step, pass.now)) {
-            if (placed >= limits.maxTasks) {
+            if (placed >= limits.maxTasks || !mayStartStep(scheduler, pass.state, job, step.step)) {
                 return true;
             }
             const TaskRef ref{step.job, step.occurrence, step.step, index};
@@ -419,7 +425,8 @@
         std::uint32_t held = countHolds(scheduler, stepRefOf(step));
         const StepSpread spread = spreadOf(scheduler, job, step);
         const WorkerQuery query = makeQuery(pass, job, stepRefOf(step), spread);
-        while (held < pending && pass.newHolds < MaxNewHoldsPerPass && scheduler.fleetScans < pass.scanLimit) {
+        while (held < pending && pass.newHolds < MaxNewHoldsPerPass && scheduler.fleetScans < pass.scanLimit
+               && mayStartStep(scheduler, pass.state, job, step.step, held)) {
             ++scheduler.fleetScans;
             if (!holdWorker(scheduler, query, pass.candidates, pass.now)) {
                 if (spec.maxPerWorker == 0) {
@@ -442,11 +449,17 @@
         return found == ready.end() ? 0 : static_cast<std::size_t>(found - ready.begin());
     }
 
-    /** Places the tasks of ready steps from an index on, until the scan limit is reached. Returns the index of the first step that is left. */
+    /**
+     * Places the tasks of ready steps from an index on, until the scan limit is reached. Returns the index of the first step that is left. Steps whose
+     * account is at its limit are skipped, so that they cost no search and other accounts don't wait for them.
+     */
     std::size_t placeStepsFrom(PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready, std::size_t first)
     {
         for (std::size_t i = first; i < ready.size(); ++i) {
             const FleetJob &job = state.jobs.at(ready[i].job);
+            if (!mayStartStep(pass.scheduler, state, job, ready[i].step)) {
+                continue;
+            }
             if (pass.scheduler.fleetScans >= pass.scanLimit || !placeStep(pass, job, ready[i])) {
                 return i;
             }
@@ -494,9 +507,19 @@
     std::vector<ReadyStep> ready = collectReadySteps(scheduler, state, now, wall, actions);
     if (ready.empty() && scheduler.requestedCopies.empty()) {
         scheduler.readySteps.clear();
+        if (!scheduler.accounts.empty()) {
+            setShares(scheduler.accounts, totalCapacity(usableWorkers(scheduler, state, now)));
+        }
         return;
     }
-    PlacementPass pass{.scheduler = scheduler, .now = now, .actions = actions, .candidates = usableWorkers(scheduler, state, now), .slopes = *scheduler.slopes};
+    PlacementPass pass{.scheduler = scheduler,
+                       .state = state,
+                       .now = now,
+                       .actions = actions,
+                       .candidates = usableWorkers(scheduler, state, now),
+                       .slopes = *scheduler.slopes};
+    setShares(scheduler.accounts, totalCapacity(pass.candidates));
+    markShareClasses(scheduler.accounts, state, ready);
     pass.hasAvoided = std::any_of(pass.candidates.begin(), pass.candidates.end(), [](const PlacementCandidate *candidate) {
         return candidate->isAvoided || candidate->isReservedForSuspects;
     });
@@ -506,6 +529,7 @@
     sortByServiceOrder(ready, now);
     placeCopies(pass, state);
     placeSteps(pass, state, ready);
+    markHeldSteps(scheduler, state, ready);
     recordShortJobWaits(scheduler, state, pass.candidates, ready, now);
     scheduler.readySteps = std::move(ready);
 }
--- a/src/fleet/scheduler_ready.cpp
+++ b/src/fleet/scheduler_ready.cpp
@@ -1,5 +1,6 @@
 /** @file scheduler_ready.cpp Finds the steps whose tasks are to be placed, and which of their tasks wait for it. */
 
+#include "fleet/account_standing.h"
 #include "fleet/scheduler_detail.h"
 #include "fleet/service_order.h"
 
@@ -115,6 +116,30 @@
         return work;
     }
 
+    /** Returns whether the work of a job counts as waiting: long-running steps have no end, and a repeated job opens its work when it is due. */
+    bool isShortJob(const FleetJob &job)
+    {
+        return job.spec.repeatCount == 0 && std::none_of(job.spec.steps.begin(), job.spec.steps.end(), [](const StepSpec &step) {
+            return step.isLongRunning;
+        });
+    }
+
+    /** Returns what a job waits for, from its ready steps. */
+    WaitingWork waitingWorkOf(const FleetJob &job, const JobView &view, TimePoint now, std::span<const ReadyStep> steps)
+    {
+        WaitingWork work;
+        if (isShortJob(job)) {
+            const OccurrenceWork total = workOf(job, view, job.occurrences.at(0));
+            work.cpuSeconds = std::max(0.0, total.total - total.started);
+            work.longestWait = job.state == FleetJobState::Queued && !steps.empty() ? now - view.acceptedAt : Duration{};
+        }
+        work.hasWaitingTasks = !steps.empty();
+        for (const ReadyStep &step : steps) {
+            work.longestWait = std::max(work.longestWait, step.waitedFor);
+        }
+        return work;
+    }
+
     void addReadySteps(const FleetScheduler &scheduler, const FleetJob &job, JobView &view, TimePoint now, std::vector<ReadyStep> &ready)
     {
         if (view.isStale) {
@@ -184,11 +209,18 @@
 std::vector<ReadyStep> collectReadySteps(FleetScheduler &scheduler, const FleetState &state, TimePoint now, WallTime wall, SchedulerActions &actions)
 {
     std::vector<ReadyStep> ready;
+    AccountStandings standings;
     for (auto &[number, view] : scheduler.jobs) {
         const FleetJob &job = state.jobs.at(number);
         openDueOccurrences(view, job, wall, actions);
+        const std::size_t before = ready.size();
         addReadySteps(scheduler, job, view, now, ready);
+        if (!job.account.name.empty()) {
+            addWaitingWork(standings, job.account, waitingWorkOf(job, view, now, std::span(ready).subspan(before)));
+        }
     }
+    setUsage(standings, scheduler.accounts, scheduler, state);
+    scheduler.accounts = std::move(standings);
     return ready;
 }
 
--- a/src/fleet/scheduler_supervision.cpp
+++ b/src/fleet/scheduler_supervision.cpp
@@ -1,5 +1,6 @@
 /** @file scheduler_supervision.cpp Supervision of running tasks: evacuation of draining workers, progress checks, and speed limits. */
 
+#include "fleet/account_standing.h"
 #include "fleet/pace_control.h"
 #include "fleet/scheduler_detail.h"
 
@@ -75,16 +76,23 @@
         return slowness;
     }
 
-    /** Returns whether a task may be migrated now. The number of migrations per task is limited, and only half of a step may migrate at the same time. */
+    /**
+     * Returns whether a task may be migrated now. The number of migrations per task is limited, and only half of a step may migrate at the same time. A run
+     * is not stopped if the limit of its account, which may have been lowered since its start, would not let the task start again.
+     */
     bool mayMigrate(const FleetScheduler &scheduler, const FleetState &state, const TaskRef &task)
     {
         const auto moved = scheduler.migrationCounts.find(task);
         if (moved != scheduler.migrationCounts.end() && moved->second >= MaxMigrations) {
             return false;
         }
+        const FleetJob &job = state.jobs.at(task.job);
+        if (!job.spec.steps[task.step].allowsSpeculativeCopies && !mayRestartTask(scheduler, state, job, task.step)) {
+            return false;
+        }
         const auto first = scheduler.migratingTasks.lower_bound({task.job, task.occurrence, task.step, 0});
         const auto last = scheduler.migratingTasks.lower_bound({task.job, task.occurrence, task.step + 1, 0});
-        const std::uint32_t taskCount = state.jobs.at(task.job).spec.steps[task.step].taskCount;
+        const std::uint32_t taskCount = job.spec.steps[task.step].taskCount;
         return std::distance(first, last) < static_cast<std::ptrdiff_t>(std::max<std::uint32_t>(1, taskCount / 2));
     }
 
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -5,9 +5,12 @@
  * long-running tasks, and these precede late jobs, since a late result has only a fraction of its value. New jobs that are on time arrive all the
  * time, so long-running tasks that have waited for a while precede them. A job that has begun keeps its rank when it becomes late, as long as it is
  * likely to be completed while its result has some value. Otherwise a large job, which takes longer to get all of its tasks, would give way to new ones
- * with part of its work done. Jobs on time are ordered by slack. At about the same slack, the priority of the queue decides, then the value per CPU second
- * that the job still needs. Of long-running tasks those with small requests come first, so that most of them have a worker again soon after many were lost;
- * a large one that has waited for long precedes them.
+ * with part of its work done. Jobs on time are ordered by slack. At about the same slack, an account that uses less than its share of the workers precedes
+ * one that uses more, so that a flood of one account does not keep the others from theirs. This comes after the slack, so that an urgent job does not
+ * miss its objective for the sake of the shares. Jobs without an account count as within their share. Then the priority of the queue decides, then the value
+ * per CPU second that the job still needs. Of long-running tasks that have waited for about the same time, the share decides in the same way, and
+ * those with small requests come first, so that most of them have a worker again soon after many were lost; a large one that has waited for long precedes
+ * them.
  */
 
 #include "fleet/service_order.h"
@@ -53,7 +56,7 @@
         return status == DeadlineStatus::OnTime || keepsRank ? OnTimeRank : LongRunningRank + static_cast<int>(status);
     }
 
-    using ServiceKey = std::tuple<int, std::int64_t, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t, std::uint32_t>;
+    using ServiceKey = std::tuple<int, std::int64_t, ShareClass, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t, std::uint32_t>;
 
     ServiceKey serviceKey(const ReadyStep &step, TimePoint now)
     {
@@ -62,11 +65,11 @@
         if (step.isLongRunning) {
             const std::int64_t waitClass = step.waitedFor.ms / LongRunningWaitClass.ms;
             const auto request = static_cast<double>(step.requestedCpuMillis);
-            return {rank, -waitClass, step.priority, request, -step.waitedFor.ms, step.job, step.occurrence, step.step};
+            return {rank, -waitClass, step.shareClass, step.priority, request, -step.waitedFor.ms, step.job, step.occurrence, step.step};
         }
         const std::int64_t slack = (step.objectiveDeadline - now - step.remainingCriticalPath).ms;
         const std::int64_t slackClass = status == DeadlineStatus::OnTime ? slack / SlackClassMs : 0;
-        return {rank, slackClass, step.priority, -step.valueDensity, step.acceptedAt.ms, step.job, step.occurrence, step.step};
+        return {rank, slackClass, step.shareClass, step.priority, -step.valueDensity, step.acceptedAt.ms, step.job, step.occurrence, step.step};
     }
 
 } // namespace
--- a/src/fleet/short_job_wait.cpp
+++ b/src/fleet/short_job_wait.cpp
@@ -19,7 +19,7 @@
     }
     const LargestWorkers largestWorkers = findLargestWorkers(candidates);
     for (const ReadyStep &step : ready) {
-        if (step.isLongRunning || step.usesSpareCapacity || !isDeadlineNear(step, now)) {
+        if (step.isLongRunning || step.usesSpareCapacity || step.isHeldByAccountLimit || !isDeadlineNear(step, now)) {
             continue;
         }
         const FleetJob &job = state.jobs.at(step.job);
--- a/src/fleet/short_job_wait.h
+++ b/src/fleet/short_job_wait.h
@@ -10,7 +10,7 @@
 
 /**
  * Records which services and priorities have short jobs that become late because no worker has the CPU for their tasks after a placement pass.
- * Tasks that wait for something else, such as a label or memory, don't count.
+ * Tasks that wait for something else, such as a label, memory or room within the limit of their account, don't count.
  */
 void recordShortJobWaits(FleetScheduler &scheduler,
                          const FleetState &state,
