Change: shares follow the starts of a pass, and a large task keeps room within its account's limit

A step of an account that has got more than its share in the pass now moves behind those of other accounts of the same rank and slack. A short task that the limit holds lets later steps of its account wait until there is room. Otherwise it starved behind small tasks that nearly used up the limit.

--- a/src/account/fair_share.cpp
+++ b/src/account/fair_share.cpp
@@ -15,19 +15,6 @@
         return capacity > 0 ? static_cast<double>(amount) / static_cast<double>(capacity) : 0.0;
     }
 
-    double weightOf(const AccountDemand &demand)
-    {
-        return static_cast<double>(std::max<std::int64_t>(1, demand.weight));
-    }
-
-    ShareClass classify(double share, double fairShare)
-    {
-        if (share <= fairShare) {
-            return ShareClass::Within;
-        }
-        return share <= FarAboveFactor * fairShare ? ShareClass::Above : ShareClass::FarAbove;
-    }
-
 } // namespace
 
 double dominantShare(const Resources &used, const Resources &capacity)
@@ -35,18 +22,31 @@
     return std::max({partOf(used.cpuMillis, capacity.cpuMillis), partOf(used.memoryMb, capacity.memoryMb), partOf(used.accelerators, capacity.accelerators)});
 }
 
+double shareWeight(std::int64_t weight)
+{
+    return static_cast<double>(std::max<std::int64_t>(1, weight));
+}
+
+ShareClass classifyShare(double share, double fairShare)
+{
+    if (share <= fairShare) {
+        return ShareClass::Within;
+    }
+    return share <= FarAboveFactor * fairShare ? ShareClass::Above : ShareClass::FarAbove;
+}
+
 std::map<AccountName, ShareClass> classifyShares(const std::vector<AccountDemand> &demands, const Resources &capacity)
 {
     double totalWeight = 0;
     double totalShare = 0;
     for (const AccountDemand &demand : demands) {
-        totalWeight += weightOf(demand);
+        totalWeight += shareWeight(demand.weight);
         totalShare += dominantShare(demand.used, capacity);
     }
     std::map<AccountName, ShareClass> classes;
     for (const AccountDemand &demand : demands) {
-        const double fairShare = totalShare * weightOf(demand) / totalWeight;
-        classes[demand.account] = classify(dominantShare(demand.used, capacity), fairShare);
+        const double fairShare = totalShare * shareWeight(demand.weight) / totalWeight;
+        classes[demand.account] = classifyShare(dominantShare(demand.used, capacity), fairShare);
     }
     return classes;
 }
--- a/src/account/fair_share.h
+++ b/src/account/fair_share.h
@@ -35,6 +35,12 @@
     return ShareClass::FarAbove;
 }
 
+/** Returns the weight of an account for shares, in which 0 counts as 1. */
+double shareWeight(std::int64_t weight);
+
+/** Returns the class of an account from its dominant share and its fair one. */
+ShareClass classifyShare(double share, double fairShare);
+
 /**
  * Returns the class of each account. The share of an account is its part of all weights in the sum of all dominant shares, so that classes compare
  * accounts with each other whatever part of the workers they use.
--- a/src/fleet/account_standing.cpp
+++ b/src/fleet/account_standing.cpp
@@ -47,6 +47,7 @@
     if (isNew) {
         standing.terms = account;
     }
+    standing.usedForever = standing.usedForever + work.usedForever;
     standing.waitingCpuSeconds += work.cpuSeconds;
     standing.waitingJobs += work.hasWaitingTasks ? 1 : 0;
     standing.longestWait = std::max(standing.longestWait, work.longestWait);
@@ -68,18 +69,22 @@
     }
 }
 
-void setShares(AccountStandings &standings, const Resources &capacity)
+ShareTotals setShares(AccountStandings &standings, const Resources &capacity)
 {
+    ShareTotals totals{.capacity = capacity};
     std::vector<AccountDemand> demands;
     for (auto &[account, standing] : standings) {
         standing.dominantShare = dominantShare(standing.used, capacity);
         if (standing.waitingJobs > 0 || standing.used != Resources()) {
             demands.push_back({account, standing.terms.weight, standing.used});
+            totals.shares += standing.dominantShare;
+            totals.weights += shareWeight(standing.terms.weight);
         }
     }
     for (const auto &[account, shareClass] : classifyShares(demands, capacity)) {
         standings.at(account).shareClass = shareClass;
     }
+    return totals;
 }
 
 void markHeldSteps(FleetScheduler &scheduler, const FleetState &state, std::vector<ReadyStep> &ready)
@@ -89,7 +94,7 @@
     }
     for (ReadyStep &step : ready) {
         const FleetJob &job = state.jobs.at(step.job);
-        step.isHeldByAccountLimit = !mayStartStep(scheduler, state, job, step.step);
+        step.isHeldByAccountLimit = step.isHeldByAccountLimit || !mayStartStep(scheduler, state, job, step.step);
         if (step.isHeldByAccountLimit) {
             ++scheduler.accounts.at(job.account.name).heldSteps;
         }
@@ -107,12 +112,28 @@
     }
 }
 
-void addProposedStart(AccountStandings &standings, const FleetJob &job, std::uint32_t step)
+void addProposedStart(AccountStandings &standings, ShareTotals &totals, const FleetJob &job, std::uint32_t step)
 {
-    const auto standing = standings.find(job.account.name);
-    if (standing != standings.end()) {
-        addRequest(standing->second, job.spec.steps[step].request);
+    const auto found = standings.find(job.account.name);
+    if (found == standings.end()) {
+        return;
+    }
+    AccountStanding &standing = found->second;
+    addRequest(standing, job.spec.steps[step].request);
+    const double share = dominantShare(standing.used, totals.capacity);
+    totals.shares += share - standing.dominantShare;
+    standing.dominantShare = share;
+    standing.shareClass = classifyShare(share, totals.shares * shareWeight(standing.terms.weight) / totals.weights);
+}
+
+bool keepsRoom(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    const auto standing = scheduler.accounts.find(job.account.name);
+    if (spec.isGang || spec.isLongRunning || standing == scheduler.accounts.end()) {
+        return false;
     }
+    return mayStartTask(job.account.limit, standing->second.usedForever, spec.request);
 }
 
 Resources usedBy(const FleetScheduler &scheduler, const FleetState &state, const AccountName &account)
--- a/src/fleet/account_standing.h
+++ b/src/fleet/account_standing.h
@@ -20,6 +20,7 @@
 struct AccountStanding {
     AccountTerms terms;
     Resources used; ///< Requests of all runs that may exist, including proposed ones.
+    Resources usedForever; ///< Requests of the long-running tasks among them that the log records as started.
     ShareClass shareClass = ShareClass::Within;
     double dominantShare = 0; ///< Largest share of any resource of the workers that it uses.
     double waitingCpuSeconds = 0; ///< Expected work of its short jobs that has not started.
@@ -31,8 +32,16 @@
 /** Standings by account. Empty in a deployment without accounts. */
 using AccountStandings = std::map<AccountName, AccountStanding>;
 
-/** What one job waits for. */
+/** Sums over the accounts that use workers or wait for them. */
+struct ShareTotals {
+    Resources capacity; ///< Capacity of the usable workers.
+    double shares = 0; ///< Sum of the dominant shares.
+    double weights = 0;
+};
+
+/** What one job waits for, and what it uses for long. */
 struct WaitingWork {
+    Resources usedForever; ///< Requests of its long-running tasks that run.
     double cpuSeconds = 0; ///< Expected work that has not started; 0 for long-running and repeated jobs, whose work has no end.
     bool hasWaitingTasks = false;
     Duration longestWait;
@@ -48,16 +57,19 @@
 void setUsage(AccountStandings &standings, const AccountStandings &previous, const FleetScheduler &scheduler, const FleetState &state);
 
 /** Sets the share and the share class of each account that uses workers or waits for them, from the capacity of the usable workers. */
-void setShares(AccountStandings &standings, const Resources &capacity);
+ShareTotals setShares(AccountStandings &standings, const Resources &capacity);
 
 /** Sets the share class of each ready step. */
 void markShareClasses(const AccountStandings &standings, const FleetState &state, std::vector<ReadyStep> &ready);
 
-/** Marks the ready steps of which no task may start because of the limit of the account, and counts them for each account. */
+/** Marks the ready steps of which no task may start because of the limit of the account, beside those that are marked, and counts them by account. */
 void markHeldSteps(FleetScheduler &scheduler, const FleetState &state, std::vector<ReadyStep> &ready);
 
-/** Adds a start that is proposed now to the usage of its account. */
-void addProposedStart(AccountStandings &standings, const FleetJob &job, std::uint32_t step);
+/**
+ * Adds a start that is proposed now to the usage of its account, and updates the share of this account. Otherwise one account would get all capacity that
+ * is free in a pass.
+ */
+void addProposedStart(AccountStandings &standings, ShareTotals &totals, const FleetJob &job, std::uint32_t step);
 
 /** Returns what an account uses, with the starts that are proposed. */
 Resources usedBy(const FleetScheduler &scheduler, const FleetState &state, const AccountName &account);
@@ -68,6 +80,13 @@
  */
 bool mayStartStep(const FleetScheduler &scheduler, const FleetState &state, const FleetJob &job, std::uint32_t step, std::uint32_t planned = 0);
 
+/**
+ * Returns whether a step that the limit of its account holds keeps room for itself: later steps of the account wait until its runs have made room for a
+ * task. Otherwise small tasks would take what becomes free, and a large one would never start. Gangs don't keep room, since the account would use less
+ * than half of its limit meanwhile, nor do long-running steps, for which short ones would wait for as long as they do.
+ */
+bool keepsRoom(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step);
+
 /** Returns whether the limit of its account would let a task start again if its run was stopped. */
 bool mayRestartTask(const FleetScheduler &scheduler, const FleetState &state, const FleetJob &job, std::uint32_t step);
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -36,6 +36,8 @@
         FailedPlacements failedPlacements;
         FailedPlacements failedHolds; ///< Requests for which no worker could be held.
         unsigned newHolds = 0;
+        ShareTotals shareTotals;
+        std::set<AccountName> fullAccounts; ///< Accounts of which a step keeps room for itself, so that the later ones wait.
     };
 
     /** Returns the expected run time of the tasks of a step in the rack of their data. */
@@ -85,7 +87,7 @@
         }
         addRun(scheduler.sessions.at(placement.incarnation), ref, std::move(view));
         scheduler.proposedStarts[ref] = placement.incarnation;
-        addProposedStart(scheduler.accounts, job, ref.step);
+        addProposedStart(scheduler.accounts, pass.shareTotals, job, ref.step);
         pass.actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
     }
 
@@ -374,8 +376,8 @@
         return isAvoidanceOwn || (isSlowWorkerFree && acceptsSlowNow(spec, step.waitedFor)) || countHolds(pass.scheduler, stepRefOf(step)) > 0;
     }
 
-    /** Places the tasks of a step within limits, unless it is known that none fits. Returns false if tasks were left to the next pass. */
-    bool placeWithin(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
+    /** Returns whether it is known without a search that no worker has room for a task of a step. */
+    bool isKnownNotToFit(const PlacementPass &pass, const FleetJob &job, const ReadyStep &step, HarmTolerance harmTolerance)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const ServiceName &service = job.queue.service;
@@ -383,10 +385,16 @@
             return true;
         }
         const Duration runTime = cautiousStepTime(pass.scheduler, job, step.step);
-        if (!hasOwnAlternatives(pass, job, step) && pass.failedPlacements.cannotFit(spec, service, limits.harmTolerance, runTime)) {
+        return !hasOwnAlternatives(pass, job, step) && pass.failedPlacements.cannotFit(spec, service, harmTolerance, runTime);
+    }
+
+    /** Places the tasks of a step within limits, unless it is known that none fits. Returns false if tasks were left to the next pass. */
+    bool placeWithin(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
+    {
+        if (isKnownNotToFit(pass, job, step, limits.harmTolerance)) {
             return true;
         }
-        if (spec.isGang) {
+        if (job.spec.steps[step.step].isGang) {
             placeGang(pass, job, step, limits);
             return true;
         }
@@ -449,22 +457,58 @@
         return found == ready.end() ? 0 : static_cast<std::size_t>(found - ready.begin());
     }
 
+    /** Returns whether the account of a step has got more than its share in this pass, so that the step has moved behind those of other accounts. */
+    bool giveWay(PlacementPass &pass, const FleetJob &job, std::vector<ReadyStep> &ready, std::size_t index)
+    {
+        const auto standing = pass.scheduler.accounts.find(job.account.name);
+        if (standing == pass.scheduler.accounts.end() || standing->second.shareClass <= ready[index].shareClass) {
+            return false;
+        }
+        if (isKnownNotToFit(pass, job, ready[index], HarmTolerance::None)) {
+            return false; // Its place makes no difference. Moving each of many steps would take long.
+        }
+        ready[index].shareClass = standing->second.shareClass;
+        return moveBack(ready, index, pass.now);
+    }
+
+    /** Returns whether the limit of its account holds a step, or a step before it that keeps room for itself. */
+    bool isHeldByAccount(PlacementPass &pass, const FleetJob &job, const ReadyStep &step)
+    {
+        if (job.account.name.empty()) {
+            return false;
+        }
+        if (pass.fullAccounts.contains(job.account.name)) {
+            return true;
+        }
+        if (mayStartStep(pass.scheduler, pass.state, job, step.step)) {
+            return false;
+        }
+        if (keepsRoom(pass.scheduler, job, step.step) && !exceedsLargestWorker(pass, job.spec.steps[step.step], job.queue.service)) {
+            pass.fullAccounts.insert(job.account.name);
+        }
+        return true;
+    }
+
     /**
      * Places the tasks of ready steps from an index on, until the scan limit is reached. Returns the index of the first step that is left. Steps whose
      * account is at its limit are skipped, so that they cost no search and other accounts don't wait for them.
      */
-    std::size_t placeStepsFrom(PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready, std::size_t first)
+    std::size_t placeStepsFrom(PlacementPass &pass, const FleetState &state, std::vector<ReadyStep> &ready, std::size_t first)
     {
         for (std::size_t i = first; i < ready.size(); ++i) {
-            const FleetJob &job = state.jobs.at(ready[i].job);
-            if (!mayStartStep(pass.scheduler, state, job, ready[i].step)) {
+            const FleetJob *job = &state.jobs.at(ready[i].job);
+            while (giveWay(pass, *job, ready, i)) {
+                job = &state.jobs.at(ready[i].job);
+            }
+            ready[i].isHeldByAccountLimit = isHeldByAccount(pass, *job, ready[i]);
+            if (ready[i].isHeldByAccountLimit) {
                 continue;
             }
-            if (pass.scheduler.fleetScans >= pass.scanLimit || !placeStep(pass, job, ready[i])) {
+            if (pass.scheduler.fleetScans >= pass.scanLimit || !placeStep(pass, *job, ready[i])) {
                 return i;
             }
             if (mayHoldWorkers(ready[i])) {
-                holdWorkers(pass, job, ready[i]);
+                holdWorkers(pass, *job, ready[i]);
             }
         }
         return ready.size();
@@ -474,14 +518,14 @@
      * Places the tasks of ready steps within the scan limit of the pass. The first half of the scans begins at the first step, so that freed capacity goes
      * to the steps in their order; the second half continues where the last pass stopped, so that each step is reached.
      */
-    void placeSteps(PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready)
+    void placeSteps(PlacementPass &pass, const FleetState &state, std::vector<ReadyStep> &ready)
     {
         FleetScheduler &scheduler = pass.scheduler;
-        const std::size_t resumed = findResumedStep(scheduler, ready);
         const std::uint64_t end = pass.scanLimit;
         const std::uint64_t scansLeft = end - std::min(scheduler.fleetScans, end);
         pass.scanLimit = end - scansLeft / 2;
         const std::size_t reached = placeStepsFrom(pass, state, ready, 0);
+        const std::size_t resumed = findResumedStep(scheduler, ready); // Steps may have moved in the first half.
         if (reached == ready.size()) {
             return;
         }
@@ -518,7 +562,7 @@
                        .actions = actions,
                        .candidates = usableWorkers(scheduler, state, now),
                        .slopes = *scheduler.slopes};
-    setShares(scheduler.accounts, totalCapacity(pass.candidates));
+    pass.shareTotals = setShares(scheduler.accounts, totalCapacity(pass.candidates));
     markShareClasses(scheduler.accounts, state, ready);
     pass.hasAvoided = std::any_of(pass.candidates.begin(), pass.candidates.end(), [](const PlacementCandidate *candidate) {
         return candidate->isAvoided || candidate->isReservedForSuspects;
--- a/src/fleet/scheduler_ready.cpp
+++ b/src/fleet/scheduler_ready.cpp
@@ -120,11 +120,16 @@
     bool isShortJob(const FleetJob &job)
     {
         return job.spec.repeatCount == 0 && std::none_of(job.spec.steps.begin(), job.spec.steps.end(), [](const StepSpec &step) {
-            return step.isLongRunning;
-        });
+                   return step.isLongRunning;
+               });
+    }
+
+    Resources times(const Resources &amount, std::uint32_t count)
+    {
+        return {amount.cpuMillis * count, amount.memoryMb * count, amount.accelerators * count};
     }
 
-    /** Returns what a job waits for, from its ready steps. */
+    /** Returns what a job waits for, from its ready steps, and what it uses for long. */
     WaitingWork waitingWorkOf(const FleetJob &job, const JobView &view, TimePoint now, std::span<const ReadyStep> steps)
     {
         WaitingWork work;
@@ -133,6 +138,13 @@
             work.cpuSeconds = std::max(0.0, total.total - total.started);
             work.longestWait = job.state == FleetJobState::Queued && !steps.empty() ? now - view.acceptedAt : Duration{};
         }
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                if (job.spec.steps[i].isLongRunning) {
+                    work.usedForever = work.usedForever + times(job.spec.steps[i].request, occurrence.steps[i].activeCount);
+                }
+            }
+        }
         work.hasWaitingTasks = !steps.empty();
         for (const ReadyStep &step : steps) {
             work.longestWait = std::max(work.longestWait, step.waitedFor);
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -119,4 +119,14 @@
     });
 }
 
+bool moveBack(std::vector<ReadyStep> &steps, std::size_t index, TimePoint now)
+{
+    const auto step = steps.begin() + static_cast<std::ptrdiff_t>(index);
+    const auto place = std::upper_bound(step + 1, steps.end(), serviceKey(*step, now), [now](const ServiceKey &key, const ReadyStep &other) {
+        return key < serviceKey(other, now);
+    });
+    std::rotate(step, step + 1, place);
+    return place != step + 1;
+}
+
 } // namespace Filbertlanding
--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -71,4 +71,7 @@
 /** Sorts steps into the order in which they are placed. */
 void sortByServiceOrder(std::vector<ReadyStep> &steps, TimePoint now);
 
+/** Moves a step whose place in the sorted order has become a later one to this place. Returns whether it has moved. */
+bool moveBack(std::vector<ReadyStep> &steps, std::size_t index, TimePoint now);
+
 } // namespace Filbertlanding
--- a/src/fleet/short_job_wait.cpp
+++ b/src/fleet/short_job_wait.cpp
@@ -7,11 +7,8 @@
 
 namespace Filbertlanding {
 
-void recordShortJobWaits(FleetScheduler &scheduler,
-                         const FleetState &state,
-                         const std::vector<PlacementCandidate *> &candidates,
-                         const std::vector<ReadyStep> &ready,
-                         TimePoint now)
+void recordShortJobWaits(
+    FleetScheduler &scheduler, const FleetState &state, const std::vector<PlacementCandidate *> &candidates, const std::vector<ReadyStep> &ready, TimePoint now)
 {
     constexpr Duration LearningTime{5'000}; // A new leader does not know all workers before.
     if (now - scheduler.since < LearningTime) {
