--- a/bench/fleet_place_bench.cpp
+++ b/bench/fleet_place_bench.cpp
@@ -1,4 +1,7 @@
-/** @file fleet_place_bench.cpp Duration of one placement pass of the fleet scheduler with most tasks waiting, of like jobs and of jobs that all differ. */
+/**
+ * @file fleet_place_bench.cpp Duration of one placement pass of the fleet scheduler with most tasks waiting, of like jobs, of jobs that all differ, and of
+ * jobs of many accounts.
+ */
 
 #include "fakes/fleet_simulation.h"
 
@@ -79,6 +82,29 @@
     return simulation;
 }
 
+/** Returns a simulation with full workers, in which a number of the accounts has jobs waiting. */
+std::unique_ptr<FleetSimulation> makeAccountSimulation(int workers, int accounts, int waitingAccounts)
+{
+    constexpr int WaitingJobs = 1'000;
+    FleetSimulationSettings settings;
+    settings.workers = workers;
+    auto simulation = std::make_unique<FleetSimulation>(settings);
+    simulation->run({100});
+    std::vector<AccountTerms> terms;
+    for (int i = 0; i < accounts; ++i) {
+        terms.push_back({"a" + std::to_string(i), 1, {}});
+    }
+    simulation->setAccounts(terms);
+    simulation->run({100});
+    simulation->submit("full", oneStepJob(static_cast<std::uint32_t>(workers), {32'000, 1'000, 0}, {600'000}), 1.0, "a0");
+    simulation->run({3'000});
+    for (int i = 0; i < WaitingJobs; ++i) {
+        simulation->submit("job" + std::to_string(i), oneStepJob(20, {2'000, 4'000, 0}, {60'000}), 1.0, "a" + std::to_string(i % waitingAccounts));
+    }
+    simulation->run({500});
+    return simulation;
+}
+
 void runPlacementPasses(benchmark::State &state, const std::unique_ptr<FleetSimulation> &simulation)
 {
     FleetScheduler scheduler = simulation->leaderScheduler();
@@ -100,8 +126,23 @@
     runPlacementPasses(state, makeMixedSimulation(static_cast<int>(state.range(0)), static_cast<int>(state.range(1))));
 }
 
+void accountPlacementPass(benchmark::State &state)
+{
+    const auto accounts = static_cast<int>(state.range(1));
+    runPlacementPasses(state, makeAccountSimulation(static_cast<int>(state.range(0)), accounts, accounts));
+}
+
+/** All but three of the accounts have no work, so that only their presence in the manifest can cost time. */
+void idleAccountsPlacementPass(benchmark::State &state)
+{
+    const auto accounts = static_cast<int>(state.range(1));
+    runPlacementPasses(state, makeAccountSimulation(static_cast<int>(state.range(0)), accounts, std::min(accounts, 3)));
+}
+
 } // namespace
 
+BENCHMARK(accountPlacementPass)->ArgsProduct({{66, 490, 5'000}, {1, 20, 1'000}})->Unit(benchmark::kMillisecond);
+BENCHMARK(idleAccountsPlacementPass)->ArgsProduct({{66, 490, 5'000}, {1, 20, 1'000}})->Unit(benchmark::kMillisecond);
 BENCHMARK(mixedPlacementPass)->Args({66, 2'000})->Args({490, 28'000})->Unit(benchmark::kMillisecond);
 BENCHMARK(placementPass)->Args({66, 2'000})->Args({490, 15'000})->Unit(benchmark::kMillisecond);
 
