--- a/bench/fleet_place_bench.cpp
+++ b/bench/fleet_place_bench.cpp
@@ -1,4 +1,7 @@
-/** @file fleet_place_bench.cpp Duration of one placement pass of the fleet scheduler with most tasks waiting, of like jobs and of jobs that all differ. */
+/**
+ * @file fleet_place_bench.cpp Duration of one placement pass of the fleet scheduler with most tasks waiting, of like jobs, of jobs that all differ, and of
+ * jobs of many accounts.
+ */
 
 #include "fakes/fleet_simulation.h"
 
@@ -79,13 +82,39 @@
     return simulation;
 }
 
-void runPlacementPasses(benchmark::State &state, const std::unique_ptr<FleetSimulation> &simulation)
+/** Returns a simulation with full workers, in which a number of the accounts has jobs waiting. */
+std::unique_ptr<FleetSimulation> makeAccountSimulation(int workers, int accounts, int waitingAccounts)
+{
+    constexpr int WaitingJobs = 1'000;
+    FleetSimulationSettings settings;
+    settings.workers = workers;
+    auto simulation = std::make_unique<FleetSimulation>(settings);
+    simulation->run({100});
+    std::vector<AccountTerms> terms;
+    terms.reserve(static_cast<std::size_t>(accounts));
+    for (int i = 0; i < accounts; ++i) {
+        terms.push_back({"a" + std::to_string(i), 1, {}});
+    }
+    simulation->setAccounts(terms);
+    simulation->run({100});
+    simulation->submit("full", oneStepJob(static_cast<std::uint32_t>(workers), {32'000, 1'000, 0}, {600'000}), 1.0, "a0");
+    simulation->run({3'000});
+    for (int i = 0; i < WaitingJobs; ++i) {
+        simulation->submit("job" + std::to_string(i), oneStepJob(20, {2'000, 4'000, 0}, {60'000}), 1.0, "a" + std::to_string(i % waitingAccounts));
+    }
+    simulation->run({500});
+    return simulation;
+}
+
+/** Measures ticks 1 ms apart. A large fleet makes a pass in only some of them, unless each tick is to make one. */
+void runPlacementPasses(benchmark::State &state, const std::unique_ptr<FleetSimulation> &simulation, bool isPassInEachTick = false)
 {
     FleetScheduler scheduler = simulation->leaderScheduler();
     TimePoint now = simulation->now;
     for (auto _ : state) {
         now = now + Duration{1};
         scheduler.isPlacementDue = true;
+        scheduler.nextPlacement = isPassInEachTick ? now : scheduler.nextPlacement;
         benchmark::DoNotOptimize(schedulerTick(scheduler, simulation->state, now, {1'700'000'000'000 + now.ms}, now + Duration{1'000}));
     }
 }
@@ -100,8 +129,23 @@
     runPlacementPasses(state, makeMixedSimulation(static_cast<int>(state.range(0)), static_cast<int>(state.range(1))));
 }
 
+void accountPlacementPass(benchmark::State &state)
+{
+    const auto accounts = static_cast<int>(state.range(1));
+    runPlacementPasses(state, makeAccountSimulation(static_cast<int>(state.range(0)), accounts, accounts), true);
+}
+
+/** All but three of the accounts have no work, so that only their presence in the manifest can cost time. */
+void idleAccountsPlacementPass(benchmark::State &state)
+{
+    const auto accounts = static_cast<int>(state.range(1));
+    runPlacementPasses(state, makeAccountSimulation(static_cast<int>(state.range(0)), accounts, std::min(accounts, 3)), true);
+}
+
 } // namespace
 
+BENCHMARK(accountPlacementPass)->ArgsProduct({{66, 490, 5'000}, {1, 20, 1'000}})->Unit(benchmark::kMillisecond);
+BENCHMARK(idleAccountsPlacementPass)->ArgsProduct({{66, 490, 5'000}, {1, 20, 1'000}})->Unit(benchmark::kMillisecond);
 BENCHMARK(mixedPlacementPass)->Args({66, 2'000})->Args({490, 28'000})->Unit(benchmark::kMillisecond);
 BENCHMARK(placementPass)->Args({66, 2'000})->Args({490, 15'000})->Unit(benchmark::kMillisecond);
 
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -1,11 +1,13 @@
 /** @file scheduler_place.cpp Places tasks of ready steps on workers. */
 
+#include "fleet/account_standing.h"
 #include "fleet/capacity_hold.h"
 #include "fleet/failed_placements.h"
 #include "fleet/place_run.h"
 #include "fleet/placement_candidates.h"
 #include "fleet/scheduler_detail.h"
 #include "fleet/service_order.h"
+#include "fleet/short_job_wait.h"
 
 #include <algorithm>
 #include <set>
@@ -19,36 +21,10 @@
     constexpr std::uint64_t MaxWorkersExaminedPerPass = 32'768;
     constexpr unsigned MaxPassesAtOnce = 4; ///< Postponed passes of which one pass does the work, so that a slow log does not limit the starts.
 
-    /** Most that any one worker of a service has, of each resource; it need not be the same worker for all of them. */
-    struct LargestWorker {
-        Resources capacity;
-        Resources free;
-        Resources freeOnSlow; ///< On workers that are avoided for slow or failing tasks.
-    };
-
-    using LargestWorkers = std::map<ServiceName, LargestWorker>;
-
-    Resources largerOf(const Resources &left, const Resources &right)
-    {
-        return {std::max(left.cpuMillis, right.cpuMillis), std::max(left.memoryMb, right.memoryMb), std::max(left.accelerators, right.accelerators)};
-    }
-
-    LargestWorkers findLargestWorkers(const std::vector<PlacementCandidate *> &candidates)
-    {
-        LargestWorkers result;
-        for (const PlacementCandidate *candidate : candidates) {
-            LargestWorker &largest = result[candidate->service];
-            largest.capacity = largerOf(largest.capacity, candidate->capacity);
-            const Resources free = candidate->capacity - candidate->used;
-            largest.free = largerOf(largest.free, free);
-            largest.freeOnSlow = candidate->isAvoided && !candidate->isIsolated ? largerOf(largest.freeOnSlow, free) : largest.freeOnSlow;
-        }
-        return result;
-    }
-
     /** State of a placement pass. */
     struct PlacementPass {
         FleetScheduler &scheduler;
+        const FleetState &state;
         TimePoint now;
         SchedulerActions &actions;
         std::vector<PlacementCandidate *> candidates; ///< Set before the slopes, which are refreshed with them.
@@ -60,6 +36,8 @@
         FailedPlacements failedPlacements;
         FailedPlacements failedHolds; ///< Requests for which no worker could be held.
         unsigned newHolds = 0;
+        ShareTotals shareTotals;
+        std::set<AccountName> fullAccounts; ///< Accounts of which a step keeps room for itself, so that the later ones wait.
     };
 
     /** Returns the expected run time of the tasks of a step in the rack of their data. */
@@ -109,6 +87,7 @@
         }
         addRun(scheduler.sessions.at(placement.incarnation), ref, std::move(view));
         scheduler.proposedStarts[ref] = placement.incarnation;
+        addProposedStart(scheduler.accounts, pass.shareTotals, job, ref.step);
         pass.actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
     }
 
@@ -223,6 +202,9 @@
                 continue;
             }
             const FleetJob &job = state.jobs.at(ref.job);
+            if (!mayStartStep(scheduler, state, job, ref.step)) {
+                continue;
+            }
             const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
             const StepSpread spread = spreadOf(scheduler, job, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
             ++scheduler.fleetScans;
@@ -271,7 +253,7 @@
         std::uint32_t maxTasks = 0; ///< Maximum number of tasks to place; a gang is placed as a whole.
     };
 
-    /** Places the tasks of a step one by one, as far as capacity allows. Returns false if tasks were left to the next pass. */
+    /** Places the tasks of a step one by one, as far as capacity and the limit of the account allow. Returns false if tasks were left to the next pass. */
     bool placeIndependentTasks(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
     {
         const FleetScheduler &scheduler = pass.scheduler;
@@ -282,7 +264,7 @@
         bool isFull = false; // For all tasks but strong suspects, which have workers reserved.
         StepSpread spread = spec.maxPerWorker > 0 || spec.isLongRunning ? spreadOf(scheduler, job, step) : StepSpread();
         for (const std::uint32_t index : findPendingTasks(scheduler, job, step, pass.now)) {
-            if (placed >= limits.maxTasks) {
+            if (placed >= limits.maxTasks || !mayStartStep(scheduler, pass.state, job, step.step)) {
                 return true;
             }
             const TaskRef ref{step.job, step.occurrence, step.step, index};
@@ -394,8 +376,8 @@
         return isAvoidanceOwn || (isSlowWorkerFree && acceptsSlowNow(spec, step.waitedFor)) || countHolds(pass.scheduler, stepRefOf(step)) > 0;
     }
 
-    /** Places the tasks of a step within limits, unless it is known that none fits. Returns false if tasks were left to the next pass. */
-    bool placeWithin(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
+    /** Returns whether it is known without a search that no worker has room for a task of a step. */
+    bool isKnownNotToFit(const PlacementPass &pass, const FleetJob &job, const ReadyStep &step, HarmTolerance harmTolerance)
     {
         const StepSpec &spec = job.spec.steps[step.step];
         const ServiceName &service = job.queue.service;
@@ -403,10 +385,16 @@
             return true;
         }
         const Duration runTime = cautiousStepTime(pass.scheduler, job, step.step);
-        if (!hasOwnAlternatives(pass, job, step) && pass.failedPlacements.cannotFit(spec, service, limits.harmTolerance, runTime)) {
+        return !hasOwnAlternatives(pass, job, step) && pass.failedPlacements.cannotFit(spec, service, harmTolerance, runTime);
+    }
+
+    /** Places the tasks of a step within limits, unless it is known that none fits. Returns false if tasks were left to the next pass. */
+    bool placeWithin(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
+    {
+        if (isKnownNotToFit(pass, job, step, limits.harmTolerance)) {
             return true;
         }
-        if (spec.isGang) {
+        if (job.spec.steps[step.step].isGang) {
             placeGang(pass, job, step, limits);
             return true;
         }
@@ -445,7 +433,8 @@
         std::uint32_t held = countHolds(scheduler, stepRefOf(step));
         const StepSpread spread = spreadOf(scheduler, job, step);
         const WorkerQuery query = makeQuery(pass, job, stepRefOf(step), spread);
-        while (held < pending && pass.newHolds < MaxNewHoldsPerPass && scheduler.fleetScans < pass.scanLimit) {
+        while (held < pending && pass.newHolds < MaxNewHoldsPerPass && scheduler.fleetScans < pass.scanLimit
+               && mayStartStep(scheduler, pass.state, job, step.step, held)) {
             ++scheduler.fleetScans;
             if (!holdWorker(scheduler, query, pass.candidates, pass.now)) {
                 if (spec.maxPerWorker == 0) {
@@ -468,16 +457,58 @@
         return found == ready.end() ? 0 : static_cast<std::size_t>(found - ready.begin());
     }
 
-    /** Places the tasks of ready steps from an index on, until the scan limit is reached. Returns the index of the first step that is left. */
-    std::size_t placeStepsFrom(PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready, std::size_t first)
+    /** Returns whether the account of a step has got more than its share in this pass, so that the step has moved behind those of other accounts. */
+    bool giveWay(PlacementPass &pass, const FleetJob &job, std::vector<ReadyStep> &ready, std::size_t index)
+    {
+        const auto standing = pass.scheduler.accounts.find(job.account.name);
+        if (standing == pass.scheduler.accounts.end() || standing->second.shareClass <= ready[index].shareClass) {
+            return false;
+        }
+        if (isKnownNotToFit(pass, job, ready[index], HarmTolerance::None)) {
+            return false; // Its place makes no difference. Moving each of many steps would take long.
+        }
+        ready[index].shareClass = standing->second.shareClass;
+        return moveBack(ready, index, pass.now);
+    }
+
+    /** Returns whether the limit of its account holds a step, or a step before it that keeps room for itself. */
+    bool isHeldByAccount(PlacementPass &pass, const FleetJob &job, const ReadyStep &step)
+    {
+        if (job.account.name.empty()) {
+            return false;
+        }
+        if (pass.fullAccounts.contains(job.account.name)) {
+            return true;
+        }
+        if (mayStartStep(pass.scheduler, pass.state, job, step.step)) {
+            return false;
+        }
+        if (keepsRoom(pass.scheduler, job, step.step) && !exceedsLargestWorker(pass, job.spec.steps[step.step], job.queue.service)) {
+            pass.fullAccounts.insert(job.account.name);
+        }
+        return true;
+    }
+
+    /**
+     * Places the tasks of ready steps from an index on, until the scan limit is reached. Returns the index of the first step that is left. Steps whose
+     * account is at its limit are skipped, so that they cost no search and other accounts don't wait for them.
+     */
+    std::size_t placeStepsFrom(PlacementPass &pass, const FleetState &state, std::vector<ReadyStep> &ready, std::size_t first)
     {
         for (std::size_t i = first; i < ready.size(); ++i) {
-            const FleetJob &job = state.jobs.at(ready[i].job);
-            if (pass.scheduler.fleetScans >= pass.scanLimit || !placeStep(pass, job, ready[i])) {
+            const FleetJob *job = &state.jobs.at(ready[i].job);
+            while (giveWay(pass, *job, ready, i)) {
+                job = &state.jobs.at(ready[i].job);
+            }
+            ready[i].isHeldByAccountLimit = isHeldByAccount(pass, *job, ready[i]);
+            if (ready[i].isHeldByAccountLimit) {
+                continue;
+            }
+            if (pass.scheduler.fleetScans >= pass.scanLimit || !placeStep(pass, *job, ready[i])) {
                 return i;
             }
             if (mayHoldWorkers(ready[i])) {
-                holdWorkers(pass, job, ready[i]);
+                holdWorkers(pass, *job, ready[i]);
             }
         }
         return ready.size();
@@ -487,14 +518,14 @@
      * Places the tasks of ready steps within the scan limit of the pass. The first half of the scans begins at the first step, so that freed capacity goes
      * to the steps in their order; the second half continues where the last pass stopped, so that each step is reached.
      */
-    void placeSteps(PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready)
+    void placeSteps(PlacementPass &pass, const FleetState &state, std::vector<ReadyStep> &ready)
     {
         FleetScheduler &scheduler = pass.scheduler;
-        const std::size_t resumed = findResumedStep(scheduler, ready);
         const std::uint64_t end = pass.scanLimit;
         const std::uint64_t scansLeft = end - std::min(scheduler.fleetScans, end);
         pass.scanLimit = end - scansLeft / 2;
         const std::size_t reached = placeStepsFrom(pass, state, ready, 0);
+        const std::size_t resumed = findResumedStep(scheduler, ready); // Steps may have moved in the first half.
         if (reached == ready.size()) {
             return;
         }
@@ -506,33 +537,6 @@
         scheduler.isPlacementDue = true;
     }
 
-    /**
-     * Records which services and priorities have short jobs that become late because no worker has the CPU for their tasks after a placement pass.
-     * Tasks that wait for something else, such as a label or memory, don't count.
-     */
-    void recordShortJobWaits(const PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready)
-    {
-        FleetScheduler &scheduler = pass.scheduler;
-        const TimePoint now = pass.now;
-        constexpr Duration LearningTime{5'000}; // A new leader does not know all workers before.
-        if (now - scheduler.since < LearningTime) {
-            return;
-        }
-        const LargestWorkers largestWorkers = findLargestWorkers(pass.candidates);
-        for (const ReadyStep &step : ready) {
-            if (step.isLongRunning || step.usesSpareCapacity || !isDeadlineNear(step, now)) {
-                continue;
-            }
-            const FleetJob &job = state.jobs.at(step.job);
-            const auto largest = largestWorkers.find(job.queue.service);
-            const std::int64_t request = job.spec.steps[step.step].request.cpuMillis;
-            const bool lacksCpu = largest != largestWorkers.end() && request > largest->second.free.cpuMillis && request <= largest->second.capacity.cpuMillis;
-            if (lacksCpu && countPendingTasks(scheduler, job, step.occurrence, step.step) > 0) {
-                scheduler.shortJobWaits[{job.queue.service, step.priority}] = now;
-            }
-        }
-    }
-
     /** Returns how many searches through all workers a pass may make. */
     std::uint64_t scansOfPass(const FleetScheduler &scheduler, std::size_t workers)
     {
@@ -547,9 +551,19 @@
     std::vector<ReadyStep> ready = collectReadySteps(scheduler, state, now, wall, actions);
     if (ready.empty() && scheduler.requestedCopies.empty()) {
         scheduler.readySteps.clear();
+        if (!scheduler.accounts.empty()) {
+            setShares(scheduler.accounts, totalCapacity(usableWorkers(scheduler, state, now)));
+        }
         return;
     }
-    PlacementPass pass{.scheduler = scheduler, .now = now, .actions = actions, .candidates = usableWorkers(scheduler, state, now), .slopes = *scheduler.slopes};
+    PlacementPass pass{.scheduler = scheduler,
+                       .state = state,
+                       .now = now,
+                       .actions = actions,
+                       .candidates = usableWorkers(scheduler, state, now),
+                       .slopes = *scheduler.slopes};
+    pass.shareTotals = setShares(scheduler.accounts, totalCapacity(pass.candidates));
+    markShareClasses(scheduler.accounts, state, ready);
     pass.hasAvoided = std::any_of(pass.candidates.begin(), pass.candidates.end(), [](const PlacementCandidate *candidate) {
         return candidate->isAvoided || candidate->isReservedForSuspects;
     });
@@ -559,7 +573,8 @@
     sortByServiceOrder(ready, now);
     placeCopies(pass, state);
     placeSteps(pass, state, ready);
-    recordShortJobWaits(pass, state, ready);
+    markHeldSteps(scheduler, state, ready);
+    recordShortJobWaits(scheduler, state, pass.candidates, ready, now);
     scheduler.readySteps = std::move(ready);
 }
 
