--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -17,6 +17,7 @@
 struct SoakJob {
     JobSpec spec;
     std::string queue = "/jobs/"; ///< Path prefix of its queue.
+    std::string account; ///< Client account that submits it; empty if it has none.
     std::optional<Duration> crashesAfter; ///< Run time after which the first task of the last step crashes its worker.
     bool isAccepted = false; ///< A submission was acknowledged.
     bool mayBeAccepted = false; ///< A submission had no response, or one that leaves the outcome unknown.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -4,6 +4,8 @@
  */
 
 #include "core/clock_func.h"
+#include "soak/soak_account_checks.h"
+#include "soak/soak_accounts.h"
 #include "soak/soak_callers.h"
 #include "soak/soak_capacity.h"
 #include "soak/soak_connections.h"
@@ -19,6 +21,7 @@
 #include "soak/soak_services.h"
 #include "soak/soak_silences.h"
 #include "soak/soak_starvation.h"
+#include "soak/soak_unauthorized.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio.hpp>
@@ -70,6 +73,9 @@
         , services(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
         , silences(this->io, this->settings, this->daemons, this->workers, this->relay)
         , starvation(this->io, this->daemons, this->workers, this->manifests, this->checks)
+        , accounts(this->io, this->settings.seed, this->manifests, this->checks)
+        , accountChecks(this->accounts, this->workers, this->checks)
+        , unauthorizedCallers(this->io, this->settings.seed, this->daemons.callerAddresses(), this->accountChecks, this->checks)
         , pollTimer(this->io)
         , phaseTimer(this->io)
     {
@@ -80,6 +86,9 @@
         this->workers.onStarted = [this](const ServiceName &service, const TaskName &task) {
             this->services.onStarted(service, task);
         };
+        if (this->settings.hasAccounts) {
+            this->startAccounts();
+        }
         this->startedAt = steadyNow();
         this->watch.start();
         this->daemons.startAll();
@@ -91,11 +100,27 @@
             this->startFaults();
         });
         this->io.run();
+        if (this->settings.hasAccounts) {
+            this->accountChecks.searchLogs(this->settings.folder);
+        }
         this->printSummary();
         return this->checks.violations.empty();
     }
 
 private:
+    void startAccounts()
+    {
+        this->workers.onAnyStarted = [this](const TaskName &task, bool isDelayed) {
+            this->accountChecks.onStarted(task, isDelayed);
+        };
+        this->starvation.mayBeHeld = [this](const SoakJob &job, Duration calmTime) {
+            return this->accountChecks.mayBeHeld(job, calmTime);
+        };
+        this->callers.accountChecks = &this->accountChecks;
+        this->accounts.start();
+        this->unauthorizedCallers.start();
+    }
+
     void startFaults()
     {
         if (this->settings.hasMovingQueue) {
@@ -160,6 +185,8 @@
         this->phaseTimer.async_wait([this](const boost::system::error_code &) {
             this->services.stop();
             this->callers.stopSubmitting();
+            this->accounts.stop();
+            this->unauthorizedCallers.stop();
             this->settleDeadline = steadyNow() + this->settings.settleTime;
         });
     }
@@ -211,6 +238,9 @@
         std::cout << "seed " << this->settings.seed << ": longest wait with room in calm phases " << this->starvation.longestWait.ms << " ms, "
                   << this->services.moves << " changes of a service with " << this->services.checkedStarts << " starts checked; "
                   << this->watch.describeSince(this->startedAt) << std::endl;
+        if (this->settings.hasAccounts) {
+            this->printAccounts();
+        }
         if (this->settings.hasReachFaults || this->settings.hasReplacements || this->settings.hasSilentLinks || this->settings.hasDiskFaults) {
             this->printReach();
         }
@@ -219,6 +249,15 @@
         }
     }
 
+    void printAccounts() const
+    {
+        const SoakAccountChecks &counts = this->accountChecks;
+        std::cout << "seed " << this->settings.seed << ": " << this->accounts.changes << " changes of accounts, " << counts.calls << " calls, "
+                  << counts.refusedCalls << " refused for their key, " << counts.foreignRefused << " for the account of the job, " << counts.refusedForLimit
+                  << " for a limit, " << counts.refusedForLoad << " with status 429, " << counts.acceptedRemoved
+                  << " accepted with a key that was just removed, " << counts.checkedStarts << " limits checked at starts" << std::endl;
+    }
+
     void printRecoveries() const
     {
         int faultCount = 0;
@@ -271,6 +310,9 @@
     SoakServices services;
     SoakSilences silences;
     SoakStarvation starvation;
+    SoakAccounts accounts;
+    SoakAccountChecks accountChecks;
+    SoakUnauthorizedCallers unauthorizedCallers;
     boost::asio::steady_timer pollTimer;
     boost::asio::steady_timer phaseTimer;
     std::optional<TimePoint> settleDeadline;
@@ -308,6 +350,7 @@
     app.add_flag("--disk-faults", settings.hasDiskFaults, "impair the disks and limits of cores among restarts, and inject no other faults in daemons");
     app.add_option("--calm-seconds", calmSeconds, "duration of the calm phase after the faults in seconds");
     app.add_flag("--moving-queue", settings.hasMovingQueue, "add a queue whose route changes its service, and workers of both services");
+    app.add_flag("--accounts", settings.hasAccounts, "configure client accounts, change them during the run, and call with wrong keys too");
     app.add_flag("--silent-links", settings.hasSilentLinks, "let open connections go silent in series, and inject no other faults in daemons");
     app.add_flag("--verbose", settings.isVerbose, "print each injected fault");
     CLI11_PARSE(app, argc, argv);
--- a/tests/soak/soak_manifests.h
+++ b/tests/soak/soak_manifests.h
@@ -5,7 +5,10 @@
 #include "core/clock_type.h"
 #include "core/random.h"
 
+#include <boost/json/fwd.hpp>
+
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -34,12 +37,16 @@
     static constexpr std::string_view QueueHost = "quotes.example";
     static constexpr std::string_view MainQueue = "/jobs/";
     static constexpr std::string_view MovingQueue = "/moving/"; ///< Its route changes its service.
+    static constexpr std::string_view PublicQueue = "/open/"; ///< Needs no key; only if the manifests have accounts.
     static constexpr std::string_view MainService = "quote-desk";
     static constexpr std::string_view OtherService = "survey-desk";
 
     /** Adds the queue whose route changes its service, and that service, to all versions. */
     void addMovingQueue();
 
+    /** Adds the public queue to all versions. */
+    void addPublicQueue();
+
     /** Changes the service of that route from the next version on. */
     void moveRoute();
 
@@ -49,6 +56,9 @@
     /** Returns a version that is higher than all others by the given step. */
     std::uint64_t next(std::uint64_t step);
 
+    /** Returns the highest version so far. */
+    std::uint64_t newestVersion() const;
+
     /** Adds a route to the next version and all later ones, unless there are many. */
     void addRoute();
 
@@ -66,6 +76,8 @@
     /** Returns the path prefix of a random route that was confirmed before the given time. */
     std::optional<std::string> drawConfirmedRoute(Random &random, TimePoint before) const;
 
+    std::function<void(boost::json::object &, std::uint64_t)> extend; ///< Adds further fields to the manifest of a version, if set.
+
 private:
     struct Route {
         std::string pathPrefix;
--- a/tests/soak/soak_starvation.cpp
+++ b/tests/soak/soak_starvation.cpp
@@ -108,6 +108,9 @@
     if (rooms.empty() || (isHalfInUse(rooms) && !job.spec.steps.front().isLongRunning)) {
         return;
     }
+    if (this->mayBeHeld && this->mayBeHeld(job, steadyNow() - std::max(this->calmSince, this->workers.lastExitAt))) {
+        return;
+    }
     for (const TaskName &task : this->checks.waitingTasks(id)) {
         if (!hasRoomTwice(rooms, job.spec.steps[task.step].request)) {
             continue;
--- a/tests/soak/soak_starvation.h
+++ b/tests/soak/soak_starvation.h
@@ -35,6 +35,7 @@
     void onDisturbance();
 
     std::uint64_t checked = 0; ///< Waiting tasks that were seen with room for them, at any check.
+    std::function<bool(const SoakJob &, Duration)> mayBeHeld; ///< Whether a job may wait for the limit of its account, so long after the last fault.
     Duration longestWait; ///< Longest time that one of them waited.
 
 private:
--- a/tests/soak/soak_type.h
+++ b/tests/soak/soak_type.h
@@ -26,6 +26,7 @@
     bool hasReplacements = false; ///< All faults of daemons are losses of cores, one at a time; most are replacements by new machines.
     bool hasDiskFaults = false; ///< All faults of daemons are those of disks and limits of cores, and restarts.
     bool hasMovingQueue = false; ///< A second queue, whose route changes its service; every second worker is of the second service.
+    bool hasAccounts = false; ///< The manifests have client accounts, which change during the run.
     bool hasSilentLinks = false; ///< All faults are open connections that go silent.
     bool isVerbose = false; ///< Prints each fault as it is injected.
     std::string program; ///< Path of the fleet daemon.
--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -186,6 +186,20 @@
     return rooms;
 }
 
+std::vector<std::pair<TaskName, Resources>> SoakWorkers::runningRequests() const
+{
+    std::vector<std::pair<TaskName, Resources>> requests;
+    for (const WorkerSlot &slot : this->slots) {
+        if (slot.worker == nullptr) {
+            continue;
+        }
+        for (const auto &[task, run] : slot.worker->running) {
+            requests.emplace_back(task, run.task.request);
+        }
+    }
+    return requests;
+}
+
 WorkerProfile SoakWorkers::profileOf(std::size_t index) const
 {
     WorkerProfile profile;
@@ -212,6 +226,9 @@
             this->checks.checkCapacity(*started.worker, started.reportedCapacity, task);
             this->onStarted(started.worker->profile.service, task);
         }
+        if (this->onAnyStarted) {
+            this->onAnyStarted(task, started.isDelayedOrder);
+        }
         started.mayCrash = started.mayCrash || this->checks.crashDelayOf(task).has_value();
     };
     slot.worker->ended = [this, name = profile.worker](const TaskName &task, std::uint32_t run, RunOutcome end) {
--- a/tests/soak/soak_workers.h
+++ b/tests/soak/soak_workers.h
@@ -63,7 +63,11 @@
     /** Returns the capacities of all workers that run. */
     std::vector<SoakRoom> rooms() const;
 
+    /** Returns the tasks that run, and what each of them requests. */
+    std::vector<std::pair<TaskName, Resources>> runningRequests() const;
+
     std::function<void(const ServiceName &, const TaskName &)> onStarted; ///< Told about each start on an order that was not delayed.
+    std::function<void(const TaskName &, bool)> onAnyStarted; ///< Told about each start, and whether the fault injection has delayed the order.
     TimePoint lastExitAt; ///< Last end of a worker process.
 
     /** Returns the body of a status report of a worker. */
