--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -1,11 +1,13 @@
 /** @file scheduler_place.cpp Places tasks of ready steps on workers. */
 
+#include "fleet/account_standing.h"
 #include "fleet/capacity_hold.h"
 #include "fleet/failed_placements.h"
 #include "fleet/place_run.h"
 #include "fleet/placement_candidates.h"
 #include "fleet/scheduler_detail.h"
 #include "fleet/service_order.h"
+#include "fleet/short_job_wait.h"
 
 #include <algorithm>
 #include <set>
@@ -19,36 +21,10 @@
     constexpr std::uint64_t MaxWorkersExaminedPerPass = 32'768;
     constexpr unsigned MaxPassesAtOnce = 4; ///< Postponed passes of which one pass does the work, so that a slow log does not limit the starts.
 
-    /** Most that any one worker of a service has, of each resource; it need not be the same worker for all of them. */
-    struct LargestWorker {
-        Resources capacity;
-        Resources free;
-        Resources freeOnSlow; ///< On workers that are avoided for slow or failing tasks.
-    };
-
-    using LargestWorkers = std::map<ServiceName, LargestWorker>;
-
-    Resources largerOf(const Resources &left, const Resources &right)
-    {
-        return {std::max(left.cpuMillis, right.cpuMillis), std::max(left.memoryMb, right.memoryMb), std::max(left.accelerators, right.accelerators)};
-    }
-
-    LargestWorkers findLargestWorkers(const std::vector<PlacementCandidate *> &candidates)
-    {
-        LargestWorkers result;
-        for (const PlacementCandidate *candidate : candidates) {
-            LargestWorker &largest = result[candidate->service];
-            largest.capacity = largerOf(largest.capacity, candidate->capacity);
-            const Resources free = candidate->capacity - candidate->used;
-            largest.free = largerOf(largest.free, free);
-            largest.freeOnSlow = candidate->isAvoided && !candidate->isIsolated ? largerOf(largest.freeOnSlow, free) : largest.freeOnSlow;
-        }
-        return result;
-    }
-
     /** State of a placement pass. */
     struct PlacementPass {
         FleetScheduler &scheduler;
+        const FleetState &state;
         TimePoint now;
         SchedulerActions &actions;
         std::vector<PlacementCandidate *> candidates; ///< Set before the slopes, which are refreshed with them.
@@ -109,6 +85,7 @@
         }
         addRun(scheduler.sessions.at(placement.incarnation), ref, std::move(view));
         scheduler.proposedStarts[ref] = placement.incarnation;
+        addProposedStart(scheduler.accounts, job, ref.step);
         pass.actions.propose.push_back(StartRun{ref, placement.run, placement.incarnation});
     }
 
@@ -223,6 +200,9 @@
                 continue;
             }
             const FleetJob &job = state.jobs.at(ref.job);
+            if (!mayStartStep(scheduler, state, job, ref.step)) {
+                continue;
+            }
             const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
             const StepSpread spread = spreadOf(scheduler, job, {.job = ref.job, .occurrence = ref.occurrence, .step = ref.step});
             ++scheduler.fleetScans;
@@ -271,7 +251,7 @@
         std::uint32_t maxTasks = 0; ///< Maximum number of tasks to place; a gang is placed as a whole.
     };
 
-    /** Places the tasks of a step one by one, as far as capacity allows. Returns false if tasks were left to the next pass. */
+    /** Places the tasks of a step one by one, as far as capacity and the limit of the account allow. Returns false if tasks were left to the next pass. */
     bool placeIndependentTasks(PlacementPass &pass, const FleetJob &job, const ReadyStep &step, const PlacementLimits &limits)
     {
         const FleetScheduler &scheduler = pass.scheduler;
@@ -282,7 +262,7 @@
         bool isFull = false; // For all tasks but strong suspects, which have workers reserved.
         StepSpread spread = spec.maxPerWorker > 0 || spec.isLongRunning ? spreadOf(scheduler, job, step) : StepSpread();
         for (const std::uint32_t index : findPendingTasks(scheduler, job, step, pass.now)) {
-            if (placed >= limits.maxTasks) {
+            if (placed >= limits.maxTasks || !mayStartStep(scheduler, pass.state, job, step.step)) {
                 return true;
             }
             const TaskRef ref{step.job, step.occurrence, step.step, index};
@@ -445,7 +425,8 @@
         std::uint32_t held = countHolds(scheduler, stepRefOf(step));
         const StepSpread spread = spreadOf(scheduler, job, step);
         const WorkerQuery query = makeQuery(pass, job, stepRefOf(step), spread);
-        while (held < pending && pass.newHolds < MaxNewHoldsPerPass && scheduler.fleetScans < pass.scanLimit) {
+        while (held < pending && pass.newHolds < MaxNewHoldsPerPass && scheduler.fleetScans < pass.scanLimit
+               && mayStartStep(scheduler, pass.state, job, step.step, held)) {
             ++scheduler.fleetScans;
             if (!holdWorker(scheduler, query, pass.candidates, pass.now)) {
                 if (spec.maxPerWorker == 0) {
@@ -468,11 +449,17 @@
         return found == ready.end() ? 0 : static_cast<std::size_t>(found - ready.begin());
     }
 
-    /** Places the tasks of ready steps from an index on, until the scan limit is reached. Returns the index of the first step that is left. */
+    /**
+     * Places the tasks of ready steps from an index on, until the scan limit is reached. Returns the index of the first step that is left. Steps whose
+     * account is at its limit are skipped, so that they cost no search and other accounts don't wait for them.
+     */
     std::size_t placeStepsFrom(PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready, std::size_t first)
     {
         for (std::size_t i = first; i < ready.size(); ++i) {
             const FleetJob &job = state.jobs.at(ready[i].job);
+            if (!mayStartStep(pass.scheduler, state, job, ready[i].step)) {
+                continue;
+            }
             if (pass.scheduler.fleetScans >= pass.scanLimit || !placeStep(pass, job, ready[i])) {
                 return i;
             }
@@ -506,33 +493,6 @@
         scheduler.isPlacementDue = true;
     }
 
-    /**
-     * Records which services and priorities have short jobs that become late because no worker has the CPU for their tasks after a placement pass.
-     * Tasks that wait for something else, such as a label or memory, don't count.
-     */
-    void recordShortJobWaits(const PlacementPass &pass, const FleetState &state, const std::vector<ReadyStep> &ready)
-    {
-        FleetScheduler &scheduler = pass.scheduler;
-        const TimePoint now = pass.now;
-        constexpr Duration LearningTime{5'000}; // A new leader does not know all workers before.
-        if (now - scheduler.since < LearningTime) {
-            return;
-        }
-        const LargestWorkers largestWorkers = findLargestWorkers(pass.candidates);
-        for (const ReadyStep &step : ready) {
-            if (step.isLongRunning || step.usesSpareCapacity || !isDeadlineNear(step, now)) {
-                continue;
-            }
-            const FleetJob &job = state.jobs.at(step.job);
-            const auto largest = largestWorkers.find(job.queue.service);
-            const std::int64_t request = job.spec.steps[step.step].request.cpuMillis;
-            const bool lacksCpu = largest != largestWorkers.end() && request > largest->second.free.cpuMillis && request <= largest->second.capacity.cpuMillis;
-            if (lacksCpu && countPendingTasks(scheduler, job, step.occurrence, step.step) > 0) {
-                scheduler.shortJobWaits[{job.queue.service, step.priority}] = now;
-            }
-        }
-    }
-
     /** Returns how many searches through all workers a pass may make. */
     std::uint64_t scansOfPass(const FleetScheduler &scheduler, std::size_t workers)
     {
@@ -547,9 +507,19 @@
     std::vector<ReadyStep> ready = collectReadySteps(scheduler, state, now, wall, actions);
     if (ready.empty() && scheduler.requestedCopies.empty()) {
         scheduler.readySteps.clear();
+        if (!scheduler.accounts.empty()) {
+            setShares(scheduler.accounts, totalCapacity(usableWorkers(scheduler, state, now)));
+        }
         return;
     }
-    PlacementPass pass{.scheduler = scheduler, .now = now, .actions = actions, .candidates = usableWorkers(scheduler, state, now), .slopes = *scheduler.slopes};
+    PlacementPass pass{.scheduler = scheduler,
+                       .state = state,
+                       .now = now,
+                       .actions = actions,
+                       .candidates = usableWorkers(scheduler, state, now),
+                       .slopes = *scheduler.slopes};
+    setShares(scheduler.accounts, totalCapacity(pass.candidates));
+    markShareClasses(scheduler.accounts, state, ready);
     pass.hasAvoided = std::any_of(pass.candidates.begin(), pass.candidates.end(), [](const PlacementCandidate *candidate) {
         return candidate->isAvoided || candidate->isReservedForSuspects;
     });
@@ -559,7 +529,8 @@
     sortByServiceOrder(ready, now);
     placeCopies(pass, state);
     placeSteps(pass, state, ready);
-    recordShortJobWaits(pass, state, ready);
+    markHeldSteps(scheduler, state, ready);
+    recordShortJobWaits(scheduler, state, pass.candidates, ready, now);
     scheduler.readySteps = std::move(ready);
 }
 
