--- a/tests/soak/soak_accounts.cpp
+++ b/tests/soak/soak_accounts.cpp
@@ -74,6 +74,9 @@
 void SoakAccounts::stop()
 {
     this->timer.cancel();
+    for (SoakAccount &account : this->all) {
+        account.terms[this->manifests.newestVersion() + 1] = {};
+    }
 }
 
 void SoakAccounts::arm()
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -120,6 +120,9 @@
 void SoakCallers::stopSubmitting()
 {
     this->isSubmittingStopped = true;
+    if (this->accountChecks != nullptr) {
+        this->putManifest(this->manifests.next(1), ManifestAttempts);
+    }
     for (const auto &[id, job] : this->checks.jobs) {
         if (job.spec.steps.front().isLongRunning && !job.finalState) {
             this->cancel(id, CancelAttempts);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -184,8 +184,8 @@
         this->phaseTimer.expires_after(std::chrono::milliseconds(this->settings.calmTime.ms));
         this->phaseTimer.async_wait([this](const boost::system::error_code &) {
             this->services.stop();
-            this->callers.stopSubmitting();
             this->accounts.stop();
+            this->callers.stopSubmitting();
             this->unauthorizedCallers.stop();
             this->settleDeadline = steadyNow() + this->settings.settleTime;
         });
