--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -4,6 +4,7 @@
 
 #include "core/random.h"
 #include "network/http_client.h"
+#include "soak/soak_account_checks.h"
 #include "soak/soak_checks.h"
 #include "soak/soak_manifests.h"
 
@@ -29,7 +30,7 @@
     /** Uploads the first manifest until it is accepted, then starts to submit jobs. */
     void start();
 
-    /** Stops submitting jobs and cancels the long-running ones. */
+    /** Stops submitting jobs and cancels the long-running ones. Uploads a last manifest if the manifests have accounts. */
     void stopSubmitting();
 
     /** Returns whether callers have seen the final state of every accepted job. */
@@ -41,6 +42,7 @@
     std::uint64_t accepted = 0;
     std::uint64_t refused = 0;
     std::uint64_t unanswered = 0;
+    SoakAccountChecks *accountChecks = nullptr; ///< Null if the manifests have no accounts.
     std::vector<std::int64_t> acceptTimes; ///< Response times in ms of the submissions that were accepted at the first attempt.
 
 private:
@@ -57,7 +59,7 @@
     void armOperator();
     void putManifest(std::uint64_t version, int attemptsLeft);
     void readManifest();
-    void sendToEntry(HttpRequest request, Duration timeout, HttpDone done);
+    void sendToEntry(const JobId &id, HttpRequest request, HttpDone done);
     void sendToControl(HttpRequest request, HttpDone done);
     void runAfter(Duration delay, std::function<void()> action);
 
