Fix: what the read-through of the client accounts found

A submission by another account could suppress a cancellation: it was answered 410 while a job of another account with the same id was proposed. The check when the cancellation is applied suffices. A held task that no worker may run no longer reserves room within its account's limit. A read is answered 401 also after a lost delivery, since it changes nothing. Names and comments follow the usual terms; the product of a request and a number of tasks and the factor of useful time stand once.

--- a/src/account/account_admission.cpp
+++ b/src/account/account_admission.cpp
@@ -1,8 +1,7 @@
 /**
- * @file account_admission.cpp Refuses jobs of an account that its own rate, limit or backlog does not let succeed in time.
+ * @file account_admission.cpp Refuses jobs that the account's own rate, limit or backlog would delay beyond their useful time.
  *
- * One account submits more than its limit lets run. What waits longer than its result is useful only lengthens the wait of the account's later jobs, so
- * it is refused while the caller can still do something else. Other accounts are not concerned.
+ * One account submits more than its limit lets run. To queue its jobs all the same would only delay its later jobs. Other accounts are not concerned.
  */
 
 #include "account/account_admission.h"
@@ -35,7 +34,7 @@
         return AccountRefusal{AccountRefusalReason::Limit, {}};
     }
     if (terms.limit.cpuMillis > 0 && job.cpuSeconds > 0) {
-        // The job's own work is left out: alone it would be admitted whatever its size.
+        // The job's own work does not count, so a job without preceding work is never refused for the backlog.
         const Duration wait = timeAtLimit(terms, precedingCpuSeconds);
         if (wait > job.usefulTime) {
             return AccountRefusal{AccountRefusalReason::Backlog, wait - job.usefulTime};
--- a/src/account/account_limit.cpp
+++ b/src/account/account_limit.cpp
@@ -22,11 +22,6 @@
             && isBelowHalf(amount.accelerators, limit.accelerators);
     }
 
-    Resources times(const Resources &amount, std::uint32_t count)
-    {
-        return {amount.cpuMillis * count, amount.memoryMb * count, amount.accelerators * count};
-    }
-
 } // namespace
 
 bool isWithinLimit(const Resources &amount, const Resources &limit)
@@ -41,7 +36,7 @@
 
 bool mayStartGang(const Resources &limit, const Resources &used, const Resources &request, std::uint32_t tasks)
 {
-    return isWithinLimit(used + times(request, tasks), limit);
+    return isWithinLimit(used + request * tasks, limit);
 }
 
 void addUsage(AccountUsage &usage, const AccountName &account, const Resources &request)
--- a/src/account/fair_share.cpp
+++ b/src/account/fair_share.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    constexpr double FarAboveFactor = 2.0;
-    constexpr double RoundingTolerance = 1e-9; ///< Part of a share that sums of shares and weights may be off; equal accounts would else be above theirs.
+    constexpr double FarAboveFactor = 2.0; ///< Separates accounts that use most of what others lack from those that are slightly above their share.
+    constexpr double RoundingTolerance = 1e-9; ///< Without it, accounts with equal weight and usage could be classified as above their share.
 
     double partOf(std::int64_t amount, std::int64_t capacity)
     {
--- a/src/account/fair_share.h
+++ b/src/account/fair_share.h
@@ -20,7 +20,7 @@
     Resources used;
 };
 
-/** Returns the largest share of any resource of the workers that an amount takes, from 0 to 1. */
+/** Returns the largest share of any resource of the workers that an amount takes; above 1 if it counts runs on workers that the capacity leaves out. */
 double dominantShare(const Resources &used, const Resources &capacity);
 
 /** How much an account uses, compared to its weighted share. */
--- a/src/account/submission_rate.cpp
+++ b/src/account/submission_rate.cpp
@@ -3,6 +3,7 @@
 #include "account/submission_rate.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Filbertlanding {
 
@@ -38,4 +39,15 @@
     return (bucket.filledAt - now) + Duration{(missing + weight - 1) / weight};
 }
 
+void keepBucketsOf(SubmissionBuckets &buckets, const std::vector<ClientAccount> &accounts)
+{
+    std::set<AccountName> names;
+    for (const ClientAccount &account : accounts) {
+        names.insert(account.terms.name);
+    }
+    std::erase_if(buckets, [&names](const auto &item) {
+        return !names.contains(item.first);
+    });
+}
+
 } // namespace Filbertlanding
--- a/src/account/submission_rate.h
+++ b/src/account/submission_rate.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace Filbertlanding {
 
@@ -26,4 +27,7 @@
  */
 std::optional<Duration> takeSubmissionToken(SubmissionBuckets &buckets, const AccountTerms &terms, TimePoint now);
 
+/** Removes the buckets of accounts that are no longer configured, so that renamed accounts leave nothing behind. */
+void keepBucketsOf(SubmissionBuckets &buckets, const std::vector<ClientAccount> &accounts);
+
 } // namespace Filbertlanding
--- a/src/core/names_type.h
+++ b/src/core/names_type.h
@@ -45,6 +45,12 @@
     return {left.cpuMillis - right.cpuMillis, left.memoryMb - right.memoryMb, left.accelerators - right.accelerators};
 }
 
+/** Returns an amount for a number of tasks. */
+constexpr Resources operator*(const Resources &amount, std::uint32_t tasks)
+{
+    return {amount.cpuMillis * tasks, amount.memoryMb * tasks, amount.accelerators * tasks};
+}
+
 /** Returns whether an amount fits into what is available, in every resource. */
 constexpr bool fitsInto(const Resources &amount, const Resources &available)
 {
--- a/src/fleet/account_standing.cpp
+++ b/src/fleet/account_standing.cpp
@@ -4,7 +4,7 @@
 
 #include "account/account_check.h"
 #include "account/account_limit.h"
-#include "fleet/fleet_scheduler_base.h"
+#include "fleet/scheduler_detail.h"
 
 #include <algorithm>
 
@@ -47,7 +47,7 @@
     if (isNew) {
         standing.terms = account;
     }
-    standing.usedForever = standing.usedForever + work.usedForever;
+    standing.usedByLongRunning = standing.usedByLongRunning + work.usedByLongRunning;
     if (work.shortJob) {
         standing.shortJobs.push_back(*work.shortJob);
     }
@@ -96,6 +96,9 @@
     }
     for (ReadyStep &step : ready) {
         const FleetJob &job = state.jobs.at(step.job);
+        if (countPendingTasks(scheduler, job, step.occurrence, step.step) == 0) {
+            continue;
+        }
         step.isHeldByAccountLimit = step.isHeldByAccountLimit || !mayStartStep(scheduler, state, job, step.step);
         if (step.isHeldByAccountLimit) {
             ++scheduler.accounts.at(job.account.name).heldSteps;
@@ -128,17 +131,17 @@
     standing.shareClass = classifyShare(share, totals.shares * shareWeight(standing.terms.weight) / totals.weights);
 }
 
-bool keepsRoom(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step)
+bool reservesLimit(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step)
 {
     const StepSpec &spec = job.spec.steps[step];
     const auto standing = scheduler.accounts.find(job.account.name);
     if (spec.isGang || spec.isLongRunning || standing == scheduler.accounts.end()) {
         return false;
     }
-    return mayStartTask(job.account.limit, standing->second.usedForever, spec.request);
+    return mayStartTask(job.account.limit, standing->second.usedByLongRunning, spec.request);
 }
 
-double workBefore(const AccountStanding &standing, TimePoint latestStart)
+double precedingCpuSeconds(const AccountStanding &standing, TimePoint latestStart)
 {
     double cpuSeconds = 0;
     for (const WaitingShortJob &job : standing.shortJobs) {
--- a/src/fleet/account_standing.h
+++ b/src/fleet/account_standing.h
@@ -27,7 +27,7 @@
 struct AccountStanding {
     AccountTerms terms;
     Resources used; ///< Requests of all runs that may exist, including proposed ones.
-    Resources usedForever; ///< Requests of the long-running tasks among them that the log records as started.
+    Resources usedByLongRunning; ///< Requests of the long-running tasks among them that the log records as started.
     ShareClass shareClass = ShareClass::Within;
     double dominantShare = 0; ///< Largest share of any resource of the workers that it uses.
     std::vector<WaitingShortJob> shortJobs; ///< Jobs that precede its later ones if their latest start is earlier.
@@ -48,7 +48,7 @@
 
 /** What one job waits for, and what it uses for long. */
 struct WaitingWork {
-    Resources usedForever; ///< Requests of its long-running tasks that run.
+    Resources usedByLongRunning; ///< Requests of its long-running tasks that run.
     std::optional<WaitingShortJob> shortJob; ///< Nothing for long-running and repeated jobs, whose work has no end, and for jobs too late to be of use.
     bool hasWaitingTasks = false;
     Duration longestWait;
@@ -79,7 +79,7 @@
 void addProposedStart(AccountStandings &standings, ShareTotals &totals, const FleetJob &job, std::uint32_t step);
 
 /** Returns the expected work, in CPU seconds, that precedes a new short job of the account in the order of service. */
-double workBefore(const AccountStanding &standing, TimePoint latestStart);
+double precedingCpuSeconds(const AccountStanding &standing, TimePoint latestStart);
 
 /** Returns what an account uses, with the starts that are proposed. */
 Resources usedBy(const FleetScheduler &scheduler, const FleetState &state, const AccountName &account);
@@ -95,7 +95,7 @@
  * task. Otherwise small tasks would take what becomes free, and a large one would never start. Gangs don't keep room, since the account would use less
  * than half of its limit meanwhile, nor do long-running steps, for which short ones would wait for as long as they do.
  */
-bool keepsRoom(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step);
+bool reservesLimit(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t step);
 
 /** Returns whether the limit of its account would let a task start again if its run was stopped. */
 bool mayRestartTask(const FleetScheduler &scheduler, const FleetState &state, const FleetJob &job, std::uint32_t step);
--- a/src/fleet/fleet_state_jobs.cpp
+++ b/src/fleet/fleet_state_jobs.cpp
@@ -57,7 +57,7 @@
             return false;
         }
         const auto &accounts = found->second.accounts;
-        const bool counts = std::find(accounts.begin(), accounts.end(), command.account) != accounts.end();
+        const bool counts = !state.manifest.hasAccounts || std::find(accounts.begin(), accounts.end(), command.account) != accounts.end();
         state.cancelledBeforeSubmission.erase(found);
         return counts;
     }
--- a/src/fleet/hold_reason_type.h
+++ b/src/fleet/hold_reason_type.h
@@ -8,7 +8,10 @@
 
 namespace Filbertlanding {
 
-/** Why a worker takes no task of a step now. Of several reasons the first one in this order is named, but AccountLimit directly after Ineligible. */
+/**
+ * Why a worker takes no task of a step now. Of several reasons the first one in this order is named, except that
+ * AccountLimit takes precedence over all but Ineligible.
+ */
 enum class HoldReason : std::uint8_t {
     Ineligible, ///< It belongs to another service or lacks the required label.
     Replaced, ///< A later incarnation has taken its place.
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -37,7 +37,7 @@
         FailedPlacements failedHolds; ///< Requests for which no worker could be held.
         unsigned newHolds = 0;
         ShareTotals shareTotals;
-        std::set<AccountName> fullAccounts; ///< Accounts of which a step keeps room for itself, so that the later ones wait.
+        std::set<AccountName> accountsWithReservedLimit; ///< Accounts of which a step keeps room for itself, so that the later ones wait.
     };
 
     /** Returns the expected run time of the tasks of a step in the rack of their data. */
@@ -458,7 +458,7 @@
     }
 
     /** Returns whether the account of a step has got more than its share in this pass, so that the step has moved behind those of other accounts. */
-    bool giveWay(PlacementPass &pass, const FleetJob &job, std::vector<ReadyStep> &ready, std::size_t index)
+    bool moveBehindOtherAccounts(PlacementPass &pass, const FleetJob &job, std::vector<ReadyStep> &ready, std::size_t index)
     {
         const auto standing = pass.scheduler.accounts.find(job.account.name);
         if (standing == pass.scheduler.accounts.end() || standing->second.shareClass <= ready[index].shareClass) {
@@ -471,20 +471,31 @@
         return moveBack(ready, index, pass.now);
     }
 
+    /** Returns whether a worker with enough left may run a task of a step, so that it is of use to keep room within the limit for it. */
+    bool hasWorkerOnceIdle(PlacementPass &pass, const FleetJob &job, const ReadyStep &step)
+    {
+        if (exceedsLargestWorker(pass, job.spec.steps[step.step], job.queue.service)) {
+            return false;
+        }
+        ++pass.scheduler.fleetScans;
+        const StepSpread spread;
+        return hasAlternative(makeQuery(pass, job, stepRefOf(step), spread), pass.candidates, 1);
+    }
+
     /** Returns whether the limit of its account holds a step, or a step before it that keeps room for itself. */
     bool isHeldByAccount(PlacementPass &pass, const FleetJob &job, const ReadyStep &step)
     {
         if (job.account.name.empty()) {
             return false;
         }
-        if (pass.fullAccounts.contains(job.account.name)) {
+        if (pass.accountsWithReservedLimit.contains(job.account.name)) {
             return true;
         }
         if (mayStartStep(pass.scheduler, pass.state, job, step.step)) {
             return false;
         }
-        if (keepsRoom(pass.scheduler, job, step.step) && !exceedsLargestWorker(pass, job.spec.steps[step.step], job.queue.service)) {
-            pass.fullAccounts.insert(job.account.name);
+        if (reservesLimit(pass.scheduler, job, step.step) && hasWorkerOnceIdle(pass, job, step)) {
+            pass.accountsWithReservedLimit.insert(job.account.name);
         }
         return true;
     }
@@ -497,7 +508,7 @@
     {
         for (std::size_t i = first; i < ready.size(); ++i) {
             const FleetJob *job = &state.jobs.at(ready[i].job);
-            while (giveWay(pass, *job, ready, i)) {
+            while (moveBehindOtherAccounts(pass, *job, ready, i)) {
                 job = &state.jobs.at(ready[i].job);
             }
             ready[i].isHeldByAccountLimit = isHeldByAccount(pass, *job, ready[i]);
--- a/src/fleet/scheduler_ready.cpp
+++ b/src/fleet/scheduler_ready.cpp
@@ -124,11 +124,6 @@
                });
     }
 
-    Resources times(const Resources &amount, std::uint32_t count)
-    {
-        return {amount.cpuMillis * count, amount.memoryMb * count, amount.accelerators * count};
-    }
-
     /** Returns what waits of a short job, from its ready steps; nothing if it precedes no later job. */
     std::optional<WaitingShortJob> waitingShortJob(const FleetJob &job, const JobView &view, TimePoint now, std::span<const ReadyStep> steps)
     {
@@ -158,7 +153,7 @@
         for (const auto &[number, occurrence] : job.occurrences) {
             for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
                 if (job.spec.steps[i].isLongRunning) {
-                    work.usedForever = work.usedForever + times(job.spec.steps[i].request, occurrence.steps[i].activeCount);
+                    work.usedByLongRunning = work.usedByLongRunning + job.spec.steps[i].request * occurrence.steps[i].activeCount;
                 }
             }
         }
--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -23,8 +23,6 @@
 
 namespace {
 
-    constexpr std::int64_t MaxLateFactor = 3; ///< A result has some value up to this multiple of its latency objective.
-
     /** Slack is compared in classes of this size, so that jobs with about the same slack are ordered by priority and value density. */
     constexpr std::int64_t SlackClassMs = 400;
 
--- a/src/fleet/service_order.h
+++ b/src/fleet/service_order.h
@@ -11,6 +11,8 @@
 
 namespace Filbertlanding {
 
+constexpr std::int64_t MaxLateFactor = 3; ///< A result has some value up to this multiple of its latency objective.
+
 /** A step whose dependencies are complete, with tasks to start. */
 struct ReadyStep {
     JobNumber job = 0;
--- a/src/fleetd/caller_access.cpp
+++ b/src/fleetd/caller_access.cpp
@@ -2,6 +2,8 @@
 
 #include "fleetd/caller_access.h"
 
+#include "fleet/service_order.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -9,7 +11,6 @@
 
 namespace {
 
-    constexpr double UsefulObjectives = 3; ///< A result has no value after this many latency objectives.
     constexpr double MaxUsefulMs = 1e15; ///< Keeps the product of a long estimate and a large stretch within the range of a duration.
     constexpr double PerMille = 1000.0;
 
@@ -95,7 +96,7 @@
     const double criticalPathMs = declaredCriticalPathMs(spec);
     const double objectiveMs = criticalPathMs * stretch + static_cast<double>(queue.latencyAllowance.ms);
     job.slack = {static_cast<std::int64_t>(std::min(objectiveMs - criticalPathMs, MaxUsefulMs))};
-    job.usefulTime = {static_cast<std::int64_t>(std::min(UsefulObjectives * objectiveMs, MaxUsefulMs))};
+    job.usefulTime = {static_cast<std::int64_t>(std::min(static_cast<double>(MaxLateFactor) * objectiveMs, MaxUsefulMs))};
     return job;
 }
 
--- a/src/fleetd/caller_relay.cpp
+++ b/src/fleetd/caller_relay.cpp
@@ -74,6 +74,7 @@
     pending->receivedAt = steadyNow();
     pending->refusalDeadline = pending->receivedAt + LeaderWaitTimeout;
     pending->outcomeDeadline = pending->receivedAt + OutcomeTimeout;
+    pending->isRead = request.method == "GET";
     pending->respond = std::move(respond);
     pending->payload = encodeFleetMessage(toRelayedRequest(std::move(request)));
     this->forward(pending);
@@ -107,8 +108,8 @@
     auto relayed = answer.code == ResultCode::Ok ? decodeFleetMessage<RelayedResponse>(answer.payload) : std::nullopt;
     if (relayed && relayed->outcome == RelayOutcome::Answered) {
         // An earlier delivery may have been accepted before the key was removed, so the refusal may be wrong.
-        if (pending->mayBeDelivered && relayed->status == resultCodeRow(ResultCode::KeyUnknown).httpStatus) {
-            this->failRequest(pending, "the API key is not known any more, but an earlier delivery of the request may have been accepted");
+        if (!pending->isRead && pending->mayBeDelivered && relayed->status == resultCodeRow(ResultCode::KeyUnknown).httpStatus) {
+            this->failRequest(pending, "the leader does not know the API key, but an earlier delivery of the request may have been executed");
             return;
         }
         ++this->relayCounters.answered;
--- a/src/fleetd/caller_relay.h
+++ b/src/fleetd/caller_relay.h
@@ -51,6 +51,7 @@
         TimePoint receivedAt;
         TimePoint refusalDeadline; ///< When the request is refused, unless a leader may have received it.
         TimePoint outcomeDeadline; ///< When the outcome is reported as unknown, if a leader may have received the request.
+        bool isRead = false; ///< It changes nothing, so that a refusal is true whatever an earlier delivery did.
         bool mayBeDelivered = false; ///< A leader may have received the request.
     };
     using RequestPointer = std::shared_ptr<PendingRequest>;
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -272,6 +272,9 @@
 {
     this->keyIndex = KeyIndex(this->state.manifest.accounts);
     keepRefusalsOf(this->accountRefusals, this->state.manifest.accounts);
+    if (this->scheduler) {
+        keepBucketsOf(this->scheduler->submissionBuckets, this->state.manifest.accounts);
+    }
 }
 
 bool FleetCore::applyCommand(const FleetCommand &command)
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -203,7 +203,6 @@
     void submitJob(const JobApiRequest &request, const AuthorizedCall &call, const JobId &id, CallerResponseHandler done);
     ApiResponse submissionResponse(const AuthorizedCall &call, const JobId &id) const;
     bool isVisibleJobPending(const AuthorizedCall &call, const JobId &id) const;
-    bool isHiddenJobPending(const AuthorizedCall &call, const JobId &id) const;
     std::optional<ApiResponse> findSubmissionRefusal(const JobSpec &spec, const AuthorizedCall &call, const JobId &id);
     std::optional<ApiResponse> findRefusalByAccount(const JobSpec &spec, const AuthorizedCall &call, const JobId &id);
     void cancelJob(const AuthorizedCall &call, const JobId &id, CallerResponseHandler done);
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -181,15 +181,6 @@
     });
 }
 
-/** Returns whether a submission that the caller may not see is proposed and not applied yet. */
-bool FleetCore::isHiddenJobPending(const AuthorizedCall &call, const JobId &id) const
-{
-    const auto [first, last] = this->pendingJobs.equal_range(id);
-    return std::any_of(first, last, [&call](const auto &item) {
-        return !maySeeJob(call.access, call.queue, item.second);
-    });
-}
-
 /** Returns the response to a new job that is refused, or nothing. Takes a token of the account's rate only if no other reason holds. */
 std::optional<ApiResponse> FleetCore::findSubmissionRefusal(const JobSpec &spec, const AuthorizedCall &call, const JobId &id)
 {
@@ -228,8 +219,8 @@
     const auto standing = this->scheduler->accounts.find(name);
     const AccountJob job = makeAccountJob(spec, call.queue);
     const TimePoint now = steadyNow();
-    const double precedingCpuSeconds = standing == this->scheduler->accounts.end() ? 0 : workBefore(standing->second, now + job.slack);
-    const auto refusal = findAccountRefusal(this->scheduler->submissionBuckets, account->terms, precedingCpuSeconds, job, now);
+    const double precedingSeconds = standing == this->scheduler->accounts.end() ? 0 : precedingCpuSeconds(standing->second, now + job.slack);
+    const auto refusal = findAccountRefusal(this->scheduler->submissionBuckets, account->terms, precedingSeconds, job, now);
     if (!refusal) {
         return std::nullopt;
     }
@@ -240,7 +231,7 @@
             {{"job", id},
              {"reason", AccountRefusalNames.nameOf(refusal->reason)},
              {"account", name},
-             {"precedingCpuSeconds", precedingCpuSeconds},
+             {"precedingCpuSeconds", precedingSeconds},
              {"retryAfterMs", refusal->retryAfter.ms}});
     return makeRefusalResponse(*refusal, id);
 }
@@ -248,9 +239,7 @@
 void FleetCore::cancelJob(const AuthorizedCall &call, const JobId &id, CallerResponseHandler done)
 {
     const FleetJob *job = findJob(this->state, id);
-    // A job of another account that is proposed is applied before the cancellation, which would end it.
-    const bool isHidden = job == nullptr ? this->isHiddenJobPending(call, id) : !maySeeJob(call.access, call.queue, originOf(*job));
-    if (isHidden) {
+    if (job != nullptr && !maySeeJob(call.access, call.queue, originOf(*job))) {
         done(RelayOutcome::Answered, makeResponse(ResultCode::JobUnknown));
         return;
     }
--- a/tests/fleet_account_test.cpp
+++ b/tests/fleet_account_test.cpp
@@ -140,16 +140,16 @@
     AccountFleet fleet({account("busy", 1, 20'000)});
     fleet.submitJobs("busy", 200, LongLength);
     fleet.simulation.run({300});
-    const auto workBeforeStart = [&fleet](Duration slack) {
-        return workBefore(fleet.simulation.leaderScheduler().accounts.at("busy"), fleet.simulation.now + slack);
+    const auto precedingWork = [&fleet](Duration slack) {
+        return precedingCpuSeconds(fleet.simulation.leaderScheduler().accounts.at("busy"), fleet.simulation.now + slack);
     };
-    CHECK(workBeforeStart(NoEnd) > 0);
-    CHECK(workBeforeStart({0}) == 0);
+    CHECK(precedingWork(NoEnd) > 0);
+    CHECK(precedingWork({0}) == 0);
 
     // The limit lets ten tasks run at once, so most of the jobs become too late to be of use.
     fleet.simulation.run({30'000});
     REQUIRE(fleet.simulation.leaderScheduler().accounts.at("busy").waitingJobs > 0);
-    CHECK(workBeforeStart(NoEnd) == 0);
+    CHECK(precedingWork(NoEnd) == 0);
     fleet.checkNoViolations();
 }
 
