--- a/src/fleet/service_order.cpp
+++ b/src/fleet/service_order.cpp
@@ -40,6 +40,13 @@
         return step.startedShare * static_cast<double>(usefulTime.ms) >= static_cast<double>((now - step.acceptedAt).ms);
     }
 
+    /** Returns whether a short step with this status is served with the jobs on time. */
+    bool hasOnTimeRank(const ReadyStep &step, DeadlineStatus status, TimePoint now)
+    {
+        const bool keepsRank = status == DeadlineStatus::Late && step.startedShare > 0 && isLikelyToBeUseful(step, now);
+        return status == DeadlineStatus::OnTime || keepsRank;
+    }
+
     /**
      * Returns the rank of a step: long-running tasks have less value per CPU second than short jobs on time, and more than late ones that have not begun.
      */
@@ -50,7 +57,7 @@
         if (step.isLongRunning) {
             return step.waitedFor >= MaxLongRunningWait ? 0 : LongRunningRank;
         }
-        return hasOnTimeRank(step, now) ? OnTimeRank : LongRunningRank + static_cast<int>(status);
+        return hasOnTimeRank(step, status, now) ? OnTimeRank : LongRunningRank + static_cast<int>(status);
     }
 
     using ServiceKey = std::tuple<int, std::int64_t, ShareClass, std::int64_t, double, std::int64_t, JobNumber, std::uint32_t, std::uint32_t>;
@@ -94,9 +101,7 @@
 
 bool hasOnTimeRank(const ReadyStep &step, TimePoint now)
 {
-    const DeadlineStatus status = deadlineStatus(step, now);
-    const bool keepsRank = status == DeadlineStatus::Late && step.startedShare > 0 && isLikelyToBeUseful(step, now);
-    return !step.isLongRunning && (status == DeadlineStatus::OnTime || keepsRank);
+    return !step.isLongRunning && hasOnTimeRank(step, deadlineStatus(step, now), now);
 }
 
 bool isDeadlineNear(const ReadyStep &step, TimePoint now)
