Fix: two tests compile on x86-64

Cause: with GCC 12 on x86-64 the build ends in two tests. fleet_log_test names SIGTERM without <csignal>, and in fleet_limits_test the inlined operator delete makes the compiler report a mismatch of new and free(). Ruled out: another flag for all tests, since the warning finds real faults elsewhere. Change: the missing header, and the two replaced functions are not inlined.

--- a/tests/fleet_limits_test.cpp
+++ b/tests/fleet_limits_test.cpp
@@ -52,12 +52,13 @@
     return memory;
 }
 
-void operator delete(void *memory) noexcept
+// Not inlined, since GCC takes the call of free() in an inlined one for a mismatch with the allocation.
+[[gnu::noinline]] void operator delete(void *memory) noexcept
 {
     std::free(memory);
 }
 
-void operator delete(void *memory, std::size_t) noexcept
+[[gnu::noinline]] void operator delete(void *memory, std::size_t) noexcept
 {
     std::free(memory);
 }
--- a/tests/fleet_log_test.cpp
+++ b/tests/fleet_log_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
+
 #include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
