Add: the log says why a run counts as ended, and what a worker lists against the state

Cause: run_ended has the outcome lost whether a worker does not list a run, its lease has expired, its process has ended or its start was not received, and nothing says that a worker lists a run or an end that was given up before. Ruled out: a field in the log entry of the end, since it would change a stored form for a line of the log. Change: the scheduler returns notices beside its commands and orders; the daemon writes run_presumed_ended and run_unassigned and counts them in two metrics. No decision depends on them. Conclusion: a lease that the leader takes for expired too early shows as lease_expired followed by running or done of the same run.

--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -232,6 +232,9 @@
     for (const WorkerOrder &order : actions.orders) {
         this->deliver(order);
     }
+    for (const RunNotice &notice : actions.notices) {
+        ++this->runNotices[notice.kind];
+    }
     if (actions.isDeposed) {
         this->leaders.erase(term);
     }
--- a/fakes/fleet_simulation.h
+++ b/fakes/fleet_simulation.h
@@ -145,6 +145,7 @@
     std::map<TaskName, TaskCrashes, TaskNameOrder> taskCrashes; ///< Only tasks with a crash, and those that crash their workers.
     std::uint64_t crashesByTasks = 0; ///< Crashes that tasks have caused.
     std::vector<RecordCrash> recordedCrashes; ///< Crashes in the log.
+    std::map<RunNoticeKind, std::uint64_t> runNotices; ///< Notices of all leaders, by kind.
     std::map<std::string, std::uint64_t> overTargetMs; ///< Time for which long-running tasks were over their latency targets, by image.
     std::uint64_t longRunningMs = 0; ///< Total time for which long-running tasks were running.
     Random random;
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -147,7 +147,7 @@
             proposeIncarnationEnd(scheduler, state, session, now, wall, actions);
         }
         if (now >= session.nextRunOrderAt) {
-            withdrawStartsOverCapacity(state, session, wall, actions);
+            withdrawStartsOverCapacity(state, session, now, wall, actions);
             sendRunOrders(scheduler, state, session, now, actions);
         }
         sendPoll(scheduler, state, session, now, actions);
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -10,6 +10,7 @@
 #include "fleet/long_running_admission.h"
 #include "fleet/place_run.h"
 #include "fleet/queue_risk.h"
+#include "fleet/run_notice_type.h"
 #include "fleet/service_order.h"
 #include "fleet/worker_session.h"
 
@@ -73,6 +74,7 @@
 struct SchedulerActions {
     std::vector<FleetCommand> propose; ///< Commands to propose to the replicated log; the scheduler is notified when they are applied.
     std::vector<WorkerOrder> orders; ///< Orders to send to workers.
+    std::vector<RunNotice> notices; ///< To be logged and counted.
     bool isDeposed = false; ///< A worker has seen a higher fence, so another leader is active.
 };
 
--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -52,6 +52,19 @@
 /** Proposes the end of a run, unless it has been proposed already. */
 void proposeRunEnd(WorkerSession &session, const TaskRef &task, RunView &run, RunOutcome outcome, WallTime wall, SchedulerActions &actions);
 
+/** Proposes the end of a run that its worker has not listed as ended, unless it has been proposed already, and notes the reason. */
+void presumeRunEnd(const FleetState &state,
+                   WorkerSession &session,
+                   const TaskRef &task,
+                   RunView &run,
+                   RunNoticeKind reason,
+                   TimePoint now,
+                   WallTime wall,
+                   SchedulerActions &actions);
+
+/** Notes something about a run for the log. */
+void noteRun(const WorkerSession &session, RunNoticeKind kind, const TaskName &task, std::uint32_t run, TimePoint now, SchedulerActions &actions);
+
 /** Proposes to count the crash of an incarnation for the tasks that ran on it, unless something else than a task has ended its process. */
 void proposeCrash(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions);
 
@@ -86,7 +99,7 @@
 void sendPoll(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, TimePoint now, SchedulerActions &actions);
 
 /** Withdraws starts that would bring a worker over its present capacity, unless the worker itself refuses them. */
-void withdrawStartsOverCapacity(const FleetState &state, WorkerSession &session, WallTime wall, SchedulerActions &actions);
+void withdrawStartsOverCapacity(const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions);
 
 /** Sends the start, stop and throttle orders of a worker that are due. */
 void sendRunOrders(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, TimePoint now, SchedulerActions &actions);
--- a/src/fleet/scheduler_orders.cpp
+++ b/src/fleet/scheduler_orders.cpp
@@ -209,6 +209,29 @@
     actions.propose.push_back(EndRun{task, run.run, session.incarnation, outcome, run.checkpoint, wall});
 }
 
+void noteRun(const WorkerSession &session, RunNoticeKind kind, const TaskName &task, std::uint32_t run, TimePoint now, SchedulerActions &actions)
+{
+    const bool hasResponded = session.lastResponse.ms != 0;
+    actions.notices.push_back({kind, task, run, session.incarnation, hasResponded ? std::optional<Duration>(now - session.lastResponse) : std::nullopt});
+}
+
+void presumeRunEnd(const FleetState &state,
+                   WorkerSession &session,
+                   const TaskRef &task,
+                   RunView &run,
+                   RunNoticeKind reason,
+                   TimePoint now,
+                   WallTime wall,
+                   SchedulerActions &actions)
+{
+    if (run.isEndProposed) {
+        return;
+    }
+    noteRun(session, reason, taskName(state.jobs.at(task.job), task), run.run, now, actions);
+    const bool hasWorkerEnded = reason == RunNoticeKind::WorkerEnded || reason == RunNoticeKind::WorkerReplaced;
+    proposeRunEnd(session, task, run, hasWorkerEnded ? lossOutcome(session, run) : RunOutcome::Lost, wall, actions);
+}
+
 void proposeIncarnationEnd(FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions)
 {
     if (session.isEndProposed) {
@@ -218,7 +241,7 @@
     proposeCrash(scheduler, state, session, now, wall, actions);
     for (auto &[task, run] : session.runs) {
         if (run.phase != RunPhase::Proposed) {
-            proposeRunEnd(session, task, run, lossOutcome(session, run), wall, actions);
+            presumeRunEnd(state, session, task, run, RunNoticeKind::WorkerEnded, now, wall, actions);
         }
     }
     actions.propose.push_back(EndIncarnation{session.incarnation});
@@ -288,7 +311,7 @@
     }
 }
 
-void withdrawStartsOverCapacity(const FleetState &state, WorkerSession &session, WallTime wall, SchedulerActions &actions)
+void withdrawStartsOverCapacity(const FleetState &state, WorkerSession &session, TimePoint now, WallTime wall, SchedulerActions &actions)
 {
     const WorkerProfile &profile = state.incarnations.at(session.incarnation).profile;
     const Resources capacity = usableCapacity(session, profile.capacity);
@@ -307,7 +330,7 @@
             run.phase = RunPhase::Started;
             continue;
         }
-        proposeRunEnd(session, task, run, RunOutcome::Lost, wall, actions);
+        presumeRunEnd(state, session, task, run, RunNoticeKind::StartWithdrawn, now, wall, actions);
         used = used - run.reserved;
     }
 }
@@ -389,7 +412,7 @@
             const bool isOpen = run.phase != RunPhase::Proposed && !run.isEndProposed;
             const bool hasEnded = hasTimedOut || (isLast && hasLeaseExpired(settings, session, run, now));
             if (isOpen && (hasEnded || !mayReachSuccessor(session, run, taskName(state.jobs.at(task.job), task)))) {
-                proposeRunEnd(session, task, run, lossOutcome(session, run), wall, actions);
+                presumeRunEnd(state, session, task, run, RunNoticeKind::WorkerReplaced, now, wall, actions);
             }
         }
     }
@@ -411,7 +434,7 @@
     for (auto &[task, run] : session.runs) {
         if (run.phase != RunPhase::Proposed && !run.isEndProposed && hasLeaseExpired(scheduler.settings, session, run, now)) {
             keepExpiredRun(scheduler, session, task, run, now);
-            proposeRunEnd(session, task, run, RunOutcome::Lost, wall, actions);
+            presumeRunEnd(state, session, task, run, RunNoticeKind::LeaseExpired, now, wall, actions);
         }
     }
 }
--- a/src/fleet/scheduler_responses.cpp
+++ b/src/fleet/scheduler_responses.cpp
@@ -75,9 +75,10 @@
     }
 
     /** Handles the end of a run that is assigned to an earlier incarnation, but whose start order has reached this one with the same name. */
-    void
+    bool
     handleInheritedEnd(FleetScheduler &scheduler, WorkerSession &session, const TaskRef &task, const ListedEnd &end, WallTime wall, SchedulerActions &actions)
     {
+        bool isInherited = false;
         for (const IncarnationNumber incarnation : session.earlierIncarnations) {
             const auto earlier = scheduler.sessions.find(incarnation);
             RunView *run = earlier == scheduler.sessions.end() ? nullptr : findRun(earlier->second, task, end.run);
@@ -87,6 +88,36 @@
             run->checkpoint = end.checkpoint.empty() ? run->checkpoint : end.checkpoint;
             session.inheritedEnds.insert(task);
             proposeRunEnd(earlier->second, task, *run, end.outcome, wall, actions);
+            isInherited = true;
+        }
+        return isInherited;
+    }
+
+    /** Returns whether a task is known and still has to be done. */
+    bool isOpenTask(const FleetState &state, const TaskRef &ref)
+    {
+        const FleetJob &job = state.jobs.at(ref.job);
+        const auto occurrence = job.occurrences.find(ref.occurrence);
+        if (hasEnded(job.state) || occurrence == job.occurrences.end() || ref.step >= occurrence->second.steps.size()) {
+            return false;
+        }
+        const auto &tasks = occurrence->second.steps[ref.step].tasks;
+        return ref.index < tasks.size() && !tasks[ref.index].isDone && !job.spec.steps[ref.step].isLongRunning;
+    }
+
+    /** Handles a listed end of a run that this incarnation is not known to have. */
+    void handleUnassignedEnd(FleetScheduler &scheduler,
+                             const FleetState &state,
+                             WorkerSession &session,
+                             const TaskRef &task,
+                             const ListedEnd &end,
+                             TimePoint now,
+                             WallTime wall,
+                             SchedulerActions &actions)
+    {
+        const bool isInherited = handleInheritedEnd(scheduler, session, task, end, wall, actions);
+        if (!isInherited && end.outcome == RunOutcome::Done && isOpenTask(state, task)) {
+            noteRun(session, RunNoticeKind::DoneUnassigned, end.task, end.run, now, actions);
         }
     }
 
@@ -111,7 +142,7 @@
             session.proposedThrough = end.number;
             if (run == nullptr) {
                 if (task) {
-                    handleInheritedEnd(scheduler, session, *task, end, wall, actions);
+                    handleUnassignedEnd(scheduler, state, session, *task, end, now, wall, actions);
                 }
                 continue;
             }
@@ -153,13 +184,19 @@
         }
     }
 
-    void handleListedRuns(
-        FleetScheduler &scheduler, const FleetState &state, WorkerSession &session, const OrderResponse &response, TimePoint now, std::set<TaskRef> &listed)
+    void handleListedRuns(FleetScheduler &scheduler,
+                          const FleetState &state,
+                          WorkerSession &session,
+                          const OrderResponse &response,
+                          TimePoint now,
+                          std::set<TaskRef> &listed,
+                          SchedulerActions &actions)
     {
         for (const ListedRun &entry : response.running) {
             const auto task = findTaskRef(state, entry.task);
             RunView *run = task ? findRun(session, *task, entry.run) : nullptr;
             if (run == nullptr || run->phase == RunPhase::Proposed) {
+                noteRun(session, RunNoticeKind::RunningUnassigned, entry.task, entry.run, now, actions);
                 addOrphanRun(session, entry.task, entry.run, now);
                 continue;
             }
@@ -176,7 +213,13 @@
     }
 
     /** Ends the runs that the worker does not list although it would have to if it had started them. */
-    void endUnlistedRuns(WorkerSession &session, bool isFirstResponse, const std::set<TaskRef> &listed, WallTime wall, SchedulerActions &actions)
+    void endUnlistedRuns(const FleetState &state,
+                         WorkerSession &session,
+                         bool isFirstResponse,
+                         const std::set<TaskRef> &listed,
+                         TimePoint now,
+                         WallTime wall,
+                         SchedulerActions &actions)
     {
         for (auto &[task, run] : session.runs) {
             const bool isSettled = run.settledAtOrder != 0 && run.settledAtOrder < session.lastPoll && !run.isOrderPending;
@@ -184,7 +227,7 @@
             const bool isInherited =
                 isFirstResponse && run.settledAtOrder == 0 && !run.isOrderPending && run.unansweredAttempts == 0 && run.phase == RunPhase::Started;
             if (run.phase != RunPhase::Proposed && !run.isEndProposed && !listed.contains(task) && (isSettled || isInherited)) {
-                proposeRunEnd(session, task, run, RunOutcome::Lost, wall, actions);
+                presumeRunEnd(state, session, task, run, RunNoticeKind::NotListed, now, wall, actions);
             }
         }
     }
@@ -242,23 +285,29 @@
         session.confirmedAt = session.pollSentAt;
         std::set<TaskRef> listed;
         handleListedEnds(scheduler, state, session, response, now, wall, listed, actions);
-        handleListedRuns(scheduler, state, session, response, now, listed);
+        handleListedRuns(scheduler, state, session, response, now, listed, actions);
         recordTailLatency(scheduler, incarnation.profile.capacity, session, listed, now);
         checkProgress(scheduler, state, session, now);
         if (response.ended.size() < MaxListedEnds) {
-            endUnlistedRuns(session, isFirstResponse, listed, wall, actions);
+            endUnlistedRuns(state, session, isFirstResponse, listed, now, wall, actions);
         }
         scheduler.isPlacementDue = scheduler.isPlacementDue || isFirstResponse || wasUnresponsive;
         session.nextRunOrderAt = now;
     }
 
     /** Handles a start order that the worker has rejected. */
-    void handleRejectedStart(
-        WorkerSession &session, const TaskRef &task, RunView &run, OrderOutcome outcome, TimePoint now, WallTime wall, SchedulerActions &actions)
+    void handleRejectedStart(const FleetState &state,
+                             WorkerSession &session,
+                             const TaskRef &task,
+                             RunView &run,
+                             OrderOutcome outcome,
+                             TimePoint now,
+                             WallTime wall,
+                             SchedulerActions &actions)
     {
         session.noPlacementUntil = now + (outcome == OrderOutcome::InsufficientCapacity ? CapacityBackoff : UnhealthyBackoff);
         if (!run.mayHaveReachedWorker) {
-            proposeRunEnd(session, task, run, RunOutcome::Lost, wall, actions);
+            presumeRunEnd(state, session, task, run, RunNoticeKind::StartRejected, now, wall, actions);
             return;
         }
         // An earlier attempt may still arrive, or its run may have ended. A stop order prevents the former, the next poll reveals the latter.
@@ -267,8 +316,8 @@
     }
 
     void handleStartResponse(const FleetScheduler &scheduler,
+                             const FleetState &state,
                              WorkerSession &session,
-                             const TaskName &name,
                              const TaskRef &task,
                              RunView &run,
                              const OrderResponse &response,
@@ -292,7 +341,7 @@
             run.mayHaveReachedWorker = true;
             ++run.unansweredAttempts;
             run.nextAttempt = now + retryDelay(run.unansweredAttempts);
-            addUnconfirmedStart(session, name, run.run, now);
+            addUnconfirmedStart(session, taskName(state.jobs.at(task.job), task), run.run, now);
             session.noPlacementUntil = std::max(session.noPlacementUntil, now + CapacityBackoff);
             session.nextPoll = now;
             return;
@@ -302,14 +351,14 @@
             session.unresponsiveSince = session.unresponsiveSince.value_or(now);
             session.nextPoll = now;
             if (!run.mayHaveReachedWorker) {
-                proposeRunEnd(session, task, run, RunOutcome::Lost, wall, actions);
+                presumeRunEnd(state, session, task, run, RunNoticeKind::NotReceived, now, wall, actions);
                 return;
             }
             ++run.unansweredAttempts;
             run.nextAttempt = now + retryDelay(run.unansweredAttempts);
             return;
         default:
-            handleRejectedStart(session, task, run, response.outcome, now, wall, actions);
+            handleRejectedStart(state, session, task, run, response.outcome, now, wall, actions);
             return;
         }
     }
@@ -391,8 +440,7 @@
         return actions;
     }
     if (pendingOrder.kind == OrderKind::Start) {
-        handleStartResponse(
-            scheduler, session, taskName(state.jobs.at(pendingOrder.task.job), pendingOrder.task), pendingOrder.task, *run, response, now, wall, actions);
+        handleStartResponse(scheduler, state, session, pendingOrder.task, *run, response, now, wall, actions);
     } else if (pendingOrder.kind == OrderKind::Stop) {
         handleStopResponse(scheduler, session, *run, response, now);
     } else if (response.outcome != OrderOutcome::Done) {
--- a/src/fleetd/fleet_change_log.cpp
+++ b/src/fleetd/fleet_change_log.cpp
@@ -69,4 +69,21 @@
     }
 }
 
+/** Counts and logs a notice of the scheduler. */
+void FleetCore::noteRun(const RunNotice &notice)
+{
+    ++this->counters.runNotices[static_cast<std::size_t>(notice.kind)];
+    constexpr std::int64_t NoResponse = -1;
+    logLine(LogArea::Job,
+            LogLevel::Info,
+            isPresumedEnd(notice.kind) ? "run_presumed_ended" : "run_unassigned",
+            {{"job", notice.task.job},
+             {"step", notice.task.step},
+             {"index", notice.task.index},
+             {"run", notice.run},
+             {"life", notice.incarnation},
+             {isPresumedEnd(notice.kind) ? "reason" : "state", RunNoticeKindNames.nameOf(notice.kind)},
+             {"silentMs", notice.silence ? notice.silence->ms : NoResponse}});
+}
+
 } // namespace Filbertlanding
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -28,6 +28,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -53,6 +54,7 @@
     std::uint64_t workerCrashes = 0; ///< Crashes of workers that count for the tasks on them.
     std::uint64_t runsCrashed = 0; ///< Runs lost in them.
     std::uint64_t jobsGivenUp = 0; ///< Jobs with a task that crashes its workers.
+    std::array<std::uint64_t, RunNoticeKindNames.rows.size()> runNotices{}; ///< By RunNoticeKind.
     Histogram firstStart; ///< Time from acceptance of a job to its first task start.
     Histogram jobTime; ///< Time from acceptance of a job to its end.
     Histogram commitTime; ///< Time from the proposal of a log entry to its application.
@@ -196,6 +198,7 @@
     void waitForTick();
     void advanceTick();
     void logChange(const FleetCommand &command, const FleetChange &change) const;
+    void noteRun(const RunNotice &notice);
     void logHeldTasks();
     void logFleetLoad();
     void countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued);
--- a/src/fleetd/fleet_metrics.cpp
+++ b/src/fleetd/fleet_metrics.cpp
@@ -38,6 +38,11 @@
     appendMetric(text, "filbertlanding_worker_crashes_total", this->counters.workerCrashes);
     appendMetric(text, "filbertlanding_runs_crashed_total", this->counters.runsCrashed);
     appendMetric(text, "filbertlanding_jobs_given_up_total", this->counters.jobsGivenUp);
+    for (const auto &row : RunNoticeKindNames.rows) {
+        const std::string name =
+            isPresumedEnd(row.value) ? "filbertlanding_runs_presumed_ended_total{reason=\"" : "filbertlanding_runs_unassigned_total{state=\"";
+        appendMetric(text, name + std::string(row.name) + "\"}", this->counters.runNotices[static_cast<std::size_t>(row.value)]);
+    }
     appendMetric(text, "filbertlanding_is_leading", this->isLeading() ? 1 : 0);
     appendMetric(text, "filbertlanding_leads_without_control", this->isLeading() && !this->isServing ? 1 : 0);
     appendMetric(text, "filbertlanding_term", this->status.term);
--- a/src/fleetd/fleet_orders.cpp
+++ b/src/fleetd/fleet_orders.cpp
@@ -25,6 +25,9 @@
         this->endLeadership("a worker has seen a higher fencing token");
         return;
     }
+    for (const RunNotice &notice : actions.notices) {
+        this->noteRun(notice);
+    }
     for (FleetCommand &command : actions.propose) {
         this->propose(std::move(command));
     }
