Fix: a new leader starts no task again while its worker may hold a longer lease

Cause: a worker caps a lease that was counted on the clock of its earlier process at the longest lease, 10 s, while leaders grant 7 s. The leader that has sent the start waits for the longer one; the next one does not know of the start, and takes all runs of a silent worker for ended after 7.3 s. Ruled out: the longest lease for all runs that are taken over, since tasks that have run for long would wait 3 s longer for nothing; a mark in the log for each run that was listed, since it doubles the commands of a start. Change: each replica notes when it has applied a start, as it does for the end of a task's last run; a new leader waits for the longest lease if the start is younger than that. Conclusion: the bound holds for each process that an order of the earlier leader may have reached.

--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -21,6 +21,7 @@
 struct ActiveRun {
     std::uint32_t run = 0;
     IncarnationNumber incarnation = 0;
+    TimePoint startAppliedAt; ///< Time on this replica's clock at which it has applied the start; 0 if unknown. Not replicated.
 
     template<class Archive>
     void serialize(Archive &archive)
--- a/src/fleet/fleet_state_runs.cpp
+++ b/src/fleet/fleet_state_runs.cpp
@@ -145,7 +145,7 @@
     change.job = job.number;
     change.incarnation = command.incarnation;
     step.activeCount += task.active.empty() ? 1 : 0;
-    task.active.push_back({command.run, command.incarnation});
+    task.active.push_back({command.run, command.incarnation, state.appliedAt});
     addUsage(state.accountUsage, job.account.name, job.spec.steps[command.task.step].request);
     task.lastRun = command.run;
     job.state = FleetJobState::Running;
--- a/src/fleet/scheduler_orders.cpp
+++ b/src/fleet/scheduler_orders.cpp
@@ -383,12 +383,13 @@
 
     /**
      * Returns whether the run has certainly stopped everywhere. The start of a run that was never listed may have been executed by an unknown
-     * incarnation, under a lease of up to the maximum duration.
+     * incarnation, under a lease of up to the maximum duration. An order for its predecessor may also have given a known incarnation such a lease.
      */
     bool hasCertainlyExpired(const SchedulerSettings &settings, const RunView &run, TimePoint now)
     {
-        const Duration longest = settings.longestLease * 100 / MinClockRatePercent + LeaseExpiryMargin;
-        return run.wasListed || !run.startSentAt || now - *run.startSentAt >= longest;
+        const Duration longest = maxLeaseOnLocalClock(settings.longestLease) + LeaseExpiryMargin;
+        const std::optional<TimePoint> lastStartAt = run.startSentAt ? run.startSentAt : run.takenOverAt;
+        return run.wasListed || !lastStartAt || now - *lastStartAt >= longest;
     }
 
     /** Returns whether a run of an unresponsive worker has certainly ended with its lease. */
--- a/src/fleet/scheduler_start.cpp
+++ b/src/fleet/scheduler_start.cpp
@@ -20,12 +20,28 @@
         }
     }
 
+    /**
+     * Returns whether the start of a run is so recent that the earlier leader may have sent it to the next process under the worker's name, which it did
+     * not know yet. Within a longest lease it has seen the run listed, or has ended it.
+     */
+    bool isStartRecent(const SchedulerSettings &settings, const ActiveRun &active, TimePoint now)
+    {
+        return active.startAppliedAt.ms == 0 || now - active.startAppliedAt < maxLeaseOnLocalClock(settings.longestLease);
+    }
+
     /** Returns the view of a run that the replicated state contains. */
-    RunView viewOfActiveRun(const FleetState &state, const FleetJob &job, const TaskRef &ref, const TaskRecord &task, const ActiveRun &active, TimePoint now)
+    RunView viewOfActiveRun(const SchedulerSettings &settings,
+                            const FleetState &state,
+                            const FleetJob &job,
+                            const TaskRef &ref,
+                            const TaskRecord &task,
+                            const ActiveRun &active,
+                            TimePoint now)
     {
         const StepSpec &step = job.spec.steps[ref.step];
         RunView view = makeRunView(step, active.run, RunPhase::Started, now);
         view.mayHaveReachedWorker = true;
+        view.takenOverAt = isStartRecent(settings, active, now) ? std::optional<TimePoint>(now) : std::nullopt;
         view.isDataRemote = isDataRemote(step, state.incarnations.at(active.incarnation).profile.rack);
         view.isStopRequested = task.isDone || hasEnded(job.state);
         view.checkpoint = task.checkpoint;
@@ -42,7 +58,7 @@
             for (const ActiveRun &active : task.active) {
                 const auto session = scheduler.sessions.find(active.incarnation);
                 if (session != scheduler.sessions.end()) {
-                    addRun(session->second, ref, viewOfActiveRun(state, job, ref, task, active, now));
+                    addRun(session->second, ref, viewOfActiveRun(scheduler.settings, state, job, ref, task, active, now));
                 }
             }
         });
