Fix: a new scheduler in a term counts only the ends that it has proposed

Cause: a scheduler counts proposed ends by number. When an end is applied that an earlier scheduler of the same term has proposed, it counts one of its own as applied, and tells the worker to discard all listed ends, one of which is not in the log yet. If the leader dies now, the next one finds neither the run nor its end on the worker and starts the task again. Ruled out: waiting until the entries of the earlier scheduler are applied alone, since the count stays wrong for any other doubled end. Change: only the end of a run whose end this scheduler has proposed counts.

--- a/src/fleet/scheduler_applied.cpp
+++ b/src/fleet/scheduler_applied.cpp
@@ -143,9 +143,10 @@
             WorkerSession &worker = session->second;
             const auto run = worker.runs.find(end.task);
             if (run != worker.runs.end() && run->second.run == end.run) {
+                // An end that an earlier scheduler of the term has proposed is not among the pending ones.
+                worker.pendingEnds -= run->second.isEndProposed ? 1 : 0;
                 removeRun(worker, end.task);
             }
-            worker.pendingEnds -= worker.pendingEnds > 0 ? 1 : 0;
             markDirty(scheduler, worker);
             advanceCommittedEnds(worker, now);
             updateFailureBackoff(scheduler, worker, end, now);
