Fix: a scheduler begins once all that an earlier one of its term has proposed is applied

Cause: a new scheduler in the same term places tasks without the starts that are on their way in the log, so that more tasks of a step start on a worker than the step allows. Ruled out: refusing such starts when they are applied, since the limit would become part of the replicated state and of mixed versions. Change: at the end of a leadership the core asks replication for the last entry of the log, which it answers after all proposals, and the next scheduler of the term waits until that is applied. The order of proposals and question in the daemon has no test of its own; fleet_fenced_test shows that a core that a worker fences off leads again within its term, which it did before. Conclusion: a scheduler knows all starts of its term.

--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -398,6 +398,9 @@
     if (this->scheduler || !isReady || this->isStopping || this->isStopBegun || this->handover.stage != HandoverStage::None) {
         return;
     }
+    if (!this->areProposalsApplied()) {
+        return;
+    }
     this->ordersInLastTerm = this->status.term == this->lastLeaderTerm ? this->ordersInLastTerm : 0;
     this->lastLeaderTerm = this->status.term;
     this->scheduler = startScheduler(schedulerSettings(this->settings), this->state, this->status.term, this->ordersInLastTerm, steadyNow(), wallNow());
@@ -413,6 +416,27 @@
     this->releaseHeldCalls();
 }
 
+/** Asks replication where the proposals of the scheduler that has just ended end in the log. */
+void FleetCore::findProposalsEnd()
+{
+    this->proposalsEnd.reset();
+    // Replication handles this after the proposals, since it takes up both in the order in which they are made.
+    this->replication.inspect([this, term = this->lastLeaderTerm](const ReplicationDetail &detail) {
+        asio::post(this->io, [this, term, lastIndex = detail.status.lastIndex] {
+            if (term == this->lastLeaderTerm && !this->scheduler) {
+                this->proposalsEnd = lastIndex;
+                this->beginLeadershipIfReady();
+            }
+        });
+    });
+}
+
+/** Returns whether all that an earlier scheduler of this term has proposed is applied. The next one would place tasks without regard to the rest. */
+bool FleetCore::areProposalsApplied() const
+{
+    return this->status.term != this->lastLeaderTerm || (this->proposalsEnd && this->appliedIndex >= *this->proposalsEnd);
+}
+
 void FleetCore::endLeadership(std::string_view reason)
 {
     logLine(LogArea::Replication, LogLevel::Info, "lead_ends", {{"term", this->scheduler->term}, {"reason", reason}, {"openProposals", this->inFlight.size()}});
@@ -433,6 +457,7 @@
             this->beginLeadershipIfReady();
         }
     });
+    this->findProposalsEnd();
 }
 
 void FleetCore::propose(FleetCommand command, std::function<void(bool)> done)
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -178,6 +178,8 @@
     std::vector<DaemonName> contactAddresses() const;
     void setRequiredPeers();
     void beginLeadershipIfReady();
+    void findProposalsEnd();
+    bool areProposalsApplied() const;
     void endLeadership(std::string_view reason);
     void leaveIfNotServing();
     void leaveIfReplaced();
@@ -245,6 +247,7 @@
     std::uint64_t appliedTerm = 0;
     std::uint64_t lastLeaderTerm = 0; ///< Term in which this daemon last led.
     std::uint64_t ordersInLastTerm = 0; ///< Number of the last order issued in that term.
+    std::optional<std::uint64_t> proposalsEnd; ///< Last log index when the last scheduler had ended; nothing until replication has answered.
     std::optional<FleetScheduler> scheduler; ///< Set while this daemon leads and has applied all entries of earlier leaders.
     std::optional<TimePoint> withoutSchedulerSince; ///< Set while there is no scheduler.
     WaitingSteps waitingSteps; ///< Ready steps of the present leadership.
--- a/src/fleetd/leader_handover.cpp
+++ b/src/fleetd/leader_handover.cpp
@@ -30,6 +30,9 @@
     this->withoutSchedulerSince = this->withoutSchedulerSince.value_or(now);
     // The timer that starts the next scheduler may not have been set for want of memory.
     if (now - *this->withoutSchedulerSince >= SchedulerRestartTime) {
+        if (!this->proposalsEnd) {
+            this->findProposalsEnd();
+        }
         this->beginLeadershipIfReady();
     }
 }
