Fix: a refused connection ends a worker only if it was draining

Cause: a refused connection after a goodbye counts as the proof that the process has ended. The goodbye may be one of an earlier process that arrives late, and a cut may refuse connections, so a sound worker lost its runs and, since its incarnation had ended, got nothing more to do. Ruled out: to wait for the lease after each goodbye, since the tasks of workers that leave as planned would wait for 7 s. Change: a worker announces a planned end by draining, which is in the replicated state; without that its lease decides. Conclusion: what remains is a late goodbye of an earlier process while the present one drains behind such a cut.

--- a/fakes/fleet_faults.cpp
+++ b/fakes/fleet_faults.cpp
@@ -83,6 +83,16 @@
     }
 }
 
+void FleetSimulation::setRefused(const WorkerName &worker, bool isRefused)
+{
+    this->setPartitioned(worker, isRefused);
+    if (isRefused) {
+        this->refusedWorkers.insert(worker);
+    } else {
+        this->refusedWorkers.erase(worker);
+    }
+}
+
 void FleetSimulation::drain(const WorkerName &worker, Duration remaining)
 {
     this->workers.at(worker)->profile.isDraining = true;
--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -265,6 +265,11 @@
         if (this->partitionedWorkers.contains(order.worker)) {
             // A new connection cannot be opened; what is written to an open one may have been sent.
             *isUnsent = order.usesFreshConnection;
+            if (order.usesFreshConnection && this->refusedWorkers.contains(order.worker)) {
+                OrderResponse refused;
+                refused.outcome = OrderOutcome::NotListening;
+                finish(refused);
+            }
             return;
         }
         const auto present = this->workers.find(order.worker);
--- a/fakes/fleet_simulation.h
+++ b/fakes/fleet_simulation.h
@@ -100,6 +100,9 @@
     /** Partitions a worker from all leaders, or heals the partition. */
     void setPartitioned(const WorkerName &worker, bool isPartitioned);
 
+    /** Partitions a worker from all leaders by something that refuses new connections to it, or heals the partition. */
+    void setRefused(const WorkerName &worker, bool isRefused);
+
     /** Makes a worker report that it drains. */
     void drain(const WorkerName &worker, Duration remaining);
 
@@ -227,6 +230,7 @@
     std::map<std::tuple<JobId, std::uint32_t, std::uint32_t>, CrashTime> crashingTasks; ///< By job, step and index.
     std::map<std::pair<TaskRef, std::uint32_t>, StartDelivery> startDeliveries; ///< By task and run.
     std::set<WorkerName> partitionedWorkers;
+    std::set<WorkerName> refusedWorkers; ///< Partitioned workers to which new connections are refused at once.
     std::set<WorkerName> reusedAddresses; ///< Crashed workers whose address another worker has.
     std::uint64_t restarts = 0; ///< Restarts under a new name.
     std::map<WorkerName, std::uint64_t> sequences;
--- a/src/fleet/scheduler_responses.cpp
+++ b/src/fleet/scheduler_responses.cpp
@@ -254,8 +254,9 @@
             if (response.outcome == OrderOutcome::NotListening) {
                 noteEarlyCrash(scheduler, state, session);
             }
-            // A host that does not answer proves nothing: the worker may be cut off, and the goodbye one of its predecessor that has arrived late.
-            if (response.outcome == OrderOutcome::NotListening && session.isShuttingDown) {
+            // The worker may be cut off by something that refuses connections, and the goodbye one of its predecessor that has arrived late.
+            const bool hasAnnouncedEnd = session.isShuttingDown && state.incarnations.at(session.incarnation).profile.isDraining;
+            if (response.outcome == OrderOutcome::NotListening && hasAnnouncedEnd) {
                 proposeIncarnationEnd(scheduler, state, session, now, wall, actions);
             }
             return;
--- a/src/fleet/worker_order_type.h
+++ b/src/fleet/worker_order_type.h
@@ -63,7 +63,7 @@
     Refused, ///< The worker rejects the order for another reason.
     Unreachable, ///< No connection in time; the worker has not received the order.
     NoResponse, ///< No response; the worker may execute the order, also later.
-    NotListening, ///< The host refuses the connection, so the process has ended; the worker has not received the order.
+    NotListening, ///< The connection is refused: the process has ended, or something on the way refuses it. The worker has not received the order.
 };
 
 /** A running task in a worker's list. */
