--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -21,6 +21,7 @@
 #include "soak/soak_services.h"
 #include "soak/soak_silences.h"
 #include "soak/soak_starvation.h"
+#include "soak/soak_takeovers.h"
 #include "soak/soak_unauthorized.h"
 
 #include <CLI/CLI.hpp>
@@ -72,6 +73,7 @@
         , replicaChecks(this->io, this->daemons, this->watch, this->checks)
         , services(this->io, this->settings.seed, this->daemons, this->manifests, this->checks)
         , silences(this->io, this->settings, this->daemons, this->workers, this->relay)
+        , takeovers(this->io, this->settings, this->daemons, this->workers, this->reach)
         , starvation(this->io, this->daemons, this->workers, this->manifests, this->checks)
         , accounts(this->io, this->settings.seed, this->manifests, this->checks)
         , accountChecks(this->accounts, this->workers, this->checks)
@@ -139,6 +141,9 @@
         } else if (this->settings.hasSilentLinks) {
             this->reach.start();
             this->startSilences();
+        } else if (this->settings.hasTakeovers) {
+            this->reach.start();
+            this->takeovers.start();
         } else if (this->settings.hasFaults) {
             this->faults.start();
             this->processFaults.start();
@@ -158,6 +163,7 @@
             this->diskFaults.stop();
             this->reach.stop();
             this->silences.stop();
+            this->takeovers.stop();
             this->capacityChanges.stop();
             this->oddReports.stop();
             this->operators.stop();
@@ -244,6 +250,9 @@
         if (this->settings.hasReachFaults || this->settings.hasReplacements || this->settings.hasSilentLinks || this->settings.hasDiskFaults) {
             this->printReach();
         }
+        if (this->settings.hasTakeovers) {
+            std::cout << "seed " << this->settings.seed << ": " << this->takeovers.rounds << " takeovers" << std::endl;
+        }
         if (this->settings.hasDiskFaults) {
             this->printRecoveries();
         }
@@ -309,6 +318,7 @@
     SoakReplicaChecks replicaChecks;
     SoakServices services;
     SoakSilences silences;
+    SoakTakeovers takeovers;
     SoakStarvation starvation;
     SoakAccounts accounts;
     SoakAccountChecks accountChecks;
@@ -352,6 +362,8 @@
     app.add_flag("--moving-queue", settings.hasMovingQueue, "add a queue whose route changes its service, and workers of both services");
     app.add_flag("--accounts", settings.hasAccounts, "configure client accounts, change them during the run, and call with wrong keys too");
     app.add_flag("--silent-links", settings.hasSilentLinks, "let open connections go silent in series, and inject no other faults in daemons");
+    app.add_flag(
+        "--takeovers", settings.hasTakeovers, "kill the leader while workers that have just restarted are cut off, and inject no other faults in daemons");
     app.add_flag("--verbose", settings.isVerbose, "print each injected fault");
     CLI11_PARSE(app, argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
--- a/tests/soak/soak_type.h
+++ b/tests/soak/soak_type.h
@@ -28,6 +28,7 @@
     bool hasMovingQueue = false; ///< A second queue, whose route changes its service; every second worker is of the second service.
     bool hasAccounts = false; ///< The manifests have client accounts, which change during the run.
     bool hasSilentLinks = false; ///< All faults are open connections that go silent.
+    bool hasTakeovers = false; ///< All faults of daemons are ends of the leader while workers that have just restarted are cut off.
     bool isVerbose = false; ///< Prints each fault as it is injected.
     std::string program; ///< Path of the fleet daemon.
     std::string diskFaultShim; ///< Path of the library that makes calls to a data folder fail.
--- a/tests/soak/soak_workers.cpp
+++ b/tests/soak/soak_workers.cpp
@@ -278,6 +278,12 @@
     }
 }
 
+void SoakWorkers::losePower(std::size_t worker)
+{
+    this->silenceConnections(worker);
+    this->crash(worker, true);
+}
+
 void SoakWorkers::restartAfter(std::size_t index, std::chrono::milliseconds delay)
 {
     const auto timer = std::make_shared<asio::steady_timer>(this->io, delay);
--- a/tests/soak/soak_workers.h
+++ b/tests/soak/soak_workers.h
@@ -37,6 +37,9 @@
     /** Ends a worker process. With restart, a new incarnation with the same name starts immediately. */
     void crash(std::size_t worker, bool restart);
 
+    /** Ends a worker process while its open connections go silent; a new incarnation with the same name starts at once. */
+    void losePower(std::size_t worker);
+
     /** Isolates a worker or reconnects it. An isolated worker sends no responses or reports, but its tasks keep running. */
     void setIsolated(std::size_t worker, bool isIsolated);
 
