Fix: a crash in the millisecond of a start counts for the task

Cause: times are in whole milliseconds. If a worker ends in the millisecond in which a start was sent to it, the start seems to have been sent to a worker that was silent already, and the crash counts for no task. Change: only a start after the first failure counts as sent to a silent worker. No start is sent then anyway, until the worker has answered again.

--- a/src/fleet/scheduler_crashes.cpp
+++ b/src/fleet/scheduler_crashes.cpp
@@ -11,7 +11,7 @@
     /** Returns whether a run has been on its worker when the process ended; false if its order never arrived, or its end was listed before. */
     bool wasOnWorker(const WorkerSession &session, const RunView &run)
     {
-        const bool wasSilentBefore = run.startSentAt && session.unresponsiveSince && *run.startSentAt >= *session.unresponsiveSince;
+        const bool wasSilentBefore = run.startSentAt && session.unresponsiveSince && *run.startSentAt > *session.unresponsiveSince;
         return run.phase != RunPhase::Proposed && run.mayHaveReachedWorker && !run.isEndProposed && !wasSilentBefore;
     }
 
--- a/tests/fleet_crash_test.cpp
+++ b/tests/fleet_crash_test.cpp
@@ -92,6 +92,54 @@
 
 } // namespace
 
+TEST_CASE("A crash in the millisecond of a start counts for the task")
+{
+    // Guards against a task that crashes each worker at once and is never given up, because its start seems to have been sent to a silent worker.
+    const FleetSimulation simulation({});
+    FleetState state = simulation.state;
+    const QueueConfig &queue = state.manifest.queues.front();
+    const WallTime wall{1'700'000'000'000};
+    const TimePoint forever{1'000'000'000};
+    const TimePoint now{20'000};
+    applyFleetCommand(state, SubmitFleetJob{"job", queue.host, queue.pathPrefix, wall, oneStepJob(1, SmallTask, {1'000})});
+    for (int i = 0; i < 3; ++i) {
+        applyFleetCommand(state, RegisterWorker{simulation.workers.at("w" + std::to_string(i))->profile, 1});
+    }
+    FleetScheduler scheduler = startScheduler({}, state, 9, 0, now, wall);
+    const auto apply = [&](const FleetCommand &command) {
+        const FleetChange change = applyFleetCommand(state, command);
+        handleApplied(scheduler, state, command, change, now, wall);
+    };
+    const auto respond = [&](const WorkerOrder &order, OrderOutcome outcome) {
+        OrderResponse response;
+        response.outcome = outcome;
+        response.hasLists = outcome == OrderOutcome::Done;
+        response.clockMs = 5'000;
+        handleResponse(scheduler, state, order.number, response, now, wall);
+    };
+    for (const WorkerOrder &order : schedulerTick(scheduler, state, now, wall, forever).orders) {
+        respond(order, OrderOutcome::Done);
+    }
+    for (const FleetCommand &command : schedulerTick(scheduler, state, now, wall, forever).propose) {
+        apply(command);
+    }
+    WorkerName crashed;
+    for (const WorkerOrder &order : schedulerTick(scheduler, state, now, wall, forever).orders) {
+        crashed = order.kind == OrderKind::Start ? order.worker : crashed;
+        respond(order, OrderOutcome::NoResponse);
+    }
+    REQUIRE(!crashed.empty());
+    WorkerProfile successor = simulation.workers.at(crashed)->profile;
+    successor.startedAtMs += 1'000;
+    apply(RegisterWorker{successor, 1});
+    std::size_t runs = 0;
+    for (const FleetCommand &command : schedulerTick(scheduler, state, now, wall, forever).propose) {
+        const auto *crash = std::get_if<RecordCrash>(&command);
+        runs += crash == nullptr ? 0 : crash->runs.size();
+    }
+    CHECK(runs == 1);
+}
+
 TEST_CASE("A task that crashes its workers is given up before it takes the whole fleet down")
 {
     SUBCASE("one task alone")
