--- a/review/lib-2/standin.h
+++ b/review/lib-2/standin.h
@@ -28,6 +28,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -472,11 +473,15 @@
     std::mutex mutex;
     std::string state = "ready";
 
-    void start(const std::string &ip)
+    /** Begins the lifetime. A port of 0 takes a free one. */
+    void start(const std::string &ip, std::uint16_t port = 0)
     {
         this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int one = 1;
+        setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
         sockaddr_in own{};
         own.sin_family = AF_INET;
+        own.sin_port = htons(port);
         inet_pton(AF_INET, ip.c_str(), &own.sin_addr);
         socklen_t size = sizeof own;
         if (::bind(this->listener, reinterpret_cast<sockaddr *>(&own), sizeof own) != 0
@@ -497,6 +502,25 @@
         }).detach();
     }
 
+    /** Ends the lifetime without a word, as a process that is killed: the ports close, and all that runs is gone. */
+    void crash()
+    {
+        const std::lock_guard guard(this->mutex);
+        this->isDown = true;
+        ::shutdown(this->listener, SHUT_RDWR);
+        ::close(this->listener);
+        for (const int fd : this->connections) {
+            ::shutdown(fd, SHUT_RDWR);
+        }
+        for (const auto &[task, index] : this->running) {
+            this->history[index].endedAt = steadyMs();
+            this->history[index].how = "crashed";
+            record.line(this->id + ": the worker crashes under " + task + " run " + std::to_string(this->history[index].run));
+        }
+        this->running.clear();
+        this->changed.notify_all();
+    }
+
     json::object reportBody()
     {
         json::object body;
@@ -529,6 +553,8 @@
     };
 
     int listener = -1;
+    std::atomic<bool> isDown{false};
+    std::set<int> connections; ///< Open connections. Under the mutex.
     std::int64_t startedAt = 0;
     std::atomic<std::int64_t> sequence{0};
     std::uint64_t highestFence = 0;
@@ -558,6 +584,9 @@
         for (;;) {
             sleepMs(5);
             const std::lock_guard guard(this->mutex);
+            if (this->isDown) {
+                return;
+            }
             std::vector<std::string> over;
             const bool hasLapsed = !this->running.empty() && this->clockMs() > this->leaseEnd;
             for (const auto &[task, index] : this->running) {
@@ -578,6 +607,9 @@
             json::object body;
             {
                 const std::lock_guard guard(this->mutex);
+                if (this->isDown) {
+                    return;
+                }
                 body = this->reportBody();
             }
             const Answer answer = controlCall(order, "PUT", "/instances/" + this->id, json::serialize(body));
@@ -592,6 +624,12 @@
     {
         for (;;) {
             const int fd = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (this->isDown) {
+                if (fd >= 0) {
+                    ::close(fd);
+                }
+                return;
+            }
             if (fd >= 0) {
                 std::thread([this, fd] {
                     this->serve(fd);
@@ -604,10 +642,18 @@
     {
         const int one = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+        {
+            const std::lock_guard guard(this->mutex);
+            if (this->isDown) {
+                ::close(fd);
+                return;
+            }
+            this->connections.insert(fd);
+        }
         std::string buffer;
         std::string head;
         std::string body;
-        while (readMessage(fd, buffer, head, body, steadyMs() + 60'000)) {
+        while (!this->isDown && readMessage(fd, buffer, head, body, steadyMs() + 60'000)) {
             int status = 200;
             std::string answer;
             const std::string expected = headerOf(head, "X-Expected-Instance");
@@ -619,10 +665,12 @@
             }
             const std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: "
                 + std::to_string(answer.size()) + "\r\n\r\n" + answer;
-            if (!sendAll(fd, text)) {
+            if (this->isDown || !sendAll(fd, text)) {
                 break;
             }
         }
+        const std::lock_guard guard(this->mutex);
+        this->connections.erase(fd);
         ::close(fd);
     }
 
@@ -658,6 +706,9 @@
         }
         const json::object &order = parsed.get_object();
         std::unique_lock lock(this->mutex);
+        if (this->isDown) {
+            return "{}"; // The connection is gone.
+        }
         const std::uint64_t fence = order.contains("fence") ? order.at("fence").to_number<std::uint64_t>() : 0;
         if (fence < this->highestFence) {
             return this->refuse(status, "fence");
@@ -719,7 +770,7 @@
         const std::int64_t waitMs = order.contains("waitMs") ? order.at("waitMs").to_number<std::int64_t>() : 0;
         const std::int64_t until = steadyMs() + std::min<std::int64_t>(waitMs, 2'000);
         const std::int64_t before = this->lastEnd;
-        while (this->ended.empty() && this->lastEnd == before && steadyMs() < until) {
+        while (!this->isDown && this->ended.empty() && this->lastEnd == before && steadyMs() < until) {
             this->changed.wait_for(lock, std::chrono::milliseconds(until - steadyMs()));
         }
         json::array runs;
