--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,6 +1,6 @@
 /**
- * @file case.cpp Two callers submit to two queues. Each numbers its submissions from 1, so that the paths differ and the ids do not. TROUBLE=0: the second
- * caller's numbers begin at 257.
+ * @file case.cpp A busy service: six of seven workers are full of work that lasts. The seventh answers the starts with 503 for some seconds, and has then done
+ * nothing. Callers ask how many submissions of their queue wait. TROUBLE=0: the seventh worker is sound.
  */
 
 #include "../lib-2/standin.h"
@@ -9,8 +9,11 @@
 
 namespace {
 
-constexpr int Submissions = 5;
-constexpr std::int64_t FinishMs = 14'000; ///< finish_s
+constexpr int Workers = 7; ///< One of them is unhealthy: a share of 0.143.
+constexpr int Submissions = 8;
+constexpr std::int64_t UnhealthyMs = 6'500;
+constexpr std::int64_t VisibleMs = 3'000; ///< visible_ms
+constexpr std::int64_t RuleMs = VisibleMs + 2'000; ///< The rule counts submissions that were accepted longer ago than that.
 
 } // namespace
 
@@ -27,66 +30,87 @@
     deployment.startAll();
     const auto controls = deployment.controls();
     controlUntilAcked(
-        controls, "PUT", "/config", manifestOf(3, {routeOf("estimate", "/estimate/", "desk"), routeOf("tender", "/tender/", "desk")}, {"desk"}), 20'000);
+        controls, "PUT", "/config", manifestOf(3, {routeOf("estimate", "/estimate/", "desk"), routeOf("watch", "/watch/", "desk")}, {"desk"}), 20'000);
     deployment.waitReady(20'000);
     std::vector<Worker *> workers;
-    for (int i = 1; i <= 3; ++i) {
+    for (int i = 0; i < Workers; ++i) {
         auto *worker = new Worker;
         worker->id = "i-worker" + std::to_string(i);
-        worker->zone = "z" + std::to_string(i);
+        worker->zone = "z" + std::to_string(i % 3 + 1);
         worker->service = "desk";
-        worker->taskMs = 600;
+        worker->taskMs = 1'000'000; // Lasts until it is stopped.
+        worker->taskMsOfSpec["estimate"] = 600;
         worker->controls = controls;
         worker->start("127.0.0.1");
         workers.push_back(worker);
     }
     sleepMs(2'500);
-
-    const auto pathOf = [](const char *prefix, int number) {
+    for (int i = 1; i < Workers; ++i) {
         char path[64];
-        std::snprintf(path, sizeof path, "%s%016x", prefix, number);
-        return std::string(path);
-    };
-    const auto submit = [&](const std::string &path, const std::string &spec) {
-        const std::string job = "{\"spec\":\"" + spec + "\",\"steps\":[{\"count\":2,\"cpu\":2000,\"memMb\":1000,\"estimatedMs\":600}]}";
-        const Answer answer = call(deployment.front(), "POST", path, "shop.example", job, 3'000);
-        record.line("POST " + path + " spec " + spec + " answered " + std::to_string(answer.status));
-        return answer.status;
-    };
-    const int firstOfSecond = hasTrouble() ? 1 : 257;
-    std::vector<std::pair<std::string, std::string>> accepted; ///< Path and spec.
+        std::snprintf(path, sizeof path, "/watch/%016x", i);
+        const std::string job = R"({"spec":"watch","steps":[{"count":1,"cpu":30000,"memMb":1000,"longRunning":true}]})";
+        const int status = call(deployment.front(), "POST", path, "shop.example", job, 3'000).status;
+        record.line(std::string("POST ") + path + " answered " + std::to_string(status));
+        if (status != 200) {
+            giveUp("a submission was not accepted");
+        }
+    }
+    sleepMs(2'000);
+    Worker *empty = nullptr;
+    std::size_t full = 0;
+    for (Worker *worker : workers) {
+        const std::lock_guard guard(worker->mutex);
+        full += worker->history.empty() ? 0 : 1;
+        empty = worker->history.empty() ? worker : empty;
+    }
+    if (full != Workers - 1 || empty == nullptr) {
+        giveUp("the lasting work did not fill six workers");
+    }
+
+    empty->refusesStarts = hasTrouble();
+    const std::int64_t unhealthyUntil = steadyMs() + UnhealthyMs;
+    std::vector<std::int64_t> acceptedAt;
     for (int i = 0; i < Submissions; ++i) {
-        for (const bool isSecond : {false, true}) {
-            const std::string path = isSecond ? pathOf("/tender/", firstOfSecond + i) : pathOf("/estimate/", 1 + i);
-            const std::string spec = (isSecond ? "tender-" : "estimate-") + std::to_string(i);
-            if (submit(path, spec) == 200) {
-                accepted.emplace_back(path, spec);
-            }
-            sleepMs(100);
+        char path[64];
+        std::snprintf(path, sizeof path, "/estimate/%016x", 0x100 + i);
+        const std::string job = R"({"spec":"estimate","steps":[{"count":1,"cpu":4000,"memMb":1000,"estimatedMs":600}]})";
+        const int status = call(deployment.front(), "POST", path, "shop.example", job, 3'000).status;
+        record.line(std::string("POST ") + path + " answered " + std::to_string(status));
+        if (status == 200) {
+            acceptedAt.push_back(steadyMs());
         }
     }
-    sleepMs(FinishMs);
+    if (acceptedAt.size() != Submissions) {
+        giveUp("a submission was not accepted");
+    }
 
-    std::size_t broken = 0;
-    for (const auto &[path, spec] : accepted) {
-        std::size_t begun = 0;
+    std::size_t wrong = 0;
+    while (steadyMs() < unhealthyUntil) {
+        std::set<std::string> begun;
         for (Worker *worker : workers) {
             const std::lock_guard guard(worker->mutex);
             for (const WorkerRun &run : worker->history) {
-                begun += run.spec == spec ? 1 : 0;
+                if (run.spec == "estimate") {
+                    begun.insert(run.task);
+                }
             }
         }
-        const Answer answer = call(deployment.front(), "GET", path, "shop.example", {}, 3'000);
-        record.line("GET " + path + " answered " + std::to_string(answer.status) + " " + answer.body + "; runs of spec " + spec + ": " + std::to_string(begun));
-        if (begun == 0) {
-            ++broken;
-            record.line(std::string("MIXED: the submission ") + path + " was accepted, none of its tasks has begun, and it is shown as " + answer.body);
+        const std::int64_t askedAt = steadyMs();
+        const Answer answer = call(deployment.front(), "GET", "/estimate/", "shop.example", {}, 1'000);
+        std::size_t notBegun = acceptedAt.size() - begun.size();
+        record.line("GET /estimate/ answered " + std::to_string(answer.status) + " " + answer.body + "; accepted and not begun: " + std::to_string(notBegun));
+        if (answer.status == 200 && askedAt - acceptedAt.back() > RuleMs) {
+            const std::int64_t waiting = json::parse(answer.body).as_object().at("waiting").to_number<std::int64_t>();
+            if (2 * waiting < static_cast<std::int64_t>(notBegun)) {
+                ++wrong;
+                record.line("MIXED: given as waiting: " + std::to_string(waiting) + ", accepted over " + std::to_string(RuleMs)
+                            + " ms before and not begun: " + std::to_string(notBegun));
+            }
         }
+        sleepMs(250);
     }
-    if (accepted.empty()) {
-        giveUp("no submission was accepted");
-    }
+    empty->refusesStarts = false;
     deployment.stopAll();
-    record.line(broken > 0 ? "the rule was broken" : "the rule held");
-    std::_Exit(broken > 0 ? 1 : 0);
+    record.line(wrong > 0 ? "the rule was broken" : "the rule held");
+    std::_Exit(wrong > 0 ? 1 : 0);
 }
--- a/review/lib-2/standin.h
+++ b/review/lib-2/standin.h
@@ -466,12 +466,14 @@
     std::int64_t born = 0;
     std::int64_t cpu = 32'000;
     std::int64_t memMb = 128'000;
-    std::int64_t taskMs = 1'000; ///< How long each task works.
+    std::int64_t taskMs = 1'000; ///< How long each task works, ...
+    std::map<std::string, std::int64_t> taskMsOfSpec; ///< ... unless its `spec` is named here.
     std::vector<std::string> controls;
     std::function<void(const WorkerRun &)> began; ///< Told of each run that begins.
     std::vector<WorkerRun> history; ///< All runs, in the order in which they began. Under the mutex.
     std::mutex mutex;
     std::string state = "ready";
+    std::atomic<bool> refusesStarts{false}; ///< Answers starts with 503, and does nothing.
 
     /** Begins the lifetime. A port of 0 takes a free one. */
     void start(const std::string &ip, std::uint16_t port = 0)
@@ -748,9 +750,16 @@
             return this->refuse(status, "late");
         }
         this->takeDeadline(order);
+        if (this->refusesStarts) {
+            status = 503;
+            record.line(this->id + ": refuses " + task + " run " + std::to_string(run));
+            return this->reply({});
+        }
         const std::int64_t now = steadyMs();
         this->running[task] = this->history.size();
-        this->history.push_back({task, run, now, now + this->taskMs, -1, {}, std::string(order.at("spec").as_string())});
+        const std::string spec(order.at("spec").as_string());
+        const auto named = this->taskMsOfSpec.find(spec);
+        this->history.push_back({task, run, now, now + (named == this->taskMsOfSpec.end() ? this->taskMs : named->second), -1, {}, spec});
         record.line(this->id + ": run begins " + task + " run " + std::to_string(run) + " spec " + this->history.back().spec.substr(0, 40));
         if (this->began) {
             this->began(this->history.back());
@@ -776,7 +785,7 @@
         json::array runs;
         for (const auto &[task, index] : this->running) {
             const WorkerRun &run = this->history[index];
-            const std::int64_t percent = std::min<std::int64_t>(99, (steadyMs() - run.beganAt) * 100 / std::max<std::int64_t>(1, this->taskMs));
+            const std::int64_t percent = std::min<std::int64_t>(99, (steadyMs() - run.beganAt) * 100 / std::max<std::int64_t>(1, run.endsAt - run.beganAt));
             runs.push_back(json::array{task, run.run, "", percent, 0});
         }
         json::array ends;
