--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
 /**
- * @file case.cpp Callers at an ordinary rate; a third of them submit large jobs and cancel them just after the acknowledgement. A stand-in of the
- * platform ends a process that uses more than its memoryMb, and starts it again, as DEPLOY.md tells. TROUBLE=0 cancels nothing.
+ * @file case.cpp A burst of 6 s: a third of the callers submit large jobs and cancel them just after the acknowledgement. Then small jobs at an ordinary
+ * rate. A stand-in of the platform ends a process that uses more than its memoryMb, and starts it again, as DEPLOY.md tells. TROUBLE=0 cancels nothing.
  */
 
 #include "../lib-2/standin.h"
@@ -11,6 +11,8 @@
 
 constexpr std::int64_t TrafficMs = 24'000;
 constexpr std::int64_t IntervalMs = 90; ///< 11.1 submissions a second; the site's sheet has 11.4.
+constexpr std::int64_t BurstMs = 6'000; ///< Length of the burst, and of the time in which callers cancel.
+constexpr std::int64_t BurstIntervalMs = 50; ///< 20 a second in the burst: x 1.8.
 constexpr int LargeTasks = 20'000; ///< Tasks of each of the five steps of a large job.
 constexpr std::int64_t FinishMs = 14'000; ///< finish_s
 constexpr std::int64_t RestartMs = 1'000;
@@ -106,14 +108,16 @@
     std::vector<std::string> kept; ///< Accepted submissions that nobody cancels.
     std::size_t cancelled = 0;
     const std::int64_t start = steadyMs();
+    std::int64_t due = start;
     for (int i = 0; steadyMs() - start < TrafficMs; ++i) {
-        const std::int64_t due = start + i * IntervalMs;
         if (steadyMs() < due) {
             sleepMs(due - steadyMs());
         }
+        const bool isBurst = steadyMs() - start < BurstMs;
+        due += isBurst ? BurstIntervalMs : IntervalMs;
         char path[64];
         std::snprintf(path, sizeof path, "/estimate/%016x", 0xa000 + i);
-        const bool isLarge = i % 3 == 0;
+        const bool isLarge = isBurst && i % 3 == 0;
         const Answer answer = call(deployment.front(), "POST", path, "shop.example", isLarge ? large : small, 1'500);
         ++answers[answer.status];
         record.line(std::string("POST ") + path + (isLarge ? " large" : " small") + " answered " + std::to_string(answer.status));
