Fix: ended jobs and complete occurrences are released, and what is kept of them is bounded

Cause: a job that had ended stayed in the replicated state whole, with a record for each task, for the retention time of 600 s. The admission counted open jobs only, and gave the bytes back at the end of a job.

Change: the end of a job releases its payload and all tasks but those of steps with runs that workers still have; the end of these runs leaves id, queue, account, state and time, which are kept for the retention time as before. Complete occurrences are released. Each replica counts what callers make it hold (StateMemory); the admission counts jobs until their runs have ended, and what is kept of ended jobs and of cancellations of unknown jobs against /jobs/endedMegabytes. Beyond it submissions and such cancellations are refused at once with Retry-After. Occurrences beyond the reserved ones open only while memory is left. Proposed starts of an ended job are dropped from the sessions.

--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -15,6 +15,7 @@
 #include "fleet/worker_session.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +34,7 @@
     Duration restoreTime{250}; ///< Time that a task needs to resume from a checkpoint.
     std::int64_t farFactor = 2; ///< Factor by which tasks run longer outside of the rack of their data.
     Duration paceDelay{100}; ///< Time until a changed speed limit takes effect.
+    std::size_t openJobsBytes = std::numeric_limits<std::size_t>::max(); ///< Memory of jobs above which occurrences wait that have no memory reserved.
     Duration harmLimit{4'000}; ///< Maximum time for which tasks that use spare capacity may keep a long-running task over its latency target.
 };
 
@@ -50,7 +52,6 @@
     TimePoint acceptedAt;
     TimePoint objectiveDeadline; ///< Time by which the job must complete to meet its latency objective.
     std::vector<double> taskSeconds; ///< Expected CPU seconds of a task of each step.
-    std::size_t bytes = 0; ///< Estimated memory use of the job on each replica.
     std::optional<TimePoint> idleSince; ///< Time since which the job has had nothing running although a step was ready; nothing while something runs.
     bool hasSuspects = false; ///< Workers have crashed under tasks of the job, so that these are placed in another way than like ones.
     std::uint32_t openedOccurrences = 0; ///< Occurrences that are open, or whose opening has been proposed.
@@ -98,7 +99,6 @@
     TimePoint since; ///< Start of the leadership.
     std::map<IncarnationNumber, WorkerSession> sessions; ///< Sessions with all incarnations that have not ended.
     std::map<JobNumber, JobView> jobs; ///< Jobs that have not ended.
-    std::size_t openBytes = 0; ///< Total memory of these jobs.
     std::map<TaskRef, FailedRun> failedRuns; ///< Latest failed run of each task; the next run is placed on another worker where possible.
     std::map<TaskRef, IncarnationNumber> proposedStarts; ///< Workers of the proposed starts that are not applied yet.
     std::map<std::uint64_t, PendingOrder> pendingOrders; ///< Orders without a response, by order number.
--- a/src/fleet/fleet_snapshot.cpp
+++ b/src/fleet/fleet_snapshot.cpp
@@ -1,90 +1,111 @@
-/** @file fleet_snapshot.cpp Encoding of the replicated state for snapshots. */
+/**
+ * @file fleet_snapshot.cpp Encoding of the replicated state for snapshots.
+ *
+ * A snapshot may be a large part of the memory of a replica. It is encoded without a copy of the state. It is decoded job by job, and what is not
+ * needed of an ended job is released before the next one, since earlier versions kept all tasks of ended jobs.
+ */
 
 #include "core/bounded_archive.h"
 #include "fleet/fleet_state_detail.h"
+#include "fleet/state_memory.h"
 
 namespace Filbertlanding {
 
 namespace {
 
-    constexpr char SnapshotVersion = AccountFormat; ///< First byte of every snapshot.
+    constexpr char SnapshotVersion = EndedJobFormat; ///< First byte of every snapshot.
     constexpr char OldestSnapshotVersion = 2; ///< Oldest version that can be read.
 
-    /** Content of a snapshot. The lookup tables by name are rebuilt when it is decoded. */
-    struct StoredState {
-        FleetManifest manifest;
-        std::vector<ZoneName> drainedZones;
-        std::map<IncarnationNumber, WorkerIncarnation> incarnations;
-        std::map<JobNumber, FleetJob> jobs;
-        std::map<JobId, EarlyCancellation> cancelledBeforeSubmission;
-        std::map<std::uint64_t, MaintenanceWave> waves;
-        std::string learnedModel;
-        JobNumber lastJobNumber = 0;
-        IncarnationNumber lastIncarnationNumber = 0;
-        Duration retentionClock;
+    /** Writes a state. */
+    struct StateWriter {
+        const FleetState &state;
 
         template<class Archive>
-        void serialize(Archive &archive)
+        void save(Archive &archive) const
         {
-            archive(this->manifest,
-                    this->drainedZones,
-                    this->incarnations,
-                    this->jobs,
-                    this->cancelledBeforeSubmission,
-                    this->waves,
-                    this->learnedModel,
-                    this->lastJobNumber,
-                    this->lastIncarnationNumber);
+            const std::vector<ZoneName> drainedZones(this->state.drainedZones.begin(), this->state.drainedZones.end());
+            archive(this->state.manifest, drainedZones, this->state.incarnations, this->state.jobs, this->state.cancelledBeforeSubmission);
+            archive(this->state.waves, this->state.learnedModel, this->state.lastJobNumber, this->state.lastIncarnationNumber, this->state.retentionClock);
+            archive(this->state.endedJobs);
+        }
+    };
+
+    /** Reads a state of any supported version. The lookup tables and other derived fields are rebuilt. */
+    struct StateReader {
+        FleetState &state;
+
+        template<class Archive>
+        void load(Archive &archive)
+        {
+            std::vector<ZoneName> drainedZones;
+            archive(this->state.manifest, drainedZones, this->state.incarnations);
+            this->state.drainedZones.insert(drainedZones.begin(), drainedZones.end());
+            this->loadJobs(archive);
+            archive(this->state.cancelledBeforeSubmission, this->state.waves, this->state.learnedModel);
+            archive(this->state.lastJobNumber, this->state.lastIncarnationNumber);
             if (archive.hasFieldsOf(RetentionClockFormat)) {
-                archive(this->retentionClock);
+                archive(this->state.retentionClock);
+            }
+            if (archive.hasFieldsOf(EndedJobFormat)) {
+                archive(this->state.endedJobs);
+            }
+        }
+
+    private:
+        /** Reads the jobs one by one; the encoding is that of a map. */
+        template<class Archive>
+        void loadJobs(Archive &archive)
+        {
+            for (auto left = archive.readSize(); left > 0; --left) {
+                JobNumber number = 0;
+                FleetJob job;
+                archive(number, job);
+                releaseTasks(job);
+                if (!this->state.jobs.try_emplace(number, std::move(job)).second) {
+                    throw cereal::Exception("a job is there twice");
+                }
             }
         }
     };
 
+    /** Rebuilds what is derived from the decoded fields. */
+    void restoreDerivedFields(FleetState &state)
+    {
+        for (const auto &[number, incarnation] : state.incarnations) {
+            // Incarnations are numbered in order of registration, so the last one of each worker wins.
+            state.latestIncarnation[incarnation.profile.worker] = number;
+        }
+        for (auto &[number, job] : state.jobs) {
+            state.jobNumbers[job.id] = number;
+            job.memoryBytes = estimateHeldMemory(job);
+            if (hasEnded(job.state)) {
+                state.endingJobs.insert(number);
+            }
+        }
+        for (const auto &[number, job] : state.endedJobs) {
+            state.jobNumbers[job.id] = number;
+            state.endedOrder.insert({job.endedOnClock, number});
+        }
+        state.accountUsage = countAccountUsage(state);
+        state.memory = estimateStateMemory(state);
+    }
+
 } // namespace
 
 std::string encodeFleetState(const FleetState &state)
 {
-    StoredState stored;
-    stored.manifest = state.manifest;
-    stored.drainedZones.assign(state.drainedZones.begin(), state.drainedZones.end());
-    stored.incarnations = state.incarnations;
-    stored.jobs = state.jobs;
-    stored.cancelledBeforeSubmission = state.cancelledBeforeSubmission;
-    stored.waves = state.waves;
-    stored.learnedModel = state.learnedModel;
-    stored.lastJobNumber = state.lastJobNumber;
-    stored.lastIncarnationNumber = state.lastIncarnationNumber;
-    stored.retentionClock = state.retentionClock;
-    return encodeVersioned(SnapshotVersion, stored);
+    return encodeVersioned(SnapshotVersion, StateWriter{state});
 }
 
 ResultCode decodeFleetState(std::string_view bytes, FleetState &state)
 {
-    StoredState stored;
-    const ResultCode code = decodeVersioned(OldestSnapshotVersion, SnapshotVersion, bytes, stored);
+    FleetState next;
+    StateReader reader{next};
+    const ResultCode code = decodeVersioned(OldestSnapshotVersion, SnapshotVersion, bytes, reader);
     if (code != ResultCode::Ok) {
         return code;
     }
-    FleetState next;
-    next.manifest = std::move(stored.manifest);
-    next.drainedZones.insert(stored.drainedZones.begin(), stored.drainedZones.end());
-    next.incarnations = std::move(stored.incarnations);
-    next.jobs = std::move(stored.jobs);
-    next.cancelledBeforeSubmission = std::move(stored.cancelledBeforeSubmission);
-    next.waves = std::move(stored.waves);
-    next.learnedModel = std::move(stored.learnedModel);
-    next.lastJobNumber = stored.lastJobNumber;
-    next.lastIncarnationNumber = stored.lastIncarnationNumber;
-    next.retentionClock = stored.retentionClock;
-    for (const auto &[number, incarnation] : next.incarnations) {
-        // Incarnations are numbered in order of registration, so the last one of each worker wins.
-        next.latestIncarnation[incarnation.profile.worker] = number;
-    }
-    for (const auto &[number, job] : next.jobs) {
-        next.jobNumbers[job.id] = number;
-    }
-    next.accountUsage = countAccountUsage(next);
+    restoreDerivedFields(next);
     state = std::move(next);
     return ResultCode::Ok;
 }
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -100,7 +100,11 @@
         },
         command);
     for (const JobNumber number : change.endedJobs) {
-        state.jobs.at(number).endedOnClock = state.retentionClock;
+        FleetJob &job = state.jobs.at(number);
+        job.endedOnClock = state.retentionClock;
+        state.endingJobs.insert(number);
+        releaseTasks(job);
+        updateJobMemory(state, job);
     }
     return change;
 }
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Filbertlanding {
@@ -16,6 +17,7 @@
 constexpr char CrashHistoryFormat = 3; ///< First format version of snapshots with the history of crashes and the reason of a failure.
 constexpr char ReportSequenceFormat = 4; ///< First format version of snapshots with the sequence numbers of reports.
 constexpr char RetentionClockFormat = 5; ///< First format version of snapshots with the retention clock.
+constexpr char EndedJobFormat = 7; ///< First format version of snapshots that list ended jobs apart from the others.
 
 /** A run that may be executing on a worker. */
 struct ActiveRun {
@@ -87,11 +89,12 @@
     FleetJobState state = FleetJobState::Queued;
     WallTime acceptedAt;
     WallTime endedAt;
-    std::map<std::uint32_t, Occurrence> occurrences; ///< Open and completed occurrences; only occurrence 0 for a job that runs once.
+    std::map<std::uint32_t, Occurrence> occurrences; ///< Occurrences that are not complete, or on whose tasks workers may still work.
     std::uint32_t completeCount = 0; ///< Number of completed occurrences.
     JobFailure failure = JobFailure::None; ///< Why the job has failed.
     Duration endedOnClock; ///< Retention clock when the job ended.
     AccountTerms account; ///< Account that submitted the job, with its terms as of the latest manifest that contains it; no name for none.
+    std::size_t memoryBytes = 0; ///< Estimated memory use. Derived from the other fields, not part of snapshots.
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -110,6 +113,40 @@
     }
 };
 
+/** Account and queue of a job. */
+struct JobOrigin {
+    AccountName account; ///< Account that submitted the job; empty for none.
+    std::string host; ///< Host name of the queue.
+    std::string pathPrefix; ///< Path prefix of the queue.
+
+    bool operator==(const JobOrigin &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->account, this->host, this->pathPrefix);
+    }
+};
+
+/** What is kept of an ended job whose runs have all ended: its callers may still ask for its state, submit it again or cancel it. */
+struct EndedJob {
+    JobNumber number = 0;
+    JobId id;
+    JobOrigin origin;
+    FleetJobState state = FleetJobState::Completed;
+    JobFailure failure = JobFailure::None; ///< Why the job has failed.
+    WallTime endedAt;
+    Duration endedOnClock; ///< Retention clock when the job ended.
+
+    bool operator==(const EndedJob &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->number, this->id, this->origin, this->state, this->failure, this->endedAt, this->endedOnClock);
+    }
+};
+
 /** A cancellation that arrived before the submission of its job. */
 struct EarlyCancellation {
     WallTime at;
@@ -174,17 +211,30 @@
     }
 };
 
+/** Estimated memory use of what callers have made the state hold, in bytes. */
+struct StateMemory {
+    std::size_t jobs = 0; ///< Jobs that have not ended, and ended ones whose runs workers may still have.
+    std::size_t endedJobs = 0; ///< What is kept of the other ended jobs.
+    std::size_t cancellations = 0; ///< Cancellations that arrived before their submission.
+
+    bool operator==(const StateMemory &) const = default;
+};
+
 /** The replicated state of the fleet. */
 struct FleetState {
     FleetManifest manifest;
     std::set<ZoneName> drainedZones;
     std::map<IncarnationNumber, WorkerIncarnation> incarnations; ///< Incarnations that may still have active runs, and the latest incarnation of each worker.
     std::map<WorkerName, IncarnationNumber> latestIncarnation;
-    std::map<JobNumber, FleetJob> jobs;
-    std::map<JobId, JobNumber> jobNumbers;
+    std::map<JobNumber, FleetJob> jobs; ///< Jobs that have not ended, and ended ones until an advance of the retention clock after the end of their runs.
+    std::set<JobNumber> endingJobs; ///< The ended jobs among them. Derived, not part of snapshots.
+    std::map<JobNumber, EndedJob> endedJobs; ///< Ended jobs until their retention time has passed.
+    std::set<std::pair<Duration, JobNumber>> endedOrder; ///< Their numbers in the order of their ends. Derived, not part of snapshots.
+    std::map<JobId, JobNumber> jobNumbers; ///< Numbers of all jobs that are known.
     std::map<JobId, EarlyCancellation> cancelledBeforeSubmission; ///< Jobs cancelled before their submission arrived, so that a late submission does not run.
     std::map<std::uint64_t, MaintenanceWave> waves;
     AccountUsage accountUsage; ///< Requests of all active runs by account. Derived from the jobs, not part of snapshots.
+    StateMemory memory; ///< Derived, not part of snapshots.
     std::string learnedModel; ///< Encoded model saved by the latest leader; empty if none has been saved.
     JobNumber lastJobNumber = 0;
     IncarnationNumber lastIncarnationNumber = 0;
--- a/src/fleet/fleet_state_detail.h
+++ b/src/fleet/fleet_state_detail.h
@@ -19,6 +19,21 @@
 FleetChange apply(FleetState &state, const RegisterWorker &command);
 FleetChange apply(FleetState &state, const EndIncarnation &command);
 
+/** Returns what is kept of an ended job. */
+EndedJob reduceJob(FleetJob job);
+
+/** Adds what is kept of an ended job. Its id must be in the table of job numbers. */
+void addEndedJob(FleetState &state, EndedJob job);
+
+/** Releases the payload and the tasks of a job that has ended, and the complete occurrences of another one, except for tasks with active runs. */
+void releaseTasks(FleetJob &job);
+
+/** Releases what the end of a run has left without use: of an ended job, and of complete occurrences of another one. */
+void releaseAfterRun(FleetState &state, FleetJob &job);
+
+/** Updates the estimated memory use after a change of a job's tasks. */
+void updateJobMemory(FleetState &state, FleetJob &job);
+
 /** Removes ended jobs by the time of day, as logs of earlier versions ask for. */
 void removeJobsByWallTime(FleetState &state, WallTime now);
 
--- a/src/fleet/fleet_state_func.h
+++ b/src/fleet/fleet_state_func.h
@@ -6,6 +6,7 @@
 #include "fleet/fleet_command.h"
 #include "fleet/fleet_state_base.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -35,9 +36,25 @@
 /** Returns whether the workers of a service enforce their capacity themselves; false if the manifest does not contain the service. */
 bool enforcesCapacity(const FleetManifest &manifest, const ServiceName &service);
 
-/** Returns the job with an id, or nullptr. */
+/** What callers may learn of a job that is known. */
+struct JobStatus {
+    FleetJobState state = FleetJobState::Queued;
+    JobFailure failure = JobFailure::None; ///< Why the job has failed.
+    JobOrigin origin;
+};
+
+/** Returns the job with an id if it is held in full: it has not ended, or its end is recent. Returns nullptr otherwise. */
 const FleetJob *findJob(const FleetState &state, const JobId &id);
 
+/** Returns the status of the job with an id; nothing if it is not known, or no longer. */
+std::optional<JobStatus> findJobStatus(const FleetState &state, const JobId &id);
+
+/** Returns a task of a job; nullptr if there is none, or its occurrence is no longer held because it is complete. */
+const TaskRecord *findTask(const FleetJob &job, const TaskRef &ref);
+
+/** Returns the number of occurrences that have been opened, complete ones included. */
+std::uint32_t countOpenedOccurrences(const FleetJob &job);
+
 /** Returns whether a step is not complete and all steps that it depends on are. */
 bool isStepReady(const FleetJob &job, const Occurrence &occurrence, std::uint32_t step);
 
--- a/src/fleet/fleet_state_jobs.cpp
+++ b/src/fleet/fleet_state_jobs.cpp
@@ -2,6 +2,7 @@
 
 #include "account/account_check.h"
 #include "fleet/fleet_state_detail.h"
+#include "fleet/state_memory.h"
 
 #include <algorithm>
 
@@ -40,13 +41,16 @@
     /** Records a cancellation for the caller's account only, so that it cannot cancel a later job of another one. */
     void recordEarlyCancellation(FleetState &state, const CancelFleetJob &command)
     {
-        EarlyCancellation &cancellation = state.cancelledBeforeSubmission[command.id];
+        const auto [entry, isNew] = state.cancelledBeforeSubmission.try_emplace(command.id);
+        EarlyCancellation &cancellation = entry->second;
+        state.memory.cancellations -= isNew ? 0 : estimateCancellationMemory(command.id, cancellation);
         cancellation.at = command.at;
         cancellation.onClock = state.retentionClock;
         auto &accounts = cancellation.accounts;
         if (std::find(accounts.begin(), accounts.end(), command.account) == accounts.end()) {
             accounts.push_back(command.account);
         }
+        state.memory.cancellations += estimateCancellationMemory(command.id, cancellation);
     }
 
     /** Removes the cancellation that arrived before a submission. Returns whether the account of the submission had cancelled the job. */
@@ -58,6 +62,7 @@
         }
         const auto &accounts = found->second.accounts;
         const bool counts = !state.manifest.hasAccounts || std::find(accounts.begin(), accounts.end(), command.account) != accounts.end();
+        state.memory.cancellations -= estimateCancellationMemory(command.id, found->second);
         state.cancelledBeforeSubmission.erase(found);
         return counts;
     }
@@ -114,6 +119,7 @@
     if (job.spec.repeatCount == 0) {
         openOccurrence(job, 0, state.appliedAt);
     }
+    updateJobMemory(state, job);
     if (takeEarlyCancellation(state, command)) {
         endJob(job, FleetJobState::Cancelled, command.at, change);
     }
@@ -132,7 +138,11 @@
         return change;
     }
     change.job = known->second;
-    FleetJob &job = state.jobs.at(known->second);
+    const auto open = state.jobs.find(known->second);
+    if (open == state.jobs.end()) {
+        return change;
+    }
+    FleetJob &job = open->second;
     if (!hasEnded(job.state) && mayCancel(state.manifest, job, command.account)) {
         change.isApplied = true;
         endJob(job, FleetJobState::Cancelled, command.at, change);
@@ -148,10 +158,12 @@
         return change;
     }
     FleetJob &job = found->second;
-    if (command.occurrence >= job.spec.repeatCount || job.occurrences.contains(command.occurrence)) {
+    // Occurrences are opened in their order. Complete ones are no longer held, so that their number alone tells that they have been opened.
+    if (command.occurrence >= job.spec.repeatCount || command.occurrence != countOpenedOccurrences(job)) {
         return change;
     }
     openOccurrence(job, command.occurrence, state.appliedAt);
+    updateJobMemory(state, job);
     change.isApplied = true;
     change.job = command.job;
     return change;
--- a/src/fleet/fleet_state_query.cpp
+++ b/src/fleet/fleet_state_query.cpp
@@ -27,8 +27,43 @@
 
 const FleetJob *findJob(const FleetState &state, const JobId &id)
 {
-    const auto found = state.jobNumbers.find(id);
-    return found == state.jobNumbers.end() ? nullptr : &state.jobs.at(found->second);
+    const auto number = state.jobNumbers.find(id);
+    if (number == state.jobNumbers.end()) {
+        return nullptr;
+    }
+    const auto job = state.jobs.find(number->second);
+    return job == state.jobs.end() ? nullptr : &job->second;
+}
+
+std::optional<JobStatus> findJobStatus(const FleetState &state, const JobId &id)
+{
+    if (const FleetJob *job = findJob(state, id)) {
+        return JobStatus{job->state, job->failure, {job->account.name, job->host, job->pathPrefix}};
+    }
+    const auto number = state.jobNumbers.find(id);
+    if (number == state.jobNumbers.end()) {
+        return std::nullopt;
+    }
+    const EndedJob &ended = state.endedJobs.at(number->second);
+    return JobStatus{ended.state, ended.failure, ended.origin};
+}
+
+const TaskRecord *findTask(const FleetJob &job, const TaskRef &ref)
+{
+    const auto occurrence = job.occurrences.find(ref.occurrence);
+    if (occurrence == job.occurrences.end() || ref.step >= occurrence->second.steps.size()) {
+        return nullptr;
+    }
+    const std::vector<TaskRecord> &tasks = occurrence->second.steps[ref.step].tasks;
+    return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+}
+
+std::uint32_t countOpenedOccurrences(const FleetJob &job)
+{
+    const auto incomplete = std::count_if(job.occurrences.begin(), job.occurrences.end(), [](const auto &item) {
+        return !item.second.isComplete;
+    });
+    return job.completeCount + static_cast<std::uint32_t>(incomplete);
 }
 
 bool isStepReady(const FleetJob &job, const Occurrence &occurrence, std::uint32_t step)
--- a/src/fleet/fleet_state_runs.cpp
+++ b/src/fleet/fleet_state_runs.cpp
@@ -177,6 +177,7 @@
         task.idleSince = state.appliedAt;
     }
     applyOutcome(job, command.task, step, task, command, change);
+    releaseAfterRun(state, job);
     return change;
 }
 
--- a/src/fleet/fleet_state_workers.cpp
+++ b/src/fleet/fleet_state_workers.cpp
@@ -70,6 +70,7 @@
     change.endedIncarnations.push_back(command.incarnation);
     for (auto &[number, job] : state.jobs) {
         removeRunsOn(state, job, command.incarnation);
+        releaseAfterRun(state, job);
     }
     found->second.hasEnded = true;
     if (state.latestIncarnation.at(found->second.profile.worker) != command.incarnation) {
--- a/src/fleet/held_tasks.cpp
+++ b/src/fleet/held_tasks.cpp
@@ -26,8 +26,12 @@
     /** Returns the tasks of a step without a run: of a long-running one all, of another one the suspects that are held. */
     std::vector<IdleTask> findIdleTasks(const FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, TimePoint now)
     {
-        const std::vector<TaskRecord> &tasks = job.occurrences.at(step.occurrence).steps[step.step].tasks;
         std::vector<IdleTask> idle;
+        const auto occurrence = job.occurrences.find(step.occurrence);
+        if (occurrence == job.occurrences.end()) {
+            return idle;
+        }
+        const std::vector<TaskRecord> &tasks = occurrence->second.steps[step.step].tasks;
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
             const TaskRecord &task = tasks[index];
             if (task.isDone || !task.active.empty()) {
--- a/src/fleet/scheduler_applied.cpp
+++ b/src/fleet/scheduler_applied.cpp
@@ -26,6 +26,24 @@
         }
     }
 
+    /** Drops the proposed starts of a job that has ended. They will be rejected, and its tasks are no longer held. */
+    void dropProposedStarts(FleetScheduler &scheduler, JobNumber job)
+    {
+        const auto first = scheduler.proposedStarts.lower_bound({job, 0, 0, 0});
+        const auto last = scheduler.proposedStarts.lower_bound({job + 1, 0, 0, 0});
+        for (auto proposed = first; proposed != last; ++proposed) {
+            const auto session = scheduler.sessions.find(proposed->second);
+            if (session == scheduler.sessions.end()) {
+                continue;
+            }
+            const auto run = session->second.runs.find(proposed->first);
+            if (run != session->second.runs.end() && run->second.phase == RunPhase::Proposed) {
+                removeRun(session->second, proposed->first);
+            }
+        }
+        scheduler.proposedStarts.erase(first, last);
+    }
+
     void stopJob(FleetScheduler &scheduler, const FleetJob &job, TimePoint now)
     {
         forEachTask(job, [&scheduler, now](const TaskRef &ref, const TaskRecord &task) {
@@ -36,15 +54,7 @@
     const TaskRecord *findTask(const FleetState &state, const TaskRef &ref)
     {
         const auto job = state.jobs.find(ref.job);
-        if (job == state.jobs.end()) {
-            return nullptr;
-        }
-        const auto occurrence = job->second.occurrences.find(ref.occurrence);
-        if (occurrence == job->second.occurrences.end() || ref.step >= occurrence->second.steps.size()) {
-            return nullptr;
-        }
-        const auto &tasks = occurrence->second.steps[ref.step].tasks;
-        return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+        return job == state.jobs.end() ? nullptr : findTask(job->second, ref);
     }
 
     /** Adds the run of a committed start that an earlier scheduler of the same term has proposed. That one has sent no order for it, so this one does. */
@@ -106,8 +116,10 @@
             return;
         }
         ++worker.consecutiveFailures;
-        FailedRun &failed = scheduler.failedRuns[end.task];
-        failed = {end.incarnation, now, failed.failures + 1};
+        if (scheduler.jobs.contains(end.task.job)) {
+            FailedRun &failed = scheduler.failedRuns[end.task];
+            failed = {end.incarnation, now, failed.failures + 1};
+        }
         if (worker.consecutiveFailures > ToleratedFailures) {
             const unsigned steps = std::min(worker.consecutiveFailures - ToleratedFailures, MaxBackoffSteps);
             const Duration backoff = BackoffStep * static_cast<std::int64_t>(steps);
@@ -280,6 +292,7 @@
     }
     for (const JobNumber job : change.endedJobs) {
         removeJob(scheduler, job);
+        dropProposedStarts(scheduler, job);
         stopJob(scheduler, state.jobs.at(job), now);
     }
 }
--- a/src/fleet/scheduler_jobs.cpp
+++ b/src/fleet/scheduler_jobs.cpp
@@ -1,6 +1,5 @@
 /** @file scheduler_jobs.cpp Adds and removes the scheduling data of jobs. */
 
-#include "fleet/job_admission.h"
 #include "fleet/scheduler_detail.h"
 
 #include <algorithm>
@@ -28,10 +27,8 @@
     constexpr std::int64_t MaxAgeMs = 120'000;
     const std::int64_t age = std::clamp<std::int64_t>(wall.ms - job.acceptedAt.ms, 0, MaxAgeMs);
     view.acceptedAt = now - Duration{age};
-    view.bytes = estimateJobMemory(job.spec);
     view.hasSuspects = hasCrashSuspects(job);
     refreshJobView(scheduler, job, view);
-    scheduler.openBytes += view.bytes;
     return scheduler.jobs[job.number] = std::move(view);
 }
 
@@ -43,11 +40,7 @@
     scheduler.migrationCounts.erase(scheduler.migrationCounts.lower_bound(first), scheduler.migrationCounts.lower_bound(last));
     scheduler.migratingTasks.erase(scheduler.migratingTasks.lower_bound(first), scheduler.migratingTasks.lower_bound(last));
     scheduler.heldSuspects.erase(scheduler.heldSuspects.lower_bound(first), scheduler.heldSuspects.lower_bound(last));
-    const auto view = scheduler.jobs.find(job);
-    if (view != scheduler.jobs.end()) {
-        scheduler.openBytes -= view->second.bytes;
-        scheduler.jobs.erase(view);
-    }
+    scheduler.jobs.erase(job);
 }
 
 } // namespace Filbertlanding
--- a/src/fleet/scheduler_place.cpp
+++ b/src/fleet/scheduler_place.cpp
@@ -186,8 +186,8 @@
     /** Returns whether a task is not done and has a single run, so that a speculative copy is useful. */
     bool isCopyUseful(const FleetJob &job, const TaskRef &ref)
     {
-        const TaskRecord &task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
-        return !task.isDone && task.active.size() == 1;
+        const TaskRecord *task = findTask(job, ref);
+        return task != nullptr && !task->isDone && task->active.size() == 1;
     }
 
     /** Starts the requested speculative copies of stalled and slow tasks. */
--- a/src/fleet/scheduler_ready.cpp
+++ b/src/fleet/scheduler_ready.cpp
@@ -3,6 +3,7 @@
 #include "fleet/account_standing.h"
 #include "fleet/scheduler_detail.h"
 #include "fleet/service_order.h"
+#include "fleet/state_memory.h"
 
 #include <algorithm>
 #include <span>
@@ -29,8 +30,12 @@
 
 std::vector<std::uint32_t> findPendingTasks(const FleetScheduler &scheduler, const FleetJob &job, const ReadyStep &step, TimePoint now)
 {
-    const std::vector<TaskRecord> &tasks = job.occurrences.at(step.occurrence).steps[step.step].tasks;
     std::vector<std::uint32_t> pending;
+    const auto occurrence = job.occurrences.find(step.occurrence);
+    if (occurrence == job.occurrences.end()) {
+        return pending;
+    }
+    const std::vector<TaskRecord> &tasks = occurrence->second.steps[step.step].tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         if (isPending(scheduler, {step.job, step.occurrence, step.step, index}, tasks[index], now)) {
             pending.push_back(index);
@@ -46,7 +51,11 @@
 
 std::uint32_t countPendingTasks(const FleetScheduler &scheduler, const FleetJob &job, std::uint32_t occurrence, std::uint32_t step)
 {
-    const StepRecord &record = job.occurrences.at(occurrence).steps[step];
+    const auto open = job.occurrences.find(occurrence);
+    if (open == job.occurrences.end()) {
+        return 0;
+    }
+    const StepRecord &record = open->second.steps[step];
     const auto first = scheduler.proposedStarts.lower_bound({job.number, occurrence, step, 0});
     const auto last = scheduler.proposedStarts.lower_bound({job.number, occurrence, step + 1, 0});
     const auto proposed = static_cast<std::uint32_t>(std::distance(first, last));
@@ -201,12 +210,35 @@
         markStarvedSteps(scheduler, job, view, now, std::span(ready).subspan(before));
     }
 
-    /** Proposes to open the occurrences that are due. Any number may be due at once, so the number of incomplete ones is limited. */
-    void openDueOccurrences(JobView &view, const FleetJob &job, WallTime wall, SchedulerActions &actions)
+    /** Memory of jobs, and of occurrences that a placement pass has proposed to open, beyond what is reserved for their jobs. */
+    struct OccurrenceBudget {
+        std::size_t usedBytes = 0;
+        std::size_t maxBytes = 0;
+    };
+
+    /** Takes the memory of another occurrence from the budget unless it is reserved. Returns whether the occurrence may be opened. */
+    bool takeOccurrenceMemory(OccurrenceBudget &budget, const FleetJob &job, std::uint32_t incompleteOccurrences)
+    {
+        if (incompleteOccurrences < ReservedOccurrences) {
+            return true;
+        }
+        const std::size_t bytes = estimateOccurrenceMemory(job.spec);
+        if (budget.usedBytes + bytes > budget.maxBytes) {
+            return false;
+        }
+        budget.usedBytes += bytes;
+        return true;
+    }
+
+    /** Proposes to open the occurrences that are due. Any number may be due at once, so the number of incomplete ones and their memory are limited. */
+    void openDueOccurrences(JobView &view, const FleetJob &job, OccurrenceBudget &budget, WallTime wall, SchedulerActions &actions)
     {
         constexpr std::uint32_t MaxIncompleteOccurrences = 64;
         const std::uint32_t end = std::min(job.spec.repeatCount, job.completeCount + MaxIncompleteOccurrences);
         while (view.openedOccurrences < end && wall.ms >= job.spec.startAt.ms + job.spec.interval.ms * view.openedOccurrences) {
+            if (!takeOccurrenceMemory(budget, job, view.openedOccurrences - job.completeCount)) {
+                return;
+            }
             actions.propose.push_back(OpenOccurrence{job.number, view.openedOccurrences});
             ++view.openedOccurrences;
         }
@@ -234,9 +266,10 @@
 {
     std::vector<ReadyStep> ready;
     AccountStandings standings;
+    OccurrenceBudget budget{state.memory.jobs, scheduler.settings.openJobsBytes};
     for (auto &[number, view] : scheduler.jobs) {
         const FleetJob &job = state.jobs.at(number);
-        openDueOccurrences(view, job, wall, actions);
+        openDueOccurrences(view, job, budget, wall, actions);
         const std::size_t before = ready.size();
         addReadySteps(scheduler, job, view, now, ready);
         if (!job.account.name.empty()) {
--- a/src/fleet/scheduler_responses.cpp
+++ b/src/fleet/scheduler_responses.cpp
@@ -96,13 +96,12 @@
     /** Returns whether a task is known and still has to be done. */
     bool isOpenTask(const FleetState &state, const TaskRef &ref)
     {
-        const FleetJob &job = state.jobs.at(ref.job);
-        const auto occurrence = job.occurrences.find(ref.occurrence);
-        if (hasEnded(job.state) || occurrence == job.occurrences.end() || ref.step >= occurrence->second.steps.size()) {
+        const auto job = state.jobs.find(ref.job);
+        if (job == state.jobs.end() || hasEnded(job->second.state)) {
             return false;
         }
-        const auto &tasks = occurrence->second.steps[ref.step].tasks;
-        return ref.index < tasks.size() && !tasks[ref.index].isDone && !job.spec.steps[ref.step].isLongRunning;
+        const TaskRecord *task = findTask(job->second, ref);
+        return task != nullptr && !task->isDone && !job->second.spec.steps[ref.step].isLongRunning;
     }
 
     /** Handles a listed end of a run that this incarnation is not known to have. */
--- a/src/fleet/scheduler_start.cpp
+++ b/src/fleet/scheduler_start.cpp
@@ -107,7 +107,7 @@
     for (const auto &[number, job] : state.jobs) {
         takeOverRuns(scheduler, state, job, now);
         if (!hasEnded(job.state)) {
-            addJob(scheduler, job, now, wall).openedOccurrences = static_cast<std::uint32_t>(job.occurrences.size());
+            addJob(scheduler, job, now, wall).openedOccurrences = countOpenedOccurrences(job);
         }
     }
     addRunsOfEarlierIncarnations(scheduler, state, now);
--- a/src/fleetd/caller_access.cpp
+++ b/src/fleetd/caller_access.cpp
@@ -69,11 +69,6 @@
     return access;
 }
 
-JobOrigin originOf(const FleetJob &job)
-{
-    return {job.account.name, job.host, job.pathPrefix};
-}
-
 bool maySeeJob(const CallerAccess &access, const QueueConfig &queue, const JobOrigin &origin)
 {
     if (access.seesAllJobs || origin.account.empty() || origin.account == access.account) {
--- a/src/fleetd/caller_access.h
+++ b/src/fleetd/caller_access.h
@@ -20,19 +20,9 @@
     bool seesAllJobs = false; ///< No accounts are configured, so that all jobs are visible.
 };
 
-/** Account and queue of a job. */
-struct JobOrigin {
-    AccountName account; ///< Account that submitted the job; empty for none.
-    std::string host; ///< Host name of the queue.
-    std::string pathPrefix; ///< Path prefix of the queue.
-};
-
 /** Decides on a call to a queue of the manifest. `keys` must be the index of the accounts of this manifest. */
 CallerAccess authorizeCall(const FleetManifest &manifest, const KeyIndex &keys, const QueueConfig &queue, std::string_view apiKey);
 
-/** Returns the origin of an accepted job. */
-JobOrigin originOf(const FleetJob &job);
-
 /** Returns whether a call to a queue may see and cancel a job. */
 bool maySeeJob(const CallerAccess &access, const QueueConfig &queue, const JobOrigin &origin);
 
--- a/src/fleetd/fleet_change_log.cpp
+++ b/src/fleetd/fleet_change_log.cpp
@@ -55,7 +55,7 @@
         logLine(LogArea::Intent, LogLevel::Info, "zone_drained", {{"zone", zone->availabilityZone}, {"drained", zone->isDrained}});
     }
     if (change.removedJobs > 0) {
-        logLine(LogArea::Job, LogLevel::Info, "ended_jobs_removed", {{"count", change.removedJobs}, {"known", this->state.jobs.size()}});
+        logLine(LogArea::Job, LogLevel::Info, "ended_jobs_removed", {{"count", change.removedJobs}, {"known", this->state.jobNumbers.size()}});
     }
     for (const JobNumber number : change.endedJobs) {
         const FleetJob &job = this->state.jobs.at(number);
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -4,6 +4,7 @@
 
 #include "core/clock_func.h"
 #include "core/random.h"
+#include "fleetd/memory_limits.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
 #include "settings/host_limits.h"
@@ -69,6 +70,7 @@
         result.farFactor = settings.farFactor;
         result.paceDelay = {settings.paceDelayMs};
         result.harmLimit = {settings.harmLimitMs};
+        result.openJobsBytes = memoryLimitsOf(settings).openJobs;
         return result;
     }
 
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -7,6 +7,7 @@
 
 #include "fleet/fleet_scheduler_func.h"
 #include "fleet/held_tasks.h"
+#include "fleet/job_admission.h"
 #include "fleetd/account_report.h"
 #include "fleetd/caller_access.h"
 #include "fleetd/core_status_log.h"
@@ -205,9 +206,11 @@
     void logFleetLoad();
     void countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued);
 
+    MemoryUse memoryUse() const;
     void submitJob(const JobApiRequest &request, const AuthorizedCall &call, const JobId &id, CallerResponseHandler done);
     ApiResponse submissionResponse(const AuthorizedCall &call, const JobId &id) const;
     bool isVisibleJobPending(const AuthorizedCall &call, const JobId &id) const;
+    std::optional<ApiResponse> findRefusalByMemory(const JobSpec &spec, const JobId &id) const;
     std::optional<ApiResponse> findSubmissionRefusal(const JobSpec &spec, const AuthorizedCall &call, const JobId &id);
     std::optional<ApiResponse> findRefusalByAccount(const JobSpec &spec, const AuthorizedCall &call, const JobId &id);
     void cancelJob(const AuthorizedCall &call, const JobId &id, CallerResponseHandler done);
--- a/src/fleetd/fleet_metrics.cpp
+++ b/src/fleetd/fleet_metrics.cpp
@@ -30,7 +30,10 @@
 {
     appendMetric(text, "filbertlanding_jobs_accepted_total", this->counters.jobsAccepted);
     appendMetric(text, "filbertlanding_jobs_refused_total", this->counters.jobsRefused);
-    appendMetric(text, "filbertlanding_jobs_open_bytes", this->scheduler ? this->scheduler->openBytes : 0);
+    appendMetric(text, "filbertlanding_jobs_open_bytes", this->state.memory.jobs);
+    appendMetric(text, "filbertlanding_jobs_ended_bytes", this->state.memory.endedJobs);
+    appendMetric(text, "filbertlanding_early_cancellations_bytes", this->state.memory.cancellations);
+    appendMetric(text, "filbertlanding_jobs_ended", this->state.endedJobs.size());
     appendMetric(text, "filbertlanding_orders_sent_total", this->counters.ordersSent);
     appendMetric(text, "filbertlanding_orders_unanswered_total", this->counters.ordersUnanswered);
     appendMetric(text, "filbertlanding_entries_applied_total", this->counters.entriesApplied);
--- a/src/fleetd/fleet_requests.cpp
+++ b/src/fleetd/fleet_requests.cpp
@@ -3,8 +3,9 @@
 #include "account/account_check.h"
 #include "core/clock_func.h"
 #include "core/name_table.h"
-#include "fleet/job_admission.h"
+#include "fleet/state_memory.h"
 #include "fleetd/fleet_core.h"
+#include "fleetd/memory_limits.h"
 #include "fleetd/worker_report_check.h"
 #include "replication/raft_func.h"
 #include "runtime/log_func.h"
@@ -126,7 +127,7 @@
         done(RelayOutcome::Answered, makeResponse(ResultCode::BadRequest, "the path does not end with a valid job id"));
         return;
     }
-    if (findJob(this->state, id) != nullptr) {
+    if (findJobStatus(this->state, id)) {
         done(RelayOutcome::Answered, this->submissionResponse(call, id));
         return;
     }
@@ -160,8 +161,8 @@
 /** Returns the response to a submission that has been applied, or whose job was known before. */
 ApiResponse FleetCore::submissionResponse(const AuthorizedCall &call, const JobId &id) const
 {
-    if (const FleetJob *job = findJob(this->state, id)) {
-        const bool isVisible = maySeeJob(call.access, call.queue, originOf(*job));
+    if (const auto job = findJobStatus(this->state, id)) {
+        const bool isVisible = maySeeJob(call.access, call.queue, job->origin);
         return isVisible ? makeResponse(ResultCode::Ok) : makeResponse(ResultCode::RequestIdReused, "the job id is in use; this job was not accepted");
     }
     if (!hasQueue(this->state.manifest, call.queue)) {
@@ -181,21 +182,41 @@
     });
 }
 
+MemoryUse FleetCore::memoryUse() const
+{
+    return {this->state.memory, this->pendingBytes};
+}
+
+/** Returns the response to a new job for which there is no memory, or nothing. */
+std::optional<ApiResponse> FleetCore::findRefusalByMemory(const JobSpec &spec, const JobId &id) const
+{
+    const MemoryUse use = this->memoryUse();
+    const std::size_t jobBytes = estimateJobMemory(spec);
+    const AdmissionRefusal refusal = findMemoryRefusal(use, memoryLimitsOf(this->settings), jobBytes);
+    if (refusal == AdmissionRefusal::None) {
+        return std::nullopt;
+    }
+    logLine(LogArea::Job,
+            LogLevel::Info,
+            "job_refused",
+            {{"job", id},
+             {"reason", AdmissionRefusalNames.nameOf(refusal)},
+             {"openBytes", use.state.jobs + use.pendingJobs},
+             {"endedBytes", use.state.endedJobs + use.state.cancellations},
+             {"jobBytes", jobBytes}});
+    const bool isOpenLimit = refusal == AdmissionRefusal::OpenJobs;
+    ApiResponse response = makeResponse(ResultCode::QueueFull,
+                                        isOpenLimit ? "the memory limit for open jobs is reached; the job was not accepted"
+                                                    : "the memory limit for ended jobs is reached; the job was not accepted");
+    response.retryAfter = retryDelayAfterRefusal(id);
+    return response;
+}
+
 /** Returns the response to a new job that is refused, or nothing. Takes a token of the account's rate only if no other reason holds. */
 std::optional<ApiResponse> FleetCore::findSubmissionRefusal(const JobSpec &spec, const AuthorizedCall &call, const JobId &id)
 {
-    constexpr std::size_t BytesPerMegabyte = 1'048'576;
-    const AdmissionInput admission{this->scheduler->openBytes + this->pendingBytes,
-                                   estimateJobMemory(spec),
-                                   static_cast<std::size_t>(this->settings.openJobsMegabytes) * BytesPerMegabyte};
-    if (!canAdmitJob(admission)) {
-        logLine(LogArea::Job,
-                LogLevel::Info,
-                "job_refused",
-                {{"job", id}, {"reason", "memory"}, {"openBytes", admission.openBytes}, {"jobBytes", admission.jobBytes}});
-        ApiResponse response = makeResponse(ResultCode::QueueFull, "the memory limit for open jobs is reached; the job was not accepted");
-        response.retryAfter = retryDelayAfterRefusal(id);
-        return response;
+    if (auto refusal = this->findRefusalByMemory(spec, id)) {
+        return refusal;
     }
     const QueueConfig &queue = call.queue;
     const bool mayReserve = canAdmitLongRunningJob(this->scheduler->shortJobWaits, queue.service, queue.priority, steadyNow());
@@ -238,16 +259,23 @@
 
 void FleetCore::cancelJob(const AuthorizedCall &call, const JobId &id, CallerResponseHandler done)
 {
-    const FleetJob *job = findJob(this->state, id);
-    if (job != nullptr && !maySeeJob(call.access, call.queue, originOf(*job))) {
+    const auto job = findJobStatus(this->state, id);
+    if (job && !maySeeJob(call.access, call.queue, job->origin)) {
         done(RelayOutcome::Answered, makeResponse(ResultCode::JobUnknown));
         return;
     }
-    if (job != nullptr && hasEnded(job->state)) {
+    if (job && hasEnded(job->state)) {
         done(RelayOutcome::Answered, makeResponse(ResultCode::Ok));
         return;
     }
-    this->propose(CancelFleetJob{id, wallNow(), call.access.account}, [isKnown = job != nullptr, done = std::move(done)](bool applied) {
+    if (!job && !mayRememberMore(this->memoryUse(), memoryLimitsOf(this->settings)) && !this->pendingJobs.contains(id)) {
+        logLine(LogArea::Job, LogLevel::Info, "cancellation_refused", {{"job", id}, {"endedBytes", this->state.memory.endedJobs}});
+        ApiResponse response = makeResponse(ResultCode::QueueFull, "the memory limit for cancellations of unknown jobs is reached; nothing was cancelled");
+        response.retryAfter = retryDelayAfterRefusal(id);
+        done(RelayOutcome::Answered, std::move(response));
+        return;
+    }
+    this->propose(CancelFleetJob{id, wallNow(), call.access.account}, [isKnown = job.has_value(), done = std::move(done)](bool applied) {
         if (!applied) {
             done(RelayOutcome::Unknown, {});
             return;
@@ -259,8 +287,8 @@
 
 ApiResponse FleetCore::showJob(const AuthorizedCall &call, const JobId &id) const
 {
-    const FleetJob *job = findJob(this->state, id);
-    if (job == nullptr || !maySeeJob(call.access, call.queue, originOf(*job))) {
+    const auto job = findJobStatus(this->state, id);
+    if (!job || !maySeeJob(call.access, call.queue, job->origin)) {
         return makeResponse(ResultCode::JobUnknown);
     }
     ApiResponse response;
--- a/src/settings/table/fleet_settings_keys.h
+++ b/src/settings/table/fleet_settings_keys.h
@@ -33,6 +33,7 @@
 SETTING_NUMBER("/limits/diskMegabytes", limitDiskMegabytes, 0, 0, 1000000000, "MB", "disk space of this host for /dataFolder, which bounds the log; 0 if not known")
 SETTING_NUMBER("/limits/memoryMegabytes", limitMemoryMegabytes, 0, 0, 1000000000, "MB", "memory of this process, which bounds the log; 0 if not known")
 SETTING_NUMBER("/jobs/openMegabytes", openJobsMegabytes, 64, 1, 65536, "MB", "memory of jobs that have not ended, above which further ones are refused")
+SETTING_NUMBER("/jobs/endedMegabytes", endedJobsMegabytes, 32, 1, 65536, "MB", "memory of what is kept of ended jobs and of early cancellations, above which further ones are refused")
 SETTING_NUMBER("/tolerated/hosts", toleratedHosts, 1, 0, 8, "hosts", "hosts with a disk that may be lost at once")
 SETTING_NUMBER("/task/longestLeaseMs", longestLeaseMs, 10000, 500, 600000, "ms", "longest lease that workers grant")
 SETTING_NUMBER("/task/stopTimeoutMs", stopTimeoutMs, 200, 0, 600000, "ms", "longest time that a worker takes to stop a task")
--- a/tests/fleet_account_state_test.cpp
+++ b/tests/fleet_account_state_test.cpp
@@ -2,6 +2,7 @@
 
 #include "account/account_limit.h"
 #include "account/api_key.h"
+#include "fleet/state_memory.h"
 #include "fleet_jobs.h"
 #include "test_seed.h"
 
@@ -244,6 +245,8 @@
             CHECK(applyFleetCommand(restored, commands->front()).isApplied == change.isApplied);
             REQUIRE_MESSAGE(state.accountUsage == countRuns(state), "seed " << seed << ", command " << i);
             REQUIRE_MESSAGE(restored.accountUsage == state.accountUsage, "seed " << seed << ", command " << i);
+            REQUIRE_MESSAGE(state.memory == estimateStateMemory(state), "seed " << seed << ", command " << i);
+            REQUIRE_MESSAGE(restored.memory == state.memory, "seed " << seed << ", command " << i);
             withUsage += state.accountUsage.empty() ? 0 : 1;
             if (writer.random.below(40) == 0) {
                 REQUIRE(encodeFleetState(restored) == encodeFleetState(state));
--- a/tests/job_admission_test.cpp
+++ b/tests/job_admission_test.cpp
@@ -24,6 +24,68 @@
 
 } // namespace
 
+TEST_CASE("The memory of all that callers make a replica hold is limited")
+{
+    // Guards against ended jobs and cancellations of unknown jobs that exhaust the memory of a replica, since they must be known for as long as promised.
+    const MemoryLimits limits{.openJobs = 1'000'000, .endedJobs = 100'000};
+    const std::size_t jobBytes = estimateJobMemory(makeJob(20, 200));
+    MemoryUse use;
+    CHECK(findMemoryRefusal(use, limits, jobBytes) == AdmissionRefusal::None);
+
+    SUBCASE("of submissions that are not applied yet")
+    {
+        use.pendingJobs = limits.openJobs - jobBytes + 1;
+        CHECK(findMemoryRefusal(use, limits, jobBytes) == AdmissionRefusal::OpenJobs);
+        CHECK(mayRememberMore(use, limits));
+    }
+
+    SUBCASE("of jobs whose runs have not ended")
+    {
+        use.state.jobs = limits.openJobs - jobBytes + 1;
+        CHECK(findMemoryRefusal(use, limits, jobBytes) == AdmissionRefusal::OpenJobs);
+    }
+
+    SUBCASE("of ended jobs")
+    {
+        use.state.endedJobs = limits.endedJobs;
+        CHECK(findMemoryRefusal(use, limits, jobBytes) == AdmissionRefusal::EndedJobs);
+        CHECK_FALSE(mayRememberMore(use, limits));
+    }
+
+    SUBCASE("of cancellations, together with the ended jobs")
+    {
+        use.state.endedJobs = limits.endedJobs / 2;
+        use.state.cancellations = limits.endedJobs / 2;
+        CHECK(findMemoryRefusal(use, limits, jobBytes) == AdmissionRefusal::EndedJobs);
+        CHECK_FALSE(mayRememberMore(use, limits));
+    }
+}
+
+TEST_CASE("What a caller sends counts for the memory of its job")
+{
+    // Guards against memory that a caller can use without a limit: long lists and texts in a job of few tasks.
+    const JobSpec plain = makeJob(1, 0);
+    const std::size_t plainBytes = estimateJobMemory(plain);
+    constexpr std::size_t Length = 10'000;
+    JobSpec spec = plain;
+
+    SUBCASE("the payload")
+    {
+        spec.payload.assign(Length, 'x');
+    }
+
+    SUBCASE("the dependencies of a step")
+    {
+        spec.steps.front().dependsOn.assign(Length, 0);
+    }
+
+    SUBCASE("the texts of a step")
+    {
+        spec.steps.front().image.assign(Length, 'x');
+    }
+    CHECK(estimateJobMemory(spec) >= plainBytes + Length);
+}
+
 TEST_CASE("The memory of open jobs is limited")
 {
     // Guards against a backlog that exhausts the memory of a replica, since every accepted job is kept until it has run.
