Fix: a job has started once a worker has confirmed it, not when its start is decided

The queue gave 0 as waiting while eight accepted submissions had not begun for over 5 s, and each of them said "running".

Cause: the application of StartRun, which is recorded before the order is sent, moved the job to Running, and nothing moved it back when the start was refused.

Change: a start counts when a worker confirms it: by its answer to the order, by its list of runs, or by a listed end that implies it. The leader proposes RecordJobStart then, once for each job. For a gang workers must have confirmed all tasks of a run. Commands have format 7; a StartRun of an older log has the effect that it had. The metric of the first start and the new line job_started follow the same record.

The fleet simulation now checks in all tests that no job is said to have started of which no worker has started a task.

--- a/fakes/fleet_checks.cpp
+++ b/fakes/fleet_checks.cpp
@@ -32,6 +32,7 @@
     }
     activeWorkers[worker] = run;
     this->checkGangIsComplete(task, run);
+    this->noteBegunJob(task, run);
     if (const CrashTime *time = this->findCrashTime(task)) {
         this->onCrashingTaskStarted(worker, task, run, *time);
     }
@@ -136,9 +137,31 @@
     }
 }
 
+void FleetSimulation::noteBegunJob(const TaskName &task, std::uint32_t run)
+{
+    const StepSpec &step = this->specs.at(task.job).steps.at(task.step);
+    const TaskName first{task.job, task.occurrence, task.step, 0};
+    std::set<std::uint32_t> &members = this->gangStarts[first][run];
+    members.insert(task.index);
+    if (!step.isGang || members.size() == step.taskCount) {
+        this->begunJobs.insert(task.job);
+    }
+}
+
+void FleetSimulation::checkFirstStart(const FleetChange &change)
+{
+    const FleetJob &job = this->state.jobs.at(change.job);
+    if (!this->begunJobs.contains(job.id)) {
+        this->addViolation("a job is said to have started, and has not: " + job.id);
+    }
+}
+
 void FleetSimulation::onEnded(const WorkerName &worker, const TaskName &task, std::uint32_t run, RunOutcome end)
 {
     this->activeRuns[task].erase(worker);
+    if (end == RunOutcome::Done) {
+        this->begunJobs.insert(task.job);
+    }
     if (end != RunOutcome::Done) {
         this->breakGang(task, run);
     }
--- a/fakes/fleet_simulation.cpp
+++ b/fakes/fleet_simulation.cpp
@@ -202,6 +202,9 @@
             this->committedDoneTasks.insert({job.id, end->task.occurrence, end->task.step, end->task.index});
         }
     }
+    if (change.isFirstStart) {
+        this->checkFirstStart(change);
+    }
     if (std::holds_alternative<CancelFleetJob>(command) && change.isApplied) {
         this->cancelledAt[std::get<CancelFleetJob>(command).id] = this->now;
     }
--- a/fakes/fleet_simulation.h
+++ b/fakes/fleet_simulation.h
@@ -210,6 +210,8 @@
     bool hasCrashingTask(const JobId &job) const;
     void onCrashingTaskStarted(const WorkerName &worker, const TaskName &task, std::uint32_t run, const CrashTime &time);
     void checkGangIsComplete(const TaskName &task, std::uint32_t run);
+    void noteBegunJob(const TaskName &task, std::uint32_t run);
+    void checkFirstStart(const FleetChange &change);
     void breakGang(const TaskName &task, std::uint32_t run);
     void noteStartResponse(const WorkerOrder &order, OrderOutcome outcome);
     void checkRecordedCrash(const RecordCrash &crash);
@@ -236,6 +238,9 @@
     std::map<WorkerName, std::uint64_t> sequences;
     std::map<WorkerName, Duration> reportDelays; ///< Delays of the next reports.
     std::map<WorkerName, std::vector<FormerCapacity>> formerCapacities; ///< Capacities of the present incarnations before their changes.
+    std::set<JobId> begunJobs; ///< Jobs of which a worker has started a task, or workers all tasks of a gang.
+    std::map<TaskName, std::map<std::uint32_t, std::set<std::uint32_t>>, TaskNameOrder>
+        gangStarts; ///< Members that have started, by the first one and the run.
     std::map<TaskName, std::map<WorkerName, std::uint32_t>, TaskNameOrder> activeRuns; ///< Actual runs of each task, by worker.
     std::set<TaskName, TaskNameOrder> committedDoneTasks; ///< Tasks whose completion is committed.
 };
--- a/fakes/model_worker.cpp
+++ b/fakes/model_worker.cpp
@@ -87,6 +87,10 @@
 {
     OrderResponse response;
     response.clockMs = this->clockMs();
+    if (this->refusesStarts) {
+        response.outcome = OrderOutcome::Unhealthy;
+        return response;
+    }
     if (order.leaseEndMs) {
         if (*order.leaseEndMs <= this->clockMs()) {
             response.outcome = OrderOutcome::LeaseExpired;
--- a/fakes/model_worker.h
+++ b/fakes/model_worker.h
@@ -84,6 +84,7 @@
     double speed = 1.0;
     double baselineTailRatio = 0.4; ///< Tail latency of its long-running tasks without interference, as a fraction of their targets.
     bool enforcesCapacity = true; ///< Whether it refuses tasks that exceed its capacity.
+    bool refusesStarts = false; ///< Whether it refuses all starts as unhealthy, and does nothing.
     bool failsAll = false; ///< Whether every run on it fails after a short time.
     std::function<void(const TaskName &, std::uint32_t run)> started; ///< Called when a run starts.
     std::function<void(const TaskName &, std::uint32_t run, RunOutcome end)> ended; ///< Called when a run ends.
--- a/src/fleet/fleet_command.cpp
+++ b/src/fleet/fleet_command.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr char CommandVersion = AccountFormat; ///< First byte of every payload.
+    constexpr char CommandVersion = JobStartCommandFormat; ///< First byte of every payload.
     constexpr char OldestCommandVersion = 1; ///< Oldest version that can be read.
 
 } // namespace
--- a/src/fleet/fleet_command.h
+++ b/src/fleet/fleet_command.h
@@ -14,6 +14,7 @@
 
 constexpr char ReportSequenceCommandFormat = 2; ///< First format version of commands with the sequence number of a report.
 constexpr char RetentionClockCommandFormat = 3; ///< First format version of commands from which on retention is counted by AdvanceRetentionClock.
+constexpr char JobStartCommandFormat = 7; ///< First format version of commands with RecordJobStart.
 
 /** Puts a manifest in force if its version is higher than the present one. */
 struct PutManifest {
@@ -116,16 +117,20 @@
     }
 };
 
-/** Records a run before its start order is sent to the worker. */
+/** Records a run before its start order is sent to the worker. Whether the worker starts it is not known then. */
 struct StartRun {
     TaskRef task;
     std::uint32_t run = 0;
     IncarnationNumber incarnation = 0;
+    bool startsJob = false; ///< The command is of a log in which a recorded run counted as started; it must have the same effect again.
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(this->task, this->run, this->incarnation);
+        if constexpr (Archive::is_loading::value) {
+            this->startsJob = !archive.hasFieldsOf(JobStartCommandFormat);
+        }
     }
 };
 
@@ -223,6 +228,17 @@
     }
 };
 
+/** Records that a task of a job has started, as a worker has confirmed. */
+struct RecordJobStart {
+    JobNumber job = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->job);
+    }
+};
+
 using FleetCommand = std::variant<PutManifest,
                                   SetZoneDrained,
                                   RegisterWorker,
@@ -236,7 +252,8 @@
                                   SetMaintenanceStage,
                                   SaveLearnedModel,
                                   RecordCrash,
-                                  AdvanceRetentionClock>;
+                                  AdvanceRetentionClock,
+                                  RecordJobStart>;
 
 constexpr std::size_t MaxEntryBytes =
     std::size_t{4} * 1024 * 1024 - std::size_t{64} * 1024; ///< Payload of a log entry; with its envelope it fits into a peer frame of 4 MiB.
--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -53,6 +53,7 @@
     TimePoint objectiveDeadline; ///< Time by which the job must complete to meet its latency objective.
     std::vector<double> taskSeconds; ///< Expected CPU seconds of a task of each step.
     std::optional<TimePoint> idleSince; ///< Time since which the job has had nothing running although a step was ready; nothing while something runs.
+    bool isStartProposed = false; ///< It is proposed to record that a task of the job has started.
     bool hasSuspects = false; ///< Workers have crashed under tasks of the job, so that these are placed in another way than like ones.
     std::uint32_t openedOccurrences = 0; ///< Occurrences that are open, or whose opening has been proposed.
 };
--- a/src/fleet/fleet_state_detail.h
+++ b/src/fleet/fleet_state_detail.h
@@ -14,6 +14,7 @@
 
 FleetChange apply(FleetState &state, const StartRun &command);
 FleetChange apply(FleetState &state, const EndRun &command);
+FleetChange apply(FleetState &state, const RecordJobStart &command);
 FleetChange apply(FleetState &state, const RecordCrash &command);
 
 FleetChange apply(FleetState &state, const RegisterWorker &command);
--- a/src/fleet/fleet_state_func.h
+++ b/src/fleet/fleet_state_func.h
@@ -24,6 +24,7 @@
     IncarnationNumber incarnation = 0; ///< Incarnation that was registered or ended, or whose run was started or ended.
     bool isNewIncarnation = false; ///< The incarnation was not known before.
     std::vector<IncarnationNumber> endedIncarnations; ///< Incarnations ended by the command.
+    bool isFirstStart = false; ///< It is now known that a task of the job has started, and was not before.
     std::size_t removedJobs = 0; ///< Number of ended jobs that are no longer known because their retention time has passed.
 };
 
@@ -55,10 +56,13 @@
 /** Returns the number of occurrences that have been opened, complete ones included. */
 std::uint32_t countOpenedOccurrences(const FleetJob &job);
 
+/** Returns whether the outcome of a run of a step shows that its task has started; a task of a gang starts once all of them are there. */
+bool impliesStart(const StepSpec &step, RunOutcome outcome);
+
 /** Returns whether a step is not complete and all steps that it depends on are. */
 bool isStepReady(const FleetJob &job, const Occurrence &occurrence, std::uint32_t step);
 
-/** Returns the number of jobs of a queue that run once and have not started a task. */
+/** Returns the number of jobs of a queue that run once and of which no task is known to have started. */
 std::uint64_t countQueuedJobs(const FleetState &state, const QueueConfig &queue);
 
 /** Returns whether the state holds anything that is removed after its retention time. */
--- a/src/fleet/fleet_state_query.cpp
+++ b/src/fleet/fleet_state_query.cpp
@@ -66,6 +66,24 @@
     return job.completeCount + static_cast<std::uint32_t>(incomplete);
 }
 
+bool impliesStart(const StepSpec &step, RunOutcome outcome)
+{
+    switch (outcome) {
+    case RunOutcome::Done:
+        return true;
+    case RunOutcome::Failed:
+    case RunOutcome::Stopped:
+    case RunOutcome::LeaseExpired:
+        return !step.isGang;
+    case RunOutcome::GangBroken:
+    case RunOutcome::GangIncomplete:
+    case RunOutcome::Lost:
+    case RunOutcome::WorkerCrashed:
+        return false;
+    }
+    return false;
+}
+
 bool isStepReady(const FleetJob &job, const Occurrence &occurrence, std::uint32_t step)
 {
     const StepSpec &spec = job.spec.steps[step];
--- a/src/fleet/fleet_state_runs.cpp
+++ b/src/fleet/fleet_state_runs.cpp
@@ -98,9 +98,21 @@
         }
     }
 
+    /** Records that a task of a job has started. */
+    void markStarted(FleetJob &job, FleetChange &change)
+    {
+        if (job.state == FleetJobState::Queued) {
+            job.state = FleetJobState::Running;
+            change.isFirstStart = true;
+        }
+    }
+
     void applyOutcome(FleetJob &job, const TaskRef &ref, StepRecord &step, TaskRecord &task, const EndRun &end, FleetChange &change)
     {
         const StepSpec &spec = job.spec.steps[ref.step];
+        if (impliesStart(spec, end.outcome)) {
+            markStarted(job, change);
+        }
         if (!end.checkpoint.empty()) {
             task.checkpoint = end.checkpoint;
             for (TaskRecord &member : step.tasks) {
@@ -148,7 +160,21 @@
     task.active.push_back({command.run, command.incarnation, state.appliedAt});
     addUsage(state.accountUsage, job.account.name, job.spec.steps[command.task.step].request);
     task.lastRun = command.run;
-    job.state = FleetJobState::Running;
+    if (command.startsJob) {
+        markStarted(job, change);
+    }
+    return change;
+}
+
+FleetChange apply(FleetState &state, const RecordJobStart &command)
+{
+    FleetChange change;
+    const auto job = state.jobs.find(command.job);
+    if (job != state.jobs.end() && job->second.state == FleetJobState::Queued) {
+        change.isApplied = true;
+        change.job = command.job;
+        markStarted(job->second, change);
+    }
     return change;
 }
 
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -20,7 +20,7 @@
 
 /** State of a job as reported to its caller. */
 enum class FleetJobState : std::uint8_t {
-    Queued, ///< No task has started yet.
+    Queued, ///< No worker has confirmed the start of a task yet. A gang starts when all of its tasks are there.
     Running,
     Completed, ///< All tasks are done.
     Failed, ///< See JobFailure.
--- a/src/fleet/scheduler_applied.cpp
+++ b/src/fleet/scheduler_applied.cpp
@@ -265,7 +265,7 @@
     bool mayAllowStart(const FleetCommand &command)
     {
         return !std::holds_alternative<SubmitFleetJob>(command) && !std::holds_alternative<SaveLearnedModel>(command)
-            && !std::holds_alternative<AdvanceRetentionClock>(command);
+            && !std::holds_alternative<AdvanceRetentionClock>(command) && !std::holds_alternative<RecordJobStart>(command);
     }
 
 } // namespace
--- a/src/fleet/scheduler_responses.cpp
+++ b/src/fleet/scheduler_responses.cpp
@@ -104,6 +104,16 @@
         return task != nullptr && !task->isDone && !job->second.spec.steps[ref.step].isLongRunning;
     }
 
+    /** Notes the start that a listed end shows, of a run that was given up before. */
+    void noteUnassignedStart(FleetScheduler &scheduler, const FleetState &state, const TaskRef &task, const ListedEnd &end, SchedulerActions &actions)
+    {
+        const auto job = state.jobs.find(task.job);
+        const bool hasStep = job != state.jobs.end() && task.step < job->second.spec.steps.size();
+        if (hasStep && impliesStart(job->second.spec.steps[task.step], end.outcome)) {
+            noteStart(scheduler, state, task, end.run, actions);
+        }
+    }
+
     /** Handles a listed end of a run that this incarnation is not known to have. */
     void handleUnassignedEnd(FleetScheduler &scheduler,
                              const FleetState &state,
@@ -115,6 +125,7 @@
                              SchedulerActions &actions)
     {
         const bool isInherited = handleInheritedEnd(scheduler, session, task, end, wall, actions);
+        noteUnassignedStart(scheduler, state, task, end, actions);
         if (!isInherited && end.outcome == RunOutcome::Done && isOpenTask(state, task)) {
             noteRun(session, RunNoticeKind::DoneUnassigned, end.task, end.run, now, actions);
         }
@@ -197,11 +208,15 @@
             if (run == nullptr || run->phase == RunPhase::Proposed) {
                 noteRun(session, RunNoticeKind::RunningUnassigned, entry.task, entry.run, now, actions);
                 addOrphanRun(session, entry.task, entry.run, now);
+                if (task) {
+                    noteStart(scheduler, state, *task, entry.run, actions);
+                }
                 continue;
             }
             listed.insert(*task);
             run->wasListed = true;
             run->phase = RunPhase::Started;
+            confirmStart(scheduler, state, *task, *run, actions);
             run->checkpoint = entry.checkpoint.empty() ? run->checkpoint : entry.checkpoint;
             run->percent = entry.percent;
             run->measurement = entry.measurement;
@@ -315,7 +330,7 @@
         run.phase = RunPhase::Started;
     }
 
-    void handleStartResponse(const FleetScheduler &scheduler,
+    void handleStartResponse(FleetScheduler &scheduler,
                              const FleetState &state,
                              WorkerSession &session,
                              const TaskRef &task,
@@ -336,6 +351,7 @@
             }
             run.unansweredAttempts = 0;
             run.settledAtOrder = scheduler.lastOrder;
+            confirmStart(scheduler, state, task, run, actions);
             return;
         case OrderOutcome::NoResponse:
             run.mayHaveReachedWorker = true;
--- a/src/fleet/worker_session.h
+++ b/src/fleet/worker_session.h
@@ -36,6 +36,7 @@
     TimePoint since; ///< Time of the placement.
     TimePoint nextAttempt; ///< Earliest time at which an order for the run may be sent again.
     bool wasListed = false; ///< This incarnation of the worker has listed the run.
+    bool isStartConfirmed = false; ///< The worker has confirmed to this leader that it has started the run, or lists it.
     std::optional<TimePoint> takenOverAt; ///< Start of the leadership, if an earlier leader may not have seen the run listed.
     bool isOrderPending = false; ///< An order for the run has no response yet.
     std::uint64_t settledAtOrder = 0; ///< Number of the last order sent when an order for the run was confirmed; later polls reflect its effect.
--- a/src/fleetd/fleet_change_log.cpp
+++ b/src/fleetd/fleet_change_log.cpp
@@ -1,5 +1,6 @@
 /** @file fleet_change_log.cpp Log lines of the changes that the leader applies to the replicated state. */
 
+#include "core/clock_func.h"
 #include "fleet/fleet_names.h"
 #include "fleetd/fleet_core.h"
 #include "runtime/log_func.h"
@@ -54,6 +55,10 @@
     } else if (const auto *zone = std::get_if<SetZoneDrained>(&command)) {
         logLine(LogArea::Intent, LogLevel::Info, "zone_drained", {{"zone", zone->availabilityZone}, {"drained", zone->isDrained}});
     }
+    if (change.isFirstStart) {
+        const FleetJob &job = this->state.jobs.at(change.job);
+        logLine(LogArea::Job, LogLevel::Info, "job_started", {{"job", job.id}, {"afterMs", wallNow().ms - job.acceptedAt.ms}});
+    }
     if (change.removedJobs > 0) {
         logLine(LogArea::Job, LogLevel::Info, "ended_jobs_removed", {{"count", change.removedJobs}, {"known", this->state.jobNumbers.size()}});
     }
--- a/src/fleetd/fleet_core.cpp
+++ b/src/fleetd/fleet_core.cpp
@@ -281,9 +281,6 @@
 
 bool FleetCore::applyCommand(const FleetCommand &command)
 {
-    const auto *start = std::get_if<StartRun>(&command);
-    const auto job = start == nullptr ? this->state.jobs.end() : this->state.jobs.find(start->task.job);
-    const bool wasQueued = job != this->state.jobs.end() && job->second.state == FleetJobState::Queued;
     FleetChange change;
     try {
         change = this->applyToState(command);
@@ -296,7 +293,7 @@
     if (!this->scheduler) {
         return true;
     }
-    this->countChange(command, change, wasQueued);
+    this->countChange(command, change);
     this->logChange(command, change);
     try {
         handleApplied(*this->scheduler, this->state, command, change, steadyNow(), wallNow());
--- a/src/fleetd/fleet_core.h
+++ b/src/fleetd/fleet_core.h
@@ -204,7 +204,7 @@
     void noteRun(const RunNotice &notice);
     void logHeldTasks();
     void logFleetLoad();
-    void countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued);
+    void countChange(const FleetCommand &command, const FleetChange &change);
 
     MemoryUse memoryUse() const;
     void submitJob(const JobApiRequest &request, const AuthorizedCall &call, const JobId &id, CallerResponseHandler done);
--- a/src/fleetd/fleet_metrics.cpp
+++ b/src/fleetd/fleet_metrics.cpp
@@ -5,7 +5,7 @@
 
 namespace Filbertlanding {
 
-void FleetCore::countChange(const FleetCommand &command, const FleetChange &change, bool wasQueued)
+void FleetCore::countChange(const FleetCommand &command, const FleetChange &change)
 {
     if (!change.isApplied) {
         return;
@@ -13,7 +13,7 @@
     const auto ageOf = [this](JobNumber job) {
         return Duration{wallNow().ms - this->state.jobs.at(job).acceptedAt.ms};
     };
-    if (std::holds_alternative<StartRun>(command) && wasQueued) {
+    if (change.isFirstStart) {
         this->counters.firstStart.record(ageOf(change.job));
     }
     if (const auto *crash = std::get_if<RecordCrash>(&command)) {
