Fix: the confirmed tasks of a gang are counted once each

A gang of many tasks looked through all of them at each confirmation until its job was recorded as started. fleet_job_start_test (gang), fleet_account_test and fleet_fault_test pass.

--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -44,6 +44,12 @@
     std::map<IncarnationNumber, RunTimeEvidence> byWorker; ///< Contribution of each worker, so that a worker can be compared with the others.
 };
 
+/** How many tasks of a gang workers have confirmed. */
+struct GangStart {
+    std::uint32_t run = 0; ///< Number of the run that is counted.
+    std::uint32_t confirmedTasks = 0;
+};
+
 /** Scheduling data of a job. */
 struct JobView {
     std::vector<Duration> criticalPathFrom; ///< Expected duration of the critical path from the start of each step to the end of the job.
@@ -53,6 +59,7 @@
     TimePoint objectiveDeadline; ///< Time by which the job must complete to meet its latency objective.
     std::vector<double> taskSeconds; ///< Expected CPU seconds of a task of each step.
     std::optional<TimePoint> idleSince; ///< Time since which the job has had nothing running although a step was ready; nothing while something runs.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, GangStart> gangStarts; ///< By occurrence and step; unused once the start of the job is proposed.
     bool isStartProposed = false; ///< It is proposed to record that a task of the job has started.
     bool hasSuspects = false; ///< Workers have crashed under tasks of the job, so that these are placed in another way than like ones.
     std::uint32_t openedOccurrences = 0; ///< Occurrences that are open, or whose opening has been proposed.
--- a/src/fleet/scheduler_detail.h
+++ b/src/fleet/scheduler_detail.h
@@ -113,10 +113,10 @@
 /** Makes the next tick process a session. */
 void markDirty(FleetScheduler &scheduler, WorkerSession &session);
 
-/** Proposes to record that a job has started, unless that is known: a worker has started a run of one of its tasks, though the run may be given up. */
-void noteStart(FleetScheduler &scheduler, const FleetState &state, const TaskRef &task, std::uint32_t run, SchedulerActions &actions);
+/** Notes that a worker has started a run of a task which the replicated state does not assign to it. A single task of a gang tells nothing. */
+void noteStart(FleetScheduler &scheduler, const FleetState &state, const TaskRef &task, SchedulerActions &actions);
 
-/** Notes that a worker has confirmed the start of a run. */
+/** Notes that a worker has confirmed the start of a run, and proposes to record the start of its job unless that is known. */
 void confirmStart(FleetScheduler &scheduler, const FleetState &state, const TaskRef &task, RunView &run, SchedulerActions &actions);
 
 /** Starts tasks of ready steps on workers with sufficient capacity. */
--- a/src/fleet/scheduler_job_start.cpp
+++ b/src/fleet/scheduler_job_start.cpp
@@ -8,67 +8,62 @@
 
 #include "fleet/scheduler_detail.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace Filbertlanding {
 
 namespace {
 
-    /** Returns whether a worker has confirmed a run. */
-    bool isRunConfirmed(const FleetScheduler &scheduler, const TaskRef &ref, const ActiveRun &active)
+    /** Returns whether a job may still have to be recorded as started. */
+    bool isStartUnknown(const FleetState &state, const JobView &view, JobNumber job)
     {
-        const auto session = scheduler.sessions.find(active.incarnation);
-        if (session == scheduler.sessions.end()) {
-            return false;
-        }
-        const auto run = session->second.runs.find(ref);
-        return run != session->second.runs.end() && run->second.run == active.run && run->second.isStartConfirmed;
+        return !view.isStartProposed && state.jobs.at(job).state == FleetJobState::Queued;
     }
 
-    /** Returns whether workers have confirmed a run of all tasks of a gang. */
-    bool isGangConfirmed(const FleetScheduler &scheduler, const FleetJob &job, const TaskRef &member, std::uint32_t run)
+    void proposeJobStart(JobView &view, JobNumber job, SchedulerActions &actions)
     {
-        const auto occurrence = job.occurrences.find(member.occurrence);
-        if (occurrence == job.occurrences.end()) {
-            return false;
-        }
-        const std::vector<TaskRecord> &tasks = occurrence->second.steps[member.step].tasks;
-        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-            const TaskRef ref{member.job, member.occurrence, member.step, index};
-            const bool isConfirmed = std::any_of(tasks[index].active.begin(), tasks[index].active.end(), [&scheduler, &ref, run](const ActiveRun &active) {
-                return active.run == run && isRunConfirmed(scheduler, ref, active);
-            });
-            if (!isConfirmed) {
-                return false;
-            }
+        view.isStartProposed = true;
+        view.gangStarts.clear();
+        actions.propose.push_back(RecordJobStart{job});
+    }
+
+    /** Counts a confirmed task of a gang, each one once. Returns whether all tasks of the run are confirmed. */
+    bool countGangTask(JobView &view, const StepSpec &step, const TaskRef &task, std::uint32_t run)
+    {
+        GangStart &start = view.gangStarts[{task.occurrence, task.step}];
+        if (run > start.run) {
+            start = {run, 0};
         }
-        return true;
+        start.confirmedTasks += run == start.run ? 1 : 0;
+        return run == start.run && start.confirmedTasks >= step.taskCount;
     }
 
 } // namespace
 
-void noteStart(FleetScheduler &scheduler, const FleetState &state, const TaskRef &task, std::uint32_t run, SchedulerActions &actions)
+void noteStart(FleetScheduler &scheduler, const FleetState &state, const TaskRef &task, SchedulerActions &actions)
 {
     const auto view = scheduler.jobs.find(task.job);
-    if (view == scheduler.jobs.end() || view->second.isStartProposed) {
+    if (view == scheduler.jobs.end() || !isStartUnknown(state, view->second, task.job)) {
         return;
     }
-    const FleetJob &job = state.jobs.at(task.job);
-    if (job.state != FleetJobState::Queued || task.step >= job.spec.steps.size()) {
-        return;
+    const std::vector<StepSpec> &steps = state.jobs.at(task.job).spec.steps;
+    if (task.step < steps.size() && !steps[task.step].isGang) {
+        proposeJobStart(view->second, task.job, actions);
     }
-    if (job.spec.steps[task.step].isGang && !isGangConfirmed(scheduler, job, task, run)) {
-        return;
-    }
-    view->second.isStartProposed = true;
-    actions.propose.push_back(RecordJobStart{task.job});
 }
 
 void confirmStart(FleetScheduler &scheduler, const FleetState &state, const TaskRef &task, RunView &run, SchedulerActions &actions)
 {
-    if (!run.isStartConfirmed) {
-        run.isStartConfirmed = true;
-        noteStart(scheduler, state, task, run.run, actions);
+    if (std::exchange(run.isStartConfirmed, true)) {
+        return;
+    }
+    const auto view = scheduler.jobs.find(task.job);
+    if (view == scheduler.jobs.end() || !isStartUnknown(state, view->second, task.job)) {
+        return;
+    }
+    const StepSpec &step = state.jobs.at(task.job).spec.steps[task.step];
+    if (!step.isGang || countGangTask(view->second, step, task, run.run)) {
+        proposeJobStart(view->second, task.job, actions);
     }
 }
 
--- a/src/fleet/scheduler_responses.cpp
+++ b/src/fleet/scheduler_responses.cpp
@@ -110,7 +110,7 @@
         const auto job = state.jobs.find(task.job);
         const bool hasStep = job != state.jobs.end() && task.step < job->second.spec.steps.size();
         if (hasStep && impliesStart(job->second.spec.steps[task.step], end.outcome)) {
-            noteStart(scheduler, state, task, end.run, actions);
+            noteStart(scheduler, state, task, actions);
         }
     }
 
@@ -209,7 +209,7 @@
                 noteRun(session, RunNoticeKind::RunningUnassigned, entry.task, entry.run, now, actions);
                 addOrphanRun(session, entry.task, entry.run, now);
                 if (task) {
-                    noteStart(scheduler, state, *task, entry.run, actions);
+                    noteStart(scheduler, state, *task, actions);
                 }
                 continue;
             }
