--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -190,6 +190,12 @@
     }
 }
 
+bool SoakChecks::hasBegun(const JobId &id) const
+{
+    const auto first = this->tasks.lower_bound({id, 0, 0, 0});
+    return first != this->tasks.end() && first->first.job == id;
+}
+
 void SoakChecks::onJobStateRead(const JobId &id, std::optional<FleetJobState> state, JobFailure reason, TimePoint sentAt)
 {
     SoakJob &job = this->jobs.at(id);
@@ -215,6 +221,9 @@
         }
         job.finalState = state;
     }
+    if (*state == FleetJobState::Running && !this->hasBegun(id)) {
+        this->addViolation("a job is reported as running although no worker has started one of its tasks: " + id);
+    }
     if (*state == FleetJobState::Failed) {
         this->checkFailure(id, job, reason);
     }
--- a/tests/soak/soak_checks.h
+++ b/tests/soak/soak_checks.h
@@ -112,6 +112,7 @@
     void checkStart(const TaskName &task, const std::string &name, const std::string &payload, bool isDelayed);
     void checkFailure(const JobId &id, const SoakJob &job, JobFailure reason);
     bool isStepDone(const TaskName &task, std::uint32_t step) const;
+    bool hasBegun(const JobId &id) const;
 
     SoakLimits limits;
     std::map<TaskName, ObservedTask, TaskNameOrder> tasks;
