--- a/src/fleet/fleet_state_retention.cpp
+++ b/src/fleet/fleet_state_retention.cpp
@@ -36,8 +36,8 @@
             if (hasActiveRuns(job)) {
                 return false;
             }
-            addEndedJob(state, reduceJob(std::move(job)));
             state.memory.jobs -= job.memoryBytes;
+            addEndedJob(state, reduceJob(std::move(job)));
             state.jobs.erase(number);
             return true;
         });
--- a/tests/fleet_job_start_test.cpp
+++ b/tests/fleet_job_start_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace Filbertlanding;
 
 namespace {
@@ -15,7 +17,7 @@
     FleetSimulation simulation;
 
     explicit RefusingFleet(int workers, FleetSimulationSettings settings = {})
-        : simulation(withWorkers(settings, workers))
+        : simulation(withWorkers(std::move(settings), workers))
     {
         this->simulation.run({500});
     }
