--- a/tests/fleet_job_memory_test.cpp
+++ b/tests/fleet_job_memory_test.cpp
@@ -177,7 +177,7 @@
     FleetSimulation simulation(settings);
     simulation.run({100});
     JobSpec repeated = oneStepJob(2, SmallTask, {500});
-    repeated.repeatCount = 1'000;
+    repeated.repeatCount = 1'000'000;
     simulation.submit("repeated", repeated);
     simulation.run({400});
     const FleetJob &job = simulation.state.jobs.at(simulation.state.jobNumbers.at("repeated"));
