--- a/src/fleet/fleet_scheduler_base.h
+++ b/src/fleet/fleet_scheduler_base.h
@@ -34,7 +34,8 @@
     Duration restoreTime{250}; ///< Time that a task needs to resume from a checkpoint.
     std::int64_t farFactor = 2; ///< Factor by which tasks run longer outside of the rack of their data.
     Duration paceDelay{100}; ///< Time until a changed speed limit takes effect.
-    std::size_t openJobsBytes = std::numeric_limits<std::size_t>::max(); ///< Memory of jobs above which occurrences wait that have no memory reserved.
+    std::size_t openJobsBytes =
+        std::numeric_limits<std::size_t>::max(); ///< Memory of jobs above which an occurrence is not opened, unless it has memory reserved.
     Duration harmLimit{4'000}; ///< Maximum time for which tasks that use spare capacity may keep a long-running task over its latency target.
 };
 
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -227,14 +227,14 @@
     std::map<IncarnationNumber, WorkerIncarnation> incarnations; ///< Incarnations that may still have active runs, and the latest incarnation of each worker.
     std::map<WorkerName, IncarnationNumber> latestIncarnation;
     std::map<JobNumber, FleetJob> jobs; ///< Jobs that have not ended, and ended ones until an advance of the retention clock after the end of their runs.
-    std::set<JobNumber> endingJobs; ///< The ended jobs among them. Derived, not part of snapshots.
+    std::set<JobNumber> endingJobs; ///< The ended ones among `jobs`. Derived, not part of snapshots.
     std::map<JobNumber, EndedJob> endedJobs; ///< Ended jobs until their retention time has passed.
-    std::set<std::pair<Duration, JobNumber>> endedOrder; ///< Their numbers in the order of their ends. Derived, not part of snapshots.
+    std::set<std::pair<Duration, JobNumber>> endedOrder; ///< Retention clock at the end of each of these, and its number. Derived, not part of snapshots.
     std::map<JobId, JobNumber> jobNumbers; ///< Numbers of all jobs that are known.
     std::map<JobId, EarlyCancellation> cancelledBeforeSubmission; ///< Jobs cancelled before their submission arrived, so that a late submission does not run.
     std::map<std::uint64_t, MaintenanceWave> waves;
     AccountUsage accountUsage; ///< Requests of all active runs by account. Derived from the jobs, not part of snapshots.
-    StateMemory memory; ///< Derived, not part of snapshots.
+    StateMemory memory; ///< Estimated memory use of jobs and cancellations. Derived, not part of snapshots.
     std::string learnedModel; ///< Encoded model saved by the latest leader; empty if none has been saved.
     JobNumber lastJobNumber = 0;
     IncarnationNumber lastIncarnationNumber = 0;
--- a/src/fleet/job_admission.h
+++ b/src/fleet/job_admission.h
@@ -28,12 +28,16 @@
 
 /** Estimated memory use. */
 struct MemoryUse {
-    StateMemory state;
+    StateMemory state; ///< What the log contains.
     std::size_t pendingJobs = 0; ///< Submissions that are proposed and not applied yet, in bytes.
 };
 
 /** Which limit refuses a job. */
-enum class AdmissionRefusal : std::uint8_t { None, OpenJobs, EndedJobs };
+enum class AdmissionRefusal : std::uint8_t {
+    None, ///< The job is accepted.
+    OpenJobs, ///< See MemoryLimits::openJobs.
+    EndedJobs, ///< See MemoryLimits::endedJobs. The job could not be remembered after its end.
+};
 
 constexpr auto AdmissionRefusalNames = makeNameTable<AdmissionRefusal>({
     {AdmissionRefusal::None, "none"},
